--- a/tealshift/drill.py
+++ b/flintshift/benchlink.py
@@ -1,4 +1,4 @@
-"""The adapter between the drill wire and the controller's interface: ``python -m tealshift.drill``.
+"""The adapter between the benchlink wire and the controller's interface: ``python -m flintshift.benchlink``.
 
 Reads batches of events on standard input, hands each to the controller of its server and writes one reply a
 batch.  It holds the wire's words, as tables, and no decision.  Another dialect is another set of tables.
@@ -13,8 +13,8 @@
 from math import isfinite
 from typing import Any, TextIO
 
-from tealshift import interface as api
-from tealshift.control import Controller
+from flintshift import interface as api
+from flintshift.control import Controller
 
 
 class WireError(Exception):
@@ -306,7 +306,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
-        print(f"tealshift.drill: {error}", file=sys.stderr)
+        print(f"flintshift.benchlink: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/tealshift/control.py
+++ b/flintshift/control.py
@@ -1,6 +1,6 @@
 """What a server takes, runs, answers poorer, turns away and fails, decided for each server on its own.
 
-The settings, events and actions are declared in tealshift/interface.py.
+The settings, events and actions are declared in flintshift/interface.py.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from tealshift import interface as api
-from tealshift.interface import Effect, Halt, Outcome
+from flintshift import interface as api
+from flintshift.interface import Effect, Halt, Outcome
 
 # The ladder: how many skippable calls a run makes, and the busy share of the cores up to which it may.
 FULL = 1 << 30
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tealshift import interface as api
-from tealshift.control import Controller
+from flintshift import interface as api
+from flintshift.control import Controller
 
 SAFE = api.RequestClass("look", 1000.0, 3000.0, 1.0, api.Effect.SAFE)
 DEAR = api.RequestClass("buy", 1000.0, 3000.0, 5.0, api.Effect.UNSAFE, calls=True)
--- a/tests/test_drill.py
+++ b/tests/test_benchlink.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from tealshift import drill
-from tealshift import interface as api
+from flintshift import benchlink
+from flintshift import interface as api
 
 PAIRS = {
     "classes.count": "2",
@@ -42,7 +42,7 @@
 
 def serve(*batches: str) -> list[list[str]]:
     sink = io.StringIO()
-    drill.serve(io.StringIO("".join(batches)), sink)
+    benchlink.serve(io.StringIO("".join(batches)), sink)
     return [reply.splitlines() for reply in sink.getvalue().split("END\n")[:-1]]
 
 
@@ -52,7 +52,7 @@
 
 
 def test_settings_reach_the_interface_and_unknown_keys_are_skipped():
-    settings = drill.settings_from(dict(PAIRS))
+    settings = benchlink.settings_from(dict(PAIRS))
     peek, book = settings.classes
     assert (peek.aim_ms, peek.effect, peek.skip_worth, peek.calls) == (900.0, api.Effect.SAFE, 0.4, True)
     assert (book.repeat_window_ms, book.effect, book.calls) == (7000.0, api.Effect.KEYED, False)
@@ -79,23 +79,23 @@
 
 
 def test_every_event_of_the_wire_is_in_the_round_trip():
-    assert {kind for kind, _ in drill.EVENTS.values()} == set(EVENT_LINES)
+    assert {kind for kind, _ in benchlink.EVENTS.values()} == set(EVENT_LINES)
 
 
 @pytest.mark.parametrize("kind", EVENT_LINES, ids=lambda kind: kind.__name__)
 def test_event_round_trip(kind):
     line, expected = EVENT_LINES[kind]
     word, *parts = line.split("\t")
-    assert drill.build(*drill.EVENTS[word], drill.split(parts)) == expected
+    assert benchlink.build(*benchlink.EVENTS[word], benchlink.split(parts)) == expected
 
 
 def test_a_gauge_that_is_not_sent_is_absent_not_zero():
-    woken = drill.build(*drill.EVENTS["DUE"], drill.split(["nonce=t", "telemetry=cpu_busy:0.5"]))
+    woken = benchlink.build(*benchlink.EVENTS["DUE"], benchlink.split(["nonce=t", "telemetry=cpu_busy:0.5"]))
     assert woken.gauges == api.Gauges(busy=0.5, run_queue=None, memory=None, connections=None)
 
 
 def test_zero_means_absent_where_the_wire_says_so():
-    event = drill.build(*drill.EVENTS["QUERY"], drill.split(query("a", dupOf="0", team="0").split("\t")[2:]))
+    event = benchlink.build(*benchlink.EVENTS["QUERY"], benchlink.split(query("a", dupOf="0", team="0").split("\t")[2:]))
     assert event.repeat_of is None and event.tenant is None and event.patience_ms is None
 
 
@@ -118,12 +118,12 @@
 
 @pytest.mark.parametrize(("action", "line"), ACTION_LINES, ids=lambda value: type(value).__name__)
 def test_action_round_trip(action, line):
-    assert drill.render("server_1", action) == line
-    assert set(drill.ACTIONS[type(action)][1]) == {field.name for field in fields(action)}
+    assert benchlink.render("server_1", action) == line
+    assert set(benchlink.ACTIONS[type(action)][1]) == {field.name for field in fields(action)}
 
 
 def test_every_action_is_in_the_round_trip():
-    assert {type(action) for action, _ in ACTION_LINES} == set(drill.ACTIONS)
+    assert {type(action) for action, _ in ACTION_LINES} == set(benchlink.ACTIONS)
 
 
 def test_a_batch_gets_one_reply_and_an_empty_one_an_empty_reply():
@@ -171,14 +171,14 @@
     ("FRAME\ttMs=1\n", "ends within a batch"),
 ])
 def test_malformed_input_is_named(text, trouble):
-    with pytest.raises(drill.WireError, match=trouble):
+    with pytest.raises(benchlink.WireError, match=trouble):
         serve(text)
 
 
 def run(text: str) -> subprocess.CompletedProcess[str]:
     root = Path(__file__).parent.parent
     return subprocess.run(
-        [sys.executable, "-m", "tealshift.drill"], input=text, text=True, capture_output=True, cwd=root,
+        [sys.executable, "-m", "flintshift.benchlink"], input=text, text=True, capture_output=True, cwd=root,
         env={**os.environ, "PYTHONPATH": str(root)}, check=False,
     )
 
@@ -188,11 +188,11 @@
     assert good.returncode == 0 and good.stdout.endswith("END\n") and not good.stderr
     bad = run(batch(1, "NOISE\tserverId=server_1"))
     assert bad.returncode == 2 and not bad.stdout
-    assert bad.stderr == "tealshift.drill: line 2: unknown event 'NOISE'\n"
+    assert bad.stderr == "flintshift.benchlink: line 2: unknown event 'NOISE'\n"
 
 
 def test_a_fault_of_the_module_is_told_on_the_wire(monkeypatch):
     def broken(self, now_ms, event):
         raise IndexError("nothing\tthere")
-    monkeypatch.setattr(drill.Controller, "handle", broken)
+    monkeypatch.setattr(benchlink.Controller, "handle", broken)
     assert serve(batch(1, start())) == [["EXCEPTION\tserverId=server_1\ttext=IndexError: nothing there"]]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tealshift import interface as api
-from tealshift.interface import Outcome
+from flintshift import interface as api
+from flintshift.interface import Outcome
 
 
 def of(actions, kind):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-MODULE = Path(__file__).parent.parent / "tealshift" / "control.py"
+MODULE = Path(__file__).parent.parent / "flintshift" / "control.py"
 
 
 def test_module_stays_small_enough_to_audit():
@@ -13,4 +13,4 @@
 
 def test_module_names_its_interface_at_the_top():
     head = MODULE.read_text(encoding="utf-8").splitlines()[:5]
-    assert any("tealshift/interface.py" in line for line in head)
+    assert any("flintshift/interface.py" in line for line in head)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 import pytest
 from conftest import DEAR, KEYED, SAFE, SKIPS, Server
 
-from tealshift import interface as api
-from tealshift.interface import Outcome
+from flintshift import interface as api
+from flintshift.interface import Outcome
 
 CALL_ENDS = [Outcome.OK] * 6 + [Outcome.TIMED_OUT, Outcome.REJECTED, Outcome.ERROR]
 RUN_ENDS = [Outcome.OK] * 9 + [Outcome.ERROR]
