Build the results node round the module: HTTP front, pool, vault and name service links

Seen: the inherited module had only the simulator's adapter; nothing listened. Built: core (attempts, keys, planners), wire (forwarders), lifecycle (config, wiring, drain).

--- /dev/null
+++ b/flintshift/core/attempts.py
@@ -0,0 +1,126 @@
+"""Requests and attempts: what was read, what became of it, and the guard of its one final answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from flintshift.interface import Gauges, Outcome
+
+NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT})  # what proves that
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"  # this attempt never ran
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    verdict: Verdict
+    body: bytes = b""
+    wait_ms: float = 0.0  # how long the caller should stay away
+    terminal: bool = False  # the wish that no other node be tried
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One try of a request, as it was read."""
+
+    id: str
+    class_name: str
+    door_ms: float  # when it came to the machine, on the Unix clock
+    held_kb: float
+    caller: int
+    body: bytes
+    tenant: str | None = None
+    again: bool = False
+    rank: float = 0.0
+    unique: str | None = None  # in keyed classes: the same for all tries
+    subject: int | None = None
+    workers: str = "pool"  # where it is run
+    tell: Callable[[Answer], None] = lambda answer: None
+    answer: Answer | None = None
+    gone: bool = False
+    running: bool = False
+    ran: bool = False
+    calling: bool = False
+    call_no: int = 0  # the notice that asked for the call it stands at
+    payload: bytes = b""  # of that call
+    over_ms: float = 0.0  # when it was answered or its caller went
+
+    @property
+    def over(self) -> bool:
+        return self.gone or self.answer is not None
+
+    def settle(self, answer: Answer, now_ms: float) -> bool:
+        """Give the final answer. Guards against a second one, against an answer to a caller that went, and
+        against a refusal of what has run: that becomes a failure."""
+        if self.over:
+            return False
+        if answer.verdict is Verdict.REFUSED and self.ran:
+            answer = Answer(Verdict.FAILED)
+        self.answer, self.over_ms = answer, now_ms
+        self.tell(answer)
+        return True
+
+
+# What the decision planner is told.
+
+
+@dataclass(slots=True)
+class Submitted:
+    attempt: Attempt
+
+
+@dataclass(slots=True)
+class Departed:
+    """The caller stopped waiting."""
+
+    request: str
+
+
+@dataclass(slots=True)
+class RunOver:
+    request: str
+    outcome: Outcome
+    took_ms: float = 0.0
+    result: bytes = b""
+
+
+@dataclass(slots=True)
+class CallWanted:
+    request: str
+    no: int
+    payload: bytes
+
+
+@dataclass(slots=True)
+class CallOver:
+    request: str
+    outcome: Outcome
+    took_ms: float = 0.0
+    reply: bytes = b""
+
+
+@dataclass(slots=True)
+class Notice:
+    """The notice to leave."""
+
+    stops_in_ms: float
+
+
+@dataclass(slots=True)
+class Tick:
+    token: str
+    gauges: Gauges = field(default_factory=Gauges)
+
+
+@dataclass(slots=True)
+class Up:
+    """Work can be run from now on."""
+
+
+Report = Submitted | Departed | RunOver | CallWanted | CallOver | Notice | Tick | Up
--- /dev/null
+++ b/flintshift/core/counters.py
@@ -0,0 +1,16 @@
+"""What the node took in, sent and answered; printed on request and at exit."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+
+
+class Counters(Counter[str]):
+    """Counts by name, such as ``answered.served`` or ``pool.junk``."""
+
+    def add(self, name: str, by: int = 1) -> None:
+        self[name] += by
+
+    def line(self, name: str) -> str:
+        return json.dumps({"node": name, "counters": dict(sorted(self.items()))})
--- /dev/null
+++ b/flintshift/core/decisions.py
@@ -0,0 +1,249 @@
+"""The decision planner: sole owner of the controller, the requests and the keys.
+
+The rules hold for the node as a whole, so there is one of it. It takes one report at a time and applies what
+the controller answers in order, without waiting between.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+
+from flintshift import interface as api
+from flintshift.control import Controller
+from flintshift.core import attempts as at
+from flintshift.core.attempts import NEVER_RAN, Answer, Attempt, Verdict
+from flintshift.core.counters import Counters
+from flintshift.core.keys import KeyTable
+from flintshift.core.limits import Limits
+from flintshift.core.mailbox import Mailbox
+from flintshift.core.ports import Below, Posture, Workers
+from flintshift.interface import Effect, Outcome
+
+
+class Decisions:
+    def __init__(self, settings: api.Settings, seed: int, limits: Limits, counters: Counters,
+                 now_ms: Callable[[], float], wake_at: Callable[[float, str], None]) -> None:
+        self.settings, self.limits, self.counters = settings, limits, counters
+        self.now_ms, self.wake_at = now_ms, wake_at
+        self.controller = Controller(settings, seed)
+        self.mailbox: Mailbox[at.Report] = Mailbox(limits.mailbox)
+        self.posture = Posture(wait_ms=settings.advice_max_ms * settings.advice_allowed)
+        self.workers: Mapping[str, Workers] = {}
+        self.below: Below
+        self.requests: dict[str, Attempt] = {}
+        self.keys = KeyTable(limits)
+        self.keyed = {kind.name for kind in settings.classes if kind.effect is Effect.KEYED}
+        self.pending: deque[at.Report] = deque()  # what applying an action has brought about
+        self.closing: list[Attempt] = []
+        self.purged_ms = 0.0
+
+    # For the forwarders.
+
+    def submit(self, attempt: Attempt) -> None:
+        """Take a request that was read. A full mailbox refuses it here and now: it never ran."""
+        if not self.posture.up or not self.mailbox.offer(at.Submitted(attempt), self.limits.mailbox_spare):
+            self.counters.add("refused.mailbox" if self.posture.up else "refused.not_up")
+            self._settle(attempt, self._refusal())
+
+    async def report(self, report: at.Report) -> None:
+        await self.mailbox.put(report)
+
+    async def run(self) -> None:
+        while True:
+            self.handle(await self.mailbox.take())
+
+    # One report at a time.
+
+    def handle(self, report: at.Report) -> None:
+        self.pending.append(report)
+        while self.pending:
+            event = self._event(self.pending.popleft())
+            if event is not None:
+                self._decide(event)
+            # Only now, after all that was decided of them: out of the table go those that are over, unless
+            # their run goes on and its end is still to be told.
+            for attempt in self.closing:
+                if attempt.over and not attempt.running:
+                    self.requests.pop(attempt.id, None)
+            self.closing.clear()
+
+    def _decide(self, event: api.Event) -> None:
+        for action in self.controller.handle(self.now_ms(), event):
+            self._apply(action)
+
+    def _event(self, report: at.Report) -> api.Event | None:
+        """Book a report and make of it the controller's event, if it concerns it."""
+        match report:
+            case at.Submitted(new):
+                return self._submitted(new)
+            case at.Tick(token, gauges):
+                self._purge()
+                return api.Woken(token, gauges)
+            case at.Up():
+                if self.posture.up:  # the link came back: the controller goes on
+                    return None
+                self.posture.up = True
+                return api.Started()
+            case at.Notice(stops_in_ms):
+                self.posture.leaving = True
+                return api.Leaving(stops_in_ms)
+        attempt = self.requests.get(report.request)
+        if attempt is None:  # it is over: late reports of it change nothing
+            return None
+        match report:
+            case at.Departed():
+                if attempt.over:
+                    return None
+                attempt.gone, attempt.over_ms = True, self.now_ms()
+                self.counters.add("departed")
+                self.closing.append(attempt)
+                return api.CallerGone(attempt.id)
+            case at.CallWanted(_, no, payload):
+                attempt.call_no, attempt.payload = no, payload
+                return api.CallNeeded(attempt.id)
+            case at.CallOver(_, outcome, took_ms, reply):
+                if not attempt.calling:  # given up meanwhile
+                    return None
+                attempt.calling = False
+                if outcome is Outcome.OK and not self._workers(attempt).supply(attempt.id, reply):
+                    self.counters.add("dropped.supply")
+                return api.CallEnded(attempt.id, outcome, took_ms)
+            case at.RunOver():
+                return self._run_over(attempt, report)
+
+    def _submitted(self, attempt: Attempt) -> api.Event | None:
+        self.counters.add("read")
+        now = self.now_ms()
+        entry = self.keys.find(attempt) if attempt.class_name in self.keyed else None
+        if attempt.id in self.requests:  # an id is new with every try: answers could not be told apart
+            self._settle(attempt, Answer(Verdict.FAILED))
+            return None
+        if entry is None and attempt.class_name in self.keyed and self.keys.full():
+            self.counters.add("refused.keys_full")
+            self._settle(attempt, self._refusal())
+            return None
+        self.requests[attempt.id] = attempt
+        return api.Arrived(
+            attempt.id, attempt.class_name, attempt.held_kb, max(0.0, now - attempt.door_ms), attempt.caller,
+            attempt.tenant, entry.owner if entry else None, attempt.again, None, attempt.subject)
+
+    def _run_over(self, attempt: Attempt, report: at.RunOver) -> api.Event:
+        attempt.running = False
+        if attempt.calling:
+            attempt.calling = False
+            self.below.give_up(attempt.id)
+        entry = self.keys.owned(attempt)
+        if report.outcome in NEVER_RAN:
+            attempt.ran = False
+            self._free(attempt)
+        elif entry is not None and attempt.ran:
+            for follower in self.keys.end(entry, report.outcome, report.result):
+                self.pending.append(at.RunOver(follower, report.outcome, 0.0, report.result))
+        if report.outcome is Outcome.OK:
+            self._settle(attempt, Answer(Verdict.SERVED, report.result))
+        elif report.outcome in NEVER_RAN:
+            self._settle(attempt, self._refusal())
+        else:
+            self._settle(attempt, Answer(Verdict.FAILED))
+        self.requests.pop(attempt.id, None)
+        return api.RunEnded(attempt.id, report.outcome, report.took_ms)
+
+    def _apply(self, action: api.Action) -> None:
+        match action:
+            case api.WakeAt(at_ms, token):
+                self.wake_at(at_ms, token)
+                return
+            case api.SetHealth(good, from_store):
+                self.posture.good, self.posture.from_store = good, from_store
+                return
+            case api.SetFreeValue(value):
+                self.posture.free_value = value
+                return
+            case api.CloseIdle(idle_ms):
+                self.posture.idle_ms = idle_ms
+                return
+        found = self.requests.get(action.request)
+        if found is None:  # over already: as on the simulator's wire, this harms nothing
+            return
+        attempt = found
+        match action:
+            case api.Run():
+                if attempt.ran or attempt.over:  # guards against a second run and a run that nobody wants
+                    return
+                attempt.ran = attempt.running = True
+                self.counters.add("run")
+                if not self._workers(attempt).spawn(attempt):
+                    self.counters.add("dropped.spawn")
+                    self.pending.append(at.RunOver(attempt.id, Outcome.REJECTED))
+            case api.Refuse(_, stay_away_ms, not_elsewhere):
+                self._settle(attempt, Answer(Verdict.REFUSED, b"", stay_away_ms, not_elsewhere))
+                self.closing.append(attempt)
+            case api.Fail():
+                self._settle(attempt, Answer(Verdict.FAILED))
+                if attempt.calling:
+                    attempt.calling = False
+                    self.below.give_up(attempt.id)
+                self.closing.append(attempt)
+            case api.Call(_, limit_ms):
+                attempt.calling = True
+                self.counters.add("called")
+                if not self.below.ask(attempt.id, limit_ms, attempt.payload):
+                    self.counters.add("dropped.call")
+                    self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
+            case api.SkipCall():
+                self.counters.add("skipped")
+                if not self._workers(attempt).go_on(attempt.id, attempt.call_no):
+                    self.counters.add("dropped.pass")
+            case api.Keep(_, for_ms):
+                if attempt.class_name in self.keyed:  # reads are kept only where answers may be shared
+                    self.keys.keep(attempt, self.now_ms() + for_ms)
+            case api.Forget():
+                self._free(attempt)
+            case api.AnswerFromOriginal():
+                self._follow(attempt)
+            case api.Stop():  # the worker pool has no such command
+                self.counters.add("dropped.stop")
+
+    def _follow(self, attempt: Attempt) -> None:
+        entry = self.keys.find(attempt)
+        self.counters.add("repeats")
+        if entry is None:
+            self.pending.append(at.RunOver(attempt.id, Outcome.ERROR))
+        elif entry.outcome is not None:
+            self.pending.append(at.RunOver(attempt.id, entry.outcome, 0.0, entry.result))
+        else:
+            entry.followers.append(attempt.id)
+
+    def _free(self, attempt: Attempt) -> None:
+        """It never ran, so its key is free; those that waited for it never ran either."""
+        if not attempt.ran:
+            for follower in self.keys.forget(attempt):
+                self.pending.append(at.RunOver(follower, Outcome.REJECTED))
+
+    def _settle(self, attempt: Attempt, answer: Answer) -> None:
+        if attempt.settle(answer, self.now_ms()) and attempt.answer is not None:
+            self.counters.add(f"answered.{attempt.answer.verdict.value}")
+
+    def _refusal(self) -> Answer:
+        return Answer(Verdict.REFUSED, wait_ms=self.posture.wait_ms)
+
+    def _workers(self, attempt: Attempt) -> Workers:
+        return self.workers[attempt.workers]
+
+    def _purge(self) -> None:
+        now = self.now_ms()
+        if now < self.purged_ms + 1000.0:
+            return
+        self.purged_ms = now
+        # A run whose end was lost with its link would hold its place for ever.
+        for attempt in list(self.requests.values()):
+            if attempt.running and attempt.over and now > attempt.over_ms + self.limits.lost_run_ms:
+                self.counters.add("lost_runs")
+                self.pending.append(at.RunOver(attempt.id, Outcome.STOPPED))
+        self.keys.purge(now, iter(self.requests))
+
+    @property
+    def open(self) -> int:
+        """Requests read and not over."""
+        return sum(not attempt.over for attempt in self.requests.values()) + len(self.mailbox)
--- /dev/null
+++ b/flintshift/core/keys.py
@@ -0,0 +1,76 @@
+"""The key table: which keyed requests are held here or have run, for how long, and with what result."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from flintshift.core.attempts import Attempt
+from flintshift.core.limits import Limits
+from flintshift.interface import Outcome
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    owner: str  # the attempt that is held or has run
+    live_until_ms: float  # repeats that came to the machine before belong to it
+    outcome: Outcome | None = None  # of its run, once over
+    result: bytes = b""
+    followers: list[str] = field(default_factory=list)  # attempts that wait for that run
+
+
+class KeyTable:
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.entries: dict[tuple[str, str], Entry] = {}  # by class and key: keys are scoped by class
+        self.bytes = 0
+
+    def find(self, attempt: Attempt) -> Entry | None:
+        """The entry that this attempt repeats, by when it came to the machine and not by when it was read."""
+        entry = self.entries.get((attempt.class_name, attempt.unique or ""))
+        return entry if entry is not None and attempt.door_ms <= entry.live_until_ms else None
+
+    def full(self) -> bool:
+        """No further keyed work may start: a live key is never forgotten to make room. Each entry is booked
+        with the largest result, so that what has started always finds room for its own."""
+        unended = sum(entry.outcome is None for entry in self.entries.values())
+        booked = self.bytes + unended * self.limits.result
+        return len(self.entries) >= self.limits.keys or booked + self.limits.result > self.limits.key_bytes
+
+    def keep(self, attempt: Attempt, until_ms: float) -> None:
+        key = (attempt.class_name, attempt.unique or "")
+        entry = self.entries.get(key)
+        until_ms = max(until_ms, attempt.door_ms) + self.limits.key_margin_ms
+        if entry is not None and entry.owner == attempt.id:
+            entry.live_until_ms = max(entry.live_until_ms, until_ms)
+            return
+        if entry is not None:
+            self.bytes -= len(entry.result)
+        self.entries[key] = Entry(attempt.id, until_ms)
+
+    def owned(self, attempt: Attempt) -> Entry | None:
+        entry = self.entries.get((attempt.class_name, attempt.unique or ""))
+        return entry if entry is not None and entry.owner == attempt.id else None
+
+    def end(self, entry: Entry, outcome: Outcome, result: bytes) -> list[str]:
+        """The owner's run is over: keep how, and return the attempts that waited for it."""
+        entry.outcome, entry.result = outcome, result
+        self.bytes += len(result)
+        waiting, entry.followers = entry.followers, []
+        return waiting
+
+    def forget(self, attempt: Attempt) -> list[str]:
+        """The owner never ran: drop its entry and return the attempts that waited for it."""
+        entry = self.owned(attempt)
+        if entry is None:
+            return []
+        del self.entries[attempt.class_name, attempt.unique or ""]
+        self.bytes -= len(entry.result)
+        return entry.followers
+
+    def purge(self, now_ms: float, open_: Iterator[str]) -> None:
+        """Drop entries whose window has passed, but none whose owner is still open."""
+        live, past = set(open_), now_ms - self.limits.key_late_ms
+        for key in [key for key, entry in self.entries.items()
+                    if entry.live_until_ms < past and entry.owner not in live]:
+            self.bytes -= len(self.entries.pop(key).result)
--- /dev/null
+++ b/flintshift/core/limits.py
@@ -0,0 +1,64 @@
+"""All sizes, counts and times of the node in one type, filled at start and handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    memory_mb: int = 192
+    sockets: int = 1024
+    stop_ms: float = 3000.0  # from the notice to leave to the kill
+
+    # Sizes, in bytes.
+    body: int = 2048
+    result: int = 4096
+    head: int = 16_384  # a request's line and headers
+    vars: int = 16_384  # a uwsgi block of variables
+    line: int = 65_536  # one line from a peer
+    read: int = 65_536  # one read from a socket
+
+    # Counts.
+    mailbox: int = 2048  # events waiting for a planner
+    mailbox_spare: int = 512  # of these, kept free of new requests
+    outbox: int = 2048  # commands waiting for a peer
+    backlog: int = 1024
+    keys: int = 6000  # remembered keys
+    key_bytes: int = 32 << 20  # their results
+
+    # Times, in milliseconds.
+    clock_skew_ms: float = 5000.0  # a request may seem to come from the future by so much
+    oldest_ms: float = 86_400_000.0  # an older arrival time is no arrival time
+    key_margin_ms: float = 250.0  # keys live longer than told: the rule's times are 50 ms longer on sockets
+    key_late_ms: float = 5000.0  # a repeat may be read so much later than it came
+    read_ms: float = 10_000.0  # for the rest of a request once begun
+    write_ms: float = 5000.0  # for an answer to be taken
+    poll_ms: float = 25.0  # for gauges to come before a tick goes on without
+    gauge_stale_ms: float = 500.0  # older gauges are none
+    verify_ms: float = 2000.0
+    call_grace_ms: float = 25.0  # past a call's limit, before the node itself gives it up
+    vault_idle_ms: float = 8000.0  # the vault closes at 10 s: a call must not cross that
+    report_every_ms: float = 800.0  # the name service forgets after 3 s
+    report_wait_ms: float = 1000.0
+    connect_ms: float = 2000.0
+    backoff_ms: float = 20.0  # the first wait before a reconnect, doubled up to the most
+    backoff_most_ms: float = 1000.0
+    lost_run_ms: float = 30_000.0  # a run that ended for its caller and was never heard of again
+    stop_margin_ms: float = 250.0  # all is answered so long before the kill
+    browse_ms: float = 5000.0  # between two looks for app servers
+    dns_ms: float = 1000.0  # for one DNS exchange
+    record_ttl_s: int = 20
+    app_run_ms: float = 30_000.0  # a run on an app server
+
+    @property
+    def http_connections(self) -> int:
+        return self.sockets * 5 // 8  # callers open up to half of the descriptors
+
+    @property
+    def uwsgi_connections(self) -> int:
+        return self.sockets // 8
+
+    @property
+    def app_connections(self) -> int:
+        return self.sockets // 8
--- /dev/null
+++ b/flintshift/core/ports.py
@@ -0,0 +1,41 @@
+"""What the core needs of the world outside; each is an actor that takes a command without waiting."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from flintshift.core.attempts import Attempt
+from flintshift.interface import Gauges
+
+
+class Workers(Protocol):
+    """Where requests run. False: the command was not taken, nothing was started by it."""
+
+    def spawn(self, attempt: Attempt) -> bool: ...
+    def supply(self, request: str, reply: bytes) -> bool: ...
+    def go_on(self, request: str, no: int) -> bool: ...
+
+
+class Below(Protocol):
+    """What requests call while they run. False: the call was not taken."""
+
+    def ask(self, request: str, limit_ms: float, payload: bytes) -> bool: ...
+    def give_up(self, request: str) -> None: ...
+
+
+class Gauged(Protocol):
+    async def poll(self) -> Gauges | None: ...
+
+
+@dataclass(slots=True)
+class Posture:
+    """What the fronts tell callers between answers; written by the decision planner alone."""
+
+    up: bool = False  # work can be run
+    leaving: bool = False
+    good: bool = True  # the answer to health checks
+    from_store: bool = False  # and whether it comes from here alone
+    free_value: float | None = None
+    idle_ms: float = 0.0  # connections without a request are closed after so long; 0: left to callers
+    wait_ms: float = 0.0  # for refusals that no decision was asked for
--- /dev/null
+++ b/flintshift/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, wiring and the drain."""
--- /dev/null
+++ b/flintshift/lifecycle/node.py
@@ -0,0 +1,99 @@
+"""The wiring of the node, and its drain."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+
+import anyio
+from anyio.abc import Listener, SocketStream
+
+from flintshift.core.attempts import Notice
+from flintshift.core.counters import Counters
+from flintshift.core.decisions import Decisions
+from flintshift.core.gauges import GaugePlanner
+from flintshift.core.listing import Listing
+from flintshift.lifecycle.config import Config
+from flintshift.wire.fields import Fields
+from flintshift.wire.front import Front
+from flintshift.wire.http_front import HttpFront
+from flintshift.wire.names import NameService
+from flintshift.wire.pool import PoolLink
+from flintshift.wire.vault import VaultLink
+
+
+class Clock:
+    """Unix milliseconds that never go back, however the system's clock is set."""
+
+    def __init__(self) -> None:
+        self.last = 0.0
+
+    def __call__(self) -> float:
+        self.last = max(self.last, time.time() * 1000)
+        return self.last
+
+
+class Node:
+    def __init__(self, config: Config) -> None:
+        self.config, self.limits = config, config.limits
+        self.now_ms, self.counters = Clock(), Counters()
+        limits, counters, now_ms = self.limits, self.counters, self.now_ms
+        self.gauges = GaugePlanner(limits, now_ms)
+        self.decisions = Decisions(
+            config.settings, config.seed, limits, counters, now_ms, self.gauges.wake_at)
+        self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
+        self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
+        self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
+        self.listing = Listing([NameService(config.naming, config.name, limits, counters)], limits)
+        fields = Fields(config.settings, limits, now_ms)
+        self.fronts: list[tuple[Front, tuple[str, int]]] = [(
+            HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections,
+                      verify=self.pool.verify), config.listen)]
+
+    async def run(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+            listeners = [await self._listen(at) for _, at in self.fronts]
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.decisions.run)
+                tasks.start_soon(self.gauges.run, self.pool, self.decisions.report)
+                tasks.start_soon(self.pool.run)
+                tasks.start_soon(self.vault.run)
+                tasks.start_soon(self.listing.run, self.decisions.posture)
+                for (front, _), listener in zip(self.fronts, listeners, strict=True):
+                    tasks.start_soon(front.serve, listener)
+                    tasks.start_soon(front.sweep)
+                async for number in signals:
+                    if number != signal.SIGUSR1:
+                        break
+                    self.print_counters()
+                await self._drain(listeners)
+                tasks.cancel_scope.cancel()
+
+    async def _listen(self, at: tuple[str, int]) -> Listener[SocketStream]:
+        host, port = at
+        return await anyio.create_tcp_listener(
+            local_host=host, local_port=port, backlog=self.limits.backlog, reuse_port=False)
+
+    async def _drain(self, listeners: list[Listener[SocketStream]]) -> None:
+        """Answer all that was read and leave; what comes after the grace is refused, not run."""
+        notice = self.now_ms()
+        stop = notice + self.limits.stop_ms - self.limits.stop_margin_ms
+        grace = notice + self.config.settings.drain_grace_ms
+        await self.decisions.report(Notice(stop - notice))
+        self.listing.leave()
+        while self.now_ms() < stop and (self.now_ms() < grace or self._open()):
+            await anyio.sleep(0.01)
+        for front, _ in self.fronts:
+            front.finish()
+        with anyio.move_on_after(self.limits.stop_margin_ms / 2000):
+            while self._open():
+                await anyio.sleep(0.005)
+        for listener in listeners:
+            await listener.aclose()
+
+    def _open(self) -> int:
+        return self.decisions.open + sum(front.busy for front, _ in self.fronts)
+
+    def print_counters(self) -> None:
+        print(self.counters.line(self.config.name), file=sys.stderr, flush=True)
--- /dev/null
+++ b/flintshift/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Spoken on the wire: the forwarders. They parse, hand over and write; they never decide."""
--- /dev/null
+++ b/flintshift/wire/fields.py
@@ -0,0 +1,104 @@
+"""The fields of a request, whichever protocol carried them, and the answers to what can't be taken."""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Callable
+
+from flintshift.core.attempts import Answer, Attempt, Verdict
+from flintshift.core.limits import Limits
+from flintshift.core.ports import Posture
+from flintshift.interface import Effect, Settings
+
+HEX16 = re.compile(r"[0-9a-fA-F]{16}")
+TOKEN = re.compile(r"[!-~]{1,64}")
+
+
+class UnusableError(Exception):
+    """What was read can't be taken; `status` says why, and the text what is wrong with it."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+class Fields:
+    """Makes an attempt of the fields that the decisions need."""
+
+    def __init__(self, settings: Settings, limits: Limits, now_ms: Callable[[], float]) -> None:
+        self.limits, self.now_ms = limits, now_ms
+        self.keyed = {kind.name: kind.effect is Effect.KEYED for kind in settings.classes}
+        self.tenants = {tenant.name for tenant in settings.tenants}
+
+    def class_of(self, method: str, target: str) -> str:
+        path = target.partition("?")[0].split("/")
+        if len(path) != 3 or path[0] or path[1] != "call" or path[2] not in self.keyed:
+            raise UnusableError(404, "no such class")
+        if method != "POST":
+            raise UnusableError(405, "only POST is taken here")
+        return path[2]
+
+    def attempt(self, class_name: str, body: bytes, get: Callable[[str], str | None],
+                tell: Callable[[Answer], None]) -> Attempt:
+        def text(name: str, fits: re.Pattern[str]) -> str:
+            value = get(name)
+            if value is None or not fits.fullmatch(value):
+                raise UnusableError(400, f"{name} is missing" if value is None else f"{name} is impossible")
+            return value
+
+        def number(name: str, least: float, most: float, whole: bool = False) -> float:
+            value = text(name, TOKEN)
+            try:
+                found = float(int(value)) if whole else float(value)
+            except (ValueError, OverflowError):
+                found = math.nan
+            if not least <= found < most or "_" in value:
+                raise UnusableError(400, f"{name} is impossible")
+            return found
+
+        if len(body) > self.limits.body:
+            raise UnusableError(413, "the body is too large")
+        now, item = self.now_ms(), get("X-Item")
+        return Attempt(
+            id=text("X-Job-Id", HEX16),
+            class_name=class_name,
+            door_ms=number("X-Door-Time", now - self.limits.oldest_ms, now + self.limits.clock_skew_ms, True),
+            held_kb=number("X-Ram-Kb", math.nextafter(0, 1), 2000),
+            caller=int(number("X-Sender", 0, 2**31, True)),
+            body=body,
+            tenant=self._tenant(get("X-Team")),
+            again=get("X-Again") is not None and text("X-Again", re.compile("[01]")) == "1",
+            rank=number("X-Precedence", 0, 1),
+            unique=text("X-Unique", TOKEN) if self.keyed[class_name] else None,
+            subject=int(text("X-Item", HEX16), 16) if item is not None else None,
+            tell=tell,
+        )
+
+    def _tenant(self, team: str | None) -> str | None:
+        if self.tenants and team not in self.tenants:
+            raise UnusableError(400, "X-Team is missing" if team is None else "X-Team is impossible")
+        return team
+
+
+def status_of(answer: Answer, posture: Posture) -> int:
+    if answer.verdict is Verdict.SERVED:
+        return 200
+    if answer.verdict is Verdict.FAILED:
+        return 500
+    return 503 if posture.leaving or not posture.up else 429
+
+
+def headers_of(answer: Answer | None, body: bytes, posture: Posture, close: bool) -> list[tuple[str, str]]:
+    """The headers of an answer, or of what is said to a health check or to what can't be taken."""
+    headers = [("Content-Length", str(len(body)))]
+    if posture.free_value is not None:
+        headers.append(("X-Advice", f"{posture.free_value:g}"))
+    if answer is not None and answer.verdict is Verdict.REFUSED:
+        if answer.wait_ms > 0:
+            headers.append(("X-Wait-Ms", str(math.ceil(answer.wait_ms))))
+        if answer.terminal:
+            headers.append(("X-Terminal", "1"))
+    if close:
+        headers.append(("Connection", "close"))
+    return headers
--- /dev/null
+++ b/flintshift/wire/front.py
@@ -0,0 +1,147 @@
+"""What both fronts share: connections and their count, and one request handed over and waited for."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import Listener, SocketStream
+
+from flintshift.core.attempts import Answer, Attempt, Departed, Verdict
+from flintshift.core.counters import Counters
+from flintshift.core.decisions import Decisions
+from flintshift.core.limits import Limits
+from flintshift.core.ports import Posture
+from flintshift.wire.fields import Fields
+from flintshift.wire.link import BROKEN
+
+
+class Exchange:
+    """Waits for the final answer to one request, or for its caller to go."""
+
+    def __init__(self) -> None:
+        self.over, self.answer = anyio.Event(), None
+
+    over: anyio.Event
+    answer: Answer | None
+
+    def tell(self, answer: Answer) -> None:
+        self.answer = answer
+        self.over.set()
+
+
+class Connection:
+    """A caller's connection and what it is at."""
+
+    def __init__(self, stream: SocketStream, now_ms: float) -> None:
+        self.stream, self.since_ms = stream, now_ms
+        self.busy = False  # a request is begun or open
+        self.reading: anyio.CancelScope | None = None  # set while it waits for bytes
+
+    def stop_reading(self) -> None:
+        if self.reading is not None:
+            self.reading.cancel()
+
+
+class Front:
+    """Serves one listener; what a connection says is the subclass's."""
+
+    name = "front"
+
+    def __init__(self, fields: Fields, decisions: Decisions, limits: Limits, counters: Counters,
+                 now_ms: Callable[[], float], most: int) -> None:
+        self.fields, self.decisions, self.limits = fields, decisions, limits
+        self.counters, self.now_ms, self.most = counters, now_ms, most
+        self.connections: set[Connection] = set()
+        self.closing = False  # all that is open gets its answer and is closed
+
+    @property
+    def posture(self) -> Posture:
+        return self.decisions.posture
+
+    @property
+    def busy(self) -> int:
+        return sum(connection.busy for connection in self.connections)
+
+    async def serve(self, listener: Listener[SocketStream]) -> None:
+        await listener.serve(self._accepted)
+
+    async def _accepted(self, stream: SocketStream) -> None:
+        connection = Connection(stream, self.now_ms())
+        async with stream:
+            if len(self.connections) >= self.most:  # guards the descriptors: peers and fronts share them
+                self.counters.add(f"{self.name}.connections_refused")
+                return
+            self.counters.add(f"{self.name}.connections")
+            self.connections.add(connection)
+            try:
+                await self.converse(connection)
+            except BROKEN:
+                self.counters.add(f"{self.name}.connections_broken")
+            finally:
+                self.connections.discard(connection)
+
+    async def converse(self, connection: Connection) -> None:
+        raise NotImplementedError
+
+    async def read(self, connection: Connection) -> bytes | None:
+        """Bytes; b"" at their end; None when the node stops or the rest of a request takes too long."""
+        wait_s = self.limits.read_ms / 1000 if connection.busy else None
+        with anyio.move_on_after(wait_s) as connection.reading:
+            if self.closing:
+                return None
+            try:
+                return await connection.stream.receive(self.limits.read)
+            except anyio.EndOfStream:
+                return b""
+            finally:
+                connection.reading = None
+        return None
+
+    async def write(self, connection: Connection, data: bytes) -> None:
+        # A caller that takes nothing must not hold its connection for ever.
+        with anyio.fail_after(self.limits.write_ms / 1000):
+            await connection.stream.send(data)
+
+    async def exchange(self, connection: Connection, attempt: Attempt, exchange: Exchange,
+                       more: Callable[[bytes], None]) -> Answer | None:
+        """Hand a request over and wait for its answer; None when the caller went first."""
+        self.counters.add(f"{self.name}.requests")
+        self.decisions.submit(attempt)
+        if exchange.answer is not None:
+            return exchange.answer
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch, connection, attempt, exchange, more)
+            await exchange.over.wait()
+            tasks.cancel_scope.cancel()
+        return exchange.answer
+
+    async def _watch(self, connection: Connection, attempt: Attempt, exchange: Exchange,
+                     more: Callable[[bytes], None]) -> None:
+        early = 0
+        try:
+            while early <= self.limits.head:  # what comes before the answer is kept, up to a bound
+                data = await connection.stream.receive(self.limits.read)
+                early += len(data)
+                more(data)
+        except BROKEN:
+            await self.decisions.report(Departed(attempt.id))
+            exchange.over.set()
+
+    async def sweep(self, every_s: float = 0.25) -> None:
+        """Close connections that have carried nothing for as long as was decided."""
+        while True:
+            await anyio.sleep(every_s)
+            idle_ms, now = self.posture.idle_ms, self.now_ms()
+            for connection in self.connections:
+                if idle_ms and not connection.busy and now - connection.since_ms >= idle_ms:
+                    connection.stop_reading()
+
+    def finish(self) -> None:
+        """The node stops: what is half read is answered, what is idle is closed."""
+        self.closing = True
+        for connection in self.connections:
+            connection.stop_reading()
+
+
+STOPPING = Answer(Verdict.REFUSED)
--- /dev/null
+++ b/flintshift/wire/link.py
@@ -0,0 +1,42 @@
+"""What all links to peers share: addresses, connecting, and the wait before the next try."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import SocketStream
+
+from flintshift.core.limits import Limits
+
+BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream,
+          anyio.IncompleteRead, anyio.DelimiterNotFound, TimeoutError)
+
+
+class JunkError(Exception):
+    """A peer sent what its protocol does not know."""
+
+
+def address(text: str) -> tuple[str, int]:
+    host, found, port = text.rpartition(":")
+    if not found or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise ValueError(f"not host:port: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+async def connect(to: tuple[str, int], limits: Limits) -> SocketStream:
+    with anyio.fail_after(limits.connect_ms / 1000):
+        return await anyio.connect_tcp(*to)
+
+
+class Backoff:
+    """Guards a peer that is down, or talks junk, against being connected to in a tight loop."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.wait_ms = limits.backoff_ms
+
+    def reset(self) -> None:
+        self.wait_ms = self.limits.backoff_ms
+
+    async def wait(self) -> None:
+        await anyio.sleep(self.wait_ms / 1000)
+        self.wait_ms = min(2 * self.wait_ms, self.limits.backoff_most_ms)
--- /dev/null
+++ b/flintshift/wire/names.py
@@ -0,0 +1,44 @@
+"""The name service client: a report by HTTP/1.1 now and then."""
+
+from __future__ import annotations
+
+import json
+
+import anyio
+import h11
+from anyio.abc import SocketStream
+
+from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
+from flintshift.wire.link import BROKEN, connect
+
+
+class NameService:
+    def __init__(self, to: tuple[str, int], name: str, limits: Limits, counters: Counters) -> None:
+        self.to, self.name, self.limits, self.counters = to, name, limits, counters
+
+    async def report(self, serving: bool) -> bool:
+        """One report; True when it was taken."""
+        try:
+            with anyio.fail_after(self.limits.report_wait_ms / 1000):
+                async with await connect(self.to, self.limits) as stream:
+                    body = json.dumps({"serving": "yes" if serving else "no"})
+                    taken = await self._put(stream, body.encode())
+        except (*BROKEN, h11.ProtocolError):
+            taken = False
+        self.counters.add("names.taken" if taken else "names.not_taken")
+        return taken
+
+    async def _put(self, stream: SocketStream, body: bytes) -> bool:
+        conn = h11.Connection(h11.CLIENT)
+        headers = [("Host", f"{self.to[0]}:{self.to[1]}"), ("Content-Length", str(len(body))),
+                   ("Connection", "close")]
+        request = h11.Request(method="PUT", target=f"/ns/hosts/{self.name}", headers=headers)
+        await stream.send(b"".join(conn.send(event) or b"" for event in
+                                   (request, h11.Data(data=body), h11.EndOfMessage())))
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await stream.receive(self.limits.read))
+            elif isinstance(event, h11.Response):
+                return event.status_code == 204
--- /dev/null
+++ b/flintshift/wire/pool.py
@@ -0,0 +1,189 @@
+"""The link to the worker pool: JSON lines, numbered notices, and a bind that goes on where a link broke."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import itertools
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import SocketStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from flintshift.core.attempts import Attempt, CallWanted, Report, RunOver, Up
+from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
+from flintshift.core.mailbox import Mailbox
+from flintshift.interface import Gauges
+from flintshift.wire.link import BROKEN, Backoff, JunkError, connect
+from flintshift.wire.words import OUTCOMES
+
+Told = Callable[[Report], Awaitable[None]]
+
+
+def line(**fields: object) -> bytes:
+    return json.dumps(fields, separators=(",", ":")).encode() + b"\n"
+
+
+def b64(data: bytes) -> str:
+    return base64.b64encode(data).decode("ascii")
+
+
+class PoolLink:
+    def __init__(self, to: tuple[str, int], gauge_names: list[str | None], limits: Limits,
+                 counters: Counters, report: Told) -> None:
+        self.to, self.gauge_names, self.limits = to, gauge_names, limits
+        self.counters, self.report = counters, report
+        self.outbox: Mailbox[bytes] = Mailbox(limits.outbox)
+        self.read_no = 0  # the last notice that was read
+        self.bound = self.linked = False  # now, and ever
+        self.marks = itertools.count(1)
+        self.waiting: dict[str, Callable[[dict[str, Any]], None]] = {}  # by mark: who asked
+        self.begun: dict[str, bytes] = {}  # spawns that may be repeated, of which nothing was heard yet
+
+    # Commands; False when the link's mailbox is full.
+
+    def spawn(self, attempt: Attempt) -> bool:
+        command = line(t="spawn", rid=attempt.id, route=attempt.class_name, b64=b64(attempt.body))
+        taken = self.outbox.offer(command)
+        if taken and attempt.unique is None:
+            self.begun[attempt.id] = command
+        return taken
+
+    def supply(self, request: str, reply: bytes) -> bool:
+        return self.outbox.offer(line(t="supply", rid=request, b64=b64(reply)))
+
+    def go_on(self, request: str, no: int) -> bool:
+        return self.outbox.offer(line(t="pass", rid=request, no=no))
+
+    async def poll(self) -> Gauges | None:
+        told = await self._ask("poll")
+        if told is None:
+            return None
+        values = told.get("v")
+        if not isinstance(values, list) or not all(isinstance(value, int | float) for value in values):
+            self.counters.add("pool.junk")
+            return None
+        pairs = zip(self.gauge_names, values, strict=False)
+        return Gauges(**{name: float(value) for name, value in pairs if name})
+
+    async def verify(self) -> bool:
+        with anyio.move_on_after(self.limits.verify_ms / 1000):
+            told = await self._ask("verify")
+            return told is not None and told.get("status") == "fine"
+        return False
+
+    async def _ask(self, command: str) -> dict[str, Any] | None:
+        mark, done, told = f"{command}-{next(self.marks)}", anyio.Event(), list[dict[str, Any]]()
+
+        def answered(message: dict[str, Any]) -> None:
+            told.append(message)
+            done.set()
+
+        if not self.bound or not self.outbox.offer(line(t=command, mark=mark)):
+            return None
+        self.waiting[mark] = answered
+        try:
+            await done.wait()
+        finally:
+            self.waiting.pop(mark, None)
+        return told[0]
+
+    # The link.
+
+    async def run(self) -> None:
+        backoff = Backoff(self.limits)
+        while True:
+            try:
+                async with await connect(self.to, self.limits) as stream:
+                    await self._serve(stream, backoff)
+            except* JunkError:
+                self.counters.add("pool.junk")
+            except* BROKEN:
+                pass
+            self.bound = False
+            self.counters.add("pool.links_lost")
+            await backoff.wait()
+
+    async def _serve(self, stream: SocketStream, backoff: Backoff) -> None:
+        await stream.send(line(t="bind", no=self.read_no))
+        reader = BufferedByteReceiveStream(stream)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                try:
+                    message = json.loads(await reader.receive_until(b"\n", self.limits.line))
+                    kind = message["t"]
+                    if kind == "bound":
+                        backoff.reset()
+                        await self._rebound(stream)
+                        tasks.start_soon(self._write, stream)
+                    else:
+                        await self._read(kind, message)
+                except (ValueError, KeyError, TypeError, AttributeError, binascii.Error) as error:
+                    raise JunkError(str(error)) from error
+
+    async def _rebound(self, stream: SocketStream) -> None:
+        """The link is up. What was spawned on an earlier one may never have arrived: once all notices up to
+        now are read, it is spawned again, which does nothing where it runs. Keyed work is left alone: it
+        might have ended in between, and must not run twice."""
+        unheard = list(self.begun)
+        if unheard and self.linked:
+            mark = f"again-{next(self.marks)}"
+
+            def again(_: dict[str, Any]) -> None:
+                del self.waiting[mark]
+                for request in unheard:
+                    if request in self.begun:
+                        self.outbox.offer(self.begun[request])
+
+            self.waiting[mark] = again
+            await stream.send(line(t="poll", mark=mark))
+        self.bound = self.linked = True
+        await self.report(Up())
+
+    async def _write(self, stream: SocketStream) -> None:
+        while True:
+            # A batch under a break may have arrived: it is not sent again but for what `begun` holds.
+            batch = await self.outbox.take()
+            while len(batch) < self.limits.read and (more := self.outbox.take_now()) is not None:
+                batch += more
+            await stream.send(batch)
+
+    async def _read(self, kind: str, message: dict[str, Any]) -> None:
+        if "no" in message:
+            no = int(message["no"])
+            if no <= self.read_no:  # told again after a bind: it was taken already
+                self.counters.add("pool.told_again")
+                return
+        match kind:
+            case "finished":
+                rid, status = str(message["rid"]), ("run", message["status"])
+                result = base64.b64decode(message.get("b64") or "", validate=True)
+                if status not in OUTCOMES or len(result) > self.limits.result:
+                    raise JunkError("finished")
+                self.begun.pop(rid, None)
+                await self.report(RunOver(rid, OUTCOMES[status], float(message.get("time_ms", 0.0)), result))
+            case "blocked":
+                rid = str(message["rid"])
+                payload = base64.b64decode(message["b64"], validate=True)
+                self.begun.pop(rid, None)
+                await self.report(CallWanted(rid, no, payload))
+            case "polled" | "verified":
+                asked = self.waiting.get(str(message["mark"]))
+                if asked is not None:
+                    asked(message)
+            case "unknown":
+                self.counters.add("pool.unknown")
+                if message["status"] == "spawn":
+                    rid = str(message["rid"])
+                    self.begun.pop(rid, None)
+                    await self.report(RunOver(rid, OUTCOMES["run", "unknown"]))
+            case "chatter":
+                pass
+            case _:
+                raise JunkError(kind)
+        if "no" in message:
+            self.read_no = no
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -95,7 +95,8 @@
 
 
 def test_zero_means_absent_where_the_wire_says_so():
-    event = benchlink.build(*benchlink.EVENTS["QUERY"], benchlink.split(query("a", dupOf="0", team="0").split("\t")[2:]))
+    parts = query("a", dupOf="0", team="0").split("\t")[2:]
+    event = benchlink.build(*benchlink.EVENTS["QUERY"], benchlink.split(parts))
     assert event.repeat_of is None and event.tenant is None and event.patience_ms is None
 
 
