Add the uwsgi front on the same core, app servers by DNS-SD, and tests with stand-ins

Seen while testing: the node ended with code 1 on a drain. Lines at fault: Node._drain closed the listener while Front.serve still accepted on it. Now accepting is cancelled first, then what is open is answered. Also seen: a door time ahead of the clock counted as age 0, so work past the grace could run; Decisions._submitted now hands the true age on. Checked: both fronts, the repeat over uwsgi after HTTP, drains with half-read requests, link breaks, bad input and the mixed load at 150% all pass. The inherited module was read for answers held back: what it gives up on is refused or failed in the same step, with advice, so nothing was changed there.

--- a/flintshift/__main__.py
+++ b/flintshift/__main__.py
@@ -10,28 +10,32 @@
 
 import anyio
 
-from flintshift.lifecycle.config import ConfigError, load
+from flintshift.lifecycle.config import Config, ConfigError, load
 from flintshift.lifecycle.node import Node
 
 DEPLOY = Path(__file__).parent.parent / "deploy"
 
 
+async def serve(config: Config) -> None:
+    node = Node(config)
+    gc.freeze()  # what stands after the start is not looked through again
+    await node.run()
+    node.print_counters()
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(prog="flintshift", description="A results node on real sockets.")
     parser.add_argument("--uwsgi", type=Path, default=DEPLOY / "uwsgi.toml",
                         help="where the uwsgi front listens (default: deploy/uwsgi.toml)")
     given = parser.parse_args()
     try:
-        node = Node(load(os.environ, given.uwsgi))
-        gc.freeze()  # what stands after the start is not looked through again
-        anyio.run(node.run)
+        anyio.run(serve, load(os.environ, given.uwsgi))
     except ConfigError as error:
         print(f"flintshift: {error}", file=sys.stderr)
         return 2
     except OSError as error:
         print(f"flintshift: cannot start: {error}", file=sys.stderr)
         return 1
-    node.print_counters()
     return 0
 
 
--- a/flintshift/benchlink.py
+++ b/flintshift/benchlink.py
@@ -1,4 +1,4 @@
-"""The adapter between the benchlink wire and the controller's interface: ``python -m flintshift.benchlink``.
+"""The adapter from the simulator's wire to the controller's interface: ``python -m flintshift.benchlink``.
 
 Reads batches of events on standard input, hands each to the controller of its server and writes one reply a
 batch.  It holds the wire's words, as tables, and no decision.  Another dialect is another set of tables.
@@ -10,6 +10,7 @@
 import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import MISSING, fields
+from io import TextIOWrapper
 from math import isfinite
 from typing import Any, TextIO
 
@@ -301,8 +302,9 @@
 
 
 def main() -> int:
-    sys.stdin.reconfigure(encoding="utf-8", errors="replace")
-    sys.stdout.reconfigure(encoding="utf-8")
+    for stream, errors in ((sys.stdin, "replace"), (sys.stdout, "strict")):
+        if isinstance(stream, TextIOWrapper):
+            stream.reconfigure(encoding="utf-8", errors=errors)
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as error:
--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -303,8 +303,9 @@
     def _start(self, work: Work) -> None:
         """The ladder: the richest level whose threshold the busy share does not exceed, held to the end."""
         work.level = FULL
-        if self.gauges.run_queue > QUEUE_GATE * self.set.cores:
-            work.level = next(level for level, threshold in LADDER if self.gauges.busy <= threshold)
+        if (self.gauges.run_queue or 0.0) > QUEUE_GATE * self.set.cores:
+            busy = self.gauges.busy or 0.0
+            work.level = next(level for level, threshold in LADDER if busy <= threshold)
         work.stage = Stage.RUNNING
         self.out.append(api.Run(work.id))
 
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -41,6 +41,7 @@
     unique: str | None = None  # in keyed classes: the same for all tries
     subject: int | None = None
     workers: str = "pool"  # where it is run
+    head: bytes = b""  # what goes before the body there, as it came
     tell: Callable[[Answer], None] = lambda answer: None
     answer: Answer | None = None
     gone: bool = False
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -125,7 +125,7 @@
             return None
         self.requests[attempt.id] = attempt
         return api.Arrived(
-            attempt.id, attempt.class_name, attempt.held_kb, max(0.0, now - attempt.door_ms), attempt.caller,
+            attempt.id, attempt.class_name, attempt.held_kb, now - attempt.door_ms, attempt.caller,
             attempt.tenant, entry.owner if entry else None, attempt.again, None, attempt.subject)
 
     def _run_over(self, attempt: Attempt, report: at.RunOver) -> api.Event:
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -23,6 +23,7 @@
     mailbox: int = 2048  # events waiting for a planner
     mailbox_spare: int = 512  # of these, kept free of new requests
     outbox: int = 2048  # commands waiting for a peer
+    linger_reads: int = 16  # of what still comes after the last answer
     backlog: int = 1024
     keys: int = 6000  # remembered keys
     key_bytes: int = 32 << 20  # their results
@@ -33,6 +34,8 @@
     key_margin_ms: float = 250.0  # keys live longer than told: the rule's times are 50 ms longer on sockets
     key_late_ms: float = 5000.0  # a repeat may be read so much later than it came
     read_ms: float = 10_000.0  # for the rest of a request once begun
+    last_read_ms: float = 20.0  # for the same, while the node stops
+    linger_ms: float = 500.0  # for what still comes after a connection's last answer
     write_ms: float = 5000.0  # for an answer to be taken
     poll_ms: float = 25.0  # for gauges to come before a tick goes on without
     gauge_stale_ms: float = 500.0  # older gauges are none
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -13,13 +13,16 @@
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
 from flintshift.core.gauges import GaugePlanner
-from flintshift.core.listing import Listing
+from flintshift.core.listing import Listed, Listing
 from flintshift.lifecycle.config import Config
+from flintshift.wire.dnssd import Browser, Record, Resolver
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
 from flintshift.wire.names import NameService
 from flintshift.wire.pool import PoolLink
+from flintshift.wire.uwsgi_apps import AppServers
+from flintshift.wire.uwsgi_front import UwsgiFront
 from flintshift.wire.vault import VaultLink
 
 
@@ -45,29 +48,41 @@
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
-        self.listing = Listing([NameService(config.naming, config.name, limits, counters)], limits)
+        lists: list[Listed] = [NameService(config.naming, config.name, limits, counters)]
         fields = Fields(config.settings, limits, now_ms)
         self.fronts: list[tuple[Front, tuple[str, int]]] = [(
             HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections,
-                      verify=self.pool.verify), config.listen)]
+                      self.pool.verify), config.listen)]
+        self.actors = [self.decisions.run, self.pool.run, self.vault.run]
+        if (desks := config.uwsgi) is not None:
+            resolver = Resolver(desks.resolver, limits)
+            browser = Browser(resolver, desks.app_service, desks.domain, limits, counters)
+            apps = AppServers(browser, limits, counters, self.decisions.report, now_ms)
+            self.decisions.workers = {"pool": self.pool, "apps": apps}
+            lists.append(Record(resolver, desks.node_service, desks.domain, config.name, desks.listen,
+                                limits, counters, now_ms))
+            self.fronts.append((
+                UwsgiFront(fields, self.decisions, limits, counters, now_ms, limits.uwsgi_connections,
+                           self.pool.verify), desks.listen))
+            self.actors += [browser.run, apps.run]
+        self.listing = Listing(lists, limits)
 
     async def run(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
             listeners = [await self._listen(at) for _, at in self.fronts]
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self.decisions.run)
+                for actor in self.actors:
+                    tasks.start_soon(actor)
                 tasks.start_soon(self.gauges.run, self.pool, self.decisions.report)
-                tasks.start_soon(self.pool.run)
-                tasks.start_soon(self.vault.run)
                 tasks.start_soon(self.listing.run, self.decisions.posture)
                 for (front, _), listener in zip(self.fronts, listeners, strict=True):
-                    tasks.start_soon(front.serve, listener)
+                    tasks.start_soon(front.serve, listener, tasks)
                     tasks.start_soon(front.sweep)
                 async for number in signals:
                     if number != signal.SIGUSR1:
                         break
                     self.print_counters()
-                await self._drain(listeners)
+                await self._drain()
                 tasks.cancel_scope.cancel()
 
     async def _listen(self, at: tuple[str, int]) -> Listener[SocketStream]:
@@ -75,7 +90,7 @@
         return await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=self.limits.backlog, reuse_port=False)
 
-    async def _drain(self, listeners: list[Listener[SocketStream]]) -> None:
+    async def _drain(self) -> None:
         """Answer all that was read and leave; what comes after the grace is refused, not run."""
         notice = self.now_ms()
         stop = notice + self.limits.stop_ms - self.limits.stop_margin_ms
@@ -87,10 +102,8 @@
         for front, _ in self.fronts:
             front.finish()
         with anyio.move_on_after(self.limits.stop_margin_ms / 2000):
-            while self._open():
+            while any(front.connections for front, _ in self.fronts):
                 await anyio.sleep(0.005)
-        for listener in listeners:
-            await listener.aclose()
 
     def _open(self) -> int:
         return self.decisions.open + sum(front.busy for front, _ in self.fronts)
--- /dev/null
+++ b/flintshift/wire/dnssd.py
@@ -0,0 +1,132 @@
+"""DNS-based service discovery (RFC 6763): app servers are browsed, and this node's own record is kept by
+DNS UPDATE (RFC 2136) while it serves."""
+
+from __future__ import annotations
+
+import ipaddress
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import anyio
+import dns.asyncquery
+import dns.exception
+import dns.message
+import dns.name
+import dns.rcode
+import dns.update
+from dns.rdatatype import AAAA, PTR, SRV, TXT, A, RdataType
+
+from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
+
+FAILED = (dns.exception.DNSException, OSError, ValueError)
+
+
+@dataclass(frozen=True)
+class Server:
+    priority: int
+    at: tuple[str, int]
+    classes: frozenset[str]  # those it runs; empty: all
+
+
+class Resolver:
+    def __init__(self, at: tuple[str, int], limits: Limits) -> None:
+        self.at, self.limits = at, limits
+
+    async def exchange(self, message: dns.message.Message) -> dns.message.Message:
+        reply = await dns.asyncquery.udp(
+            message, self.at[0], port=self.at[1], timeout=self.limits.dns_ms / 1000)
+        if reply.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
+            raise dns.exception.DNSException(dns.rcode.to_text(reply.rcode()))
+        return reply
+
+    async def find(self, name: dns.name.Name, kind: RdataType) -> list[Any]:
+        reply = await self.exchange(dns.message.make_query(name, kind))
+        return [data for found in reply.answer if found.name == name and found.rdtype == kind
+                for data in found]
+
+
+class Browser:
+    """Knows the app servers that the resolver names; the last good answer stands while it does not reply."""
+
+    def __init__(self, resolver: Resolver, service: str, domain: str, limits: Limits,
+                 counters: Counters) -> None:
+        self.resolver, self.limits, self.counters = resolver, limits, counters
+        self.service = dns.name.from_text(service, dns.name.from_text(domain))
+        self.found: list[Server] = []
+        self.turn = itertools.count()
+        self.looked = anyio.Event()
+
+    def servers(self, class_name: str) -> list[tuple[str, int]]:
+        """Where a run of this class may go: by priority, and in turns among equals."""
+        fit = [server for server in self.found if not server.classes or class_name in server.classes]
+        turn = next(self.turn) % len(fit) if fit else 0
+        return [server.at for server in sorted(fit[turn:] + fit[:turn], key=lambda server: server.priority)]
+
+    async def run(self) -> None:
+        while True:
+            try:
+                self.found = await self._browse()
+                self.looked.set()
+            except FAILED:
+                self.counters.add("dns.failed")
+            await anyio.sleep((self.limits.browse_ms if self.found else self.limits.browse_ms / 10) / 1000)
+
+    async def _browse(self) -> list[Server]:
+        found = []
+        for pointer in await self.resolver.find(self.service, PTR):
+            instance = pointer.target
+            texts = [text.decode("utf-8", "replace") for data in await self.resolver.find(instance, TXT)
+                     for text in data.strings]
+            classes = next((text[8:] for text in texts if text.lower().startswith("classes=")), "")
+            for data in await self.resolver.find(instance, SRV):
+                for kind in (A, AAAA):
+                    for host in await self.resolver.find(data.target, kind):
+                        if not ipaddress.ip_address(host.address).is_loopback:  # none but this machine's
+                            self.counters.add("dns.not_loopback")
+                            continue
+                        found.append(Server(data.priority, (host.address, data.port),
+                                            frozenset(filter(None, classes.split(",")))))
+        return found
+
+
+class Record:
+    """This node's own record: put in while it serves, taken out when it leaves."""
+
+    def __init__(self, resolver: Resolver, service: str, domain: str, name: str, at: tuple[str, int],
+                 limits: Limits, counters: Counters, now_ms: Callable[[], float]) -> None:
+        self.resolver, self.limits, self.counters, self.now_ms = resolver, limits, counters, now_ms
+        self.at = at
+        self.zone = dns.name.from_text(domain)
+        self.service = dns.name.from_text(service, self.zone)
+        self.instance = dns.name.Name((name.encode(), *self.service.labels))
+        self.host = dns.name.Name((name.encode(), *self.zone.labels))
+        self.fresh_until_ms = 0.0
+
+    async def report(self, serving: bool) -> bool:
+        if serving and self.now_ms() < self.fresh_until_ms:
+            return True
+        try:
+            await self.resolver.exchange(self._update(serving))
+        except FAILED:
+            self.counters.add("dns.update_failed")
+            return False
+        self.counters.add("dns.published" if serving else "dns.withdrawn")
+        self.fresh_until_ms = self.now_ms() + self.limits.record_ttl_s * 500.0
+        return True
+
+    def _update(self, serving: bool) -> dns.update.UpdateMessage:
+        update, ttl = dns.update.UpdateMessage(self.zone), self.limits.record_ttl_s
+        host, port = self.at
+        if serving:
+            update.add(self.service, ttl, PTR, self.instance.to_text())
+            update.replace(self.instance, ttl, SRV, f"0 0 {port} {self.host.to_text()}")
+            update.replace(self.instance, ttl, TXT, '"txtvers=1" "proto=uwsgi"')
+            update.replace(self.host, ttl, AAAA if ":" in host else A, host)
+        else:
+            update.delete(self.service, PTR, self.instance.to_text())
+            update.delete(self.instance)
+            update.delete(self.host)
+        return update
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import contextlib
+import traceback
+from collections.abc import Awaitable, Callable
+from urllib.parse import parse_qs
 
 import anyio
-from anyio.abc import Listener, SocketStream
+from anyio.abc import Listener, SocketStream, TaskGroup
 
 from flintshift.core.attempts import Answer, Attempt, Departed, Verdict
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Posture
-from flintshift.wire.fields import Fields
+from flintshift.wire.fields import Fields, UnusableError
 from flintshift.wire.link import BROKEN
 
 
@@ -49,10 +52,12 @@
     name = "front"
 
     def __init__(self, fields: Fields, decisions: Decisions, limits: Limits, counters: Counters,
-                 now_ms: Callable[[], float], most: int) -> None:
+                 now_ms: Callable[[], float], most: int,
+                 verify: Callable[[], Awaitable[bool]]) -> None:
         self.fields, self.decisions, self.limits = fields, decisions, limits
-        self.counters, self.now_ms, self.most = counters, now_ms, most
+        self.counters, self.now_ms, self.most, self.verify = counters, now_ms, most, verify
         self.connections: set[Connection] = set()
+        self.accepting = anyio.CancelScope()
         self.closing = False  # all that is open gets its answer and is closed
 
     @property
@@ -63,8 +68,11 @@
     def busy(self) -> int:
         return sum(connection.busy for connection in self.connections)
 
-    async def serve(self, listener: Listener[SocketStream]) -> None:
-        await listener.serve(self._accepted)
+    async def serve(self, listener: Listener[SocketStream], tasks: TaskGroup) -> None:
+        """Accept until told to finish; the connections live on in the task group given."""
+        with self.accepting:
+            await listener.serve(self._accepted, tasks)
+        await listener.aclose()
 
     async def _accepted(self, stream: SocketStream) -> None:
         connection = Connection(stream, self.now_ms())
@@ -76,20 +84,44 @@
             self.connections.add(connection)
             try:
                 await self.converse(connection)
+                if connection.busy:
+                    connection.busy = False
+                    await self._linger(connection)
             except BROKEN:
                 self.counters.add(f"{self.name}.connections_broken")
+            except Exception:  # a fault met on one connection must not end the others
+                self.counters.add(f"{self.name}.faults")
+                traceback.print_exc()
             finally:
                 self.connections.discard(connection)
 
     async def converse(self, connection: Connection) -> None:
         raise NotImplementedError
 
+    async def _linger(self, connection: Connection) -> None:
+        """Take what is still coming after the last answer, for a while: closing on unread bytes resets the
+        connection, and the caller might lose the answer with it."""
+        with contextlib.suppress(*BROKEN), anyio.move_on_after(self.limits.linger_ms / 1000):
+            await connection.stream.send_eof()
+            for _ in range(self.limits.linger_reads):
+                await connection.stream.receive(self.limits.read)
+
+    async def healthy(self, method: str, query: str) -> bool:
+        """The answer to a health check; a deep one asks the worker pool unless it is told not to."""
+        if method not in ("GET", "HEAD"):
+            raise UnusableError(405, "only GET is taken here")
+        self.counters.add(f"{self.name}.checks")
+        good = self.posture.up and self.posture.good
+        if good and parse_qs(query).get("all") == ["1"] and not self.posture.from_store:
+            return await self.verify()
+        return good
+
     async def read(self, connection: Connection) -> bytes | None:
         """Bytes; b"" at their end; None when the node stops or the rest of a request takes too long."""
         wait_s = self.limits.read_ms / 1000 if connection.busy else None
+        if self.closing:
+            wait_s = self.limits.last_read_ms / 1000
         with anyio.move_on_after(wait_s) as connection.reading:
-            if self.closing:
-                return None
             try:
                 return await connection.stream.receive(self.limits.read)
             except anyio.EndOfStream:
@@ -140,6 +172,7 @@
     def finish(self) -> None:
         """The node stops: what is half read is answered, what is idle is closed."""
         self.closing = True
+        self.accepting.cancel()
         for connection in self.connections:
             connection.stop_reading()
 
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import urlsplit
 
 import h11
 
@@ -18,10 +16,6 @@
 class HttpFront(Front):
     name = "http"
 
-    def __init__(self, *args: Any, verify: Callable[[], Awaitable[bool]]) -> None:
-        super().__init__(*args)
-        self.verify = verify
-
     async def converse(self, connection: Connection) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.head)
         while True:
@@ -80,7 +74,8 @@
                       body: bytes) -> None:
         method, target = request.method.decode(), request.target.decode()
         if urlsplit(target).path == "/ping":
-            await self._check(connection, conn, method, target)
+            good = await self.healthy(method, urlsplit(target).query)
+            await self._say(connection, conn, 200 if good else 503, b"", head=method == "HEAD")
             return
         class_name = self.fields.class_of(method, target)
         headers: dict[bytes, bytes] = {}
@@ -100,16 +95,6 @@
             status = status_of(answer, self.posture)
             await self._say(connection, conn, status, answer.body, answer=answer)
 
-    async def _check(self, connection: Connection, conn: h11.Connection, method: str, target: str) -> None:
-        if method not in ("GET", "HEAD"):
-            raise UnusableError(405, "only GET is taken here")
-        self.counters.add("http.checks")
-        deep = parse_qs(urlsplit(target).query).get("all") == ["1"]
-        good = self.posture.up and self.posture.good
-        if good and deep and not self.posture.from_store:
-            good = await self.verify()
-        await self._say(connection, conn, 200 if good else 503, b"", head=method == "HEAD")
-
     async def _say(self, connection: Connection, conn: h11.Connection, status: int, body: bytes, *,
                    close: bool = False, answer: Answer | None = None, head: bool = False) -> None:
         if conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- /dev/null
+++ b/flintshift/wire/uwsgi_front.py
@@ -0,0 +1,71 @@
+"""The uwsgi front: one request on a connection, answered in the manner of HTTP and closed."""
+
+from __future__ import annotations
+
+import json
+from http import HTTPStatus
+
+from flintshift.core.attempts import Answer
+from flintshift.wire import uwsgi
+from flintshift.wire.fields import UnusableError, headers_of, status_of
+from flintshift.wire.front import STOPPING, Connection, Exchange, Front
+
+
+class UwsgiFront(Front):
+    name = "uwsgi"
+
+    async def converse(self, connection: Connection) -> None:
+        try:
+            await self._request(connection)
+        except UnusableError as error:
+            self.counters.add(f"uwsgi.status_{error.status}")
+            await self._say(connection, error.status, json.dumps({"error": error.text}).encode())
+
+    async def _request(self, connection: Connection) -> None:
+        got = bytearray()
+
+        async def take(size: int) -> bytes:
+            while len(got) < size:
+                data = await self.read(connection)
+                if data is None:
+                    raise StoppedError
+                if not data:
+                    raise UnusableError(400, "the request is cut off")
+                connection.busy = True
+                got.extend(data)
+            taken = bytes(got[:size])
+            del got[:size]
+            return taken
+
+        try:
+            head = await take(uwsgi.HEAD.size)
+            block = await take(uwsgi.block_size(head, self.limits.vars))
+            variables = uwsgi.unpack(block)
+            body = await take(uwsgi.body_size(variables, self.limits.body))
+        except StoppedError:
+            if connection.busy:  # half read: nothing of it was run
+                await self._say(connection, 503 if self.closing else 408, b"", STOPPING)
+            return
+        method, path = variables.get("REQUEST_METHOD", ""), variables.get("PATH_INFO", "")
+        if path == "/ping":
+            good = await self.healthy(method, variables.get("QUERY_STRING", ""))
+            await self._say(connection, 200 if good else 503, b"")
+            return
+        class_name, exchange = self.fields.class_of(method, path), Exchange()
+        attempt = self.fields.attempt(
+            class_name, body, lambda name: variables.get("HTTP_" + name.upper().replace("-", "_")),
+            exchange.tell)
+        attempt.workers, attempt.head = "apps", head + block
+        answer = await self.exchange(connection, attempt, exchange, lambda data: None)
+        if answer is not None:
+            await self._say(connection, status_of(answer, self.posture), answer.body, answer)
+
+    async def _say(self, connection: Connection, status: int, body: bytes,
+                   answer: Answer | None = None) -> None:
+        headers = headers_of(answer, body, self.posture, close=True)
+        lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}", *(": ".join(pair) for pair in headers)]
+        await self.write(connection, "\r\n".join([*lines, "", ""]).encode("latin-1") + body)
+
+
+class StoppedError(Exception):
+    """The node stops, or the rest of the request did not come in time."""
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,263 @@
+"""The program started and spoken to over sockets: one test for each rule, on both fronts."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+import os
+import subprocess
+import sys
+import time
+
+import pytest
+from standins import BYTES, ROOT, SETTINGS, Rig, job
+
+FRONTS = list(BYTES)
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def rig(tmp_path):
+    async with Rig(tmp_path) as rig:
+        yield rig
+
+
+def finishing(rig):
+    rig.pool.plan = dict.fromkeys(("race-results", "submit-time"), 0)
+
+
+@pytest.mark.parametrize("front", FRONTS)
+async def test_a_request_is_served_with_the_result_of_its_run_and_bodies_stay_as_they_came(rig, front):
+    finishing(rig)
+    body, fields = bytes(range(256)) * 8, job()
+    reply = await rig.ask(front, body=body, fields=fields)
+    assert reply.status == 200 and reply.body.endswith(f"result of {fields['X-Job-Id']}\n".encode())
+    run = rig.runs()[0]
+    assert (base64.b64decode(run["b64"]) if front == "http" else run["body"]) == body
+
+
+@pytest.mark.parametrize("front", FRONTS)
+async def test_an_answer_comes_by_the_due_time_though_the_run_does_not_end(rig, front):
+    rig.apps.took_ms = 60_000
+    began = time.time()
+    reply = await rig.ask(front, "race-results")
+    assert reply.status == 500 and time.time() - began <= 1.5 + 0.08
+    assert (await rig.ask(front, path="/ping", method="GET")).status == 200
+
+
+@pytest.mark.parametrize("front", FRONTS)
+async def test_what_is_turned_away_is_told_at_once_when_to_come_back_and_never_runs(rig, front):
+    rig.apps.took_ms = 60_000  # nothing ends: what is read past the first runs has no hope of its aim
+    callers = [await rig.connect(front) for _ in range(40)]
+    sent = [job("race-results") for _ in callers]
+    for caller, fields in zip(callers, sent, strict=True):
+        caller.send(BYTES[front]("race-results", b"", fields))
+    began, early = time.time(), {}
+
+    async def answered(caller, fields):
+        early[fields["X-Job-Id"]] = await caller.reply(), time.time() - began
+
+    await asyncio.gather(*map(answered, callers, sent))
+    refused = {rid: got for rid, got in early.items() if got[0].status == 429}
+    assert refused and all(int(reply.headers["x-wait-ms"]) > 0 for reply, _ in refused.values())
+    assert min(after for _, after in refused.values()) < 0.75  # long before the due time
+    assert not refused.keys() & {run["rid"] for run in rig.runs()}
+
+
+@pytest.mark.parametrize(("first", "second"), [("http", "uwsgi"), ("uwsgi", "http"), ("http", "http")])
+async def test_a_repeated_submit_time_runs_once_whichever_protocol_brings_it(rig, first, second):
+    finishing(rig)
+    original = await rig.ask(first, fields=job(**{"X-Unique": "k1"}))
+    again = await rig.ask(second, fields=job(**{"X-Unique": "k1", "X-Again": "1"}))
+    assert original.status == again.status == 200 and original.body == again.body
+    assert len(rig.runs()) == 1
+    assert (await rig.ask(second, fields=job(**{"X-Unique": "k2"}))).body != original.body
+    assert len(rig.runs()) == 2
+
+
+async def test_a_repeat_over_uwsgi_waits_for_the_run_its_first_try_began_over_http(rig):
+    first, second = await rig.connect("http"), await rig.connect("uwsgi")
+    fields = job(**{"X-Unique": "k1"})
+    first.send(BYTES["http"]("submit-time", b"1", fields))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn")
+    first.writer.transport.abort()  # its caller gives up: the write goes on
+    second.send(BYTES["uwsgi"]("submit-time", b"1", job(**{"X-Unique": "k1"})))
+    while (await rig.counters())["repeats"] < 1:
+        pass
+    rig.pool.finish(fields["X-Job-Id"])
+    assert (await second.reply()).body == f"result of {fields['X-Job-Id']}\n".encode()
+    assert len(rig.runs()) == 1
+
+
+async def test_a_failed_write_is_not_run_again_nor_refused(rig):
+    rig.pool.plan = {"submit-time": ("finished", {"status": "fault"})}
+    for front in FRONTS:
+        assert (await rig.ask(front, fields=job(**{"X-Unique": "k1"}))).status == 500
+    assert len(rig.runs()) == 1
+
+
+@pytest.mark.parametrize("half", FRONTS)
+async def test_a_drain_answers_all_that_was_read_and_runs_nothing_past_the_grace(rig, half):
+    running, cut, late = await rig.connect("http"), await rig.connect(half), await rig.connect(half)
+    fields = job("race-results")
+    running.send(BYTES["http"]("race-results", b"", fields))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn")
+    cut.send(BYTES[half]("submit-time", b"12:01.5", job())[:-3])  # and never more of it
+    past = {"X-Door-Time": str(int(time.time() * 1000) + 2000)}
+    whole = BYTES[half]("submit-time", b"12:01.5", job(**past))
+    late.send(whole[:40])
+    await rig.leave()
+    late.send(whole[40:])  # half read at the notice, and by its door time past the grace
+    refused = await late.reply()
+    assert refused.status == 503 and len(rig.runs()) == 1
+    rig.pool.finish(fields["X-Job-Id"])
+    assert (await running.reply()).status == 200
+    assert (await cut.reply()).status == 503 and await cut.ended()
+    assert await asyncio.wait_for(rig.process.wait(), 10) == 0
+    assert json.loads((await rig.process.stderr.read()).splitlines()[-1])["counters"]["answered.served"] == 1
+    assert len(rig.runs()) == 1
+    records = [count for word, count in rig.dns.log.entries if word == "update"]
+    assert records[0] == 8 and records[-1] == 4  # the app server's own four, and the node's until it left
+
+
+async def test_runs_outlive_the_link_to_the_pool_and_notices_are_taken_once(rig):
+    finishing(rig)
+    await rig.ask("http")
+    rig.pool.plan = {}
+    fields, caller = job(), await rig.connect("http")
+    caller.send(BYTES["http"]("submit-time", b"1", fields))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 2)
+    rig.pool.cut()
+    rig.pool.finish(fields["X-Job-Id"])  # told to nobody: it comes after the next bind
+    rig.pool.notices.append({**rig.pool.notices[0], "no": 1})  # and one that was told before
+    assert (await caller.reply()).body == f"result of {fields['X-Job-Id']}\n".encode()
+    binds = await rig.pool.log.until(lambda entry: entry["t"] == "bind", 2)
+    assert [bind["no"] for bind in binds] == [0, 1] and len(rig.runs()) == 2
+
+
+async def test_junk_from_peers_is_counted_and_the_link_made_anew(rig):
+    for writer in rig.pool.links:
+        writer.write(b'{"t":"finished","no":1,"rid":"x","status":"odd"}\n')
+    await rig.pool.log.until(lambda entry: entry["t"] == "bind", 2)
+    finishing(rig)
+    rig.vault.reply = b"what"
+    rig.pool.plan["race-results"] = ("blocked", {"b64": "eA=="})
+    assert (await rig.ask("http", "race-results")).status == 200  # the call is left out
+    counters = await rig.counters()
+    assert counters["pool.junk"] == 1 and counters["vault.junk"] == 1 and counters["skipped"] == 1
+
+
+@pytest.mark.parametrize(("reply", "status", "asked"), [
+    (b"yes 5\r\n\x00\r\n\xffx", 200, 1), (b"notnow", 500, 3), (b"failed", 500, 1), (None, 500, 1)])
+async def test_calls_go_unchanged_and_are_repeated_only_when_proven_not_run(rig, reply, status, asked):
+    rig.vault.reply, rig.pool.plan = reply, {"submit-time": ("blocked", {"b64": "AP8="})}
+    assert (await rig.ask("http")).status == status
+    asks = [entry for entry in rig.vault.log.entries if entry[0] == "ask"]
+    assert len(asks) == asked and asks[0][2] == b"\x00\xff"
+    supplied = [base64.b64decode(entry["b64"]) for entry in rig.pool.log.entries if entry["t"] == "supply"]
+    assert supplied == ([b"\x00\r\n\xffx"] if status == 200 else [])
+
+
+async def test_a_refused_vault_proves_that_the_call_never_ran(rig):
+    await rig.vault.stop()
+    rig.pool.plan = {"submit-time": ("blocked", {"b64": ""})}
+    assert (await rig.ask("http")).status == 500
+    assert (await rig.counters())["vault.refused"] == 3
+
+
+async def test_a_run_no_app_server_takes_is_refused_and_its_key_is_free(rig):
+    await rig.apps.stop()
+    finishing(rig)
+    assert (await rig.ask("uwsgi", fields=job(**{"X-Unique": "k1"}))).status == 429
+    assert (await rig.ask("http", fields=job(**{"X-Unique": "k1"}))).status == 200
+
+
+BAD = [  # class, body, changed fields, the status, what the answer names
+    ("nobody", b"", {}, 404, "class"),
+    ("submit-time", b"x" * 2049, {}, 413, "body"),
+    ("submit-time", b"", {"X-Job-Id": None}, 400, "X-Job-Id"),
+    ("submit-time", b"", {"X-Job-Id": "short"}, 400, "X-Job-Id"),
+    ("submit-time", b"", {"X-Door-Time": None}, 400, "X-Door-Time"),
+    ("submit-time", b"", {"X-Door-Time": "9999999999999"}, 400, "X-Door-Time"),
+    ("submit-time", b"", {"X-Sender": "-1"}, 400, "X-Sender"),
+    ("submit-time", b"", {"X-Team": "nobody"}, 400, "X-Team"),
+    ("submit-time", b"", {"X-Again": "maybe"}, 400, "X-Again"),
+    ("submit-time", b"", {"X-Ram-Kb": "0"}, 400, "X-Ram-Kb"),
+    ("submit-time", b"", {"X-Ram-Kb": "nan"}, 400, "X-Ram-Kb"),
+    ("submit-time", b"", {"X-Precedence": "1"}, 400, "X-Precedence"),
+    ("submit-time", b"", {"X-Unique": None}, 400, "X-Unique"),
+    ("race-results", b"", {"X-Item": "zz"}, 400, "X-Item"),
+]
+BROKEN = {
+    "http": [(b"what is this\r\n\r\n", 400),
+             (b"POST /call/x HTTP/1.1\r\nHost: a\r\nContent-Length: z\r\n\r\n", 400),
+             (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf", 400),
+             (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+             (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, 400)],
+    "uwsgi": [(b"\x05\x00\x00\x00", 400), (b"\x00\xff\xff\x00", 413), (b"\x00\x02\x00\x00\x09\x00", 400),
+              (b"\x00\x09", 400), (b"\x00\x03\x00\x00\x01\x00a", 400)],
+}
+
+
+@pytest.mark.parametrize("front", FRONTS)
+async def test_bad_input_is_answered_plainly_runs_nothing_and_leaves_the_node_up(rig, front):
+    finishing(rig)
+    for class_name, body, changes, status, named in BAD:
+        reply = await rig.ask(front, class_name, body, job(class_name, **changes))
+        assert reply.status == status and named in json.loads(reply.body)["error"], (changes, reply)
+    for data, status in BROKEN[front]:
+        caller = await rig.connect(front)
+        caller.send(data)
+        caller.writer.write_eof()
+        assert (await caller.reply()).status == status, data
+        assert await caller.ended()
+    assert not rig.runs() and (await rig.ask(front)).status == 200
+
+
+
+@pytest.mark.parametrize(("config", "text"), [
+    (None, "LB_CONFIG"), ("{", "Expecting"), ('{"settings": {}, "stop_ms": 1}', "missing familyInfo.nCores"),
+    (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n"}), "listen is missing"),
+    (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n", "listen": "nowhere"}), "not host:port"),
+])
+def test_a_bad_configuration_is_one_plain_line_and_no_start(tmp_path, config, text):
+    path = tmp_path / "config.json"
+    path.write_text(config or "")
+    env = {name: value for name, value in os.environ.items() if name != "LB_CONFIG"}
+    ended = subprocess.run([sys.executable, "-m", "flintshift"], cwd=ROOT, check=False, text=True,
+                           env=env | ({"LB_CONFIG": str(path)} if config else {}), capture_output=True)
+    assert ended.returncode == 2 and text in ended.stderr and ended.stderr.count("\n") == 1
+
+
+async def test_both_protocols_at_150_percent_load_lose_no_answer_and_write_nothing_twice(rig):
+    rig.apps.took_ms, rig.pool.plan = 30, {"race-results": 30, "submit-time": 30}
+    each_s, count = 0.03 / 2 / 1.5, 150  # two cores, 30 ms a run: half as much again as they can do
+    outcomes = []
+
+    async def request(turn):
+        first, other = (FRONTS if turn % 2 else FRONTS[::-1])
+        class_name = "submit-time" if turn % 3 else "race-results"
+        key = {"X-Unique": f"w{turn}"} if class_name == "submit-time" else {}
+        for front, again in ((first, {}), (other, {"X-Again": "1"})):
+            fields = job(class_name, **key, **again)
+            outcomes.append((key.get("X-Unique"), fields["X-Job-Id"],
+                             await rig.ask(front, class_name, fields=fields)))
+
+    async with asyncio.TaskGroup() as tasks:
+        for turn in range(count):
+            tasks.create_task(request(turn))
+            await asyncio.sleep(each_s)
+    ran = {run["rid"] for run in rig.runs()}
+    assert len(outcomes) == 2 * count and len(ran) == len(rig.runs())
+    assert {reply.status for _, _, reply in outcomes} >= {200, 429}
+    for key in {key for key, _, _ in outcomes if key}:
+        tries = [(rid, reply) for known, rid, reply in outcomes if known == key]
+        assert sum(rid in ran for rid, _ in tries) <= 1
+        assert len({reply.body for _, reply in tries if reply.status == 200}) <= 1
+    assert not any(rid in ran for _, rid, reply in outcomes if reply.status in (429, 503))
