Guard the pool link against notices without a number and deep JSON; test the core alone

Seen on reading: a `blocked` notice without `no` reached an unbound name in PoolLink._read, and JSON nested past the parser's depth raised RecursionError; either would have ended the process. VaultLink._serve closed its link after the shortest call's limit instead of 8 s of idleness, which cost a connect for the next call. KeyTable.full summed over all entries for each keyed request; the booked bytes are now kept. Checked: each junk line drops the link, which binds anew, and the node serves on.

--- a/flintshift/core/keys.py
+++ b/flintshift/core/keys.py
@@ -23,7 +23,8 @@
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.entries: dict[tuple[str, str], Entry] = {}  # by class and key: keys are scoped by class
-        self.bytes = 0
+        # Bytes of results: the largest for each whose run is not over, so that what has started finds room.
+        self.booked = 0
 
     def find(self, attempt: Attempt) -> Entry | None:
         """The entry that this attempt repeats, by when it came to the machine and not by when it was read."""
@@ -31,11 +32,9 @@
         return entry if entry is not None and attempt.door_ms <= entry.live_until_ms else None
 
     def full(self) -> bool:
-        """No further keyed work may start: a live key is never forgotten to make room. Each entry is booked
-        with the largest result, so that what has started always finds room for its own."""
-        unended = sum(entry.outcome is None for entry in self.entries.values())
-        booked = self.bytes + unended * self.limits.result
-        return len(self.entries) >= self.limits.keys or booked + self.limits.result > self.limits.key_bytes
+        """No further keyed work may start: a live key is never forgotten to make room."""
+        most = self.limits.key_bytes - self.limits.result
+        return len(self.entries) >= self.limits.keys or self.booked > most
 
     def keep(self, attempt: Attempt, until_ms: float) -> None:
         key = (attempt.class_name, attempt.unique or "")
@@ -45,8 +44,9 @@
             entry.live_until_ms = max(entry.live_until_ms, until_ms)
             return
         if entry is not None:
-            self.bytes -= len(entry.result)
+            self._drop(key)
         self.entries[key] = Entry(attempt.id, until_ms)
+        self.booked += self.limits.result
 
     def owned(self, attempt: Attempt) -> Entry | None:
         entry = self.entries.get((attempt.class_name, attempt.unique or ""))
@@ -54,8 +54,9 @@
 
     def end(self, entry: Entry, outcome: Outcome, result: bytes) -> list[str]:
         """The owner's run is over: keep how, and return the attempts that waited for it."""
-        entry.outcome, entry.result = outcome, result
-        self.bytes += len(result)
+        if entry.outcome is None:
+            self.booked += len(result) - self.limits.result
+            entry.outcome, entry.result = outcome, result
         waiting, entry.followers = entry.followers, []
         return waiting
 
@@ -64,13 +65,16 @@
         entry = self.owned(attempt)
         if entry is None:
             return []
-        del self.entries[attempt.class_name, attempt.unique or ""]
-        self.bytes -= len(entry.result)
+        self._drop((attempt.class_name, attempt.unique or ""))
         return entry.followers
 
+    def _drop(self, key: tuple[str, str]) -> None:
+        entry = self.entries.pop(key)
+        self.booked -= self.limits.result if entry.outcome is None else len(entry.result)
+
     def purge(self, now_ms: float, open_: Iterator[str]) -> None:
         """Drop entries whose window has passed, but none whose owner is still open."""
         live, past = set(open_), now_ms - self.limits.key_late_ms
         for key in [key for key, entry in self.entries.items()
                     if entry.live_until_ms < past and entry.owner not in live]:
-            self.bytes -= len(self.entries.pop(key).result)
+            self._drop(key)
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -44,7 +44,7 @@
     vault_idle_ms: float = 8000.0  # the vault closes at 10 s: a call must not cross that
     report_every_ms: float = 800.0  # the name service forgets after 3 s
     report_wait_ms: float = 1000.0
-    connect_ms: float = 2000.0
+    connect_ms: float = 1000.0
     backoff_ms: float = 20.0  # the first wait before a reconnect, doubled up to the most
     backoff_most_ms: float = 1000.0
     lost_run_ms: float = 30_000.0  # a run that ended for its caller and was never heard of again
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import itertools
 import json
 from collections.abc import Awaitable, Callable
@@ -122,7 +121,7 @@
                         tasks.start_soon(self._write, stream)
                     else:
                         await self._read(kind, message)
-                except (ValueError, KeyError, TypeError, AttributeError, binascii.Error) as error:
+                except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
                     raise JunkError(str(error)) from error
 
     async def _rebound(self, stream: SocketStream) -> None:
@@ -153,7 +152,8 @@
             await stream.send(batch)
 
     async def _read(self, kind: str, message: dict[str, Any]) -> None:
-        if "no" in message:
+        no = 0
+        if kind in ("finished", "blocked", "chatter"):
             no = int(message["no"])
             if no <= self.read_no:  # told again after a bind: it was taken already
                 self.counters.add("pool.told_again")
@@ -185,5 +185,4 @@
                 pass
             case _:
                 raise JunkError(kind)
-        if "no" in message:
-            self.read_no = no
+        self.read_no = no or self.read_no
--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -69,19 +69,22 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._read, stream)
             command: Ask | str | None = first
+            used_ms = self.now_ms()
             while True:
                 batch = b""
                 while command is not None:
                     batch += self._line(command)
                     command = self.outbox.take_now()
                 if batch:
+                    used_ms = self.now_ms()
                     await stream.send(batch)
-                grace = self.limits.call_grace_ms
+                grace, idle_ms = self.limits.call_grace_ms, used_ms + self.limits.vault_idle_ms
                 ends = min((ask.asked_ms + ask.limit_ms + grace for ask in self.out.values()),
-                           default=self.now_ms() + self.limits.vault_idle_ms)
+                           default=idle_ms)
                 with anyio.move_on_after(max(0.0, ends - self.now_ms()) / 1000):
                     command = await self.outbox.take()
-                if command is None and not self.out:  # idle: close before the vault does, under no call
+                if command is None and not self.out and self.now_ms() >= idle_ms:
+                    # Closed before the vault does it: a call that crosses that close would prove nothing.
                     tasks.cancel_scope.cancel()
                     return
                 for ask in [ask for ask in self.out.values()
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,258 @@
+"""The core with stand-ins for its ports: the guards that no bench is needed to see, and the parsers."""
+
+from __future__ import annotations
+
+import pytest
+
+from flintshift import benchlink
+from flintshift import interface as api
+from flintshift.core import attempts as at
+from flintshift.core.attempts import Answer, Attempt, Verdict
+from flintshift.core.counters import Counters
+from flintshift.core.decisions import Decisions
+from flintshift.core.keys import KeyTable
+from flintshift.core.limits import Limits
+from flintshift.core.mailbox import Mailbox
+from flintshift.interface import Outcome
+from flintshift.lifecycle.config import ConfigError, flat, load_uwsgi
+from flintshift.wire import uwsgi
+from flintshift.wire.fields import UnusableError
+from flintshift.wire.link import address
+from flintshift.wire.words import OUTCOMES
+
+
+class Ports:
+    """Workers and what lies below, which take commands while `room` lasts."""
+
+    def __init__(self):
+        self.sent, self.room = [], True
+
+    def take(self, *command):
+        self.sent.append(command)
+        return self.room
+
+    def spawn(self, attempt):
+        return self.take("spawn", attempt.id)
+
+    def supply(self, request, reply):
+        return self.take("supply", request, reply)
+
+    def go_on(self, request, no):
+        return self.take("pass", request, no)
+
+    def ask(self, request, limit_ms, payload):
+        return self.take("ask", request)
+
+    def give_up(self, request):
+        self.take("unask", request)
+
+
+class Planner:
+    def __init__(self, **limits):
+        self.now, self.told, self.ports = 1_000_000.0, {}, Ports()
+        kinds = [api.RequestClass("look", 500.0, 900.0, 1.0, api.Effect.SAFE, calls=True, skip_worth=0.5),
+                 api.RequestClass("pay", 500.0, 900.0, 1.0, api.Effect.KEYED, repeat_window_ms=2000.0,
+                                  calls=True)]
+        settings = api.Settings(kinds, 2, 40_000.0, 8.0, 5.0, 300.0, [], advice_allowed=True,
+                                advice_max_ms=800.0, call_share=10.0, call_window_ms=5000.0)
+        self.planner = Decisions(settings, 1, Limits(**limits), Counters(), lambda: self.now,
+                                 lambda at_ms, token: None)
+        self.planner.workers, self.planner.below = {"pool": self.ports}, self.ports
+        self.planner.handle(at.Up())
+
+    def submit(self, request, class_name="look", **changes):
+        attempt = Attempt(request, class_name, changes.pop("door_ms", self.now), 10.0, 1, b"", **changes,
+                          tell=lambda answer: self.told.setdefault(request, []).append(answer))
+        self.planner.handle(at.Submitted(attempt))
+        return attempt
+
+    def verdicts(self, request):
+        return [answer.verdict for answer in self.told.get(request, [])]
+
+    def spawned(self):
+        return [command[1] for command in self.ports.sent if command[0] == "spawn"]
+
+
+def test_there_is_one_final_answer_whatever_follows():
+    node = Planner()
+    node.submit("a")
+    node.planner.handle(at.RunOver("a", Outcome.OK, 1.0, b"x"))
+    node.planner.handle(at.RunOver("a", Outcome.ERROR))
+    node.planner.handle(at.Departed("a"))
+    assert node.told["a"] == [Answer(Verdict.SERVED, b"x")]
+    attempt = node.submit("b")
+    node.planner.handle(at.Departed("b"))
+    node.planner.handle(at.RunOver("b", Outcome.OK))
+    assert "b" not in node.told and not attempt.settle(Answer(Verdict.FAILED), 0.0)
+
+
+def test_what_has_run_is_never_turned_away():
+    told = []
+    attempt = Attempt("a", "pay", 0.0, 1.0, 1, b"", ran=True, tell=told.append)
+    assert attempt.settle(Answer(Verdict.REFUSED, wait_ms=5.0), 1.0)
+    assert told == [Answer(Verdict.FAILED)]
+
+
+@pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.MOOT, Outcome.UNREACHABLE])
+def test_a_run_proven_not_begun_is_refused_and_frees_its_key_and_its_followers(outcome):
+    node = Planner()
+    node.submit("a", "pay", unique="k")
+    node.submit("b", "pay", unique="k")
+    node.planner.handle(at.RunOver("a", outcome))
+    assert node.verdicts("a") == node.verdicts("b") == [Verdict.REFUSED]
+    assert node.told["a"][0].wait_ms == 800.0
+    node.submit("c", "pay", unique="k")
+    assert node.spawned() == ["a", "c"]
+
+
+def test_a_command_that_no_worker_takes_refuses_the_request_and_starts_nothing():
+    node = Planner()
+    node.ports.room = False
+    node.submit("a", "pay", unique="k")
+    assert node.verdicts("a") == [Verdict.REFUSED] and not node.planner.keys.entries
+
+
+def test_a_call_that_is_not_taken_never_ran():
+    node = Planner()
+    node.submit("a")
+    node.ports.room = False
+    node.planner.handle(at.CallWanted("a", 7, b""))
+    assert ("pass", "a", 7) in node.ports.sent
+
+
+def test_a_caller_that_goes_while_held_leaves_its_key_free():
+    node = Planner()
+    held = [f"r{turn}" for turn in range(4)]
+    for request in held:
+        node.submit(request, "pay", unique=request)
+    waiting = next(request for request in held if request not in node.spawned())
+    node.planner.handle(at.Departed(waiting))
+    assert ("pay", waiting) not in node.planner.keys.entries and not node.verdicts(waiting)
+
+
+def test_a_repeat_is_known_by_when_it_came_not_by_when_it_is_read():
+    node = Planner()
+    door = node.now
+    node.submit("a", "pay", unique="k")
+    node.planner.handle(at.RunOver("a", Outcome.OK, 1.0, b"x"))
+    node.now += 4000.0
+    node.planner.handle(at.Tick("tick"))
+    node.submit("b", "pay", unique="k", door_ms=door + 1999.0)
+    node.submit("other", "look", unique="k")  # keys are scoped by class
+    assert node.spawned() == ["a", "other"] and node.verdicts("b") == [Verdict.SERVED]
+    node.submit("c", "pay", unique="k")
+    assert node.spawned() == ["a", "other", "c"]
+
+
+def test_a_full_key_table_starts_no_keyed_work_and_forgets_no_live_key():
+    node = Planner(keys=2)
+    for request in "ab":
+        node.submit(request, "pay", unique=request)
+        node.planner.handle(at.RunOver(request, Outcome.OK, 1.0, request.encode()))
+    node.submit("c", "pay", unique="c")
+    node.submit("d", "pay", unique="a")
+    node.submit("e")
+    assert node.verdicts("c") == [Verdict.REFUSED] and node.told["d"] == [Answer(Verdict.SERVED, b"a")]
+    assert node.spawned() == ["a", "b", "e"]
+
+
+def test_results_are_booked_at_their_largest_until_they_are_known():
+    limits = Limits(result=100, key_bytes=250)
+    keys = KeyTable(limits)
+    attempts = [Attempt(str(turn), "pay", 0.0, 1.0, 1, b"", unique=str(turn)) for turn in range(3)]
+    for attempt in attempts[:2]:
+        assert not keys.full()
+        keys.keep(attempt, 10.0)
+    assert keys.full()
+    keys.end(keys.entries["pay", "0"], Outcome.OK, b"x")
+    assert not keys.full() and keys.booked == 101
+    keys.purge(1e9, iter(["1"]))  # an open owner keeps its entry
+    assert list(keys.entries) == [("pay", "1")] and keys.booked == 100
+    assert keys.forget(attempts[1]) == [] and keys.booked == 0
+
+
+def test_a_run_never_heard_of_again_gives_its_place_back():
+    node = Planner()
+    node.submit("a", "pay", unique="k")
+    for _ in range(40):
+        node.now += 1000.0
+        node.planner.handle(at.Tick("tick"))
+    assert node.verdicts("a") == [Verdict.FAILED] and not node.planner.requests
+    assert not node.planner.controller.work
+
+
+def test_a_full_mailbox_refuses_new_work_and_keeps_room_for_the_rest():
+    node = Planner(mailbox=4, mailbox_spare=2)
+    told = []
+    for request in "abcd":
+        node.planner.submit(Attempt(request, "look", node.now, 1.0, 1, b"", tell=told.append))
+    assert [answer.verdict for answer in told] == [Verdict.REFUSED, Verdict.REFUSED]
+    assert told[0].wait_ms == 800.0 and node.planner.mailbox.offer(at.Departed("a"))
+    box = Mailbox(1)
+    assert (box.offer(1), box.offer(2), box.take_now(), box.take_now()) == (True, False, 1, None)
+
+
+def test_every_way_a_run_or_call_ends_has_an_outcome():
+    assert set(OUTCOMES.values()) == set(Outcome)
+    words = {"call": {"yes", "notnow", "failed", "overdue", "pointless"},
+             "run": {"fine", "fault", "broken_off", "late", "unknown"},
+             "link": {"refused", "broken", "silent"}}
+    assert {(by, word) for by in words for word in words[by]} == set(OUTCOMES)
+
+
+@pytest.mark.parametrize(("pairs", "cut"), [
+    ([], 0), ([("A", "b"), ("HTTP_X", "")], 0), ([("A", "é" * 300)], 0),
+    ([("A", "b")], 1), ([("A", "b")], 3), ([("A", "b")], 5)])
+def test_uwsgi_variables_there_and_back_and_cut_off(pairs, cut):
+    packet = uwsgi.pack(pairs)
+    assert uwsgi.block_size(packet[:4], 9999) == len(packet) - 4
+    block = packet[4:len(packet) - cut]
+    if not cut:
+        assert uwsgi.unpack(block) == dict(pairs)
+    else:
+        with pytest.raises(UnusableError) as caught:
+            uwsgi.unpack(block)
+        assert caught.value.status == 400
+
+
+@pytest.mark.parametrize(("length", "found"), [
+    ("", 0), ("12", 12), ("13", 413), ("9" * 5000, 413), ("-1", 400), ("1.5", 400), ("٣", 400)])
+def test_uwsgi_body_sizes(length, found):
+    if found < 400:
+        assert uwsgi.body_size({"CONTENT_LENGTH": length}, 12) == found
+    else:
+        with pytest.raises(UnusableError) as caught:
+            uwsgi.body_size({"CONTENT_LENGTH": length}, 12)
+        assert caught.value.status == found
+
+
+def test_a_field_given_twice_is_no_field():
+    with pytest.raises(UnusableError, match="HTTP_X_UNIQUE"):
+        uwsgi.unpack(uwsgi.pack([("HTTP_X_UNIQUE", "a"), ("HTTP_X_UNIQUE", "b")])[4:])
+
+
+@pytest.mark.parametrize(("text", "found"), [("127.0.0.1:80", ("127.0.0.1", 80)), ("[::1]:9", ("::1", 9)),
+                                             ("host", None), (":80", None), ("a:0", None), ("a:99999", None)])
+def test_addresses(text, found):
+    if found:
+        assert address(text) == found
+    else:
+        with pytest.raises(ValueError, match="host:port"):
+            address(text)
+
+
+def test_nested_settings_are_the_simulators_pairs():
+    told = {"a": {"b": [1, True, "x"], "c": [{"d": 0.5}, {"d": False}]}, "e": []}
+    assert flat(told) == {"a.b": "1,true,x", "a.c.count": "2", "a.c.0.d": "0.5", "a.c.1.d": "false", "e": ""}
+    assert benchlink.listed(flat({"e": []})["e"]) == []
+
+
+@pytest.mark.parametrize(("text", "trouble"), [
+    ("enabled = true", "listen is missing"), ("enabled =", "Invalid"),
+    ('enabled = true\nlisten = "10.0.0.1:1"\nresolver = "127.0.0.1:53"\ndomain = "d"\napp_service = "a"\n'
+     'node_service = "n"', "no loopback address")])
+def test_a_bad_uwsgi_file_is_named(tmp_path, text, trouble):
+    path = tmp_path / "uwsgi.toml"
+    path.write_text(text)
+    with pytest.raises(ConfigError, match=trouble):
+        load_uwsgi(path)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -141,16 +141,21 @@
     assert [bind["no"] for bind in binds] == [0, 1] and len(rig.runs()) == 2
 
 
+JUNK = [b'{"t":"finished","no":1,"rid":"x","status":"odd"}', b"[" * 9000, b"7", b"\xff", b'{"t":"tea"}',
+        b'{"t":"blocked","rid":"x","b64":""}', b"x" * 70_000]
+
+
 async def test_junk_from_peers_is_counted_and_the_link_made_anew(rig):
-    for writer in rig.pool.links:
-        writer.write(b'{"t":"finished","no":1,"rid":"x","status":"odd"}\n')
-    await rig.pool.log.until(lambda entry: entry["t"] == "bind", 2)
+    for count, junk in enumerate(JUNK, 2):
+        for writer in rig.pool.links:
+            writer.write(junk + b"\n")
+        await rig.pool.log.until(lambda entry: entry["t"] == "bind", count)
     finishing(rig)
     rig.vault.reply = b"what"
     rig.pool.plan["race-results"] = ("blocked", {"b64": "eA=="})
     assert (await rig.ask("http", "race-results")).status == 200  # the call is left out
     counters = await rig.counters()
-    assert counters["pool.junk"] == 1 and counters["vault.junk"] == 1 and counters["skipped"] == 1
+    assert counters["pool.links_lost"] == len(JUNK) and counters["vault.junk"] == 1 and counters["skipped"] == 1
 
 
 @pytest.mark.parametrize(("reply", "status", "asked"), [
