Let the run time thought of a class fade while cores are free, to end a latch of refusals

A probe logged the controller twice a second: from 16 s to 23 s one node ran 2 of a possible 19, busy 0.21, held 0, and refused nine in ten, with run_ms of standings at 1052 ms. Ruled out: the limit (19), the calls (share 0.65, 25 ms), trouble (False), the node's own time (1 ms). At fault: Controller._fill judges work hopeless by run_ms, and _run_ended alone teaches run_ms: a class refused for it never runs, so it is never measured again. The lone probe wants an empty node. Now: Controller._woken fades it towards the first guess on ticks with free cores and none of it begun.

--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -26,6 +26,7 @@
 LIMIT_STEP = 0.03  # per core and tick
 AIM_SHARE = 0.8  # share of the aim that waiting and running may take
 FIRST_RUN, LEARN = 0.15, 0.1  # share of the aim that a run is taken to last at first; weight of a sample
+RUN_FADES = 0.97  # a tick with free cores, for what is thought of a class of which nothing runs
 SICK, SICK_LEARN, PROBE_EVERY = 0.3, 0.2, 0.1  # failing share, its weight, and a probe's spacing in aims
 STORM, STORM_LEARN = 0.1, 0.03  # share of further tries that is a storm, its weight
 STALL = 3.0  # run times without progress: the cores stand still
@@ -140,6 +141,14 @@
         for key in [key for key, end in self.keys.items() if end <= self.now]:
             del self.keys[key]
         self._adjust_limit()
+        # A class refused for its last run times would show no better ones: while cores are free, what is
+        # thought of it fades towards the first guess, until some are let in and measured.
+        if gauges.run_queue < self.set.cores:
+            begun = {work.kind.name for work in self.work.values() if work.stage is not Stage.HELD}
+            for kind in self.set.classes:
+                if kind.name not in begun:
+                    known = self.run_ms[kind.name]
+                    self.run_ms[kind.name] = max(known * RUN_FADES, min(known, FIRST_RUN * kind.aim_ms))
         pressed = self._count(Stage.HELD) > 0
         for work in [work for work in self.work.values() if not work.answered]:
             if self.now + 2 * TICK_MS >= min(work.due_ms, self.stop_ms):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from conftest import KEYED, SAFE
 
 from flintshift import interface as api
 from flintshift.interface import Outcome
@@ -733,3 +734,21 @@
         request, _ = server.arrive(name)
         assert of(server.needs_call(request), api.Call) == [api.Call(request, pytest.approx(limit_ms))]
         server.call_ends(request)
+
+
+def test_a_class_refused_for_slow_runs_is_let_in_again_once_cores_are_free(make):
+    server = make(classes=[SAFE, KEYED])
+    for _ in range(40):  # a slow spell: the estimate rises past the aim
+        request, actions = server.arrive()
+        if api.Run(request) in actions:
+            server.ends(request, took_ms=1500.0)
+        server.tick(after_ms=150, run_queue=9)
+    other, actions = server.arrive("pay")  # so that the node is not idle enough for a lone probe
+    assert api.Run(other) in actions and answers(server.arrive()[1], f"r{server.count}")
+    for _ in range(20):
+        server.tick(run_queue=9)
+    assert answers(server.arrive()[1], f"r{server.count}")  # the cores are still crowded
+    for _ in range(30):
+        server.tick(run_queue=1)
+    request, actions = server.arrive()
+    assert api.Run(request) in actions
