Make the fading run time's test keep the node moving, so that it fails without the fade alone

Seen: the test committed with the change failed: its one run of 2 s counted as a standstill (STALL), so the refusal it met was trouble's and not the estimate's. Now runs end and begin on each tick. Checked: it passes with the fade and fails without it.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -745,10 +745,10 @@
         server.tick(after_ms=150, run_queue=9)
     other, actions = server.arrive("pay")  # so that the node is not idle enough for a lone probe
     assert api.Run(other) in actions and answers(server.arrive()[1], f"r{server.count}")
-    for _ in range(20):
-        server.tick(run_queue=9)
-    assert answers(server.arrive()[1], f"r{server.count}")  # the cores are still crowded
-    for _ in range(30):
-        server.tick(run_queue=1)
-    request, actions = server.arrive()
-    assert api.Run(request) in actions
+    for run_queue, runs in ((9, False), (1, True)):  # crowded cores, then free ones
+        for _ in range(30):
+            server.ends(other)
+            other, _ = server.arrive("pay")
+            server.tick(run_queue=run_queue)
+        request, actions = server.arrive()
+        assert (api.Run(request) in actions) is runs and bool(answers(actions, request)) is not runs
