Give the list planner a mailbox, and move the last counts and times into Limits

Now the decision planner says when the node serves and leaves, each list has a bounded mailbox in which the newest word wins, and Limits holds those times. The rank is checked but no longer kept, as no decision uses it.

--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -37,7 +37,6 @@
     body: bytes
     tenant: str | None = None
     again: bool = False
-    rank: float = 0.0
     unique: str | None = None  # in keyed classes: the same for all tries
     subject: int | None = None
     workers: str = "pool"  # where it is run
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -23,9 +23,10 @@
 
 class Decisions:
     def __init__(self, settings: api.Settings, seed: int, limits: Limits, counters: Counters,
-                 now_ms: Callable[[], float], wake_at: Callable[[float, str], None]) -> None:
+                 now_ms: Callable[[], float], wake_at: Callable[[float, str], None],
+                 list_as: Callable[[bool], None]) -> None:
         self.settings, self.limits, self.counters = settings, limits, counters
-        self.now_ms, self.wake_at = now_ms, wake_at
+        self.now_ms, self.wake_at, self.list_as = now_ms, wake_at, list_as
         self.controller = Controller(settings, seed)
         self.mailbox: Mailbox[at.Report] = Mailbox(limits.mailbox)
         self.posture = Posture(wait_ms=settings.advice_max_ms * settings.advice_allowed)
@@ -84,9 +85,11 @@
                 if self.posture.up:  # the link came back: the controller goes on
                     return None
                 self.posture.up = True
+                self.list_as(not self.posture.leaving)
                 return api.Started()
             case at.Notice(stops_in_ms):
                 self.posture.leaving = True
+                self.list_as(False)
                 return api.Leaving(stops_in_ms)
         attempt = self.requests.get(report.request)
         if attempt is None:  # it is over: late reports of it change nothing
@@ -233,7 +236,7 @@
 
     def _purge(self) -> None:
         now = self.now_ms()
-        if now < self.purged_ms + 1000.0:
+        if now < self.purged_ms + self.limits.purge_ms:
             return
         self.purged_ms = now
         # A run whose end was lost with its link would hold its place for ever.
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -24,6 +24,7 @@
     mailbox_spare: int = 512  # of these, kept free of new requests
     outbox: int = 2048  # commands waiting for a peer
     linger_reads: int = 16  # of what still comes after the last answer
+    list_box: int = 4  # words waiting for a list
     backlog: int = 1024
     keys: int = 6000  # remembered keys
     key_bytes: int = 32 << 20  # their results
@@ -43,13 +44,18 @@
     call_grace_ms: float = 25.0  # past a call's limit, before the node itself gives it up
     vault_idle_ms: float = 8000.0  # the vault closes at 10 s: a call must not cross that
     report_every_ms: float = 800.0  # the name service forgets after 3 s
+    report_again_ms: float = 100.0  # after a report that was not taken
     report_wait_ms: float = 1000.0
     connect_ms: float = 1000.0
     backoff_ms: float = 20.0  # the first wait before a reconnect, doubled up to the most
     backoff_most_ms: float = 1000.0
     lost_run_ms: float = 30_000.0  # a run that ended for its caller and was never heard of again
+    sweep_ms: float = 250.0  # between two looks for idle connections
+    purge_ms: float = 1000.0  # between two looks for keys and runs that are past
+    drain_step_ms: float = 10.0  # between two looks whether all is answered
     stop_margin_ms: float = 250.0  # all is answered so long before the kill
     browse_ms: float = 5000.0  # between two looks for app servers
+    browse_again_ms: float = 500.0  # while none are known
     dns_ms: float = 1000.0  # for one DNS exchange
     record_ttl_s: int = 20
     app_run_ms: float = 30_000.0  # a run on an app server
--- a/flintshift/core/listing.py
+++ b/flintshift/core/listing.py
@@ -1,38 +1,42 @@
-"""The list planner: says where this node is listed that it serves, again and again, and that it leaves."""
+"""The list planner: says wherever this node is listed that it serves, again and again, and that it leaves."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import anyio
 
 from flintshift.core.limits import Limits
-from flintshift.core.ports import Posture
+from flintshift.core.mailbox import Mailbox
 
 
 class Listed(Protocol):
-    async def report(self, serving: bool) -> bool: ...
+    async def report(self, serving: bool) -> bool:
+        """Say it once; True when it was taken."""
+        ...
 
 
 class Listing:
-    def __init__(self, lists: list[Listed], limits: Limits) -> None:
-        self.lists, self.limits = lists, limits
-        self.leaving = anyio.Event()
+    def __init__(self, lists: Sequence[Listed], limits: Limits) -> None:
+        self.limits = limits
+        self.lists = [(listed, Mailbox[bool](limits.list_box)) for listed in lists]
 
-    def leave(self) -> None:
-        self.leaving.set()
+    def say(self, serving: bool) -> None:
+        for _, box in self.lists:
+            if not box.offer(serving):  # only the newest word counts: the oldest makes room for it
+                box.take_now()
+                box.offer(serving)
 
-    async def run(self, posture: Posture) -> None:
+    async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
-            for listed in self.lists:
-                tasks.start_soon(self._keep, listed, posture)
-
-    async def _keep(self, listed: Listed, posture: Posture) -> None:
-        while not self.leaving.is_set():
-            taken = not posture.up or await listed.report(True)
-            # One that did not take the report is asked again sooner.
-            wait_ms = self.limits.report_every_ms if taken and posture.up else self.limits.report_every_ms / 8
-            with anyio.move_on_after(wait_ms / 1000):
-                await self.leaving.wait()
-        while not await listed.report(False):
-            await anyio.sleep(self.limits.report_every_ms / 8 / 1000)
+            for listed, box in self.lists:
+                tasks.start_soon(self._keep, listed, box)
+
+    async def _keep(self, listed: Listed, box: Mailbox[bool]) -> None:
+        serving = await box.take()
+        while True:
+            taken = await listed.report(serving)
+            wait_s = (self.limits.report_every_ms if taken else self.limits.report_again_ms) / 1000
+            with anyio.move_on_after(None if taken and not serving else wait_s):
+                serving = await box.take()
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -44,7 +44,8 @@
         limits, counters, now_ms = self.limits, self.counters, self.now_ms
         self.gauges = GaugePlanner(limits, now_ms)
         self.decisions = Decisions(
-            config.settings, config.seed, limits, counters, now_ms, self.gauges.wake_at)
+            config.settings, config.seed, limits, counters, now_ms, self.gauges.wake_at,
+            lambda serving: self.listing.say(serving))
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
@@ -74,7 +75,7 @@
                 for actor in self.actors:
                     tasks.start_soon(actor)
                 tasks.start_soon(self.gauges.run, self.pool, self.decisions.report)
-                tasks.start_soon(self.listing.run, self.decisions.posture)
+                tasks.start_soon(self.listing.run)
                 for (front, _), listener in zip(self.fronts, listeners, strict=True):
                     tasks.start_soon(front.serve, listener, tasks)
                     tasks.start_soon(front.sweep)
@@ -96,14 +97,13 @@
         stop = notice + self.limits.stop_ms - self.limits.stop_margin_ms
         grace = notice + self.config.settings.drain_grace_ms
         await self.decisions.report(Notice(stop - notice))
-        self.listing.leave()
         while self.now_ms() < stop and (self.now_ms() < grace or self._open()):
-            await anyio.sleep(0.01)
+            await anyio.sleep(self.limits.drain_step_ms / 1000)
         for front, _ in self.fronts:
             front.finish()
         with anyio.move_on_after(self.limits.stop_margin_ms / 2000):
             while any(front.connections for front, _ in self.fronts):
-                await anyio.sleep(0.005)
+                await anyio.sleep(self.limits.drain_step_ms / 1000)
 
     def _open(self) -> int:
         return self.decisions.open + sum(front.busy for front, _ in self.fronts)
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -57,7 +57,6 @@
         self.service = dns.name.from_text(service, dns.name.from_text(domain))
         self.found: list[Server] = []
         self.turn = itertools.count()
-        self.looked = anyio.Event()
 
     def servers(self, class_name: str) -> list[tuple[str, int]]:
         """Where a run of this class may go: by priority, and in turns among equals."""
@@ -69,10 +68,10 @@
         while True:
             try:
                 self.found = await self._browse()
-                self.looked.set()
             except FAILED:
                 self.counters.add("dns.failed")
-            await anyio.sleep((self.limits.browse_ms if self.found else self.limits.browse_ms / 10) / 1000)
+            wait_ms = self.limits.browse_ms if self.found else self.limits.browse_again_ms
+            await anyio.sleep(wait_ms / 1000)
 
     async def _browse(self) -> list[Server]:
         found = []
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -60,6 +60,7 @@
         if len(body) > self.limits.body:
             raise UnusableError(413, "the body is too large")
         now, item = self.now_ms(), get("X-Item")
+        number("X-Precedence", 0, 1)  # no decision uses it, but one that is no rank is a fault of the caller
         return Attempt(
             id=text("X-Job-Id", HEX16),
             class_name=class_name,
@@ -69,7 +70,6 @@
             body=body,
             tenant=self._tenant(get("X-Team")),
             again=get("X-Again") is not None and text("X-Again", re.compile("[01]")) == "1",
-            rank=number("X-Precedence", 0, 1),
             unique=text("X-Unique", TOKEN) if self.keyed[class_name] else None,
             subject=int(text("X-Item", HEX16), 16) if item is not None else None,
             tell=tell,
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -23,10 +23,8 @@
     """Waits for the final answer to one request, or for its caller to go."""
 
     def __init__(self) -> None:
-        self.over, self.answer = anyio.Event(), None
-
-    over: anyio.Event
-    answer: Answer | None
+        self.over = anyio.Event()
+        self.answer: Answer | None = None
 
     def tell(self, answer: Answer) -> None:
         self.answer = answer
@@ -160,10 +158,10 @@
             await self.decisions.report(Departed(attempt.id))
             exchange.over.set()
 
-    async def sweep(self, every_s: float = 0.25) -> None:
+    async def sweep(self) -> None:
         """Close connections that have carried nothing for as long as was decided."""
         while True:
-            await anyio.sleep(every_s)
+            await anyio.sleep(self.limits.sweep_ms / 1000)
             idle_ms, now = self.posture.idle_ms, self.now_ms()
             for connection in self.connections:
                 if idle_ms and not connection.busy and now - connection.since_ms >= idle_ms:
