--- a/tests/standins.py
+++ b/tests/standins.py
@@ -68,7 +68,7 @@
     """A TCP stand-in on a loopback port."""
 
     def __init__(self):
-        self.log, self.links, self.port = Log(), set(), 0
+        self.log, self.ended, self.links, self.port = Log(), Log(), set(), 0
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -88,6 +88,7 @@
             await self.serve(reader, writer)
         self.links.discard(writer)
         writer.close()
+        await self.ended.add("link")
 
 
 class Pool(Peer):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,8 +10,14 @@
 import sys
 import time
 
+import anyio
 import pytest
-from standins import BYTES, ROOT, SETTINGS, Rig, job
+from standins import BYTES, ROOT, SETTINGS, Log, Rig, Vault, job
+
+from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
+from flintshift.interface import Outcome
+from flintshift.wire.vault import VaultLink
 
 FRONTS = list(BYTES)
 pytestmark = pytest.mark.anyio
@@ -141,6 +147,37 @@
     assert [bind["no"] for bind in binds] == [0, 1] and len(rig.runs()) == 2
 
 
+async def test_what_may_never_have_reached_the_pool_is_spawned_again_but_for_writes(rig):
+    read, write = job("race-results"), job()
+    for class_name, fields in (("race-results", read), ("submit-time", write)):
+        (await rig.connect("http")).send(BYTES["http"](class_name, b"", fields))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 2)
+    rig.pool.cut()
+    again = await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 3)
+    assert [run["rid"] for run in again].count(read["X-Job-Id"]) == 2
+    assert [run["rid"] for run in again].count(write["X-Job-Id"]) == 1
+
+
+async def test_the_vault_link_serves_many_calls_gives_up_silent_ones_and_ends_itself_when_idle():
+    vault, told, clock = Vault(), Log(), lambda: time.time() * 1000
+    await vault.start()
+    link = VaultLink(("127.0.0.1", vault.port), Limits(vault_idle_ms=100.0, call_grace_ms=5.0), Counters(),
+                     told.add, clock)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        for request in ("a", "b"):
+            assert link.ask(request, 50.0, b"")
+            await told.until(lambda over, request=request: over.request == request)
+        vault.reply = b""  # it says nothing more
+        assert link.ask("c", 20.0, b"")
+        await told.until(lambda over: over.request == "c")
+        await vault.ended.until(lambda _: True)
+        tasks.cancel_scope.cancel()
+    await vault.stop()
+    assert [over.outcome for over in told.entries] == [Outcome.OK, Outcome.OK, Outcome.TIMED_OUT]
+    assert vault.log.entries[-1][:2] == ("unask", "c") and len(vault.ended.entries) == 1
+
+
 JUNK = [b'{"t":"finished","no":1,"rid":"x","status":"odd"}', b"[" * 9000, b"7", b"\xff", b'{"t":"tea"}',
         b'{"t":"blocked","rid":"x","b64":""}', b"x" * 70_000]
 
