Keep accepting after a connection that could not be accepted

Seen on reading: an OSError from accept (descriptors used up, a caller gone before it was taken) left Front.serve and would have ended the whole node. It is counted, and accepting goes on after a short wait. Checked: a listener that fails once is served again, and the front still closes it when told to finish.

--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -69,7 +69,12 @@
     async def serve(self, listener: Listener[SocketStream], tasks: TaskGroup) -> None:
         """Accept until told to finish; the connections live on in the task group given."""
         with self.accepting:
-            await listener.serve(self._accepted, tasks)
+            while True:
+                try:
+                    await listener.serve(self._accepted, tasks)
+                except OSError:  # one connection that can't be accepted must not end the node
+                    self.counters.add(f"{self.name}.accept_failed")
+                    await anyio.sleep(self.limits.backoff_ms / 1000)
         await listener.aclose()
 
     async def _accepted(self, stream: SocketStream) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,6 +17,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.interface import Outcome
+from flintshift.wire.front import Front
 from flintshift.wire.vault import VaultLink
 
 FRONTS = list(BYTES)
@@ -178,6 +179,29 @@
     assert vault.log.entries[-1][:2] == ("unask", "c") and len(vault.ended.entries) == 1
 
 
+async def test_a_connection_that_cannot_be_accepted_does_not_end_the_front():
+    class Listener:
+        tries, closed, again = 0, False, anyio.Event()
+
+        async def serve(self, handler, tasks):
+            self.tries += 1
+            if self.tries == 1:
+                raise OSError("too many open files")
+            self.again.set()
+            await anyio.sleep_forever()
+
+        async def aclose(self):
+            self.closed = True
+
+    listener, counters = Listener(), Counters()
+    front = Front(None, None, Limits(), counters, time.time, 1, None)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(front.serve, listener, tasks)
+        await listener.again.wait()
+        front.finish()
+    assert listener.closed and counters["front.accept_failed"] == 1
+
+
 JUNK = [b'{"t":"finished","no":1,"rid":"x","status":"odd"}', b"[" * 9000, b"7", b"\xff", b'{"t":"tea"}',
         b'{"t":"blocked","rid":"x","b64":""}', b"x" * 70_000]
 
