Do not refuse the repeat of a write that has run when the mailbox is full

Seen on reading: Decisions.submit refused whatever a full mailbox could not take, a repeat of a run submit-time included, though what has run is never turned away. A repeat with a live key now has the room kept for peers' reports, and fails without any; new work is refused as before.

--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -42,10 +42,13 @@
     # For the forwarders.
 
     def submit(self, attempt: Attempt) -> None:
-        """Take a request that was read. A full mailbox refuses it here and now: it never ran."""
-        if not self.posture.up or not self.mailbox.offer(at.Submitted(attempt), self.limits.mailbox_spare):
-            self.counters.add("refused.mailbox" if self.posture.up else "refused.not_up")
-            self._settle(attempt, self._refusal())
+        """Take a request that was read. A full mailbox refuses it here and now: it never ran. Guards a
+        repeat, whose first try may have run, against a refusal: it has the spare room, or fails."""
+        repeat = attempt.class_name in self.keyed and self.keys.find(attempt) is not None
+        spare = 0 if repeat else self.limits.mailbox_spare
+        if not self.posture.up or not self.mailbox.offer(at.Submitted(attempt), spare):
+            self.counters.add("full.mailbox" if self.posture.up else "full.not_up")
+            self._settle(attempt, Answer(Verdict.FAILED) if repeat else self._refusal())
 
     async def report(self, report: at.Report) -> None:
         await self.mailbox.put(report)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -192,6 +192,19 @@
     assert (box.offer(1), box.offer(2), box.take_now(), box.take_now()) == (True, False, 1, None)
 
 
+def test_a_full_mailbox_does_not_refuse_the_repeat_of_what_has_run():
+    node = Planner(mailbox=4, mailbox_spare=2)
+    node.submit("a", "pay", unique="k")
+    node.planner.handle(at.RunOver("a", Outcome.OK, 1.0, b"x"))
+    told = []
+    for request, class_name in (("b", "look"), ("c", "look"), ("d", "pay"), ("e", "pay"), ("f", "pay")):
+        node.planner.submit(Attempt(request, class_name, node.now, 1.0, 1, b"", unique="k", tell=told.append))
+    assert [answer.verdict for answer in told] == [Verdict.FAILED]
+    for _ in range(4):
+        node.planner.handle(node.planner.mailbox.take_now())
+    assert told[1:] == [Answer(Verdict.SERVED, b"x")] * 2
+
+
 def test_every_way_a_run_or_call_ends_has_an_outcome():
     assert set(OUTCOMES.values()) == set(Outcome)
     words = {"call": {"yes", "notnow", "failed", "overdue", "pointless"},
