Take a new configuration on SIGHUP, refuse both framings, tell keys apart by body

Checked: a probe of h11 alone shows that it reports both Content-Length and Transfer-Encoding and then lets the latter end the body, so the bytes after it run as the next request (http_front._request looked at the length only). KeyTable.find compared class and key, so another body under a known key got that key's result (decisions._submitted). Node.run took no SIGHUP. After a reply of the vault that never came, VaultLink went on calling on the same connection, and junk on it broke all its calls. Ruled out: ids that the pool does not know (they end in 'unknown' and are refused).

Changed: both framings are 400 and close. A key entry keeps a fingerprint of tenant and body; another request under it, or an id that is open, is 409. SIGHUP rereads the file: the pool link moves (the old one is read until it closes, notices known by number), so do the vault and the name service; an unreadable file is one line and changes nothing. The vault has one call a connection, reused while it was in use a moment ago, so a spoilt, missing or reset reply costs that call alone; strays under other ids are passed over.

--- a/flintshift/__main__.py
+++ b/flintshift/__main__.py
@@ -5,7 +5,10 @@
 import argparse
 import gc
 import os
+import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -16,8 +19,8 @@
 DEPLOY = Path(__file__).parent.parent / "deploy"
 
 
-async def serve(config: Config) -> None:
-    node = Node(config)
+async def serve(reread: Callable[[], Config]) -> None:
+    node = Node(reread(), reread)
     gc.freeze()  # what stands after the start is not looked through again
     await node.run()
     node.print_counters()
@@ -28,8 +31,9 @@
     parser.add_argument("--uwsgi", type=Path, default=DEPLOY / "uwsgi.toml",
                         help="where the uwsgi front listens (default: deploy/uwsgi.toml)")
     given = parser.parse_args()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node heeds it: it must not end the process
     try:
-        anyio.run(serve, load(os.environ, given.uwsgi))
+        anyio.run(serve, partial(load, os.environ, given.uwsgi))
     except ConfigError as error:
         print(f"flintshift: {error}", file=sys.stderr)
         return 2
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -15,6 +15,7 @@
     SERVED = "served"
     REFUSED = "refused"  # this attempt never ran
     FAILED = "failed"
+    CONFLICT = "conflict"  # failed: its id is open, or its key is that of another request
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -14,7 +14,7 @@
 from flintshift.core import attempts as at
 from flintshift.core.attempts import NEVER_RAN, Answer, Attempt, Verdict
 from flintshift.core.counters import Counters
-from flintshift.core.keys import KeyTable
+from flintshift.core.keys import KeyTable, fingerprint
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
 from flintshift.core.ports import Below, Posture, Workers
@@ -122,8 +122,10 @@
         self.counters.add("read")
         now = self.now_ms()
         entry = self.keys.find(attempt) if attempt.class_name in self.keyed else None
-        if attempt.id in self.requests:  # an id is new with every try: answers could not be told apart
-            self._settle(attempt, Answer(Verdict.FAILED))
+        # An id is new with every try: answers could not be told apart. And the key of a request must never
+        # get its result to another one.
+        if attempt.id in self.requests or (entry is not None and entry.print != fingerprint(attempt)):
+            self._settle(attempt, Answer(Verdict.CONFLICT))
             return None
         if entry is None and attempt.class_name in self.keyed and self.keys.full():
             self.counters.add("refused.keys_full")
--- a/flintshift/core/keys.py
+++ b/flintshift/core/keys.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -14,11 +15,16 @@
 class Entry:
     owner: str  # the attempt that is held or has run
     live_until_ms: float  # repeats that came to the machine before belong to it
+    print: bytes  # of its tenant and body, which all tries of one request share
     outcome: Outcome | None = None  # of its run, once over
     result: bytes = b""
     followers: list[str] = field(default_factory=list)  # attempts that wait for that run
 
 
+def fingerprint(attempt: Attempt) -> bytes:
+    return hashlib.blake2b(f"{attempt.tenant}\n".encode() + attempt.body, digest_size=16).digest()
+
+
 class KeyTable:
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
@@ -45,7 +51,7 @@
             return
         if entry is not None:
             self._drop(key)
-        self.entries[key] = Entry(attempt.id, until_ms)
+        self.entries[key] = Entry(attempt.id, until_ms, fingerprint(attempt))
         self.booked += self.limits.result
 
     def owned(self, attempt: Attempt) -> Entry | None:
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -16,7 +16,8 @@
     result: int = 4096
     head: int = 16_384  # a request's line and headers
     vars: int = 16_384  # a uwsgi block of variables
-    line: int = 65_536  # one line from a peer
+    line: int = 65_536  # one line from a peer, or one reply
+    vault_line: int = 256  # the line that a reply of the vault begins with
     read: int = 65_536  # one read from a socket
 
     # Counts.
@@ -26,6 +27,7 @@
     linger_reads: int = 16  # of what still comes after the last answer
     list_box: int = 4  # words waiting for a list
     backlog: int = 1024
+    strays: int = 8  # replies to nothing that was asked, before a call's own
     keys: int = 6000  # remembered keys
     key_bytes: int = 32 << 20  # their results
 
@@ -42,7 +44,8 @@
     gauge_stale_ms: float = 500.0  # older gauges are none
     verify_ms: float = 2000.0
     call_grace_ms: float = 25.0  # past a call's limit, before the node itself gives it up
-    vault_idle_ms: float = 8000.0  # the vault closes at 10 s: a call must not cross that
+    vault_fresh_ms: float = 250.0  # a connection idle for longer is not called on: the vault may close it
+    vault_rest_ms: float = 250.0  # for the rest of a reply once begun
     report_every_ms: float = 800.0  # the name service forgets after 3 s
     report_again_ms: float = 100.0  # after a report that was not taken
     report_wait_ms: float = 1000.0
@@ -68,6 +71,10 @@
     def uwsgi_connections(self) -> int:
         return self.sockets // 8
 
+    @property
+    def vault_connections(self) -> int:
+        return self.sockets // 16
+
     @property
     def app_connections(self) -> int:
         return self.sockets // 8
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 from anyio.abc import Listener, SocketStream
@@ -14,7 +15,7 @@
 from flintshift.core.decisions import Decisions
 from flintshift.core.gauges import GaugePlanner
 from flintshift.core.listing import Listed, Listing
-from flintshift.lifecycle.config import Config
+from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.wire.dnssd import Browser, Record, Resolver
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
@@ -38,8 +39,8 @@
 
 
 class Node:
-    def __init__(self, config: Config) -> None:
-        self.config, self.limits = config, config.limits
+    def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
+        self.config, self.limits, self.reread = config, config.limits, reread
         self.now_ms, self.counters = Clock(), Counters()
         limits, counters, now_ms = self.limits, self.counters, self.now_ms
         self.gauges = GaugePlanner(limits, now_ms)
@@ -49,7 +50,8 @@
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
-        lists: list[Listed] = [NameService(config.naming, config.name, limits, counters)]
+        self.names = NameService(config.naming, config.name, limits, counters)
+        lists: list[Listed] = [self.names]
         fields = Fields(config.settings, limits, now_ms)
         self.fronts: list[tuple[Front, tuple[str, int]]] = [(
             HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections,
@@ -69,7 +71,8 @@
         self.listing = Listing(lists, limits)
 
     async def run(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+        told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
+        with anyio.open_signal_receiver(*told) as signals:
             listeners = [await self._listen(at) for _, at in self.fronts]
             async with anyio.create_task_group() as tasks:
                 for actor in self.actors:
@@ -79,12 +82,40 @@
                 for (front, _), listener in zip(self.fronts, listeners, strict=True):
                     tasks.start_soon(front.serve, listener, tasks)
                     tasks.start_soon(front.sweep)
-                async for number in signals:
-                    if number != signal.SIGUSR1:
-                        break
-                    self.print_counters()
+                leave = anyio.Event()
+                tasks.start_soon(self._heed, signals, leave)
+                await leave.wait()
                 await self._drain()
                 tasks.cancel_scope.cancel()
+            # Nothing is left to move: a word of a new configuration must not end the process at its exit.
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+    async def _heed(self, signals: AsyncIterator[signal.Signals], leave: anyio.Event) -> None:
+        async for number in signals:  # in a drain too: the addresses may move under it
+            match number:
+                case signal.SIGUSR1:
+                    self.print_counters()
+                case signal.SIGHUP:
+                    self._reload()
+                case _:
+                    leave.set()
+
+    def _reload(self) -> None:
+        """Move to the addresses of the configuration as it stands now; all else goes on as it was."""
+        try:
+            config = self.reread()
+        except ConfigError as error:
+            print(f"flintshift: the configuration stays: {error}", file=sys.stderr, flush=True)
+            self.counters.add("reload.unreadable")
+            return
+        self.counters.add("reload.taken")
+        if config.pool != self.pool.to:
+            self.pool.move(config.pool)
+        self.vault.move(config.vault)
+        if config.naming != self.names.to:
+            self.names.move(config.naming)
+            if self.decisions.posture.up:
+                self.listing.say(not self.decisions.posture.leaving)
 
     async def _listen(self, at: tuple[str, int]) -> Listener[SocketStream]:
         host, port = at
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -81,12 +81,11 @@
         return team
 
 
+STATUS = {Verdict.SERVED: 200, Verdict.FAILED: 500, Verdict.CONFLICT: 409}
+
+
 def status_of(answer: Answer, posture: Posture) -> int:
-    if answer.verdict is Verdict.SERVED:
-        return 200
-    if answer.verdict is Verdict.FAILED:
-        return 500
-    return 503 if posture.leaving or not posture.up else 429
+    return STATUS.get(answer.verdict) or (503 if posture.leaving or not posture.up else 429)
 
 
 def headers_of(answer: Answer | None, body: bytes, posture: Posture, close: bool) -> list[tuple[str, str]]:
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -57,9 +57,11 @@
                 connection.busy = connection.busy or bool(data)
                 conn.receive_data(data)
             elif isinstance(event, h11.Request):
-                request = event
-                length = dict(event.headers).get(b"content-length", b"0")
-                if int(length) > self.limits.body:
+                request, headers = event, dict(event.headers)
+                # Guards against a request hidden in the body: with both, peers differ on where it ends.
+                if b"content-length" in headers and b"transfer-encoding" in headers:
+                    raise UnusableError(400, "Content-Length and Transfer-Encoding exclude each other")
+                if int(headers.get(b"content-length", b"0")) > self.limits.body:
                     raise UnusableError(413, "the body is too large")
             elif isinstance(event, h11.Data):
                 body += event.data
--- a/flintshift/wire/link.py
+++ b/flintshift/wire/link.py
@@ -37,6 +37,6 @@
     def reset(self) -> None:
         self.wait_ms = self.limits.backoff_ms
 
-    async def wait(self) -> None:
-        await anyio.sleep(self.wait_ms / 1000)
-        self.wait_ms = min(2 * self.wait_ms, self.limits.backoff_most_ms)
+    def next_s(self) -> float:
+        wait_ms, self.wait_ms = self.wait_ms, min(2 * self.wait_ms, self.limits.backoff_most_ms)
+        return wait_ms / 1000
--- a/flintshift/wire/names.py
+++ b/flintshift/wire/names.py
@@ -17,6 +17,10 @@
     def __init__(self, to: tuple[str, int], name: str, limits: Limits, counters: Counters) -> None:
         self.to, self.name, self.limits, self.counters = to, name, limits, counters
 
+    def move(self, to: tuple[str, int]) -> None:
+        """Report to another address from the next report on."""
+        self.to = to
+
     async def report(self, serving: bool) -> bool:
         """One report; True when it was taken."""
         try:
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -42,6 +42,8 @@
         self.marks = itertools.count(1)
         self.waiting: dict[str, Callable[[dict[str, Any]], None]] = {}  # by mark: who asked
         self.begun: dict[str, bytes] = {}  # spawns that may be repeated, of which nothing was heard yet
+        self.over = anyio.Event()  # the link in use broke, or another address is to be linked to
+        self.resting: anyio.CancelScope | None = None  # its writer waits for commands
 
     # Commands; False when the link's mailbox is full.
 
@@ -93,21 +95,39 @@
 
     # The link.
 
+    def move(self, to: tuple[str, int]) -> None:
+        """Link to another address. The link in use takes no further command, but is read until it closes:
+        what it tells too is known by its number."""
+        self.to = to
+        self.over.set()
+        if self.resting is not None:
+            self.resting.cancel()
+
     async def run(self) -> None:
         backoff = Backoff(self.limits)
-        while True:
-            try:
-                async with await connect(self.to, self.limits) as stream:
-                    await self._serve(stream, backoff)
-            except* JunkError:
-                self.counters.add("pool.junk")
-            except* BROKEN:
-                pass
+        async with anyio.create_task_group() as links:
+            while True:
+                self.over = anyio.Event()
+                links.start_soon(self._link, self.over, backoff)
+                await self.over.wait()
+
+    async def _link(self, over: anyio.Event, backoff: Backoff) -> None:
+        try:
+            async with await connect(self.to, self.limits) as stream:
+                if not over.is_set():  # guards the new link against being replaced by a late one
+                    await self._serve(stream, over, backoff)
+        except* JunkError:
+            self.counters.add("pool.junk")
+        except* BROKEN:
+            pass
+        self.counters.add("pool.links_lost")
+        if over is self.over and not over.is_set():  # else another link has taken its place
             self.bound = False
-            self.counters.add("pool.links_lost")
-            await backoff.wait()
+            with anyio.move_on_after(backoff.next_s()):
+                await over.wait()  # a new address is tried at once
+            over.set()
 
-    async def _serve(self, stream: SocketStream, backoff: Backoff) -> None:
+    async def _serve(self, stream: SocketStream, over: anyio.Event, backoff: Backoff) -> None:
         await stream.send(line(t="bind", no=self.read_no))
         reader = BufferedByteReceiveStream(stream)
         async with anyio.create_task_group() as tasks:
@@ -115,11 +135,11 @@
                 try:
                     message = json.loads(await reader.receive_until(b"\n", self.limits.line))
                     kind = message["t"]
-                    if kind == "bound":
+                    if kind == "bound" and not over.is_set():
                         backoff.reset()
                         await self._rebound(stream)
-                        tasks.start_soon(self._write, stream)
-                    else:
+                        tasks.start_soon(self._write, stream, over)
+                    elif kind != "bound":
                         await self._read(kind, message)
                 except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
                     raise JunkError(str(error)) from error
@@ -143,10 +163,13 @@
         self.bound = self.linked = True
         await self.report(Up())
 
-    async def _write(self, stream: SocketStream) -> None:
-        while True:
+    async def _write(self, stream: SocketStream, over: anyio.Event) -> None:
+        while not over.is_set():
             # A batch under a break may have arrived: it is not sent again but for what `begun` holds.
-            batch = await self.outbox.take()
+            with anyio.CancelScope() as self.resting:
+                batch = await self.outbox.take()
+            if self.resting.cancelled_caught:
+                return
             while len(batch) < self.limits.read and (more := self.outbox.take_now()) is not None:
                 batch += more
             await stream.send(batch)
--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -1,9 +1,13 @@
-"""The link to the vault: calls by line and length, many on one connection, replies in any order."""
+"""The links to the vault: calls by line and length, one at a time on a connection, connections reused.
+
+One call a connection, so that a reply that is spoilt, never comes or is replaced by a reset costs that call
+alone; few calls are under way at once.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 from anyio.abc import SocketStream
@@ -17,12 +21,24 @@
 from flintshift.wire.words import OUTCOMES
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Ask:
     request: str
     asked_ms: float
     limit_ms: float
     payload: bytes
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """A connection to the vault, and for whom it was used last."""
+
+    to: tuple[str, int]
+    stream: SocketStream
+    reader: BufferedByteReceiveStream
+    request: str = ""
+    used_ms: float = 0.0
 
 
 class VaultLink:
@@ -31,7 +47,8 @@
         self.to, self.limits, self.counters = to, limits, counters
         self.report, self.now_ms = report, now_ms
         self.outbox: Mailbox[Ask | str] = Mailbox(limits.outbox)
-        self.out: dict[str, Ask] = {}  # calls in the vault's hands
+        self.out: dict[str, Ask] = {}  # calls under way
+        self.idle: list[Line] = []  # the one used last at the end
 
     def ask(self, request: str, limit_ms: float, payload: bytes) -> bool:
         return self.outbox.offer(Ask(request, self.now_ms(), limit_ms, payload))
@@ -40,80 +57,118 @@
         if not self.outbox.offer(request):  # its reply will find nobody
             self.counters.add("vault.unask_dropped")
 
-    async def _over(self, ask: Ask, by: str, word: str, reply: bytes = b"") -> None:
-        self.counters.add(f"vault.{word}")
-        await self.report(CallOver(ask.request, OUTCOMES[by, word], self.now_ms() - ask.asked_ms, reply))
+    def move(self, to: tuple[str, int]) -> None:
+        """New calls go to another address; those under way stay where they are."""
+        self.to = to
 
     async def run(self) -> None:
-        while True:
-            command = await self.outbox.take()
-            if isinstance(command, str):  # no link, so no call to give up
-                continue
-            try:
-                stream = await connect(self.to, self.limits)
-            except BROKEN:
-                await self._over(command, "link", "refused")
-                continue
-            try:
-                async with stream:
-                    await self._serve(stream, command)
-            except* JunkError:
-                self.counters.add("vault.junk")
-            except* BROKEN:
-                self.counters.add("vault.links_lost")
-            calls, self.out = self.out, {}
-            for ask in calls.values():
-                await self._over(ask, "link", "broken")
-
-    async def _serve(self, stream: SocketStream, first: Ask) -> None:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._read, stream)
-            command: Ask | str | None = first
-            used_ms = self.now_ms()
+            tasks.start_soon(self._sweep)
             while True:
-                batch = b""
-                while command is not None:
-                    batch += self._line(command)
-                    command = self.outbox.take_now()
-                if batch:
-                    used_ms = self.now_ms()
-                    await stream.send(batch)
-                grace, idle_ms = self.limits.call_grace_ms, used_ms + self.limits.vault_idle_ms
-                ends = min((ask.asked_ms + ask.limit_ms + grace for ask in self.out.values()),
-                           default=idle_ms)
-                with anyio.move_on_after(max(0.0, ends - self.now_ms()) / 1000):
-                    command = await self.outbox.take()
-                if command is None and not self.out and self.now_ms() >= idle_ms:
-                    # Closed before the vault does it: a call that crosses that close would prove nothing.
-                    tasks.cancel_scope.cancel()
-                    return
-                for ask in [ask for ask in self.out.values()
-                            if self.now_ms() >= ask.asked_ms + ask.limit_ms + grace]:
-                    del self.out[ask.request]  # the vault said nothing in time
-                    await stream.send(f"unask {ask.request}\r\n".encode())
-                    await self._over(ask, "link", "silent")
-
-    def _line(self, command: Ask | str) -> bytes:
-        if isinstance(command, str):
-            return f"unask {command}\r\n".encode() if self.out.pop(command, None) else b""
-        self.out[command.request] = command
-        left_ms = command.limit_ms - (self.now_ms() - command.asked_ms)
-        head = f"ask {command.request} {max(1, round(left_ms))} {len(command.payload)}\r\n"
-        return head.encode() + command.payload + b"\r\n"
-
-    async def _read(self, stream: SocketStream) -> None:
-        reader = BufferedByteReceiveStream(stream)
+                command = await self.outbox.take()
+                if isinstance(command, Ask):
+                    self._end(command.request)  # a second call for a request gives up the first
+                    self.out[command.request] = command
+                    tasks.start_soon(self._call, command)
+                else:
+                    self._end(command)
+
+    def _end(self, request: str) -> None:
+        ask = self.out.pop(request, None)
+        if ask is not None:
+            ask.scope.cancel()  # closes its connection, which gives up the call
+
+    async def _call(self, ask: Ask) -> None:
+        with ask.scope:
+            by, word, reply = await self._outcome(ask)
+            if self.out.get(ask.request) is ask:
+                del self.out[ask.request]
+            self.counters.add(f"vault.{word}")
+            await self.report(CallOver(ask.request, OUTCOMES[by, word], self.now_ms() - ask.asked_ms, reply))
+
+    async def _outcome(self, ask: Ask) -> tuple[str, str, bytes]:
+        if len(self.out) > self.limits.vault_connections:  # guards the descriptors
+            return "link", "refused", b""
+        try:
+            line = self._free_line(ask.request) or await self._connect()
+        except BROKEN:
+            return "link", "refused", b""
+        left_ms = ask.asked_ms + ask.limit_ms - self.now_ms()
+        try:
+            with anyio.fail_after(max(0.0, left_ms + self.limits.call_grace_ms) / 1000):
+                word, reply = await self._ask(line, ask, max(1, round(left_ms)))
+        except TimeoutError:
+            word = "silent"  # nothing more is to be had of the connection
+        except JunkError:
+            self.counters.add("vault.junk")
+            word = "broken"
+        except BROKEN:
+            self.counters.add("vault.links_lost")
+            word = "broken"
+        else:
+            # What follows a reply unasked (a second copy, say) must not be taken for the next one.
+            if not line.reader.buffer and line.to == self.to:
+                line.used_ms = self.now_ms()
+                self.idle.append(line)
+            return "call", word, reply
+        finally:
+            if line not in self.idle:
+                with anyio.CancelScope(shield=True):
+                    await line.stream.aclose()
+        return "link", word, b""
+
+    def _free_line(self, request: str) -> Line | None:
+        """A connection that was in use a moment ago. Guards against one that the vault closes or forgets
+        while it is idle, and against a second copy of this request's last reply."""
+        since = self.now_ms() - self.limits.vault_fresh_ms
+        fit = [line for line in self.idle
+               if line.used_ms >= since and line.to == self.to and line.request != request]
+        if not fit:
+            return None
+        self.idle.remove(fit[-1])
+        return fit[-1]
+
+    async def _connect(self) -> Line:
+        stream = await connect(self.to, self.limits)
+        self.counters.add("vault.links")
+        return Line(self.to, stream, BufferedByteReceiveStream(stream))
+
+    async def _ask(self, line: Line, ask: Ask, left_ms: int) -> tuple[str, bytes]:
+        line.request = ask.request
+        head = f"ask {ask.request} {left_ms} {len(ask.payload)}\r\n"
+        await line.stream.send(head.encode() + ask.payload + b"\r\n")
+        for _ in range(self.limits.strays):
+            if not line.reader.buffer:
+                line.reader.feed_data(await line.stream.receive(self.limits.read))
+            try:
+                with anyio.fail_after(self.limits.vault_rest_ms / 1000):  # a reply comes whole, or is junk
+                    request, word, reply = await self._reply(line.reader)
+            except TimeoutError as error:
+                raise JunkError("a reply without end") from error
+            if request == ask.request:
+                return word, reply
+            self.counters.add("vault.strays")  # a reply to nothing that was asked here
+        raise JunkError("strays without end")
+
+    async def _reply(self, reader: BufferedByteReceiveStream) -> tuple[str, str, bytes]:
+        parts = (await reader.receive_until(b"\r\n", self.limits.vault_line)).decode("latin-1").split(" ")
+        word = parts[1] if len(parts) > 1 else ""
+        if word == "yes" and len(parts) == 3 and parts[2].isascii() and parts[2].isdecimal() \
+                and len(parts[2]) < 9 and int(parts[2]) <= self.limits.line:
+            reply = await reader.receive_exactly(int(parts[2]))
+            if await reader.receive_exactly(2) != b"\r\n":
+                raise JunkError("no line end after a reply")
+            return parts[0], word, reply
+        if word == "yes" or ("call", word) not in OUTCOMES or len(parts) != 2:
+            raise JunkError(word)
+        return parts[0], word, b""
+
+    async def _sweep(self) -> None:
+        """Close what has been idle: nothing is owed on it."""
         while True:
-            line = await reader.receive_until(b"\r\n", self.limits.line)
-            parts = line.decode("latin-1").split(" ")
-            word, reply = parts[1] if len(parts) > 1 else "", b""
-            sized = len(parts) == 3 and parts[2].isdecimal() and int(parts[2]) < self.limits.line
-            if word == "yes" and sized:
-                reply = await reader.receive_exactly(int(parts[2]))
-                if await reader.receive_exactly(2) != b"\r\n":
-                    raise JunkError("no line end after a reply")
-            elif word == "yes" or ("call", word) not in OUTCOMES or len(parts) != 2:
-                raise JunkError(word)
-            ask = self.out.pop(parts[0], None)
-            if ask is not None:  # else it was given up
-                await self._over(ask, "call", word, reply)
+            await anyio.sleep(self.limits.vault_fresh_ms / 1000)
+            since = self.now_ms() - self.limits.vault_fresh_ms
+            past = [line for line in self.idle if line.used_ms < since or line.to != self.to]
+            self.idle = [line for line in self.idle if line not in past]
+            for line in past:
+                await line.stream.aclose()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -41,7 +41,7 @@
     "rules": {"fallMultiple": 5.0, "drainGraceMs": 300.0},
     "limits": {"retryAfter": True, "maxRetryAfterMs": 1000.0},
     "clientHabits": {"marksRetry": True},
-    "tenants": [{"name": "muscat-striders", "quotaPerS": 1000.0}],
+    "tenants": [{"name": "muscat-striders", "quotaPerS": 1000.0}, {"name": "sur-pacers", "quotaPerS": 50.0}],
     "groupSize": 1,
 }
 
@@ -78,6 +78,12 @@
         self.server.close()
         self.cut()
 
+    async def move(self):
+        """Take what is new at another address alone; what is open stays open."""
+        self.server.close()
+        self.port = 0
+        await self.start()
+
     def cut(self):
         for writer in list(self.links):
             writer.transport.abort()
@@ -149,9 +155,9 @@
 
 
 class Vault(Peer):
-    """The vault: answers calls with `reply`, or breaks the link under one when that is None."""
+    """The vault: says `reply` to a call, with the id filled in; None breaks the link under it."""
 
-    reply: bytes | None = b"yes 5\r\nreply"
+    reply: bytes | None = b"%b yes 5\r\nreply\r\n"
 
     async def serve(self, reader, writer):
         while line := await reader.readline():
@@ -160,8 +166,8 @@
             await self.log.add((word, request, body))
             if word == "ask" and self.reply is None:
                 return
-            if word == "ask" and self.reply:
-                writer.write(request.encode() + b" " + self.reply + b"\r\n")
+            if word == "ask":
+                writer.write(self.reply.replace(b"%b", request.encode()))
 
 
 class Names(Peer):
@@ -311,23 +317,26 @@
         self.dns.put("app1._uwsgi._tcp.desks.example.", "TXT", '"txtvers=1"')
         self.dns.put("app1.desks.example.", "A", "127.0.0.1")
         self.ports = dict(zip(BYTES, free_ports(2), strict=True))
-        config, desks = self.folder / "config.json", self.folder / "uwsgi.toml"
-        config.write_text(json.dumps({
-            "name": "n3", "listen": f"127.0.0.1:{self.ports['http']}", "seed": "8c1f30d27a5be964",
-            "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.names.port}",
-            "vault": f"127.0.0.1:{self.vault.port}", "stop_ms": self.stop_ms,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.settings}))
+        self.config, desks = self.folder / "config.json", self.folder / "uwsgi.toml"
+        self.configure()
         desks.write_text(f"""enabled = true\nlisten = "127.0.0.1:{self.ports['uwsgi']}"
             resolver = "127.0.0.1:{self.dns.port}"\ndomain = "desks.example"
             app_service = "_uwsgi._tcp"\nnode_service = "_results._tcp"\n""")
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "flintshift", "--uwsgi", str(desks), cwd=ROOT,
-            env={**os.environ, "LB_CONFIG": str(config)}, stderr=asyncio.subprocess.PIPE)
+            env={**os.environ, "LB_CONFIG": str(self.config)}, stderr=asyncio.subprocess.PIPE)
         await self.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
         await self.dns.log.until(lambda entry: entry[0] == "update")
         await self.dns.log.until(lambda entry: entry == ("query", "app1.desks.example. IN AAAA"))
         return self
 
+    def configure(self):
+        self.config.write_text(json.dumps({
+            "name": "n3", "listen": f"127.0.0.1:{self.ports['http']}", "seed": "8c1f30d27a5be964",
+            "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.names.port}",
+            "vault": f"127.0.0.1:{self.vault.port}", "stop_ms": self.stop_ms,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.settings}))
+
     async def __aexit__(self, *_):
         if self.process.returncode is None:
             self.process.kill()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,13 +6,14 @@
 import base64
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
 
 import anyio
 import pytest
-from standins import BYTES, ROOT, SETTINGS, Log, Rig, Vault, job
+from standins import BYTES, ROOT, SETTINGS, Log, Rig, Vault, http_bytes, job
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
@@ -159,24 +160,102 @@
     assert [run["rid"] for run in again].count(write["X-Job-Id"]) == 1
 
 
-async def test_the_vault_link_serves_many_calls_gives_up_silent_ones_and_ends_itself_when_idle():
-    vault, told, clock = Vault(), Log(), lambda: time.time() * 1000
+REPLIES = [  # how the vault replies, how the call ends, and how many connections two calls then take
+    (b"%b yes 5\r\nreply\r\n", Outcome.OK, 1), (b"%b notnow\r\n", Outcome.REJECTED, 1),
+    (b"0000 yes 2\r\nno\r\n%b yes 5\r\nreply\r\n", Outcome.OK, 1),  # an unknown id ahead
+    (b"%b yes 5\r\nreply\r\nff yes 5\r\nreply\r\n", Outcome.OK, 2),  # more than belongs to it
+    (b"%b yes 3\r\nreply\r\n", Outcome.INTERRUPTED, 2), (b"%b yes 9\r\nreply\r\n", Outcome.INTERRUPTED, 2),
+    (b"%b yes 3000000000\r\n" + b"x" * 70_000, Outcome.INTERRUPTED, 2),
+    (b"%b tea\r\n", Outcome.INTERRUPTED, 2), (b"x" * 70_000, Outcome.INTERRUPTED, 2),
+    (b"\xff\x00", Outcome.INTERRUPTED, 2),
+    (b"%b yes -5\r\n", Outcome.INTERRUPTED, 2), (b"0000 notnow\r\n" * 99, Outcome.INTERRUPTED, 2),
+    (b"", Outcome.TIMED_OUT, 2), (None, Outcome.INTERRUPTED, 2)]
+
+
+@pytest.mark.parametrize(("reply", "outcome", "links"), REPLIES)
+async def test_a_spoilt_reply_costs_its_own_call_alone(reply, outcome, links):
+    vault, told, counters = Vault(), Log(), Counters()
+    vault.reply = reply
+    await vault.start()
+    limits = Limits(vault_rest_ms=100.0, call_grace_ms=5.0, vault_fresh_ms=60_000.0)
+    link = VaultLink(("127.0.0.1", vault.port), limits, counters, told.add, lambda: time.time() * 1000)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(link.run)
+        assert link.ask("a1", 50.0 if reply == b"" else 5000.0, b"body")
+        assert (await told.until(lambda over: over.request == "a1"))[0].outcome is outcome
+        vault.reply = b"%b yes 4\r\nmore\r\n"
+        assert link.ask("b2", 5000.0, b"")
+        over = (await told.until(lambda over: over.request == "b2"))[0]
+        assert (over.outcome, over.reply) == (Outcome.OK, b"more")
+        # A second copy of a request's first reply must not be taken for the reply to its second call.
+        assert link.ask("b2", 5000.0, b"")
+        await told.until(lambda over: over.request == "b2", 2)
+        assert counters["vault.links"] == links + 1
+        tasks.cancel_scope.cancel()
+    await vault.stop()
+
+
+async def test_a_call_given_up_closes_its_connection_and_an_idle_one_is_closed():
+    vault, told = Vault(), Log()
     await vault.start()
-    link = VaultLink(("127.0.0.1", vault.port), Limits(vault_idle_ms=100.0, call_grace_ms=5.0), Counters(),
-                     told.add, clock)
+    link = VaultLink(("127.0.0.1", vault.port), Limits(vault_fresh_ms=50.0), Counters(), told.add,
+                     lambda: time.time() * 1000)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
-        for request in ("a", "b"):
-            assert link.ask(request, 50.0, b"")
-            await told.until(lambda over, request=request: over.request == request)
-        vault.reply = b""  # it says nothing more
-        assert link.ask("c", 20.0, b"")
-        await told.until(lambda over: over.request == "c")
-        await vault.ended.until(lambda _: True)
+        assert link.ask("a1", 5000.0, b"")
+        await vault.ended.until(lambda _: True)  # idle
+        vault.reply = b""
+        assert link.ask("b2", 5000.0, b"")
+        await vault.log.until(lambda entry: entry[1] == "b2")
+        link.give_up("b2")
+        await vault.ended.until(lambda _: True, 2)
         tasks.cancel_scope.cancel()
     await vault.stop()
-    assert [over.outcome for over in told.entries] == [Outcome.OK, Outcome.OK, Outcome.TIMED_OUT]
-    assert vault.log.entries[-1][:2] == ("unask", "c") and len(vault.ended.entries) == 1
+    assert [over.request for over in told.entries] == ["a1"]
+
+
+async def test_a_new_configuration_under_load_moves_the_links_and_runs_go_on(rig):
+    before, after = job("race-results"), job("race-results")
+    callers = [await rig.connect("http"), await rig.connect("http")]
+    callers[0].send(BYTES["http"]("race-results", b"", before))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn")
+    rig.config.write_text("{")
+    rig.process.send_signal(signal.SIGHUP)
+    assert b"configuration stays" in await asyncio.wait_for(rig.process.stderr.readline(), 10)
+    for peer in (rig.pool, rig.vault, rig.names):
+        await peer.move()
+    rig.configure()
+    old = list(rig.pool.links)
+    rig.process.send_signal(signal.SIGHUP)
+    binds = await rig.pool.log.until(lambda entry: entry["t"] == "bind", 2)
+    callers[1].send(BYTES["http"]("race-results", b"", after))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 2)
+    rig.pool.tell(before["X-Job-Id"], "blocked", {"b64": ""})  # told on both links, taken once
+    await rig.vault.log.until(lambda entry: entry[0] == "ask")
+    rig.pool.finish(after["X-Job-Id"])
+    for writer in old:
+        writer.transport.abort()
+    for caller, fields in zip(callers, (before, after), strict=True):
+        assert (await caller.reply()).body == f"result of {fields['X-Job-Id']}\n".encode()
+    assert [bind["no"] for bind in binds] == [0, 0]
+    assert len({run["rid"] for run in rig.runs()}) == 2
+    assert len([entry for entry in rig.vault.log.entries if entry[0] == "ask"]) == 1
+    assert (await rig.ask("http", path="/ping", method="GET")).status == 200
+    rig.pool.plan = {}
+    (await rig.connect("http")).send(BYTES["http"]("race-results", b"", job("race-results")))
+    await rig.leave()
+    rig.process.send_signal(signal.SIGHUP)  # in a drain too
+    assert await asyncio.wait_for(rig.process.wait(), 10) == 0
+
+
+@pytest.mark.parametrize("front", FRONTS)
+@pytest.mark.parametrize("other", [{"body": b"12:09.9"}, {"fields": {"X-Team": "sur-pacers"}}])
+async def test_the_key_of_another_request_gets_no_result_of_it(rig, front, other):
+    finishing(rig)
+    assert (await rig.ask("http", fields=job(**{"X-Unique": "k1"}))).status == 200
+    fields = job(**{"X-Unique": "k1", **other.get("fields", {})})
+    assert (await rig.ask(front, body=other.get("body", b"12:01.5"), fields=fields)).status == 409
+    assert len(rig.runs()) == 1
 
 
 async def test_a_connection_that_cannot_be_accepted_does_not_end_the_front():
@@ -212,7 +291,7 @@
             writer.write(junk + b"\n")
         await rig.pool.log.until(lambda entry: entry["t"] == "bind", count)
     finishing(rig)
-    rig.vault.reply = b"what"
+    rig.vault.reply = b"%b what\r\n"
     rig.pool.plan["race-results"] = ("blocked", {"b64": "eA=="})
     assert (await rig.ask("http", "race-results")).status == 200  # the call is left out
     counters = await rig.counters()
@@ -221,7 +300,8 @@
 
 
 @pytest.mark.parametrize(("reply", "status", "asked"), [
-    (b"yes 5\r\n\x00\r\n\xffx", 200, 1), (b"notnow", 500, 3), (b"failed", 500, 1), (None, 500, 1)])
+    (b"%b yes 5\r\n\x00\r\n\xffx\r\n", 200, 1), (b"%b notnow\r\n", 500, 3), (b"%b failed\r\n", 500, 1),
+    (None, 500, 1)])
 async def test_calls_go_unchanged_and_are_repeated_only_when_proven_not_run(rig, reply, status, asked):
     rig.vault.reply, rig.pool.plan = reply, {"submit-time": ("blocked", {"b64": "AP8="})}
     assert (await rig.ask("http")).status == status
@@ -266,6 +346,9 @@
              (b"POST /call/x HTTP/1.1\r\nHost: a\r\nContent-Length: z\r\n\r\n", 400),
              (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf", 400),
              (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+             (b"POST /call/race-results HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+              b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+              + http_bytes("race-results", b"", job("race-results")), 400),
              (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, 400)],
     "uwsgi": [(b"\x05\x00\x00\x00", 400), (b"\x00\xff\xff\x00", 413), (b"\x00\x02\x00\x00\x09\x00", 400),
               (b"\x00\x09", 400), (b"\x00\x03\x00\x00\x01\x00a", 400)],
