Close the idlest connection for a new one, and bound the time a request may take to come

Ruled out: the drain (one restart, long before the worst 10 s) and CPU (0.6 of a core at most). At fault: Front._accepted closed every newcomer past the limit, and Front.read gave each read 10 s and the first byte no limit at all.

Changed: a newcomer displaces the idlest connection, first one that never spoke, but none that came or was answered just now. A connection's first request must be whole 2 s after it opened, a later one 2 s after its first byte, so a dribbled one ends too; what is kept alive after an answer stays.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -36,7 +36,9 @@
     oldest_ms: float = 86_400_000.0  # an older arrival time is no arrival time
     key_margin_ms: float = 250.0  # keys live longer than told: the rule's times are 50 ms longer on sockets
     key_late_ms: float = 5000.0  # a repeat may be read so much later than it came
-    read_ms: float = 10_000.0  # for the rest of a request once begun
+    read_ms: float = 2000.0  # for a connection's first request, and for the rest of a later one once begun
+    silent_ms: float = 250.0  # a connection that said nothing for so long may go for a new one
+    rested_ms: float = 500.0  # and so may one that is idle after an answer
     last_read_ms: float = 20.0  # for the same, while the node stops
     linger_ms: float = 500.0  # for what still comes after a connection's last answer
     write_ms: float = 5000.0  # for an answer to be taken
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -35,8 +35,9 @@
     """A caller's connection and what it is at."""
 
     def __init__(self, stream: SocketStream, now_ms: float) -> None:
-        self.stream, self.since_ms = stream, now_ms
+        self.stream, self.since_ms = stream, now_ms  # since when it is open or without a request
         self.busy = False  # a request is begun or open
+        self.spoke = False  # it has brought a request before
         self.reading: anyio.CancelScope | None = None  # set while it waits for bytes
 
     def stop_reading(self) -> None:
@@ -55,6 +56,7 @@
         self.fields, self.decisions, self.limits = fields, decisions, limits
         self.counters, self.now_ms, self.most, self.verify = counters, now_ms, most, verify
         self.connections: set[Connection] = set()
+        self.idle: tuple[dict[Connection, None], ...] = ({}, {})  # that never spoke, that did; idlest first
         self.accepting = anyio.CancelScope()
         self.closing = False  # all that is open gets its answer and is closed
 
@@ -80,11 +82,12 @@
     async def _accepted(self, stream: SocketStream) -> None:
         connection = Connection(stream, self.now_ms())
         async with stream:
-            if len(self.connections) >= self.most:  # guards the descriptors: peers and fronts share them
+            if len(self.connections) >= self.most and not self._make_room():
                 self.counters.add(f"{self.name}.connections_refused")
                 return
             self.counters.add(f"{self.name}.connections")
             self.connections.add(connection)
+            self._rest(connection)
             try:
                 await self.converse(connection)
                 if connection.busy:
@@ -97,6 +100,27 @@
                 traceback.print_exc()
             finally:
                 self.connections.discard(connection)
+                self._stir(connection)
+
+    def _rest(self, connection: Connection) -> None:
+        self.idle[connection.spoke][connection] = None
+
+    def _stir(self, connection: Connection) -> None:
+        for idle in self.idle:
+            idle.pop(connection, None)
+
+    def _make_room(self) -> bool:
+        """Close the idlest connection for a new one. Guards the descriptors, which peers and fronts share,
+        without shutting usual callers out for those that stay and ask nothing: these go first if they never
+        spoke. One that came or spoke just now may have a request on its way."""
+        for idle, least_ms in zip(self.idle, (self.limits.silent_ms, self.limits.rested_ms), strict=True):
+            connection = next(iter(idle), None)
+            if connection is not None and self.now_ms() - connection.since_ms >= least_ms:
+                self._stir(connection)
+                connection.stop_reading()
+                self.counters.add(f"{self.name}.connections_displaced")
+                return True
+        return False
 
     async def converse(self, connection: Connection) -> None:
         raise NotImplementedError
@@ -120,19 +144,33 @@
         return good
 
     async def read(self, connection: Connection) -> bytes | None:
-        """Bytes; b"" at their end; None when the node stops or the rest of a request takes too long."""
-        wait_s = self.limits.read_ms / 1000 if connection.busy else None
+        """Bytes; b"" at their end; None when the node stops, the connection has been idle for long enough,
+        or a request takes too long: the first one from the opening on, the next from their first byte."""
+        wait_s = None
+        if connection.busy or not connection.spoke:
+            wait_s = max(0.0, connection.since_ms + self.limits.read_ms - self.now_ms()) / 1000
         if self.closing:
             wait_s = self.limits.last_read_ms / 1000
         with anyio.move_on_after(wait_s) as connection.reading:
             try:
-                return await connection.stream.receive(self.limits.read)
+                data = await connection.stream.receive(self.limits.read)
             except anyio.EndOfStream:
                 return b""
             finally:
                 connection.reading = None
+            if not connection.busy:
+                connection.busy = True
+                self._stir(connection)
+                if connection.spoke:
+                    connection.since_ms = self.now_ms()
+            return data
         return None
 
+    def answered(self, connection: Connection) -> None:
+        """The connection is free for its next request."""
+        connection.busy, connection.spoke, connection.since_ms = False, True, self.now_ms()
+        self._rest(connection)
+
     async def write(self, connection: Connection, data: bytes) -> None:
         # A caller that takes nothing must not hold its connection for ever.
         with anyio.fail_after(self.limits.write_ms / 1000):
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -36,7 +36,7 @@
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
-            connection.busy, connection.since_ms = False, self.now_ms()
+            self.answered(connection)
 
     async def _request(self, connection: Connection,
                        conn: h11.Connection) -> tuple[h11.Request, bytes] | None:
@@ -51,10 +51,9 @@
                 data = await self.read(connection)
                 if data is None:
                     if connection.busy:  # half read: nothing of it was run
-                        status = 503 if self.closing else 408
+                        status = 503 if self.posture.leaving else 408
                         await self._say(connection, conn, status, b"", close=True, answer=STOPPING)
                     return None
-                connection.busy = connection.busy or bool(data)
                 conn.receive_data(data)
             elif isinstance(event, h11.Request):
                 request, headers = event, dict(event.headers)
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -31,7 +31,6 @@
                     raise StoppedError
                 if not data:
                     raise UnusableError(400, "the request is cut off")
-                connection.busy = True
                 got.extend(data)
             taken = bytes(got[:size])
             del got[:size]
@@ -44,7 +43,7 @@
             body = await take(uwsgi.body_size(variables, self.limits.body))
         except StoppedError:
             if connection.busy:  # half read: nothing of it was run
-                await self._say(connection, 503 if self.closing else 408, b"", STOPPING)
+                await self._say(connection, 503 if self.posture.leaving else 408, b"", STOPPING)
             return
         method, path = variables.get("REQUEST_METHOD", ""), variables.get("PATH_INFO", "")
         if path == "/ping":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,15 +10,19 @@
 import subprocess
 import sys
 import time
+from types import SimpleNamespace
 
 import anyio
 import pytest
-from standins import BYTES, ROOT, SETTINGS, Log, Rig, Vault, http_bytes, job
+from standins import BYTES, ROOT, SETTINGS, Caller, Log, Rig, Vault, http_bytes, job
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
+from flintshift.core.ports import Posture
 from flintshift.interface import Outcome
 from flintshift.wire.front import Front
+from flintshift.wire.http_front import HttpFront
+from flintshift.wire.uwsgi_front import UwsgiFront
 from flintshift.wire.vault import VaultLink
 
 FRONTS = list(BYTES)
@@ -281,6 +285,71 @@
     assert listener.closed and counters["front.accept_failed"] == 1
 
 
+class Desk:
+    """A front alone, with nothing behind it but health checks."""
+
+    def __init__(self, name="http", **limits):
+        self.limits, self.counters = Limits(**limits), Counters()
+        self.front = {"http": HttpFront, "uwsgi": UwsgiFront}[name](
+            None, SimpleNamespace(posture=Posture(up=True)), self.limits, self.counters,
+            lambda: time.time() * 1000, 3, None)
+        self.ping = BYTES[name]("", b"", {}, method="GET", path="/ping")
+
+    async def __aenter__(self):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.tasks = await anyio.create_task_group().__aenter__()
+        self.tasks.start_soon(self.front.serve, listener, self.tasks)
+        return self
+
+    async def __aexit__(self, *_):
+        self.tasks.cancel_scope.cancel()
+        await self.tasks.__aexit__(None, None, None)
+
+    async def open(self, data=b""):
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+        caller.send(data)
+        if data == self.ping:
+            assert (await caller.reply()).status == 200
+        return caller
+
+
+async def test_a_full_table_closes_the_idlest_for_a_newcomer_and_first_what_never_spoke():
+    async with Desk(silent_ms=0.0, rested_ms=0.0, read_ms=60_000.0) as desk:
+        kept, idler = await desk.open(desk.ping), await desk.open(desk.ping)
+        silent = await desk.open()
+        new = await desk.open(desk.ping)
+        assert await silent.ended() and new
+        kept.send(desk.ping)
+        assert (await kept.reply()).status == 200
+        busy = await desk.open(desk.ping[:9])  # half said: it stays, and so does what it displaces last
+        assert await idler.ended()
+        kept.send(desk.ping)
+        assert (await kept.reply()).status == 200
+        busy.send(desk.ping[9:])
+        assert (await busy.reply()).status == 200
+        assert desk.counters["http.connections_displaced"] == 2
+    async with Desk(read_ms=60_000.0) as desk:  # none is idle for long enough: the newcomer goes
+        kept = [await desk.open(desk.ping) for _ in range(3)]
+        assert await (await desk.open()).ended() and desk.counters["http.connections_refused"] == 1
+
+
+@pytest.mark.parametrize("front", FRONTS)
+async def test_what_is_silent_half_said_or_dribbled_is_closed_in_time_but_not_what_is_kept_alive(front):
+    async with Desk(front, read_ms=150.0) as desk:
+        if front == "http":
+            kept = await desk.open(desk.ping)
+        assert await (await desk.open()).ended()
+        half = await desk.open(desk.ping[:6])
+        for place in range(6, 12):  # each piece comes in time, the whole does not
+            await asyncio.sleep(0.04)
+            half.send(desk.ping[place:place + 1])
+        assert (await half.reply()).status == 408 and await half.ended()
+        if front == "http":
+            kept.send(desk.ping)
+            assert (await kept.reply()).status == 200
+
+
 JUNK = [b'{"t":"finished","no":1,"rid":"x","status":"odd"}', b"[" * 9000, b"7", b"\xff", b'{"t":"tea"}',
         b'{"t":"blocked","rid":"x","b64":""}', b"x" * 70_000]
 
