Make good what a broken pool link may have lost; run on uvloop; count unanswered reports

Ruled out for replies: sending them again, as a reply names no call and might meet the run's next one. At fault: PoolLink.spawn kept only unkeyed spawns; supply and pass were forgotten; NameService.report took silence for a report that was not taken, and Listing waited its period after that.

Changed: every spawn of which nothing was heard is sent again after the notices up to then are read; so is a pass. A reply that may be lost is reported, and where the call may be left out its run goes on without. uvloop under anyio, and an exchange waits in its connection's own task. A report sent whole counts; the period runs from its start.

--- a/flintshift/__main__.py
+++ b/flintshift/__main__.py
@@ -33,7 +33,7 @@
     given = parser.parse_args()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node heeds it: it must not end the process
     try:
-        anyio.run(serve, partial(load, os.environ, given.uwsgi))
+        anyio.run(serve, partial(load, os.environ, given.uwsgi), backend_options={"use_uvloop": True})
     except ConfigError as error:
         print(f"flintshift: {error}", file=sys.stderr)
         return 2
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -98,6 +98,14 @@
     payload: bytes
 
 
+@dataclass(slots=True)
+class ReplyUnsure:
+    """The reply to the call at this notice may never have reached the run."""
+
+    request: str
+    no: int
+
+
 @dataclass(slots=True)
 class CallOver:
     request: str
@@ -124,4 +132,4 @@
     """Work can be run from now on."""
 
 
-Report = Submitted | Departed | RunOver | CallWanted | CallOver | Notice | Tick | Up
+Report = Submitted | Departed | RunOver | CallWanted | ReplyUnsure | CallOver | Notice | Tick | Up
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -35,6 +35,7 @@
         self.requests: dict[str, Attempt] = {}
         self.keys = KeyTable(limits)
         self.keyed = {kind.name for kind in settings.classes if kind.effect is Effect.KEYED}
+        self.skippable = {kind.name for kind in settings.classes if kind.skip_worth}
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
         self.purged_ms = 0.0
@@ -108,11 +109,20 @@
             case at.CallWanted(_, no, payload):
                 attempt.call_no, attempt.payload = no, payload
                 return api.CallNeeded(attempt.id)
+            case at.ReplyUnsure(_, no):
+                # Without it the run would stand there for ever: where the call may be left out, it goes on
+                # poorer if the reply was lost. Elsewhere the reply can't be repeated: it might meet the next
+                # call of the run.
+                self.counters.add("replies_unsure")
+                if attempt.class_name in self.skippable and attempt.call_no == no and not attempt.over:
+                    self._workers(attempt).go_on(attempt.id, no)
+                return None
             case at.CallOver(_, outcome, took_ms, reply):
                 if not attempt.calling:  # given up meanwhile
                     return None
                 attempt.calling = False
-                if outcome is Outcome.OK and not self._workers(attempt).supply(attempt.id, reply):
+                if outcome is Outcome.OK and not self._workers(attempt).supply(
+                        attempt.id, attempt.call_no, reply):
                     self.counters.add("dropped.supply")
                 return api.CallEnded(attempt.id, outcome, took_ms)
             case at.RunOver():
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -44,13 +44,14 @@
     write_ms: float = 5000.0  # for an answer to be taken
     poll_ms: float = 25.0  # for gauges to come before a tick goes on without
     gauge_stale_ms: float = 500.0  # older gauges are none
+    unsure_ms: float = 100.0  # what was sent to the pool so long before a break may be lost: 50 ms are told
     verify_ms: float = 2000.0
     call_grace_ms: float = 25.0  # past a call's limit, before the node itself gives it up
     vault_fresh_ms: float = 250.0  # a connection idle for longer is not called on: the vault may close it
     vault_rest_ms: float = 250.0  # for the rest of a reply once begun
     report_every_ms: float = 800.0  # the name service forgets after 3 s
     report_again_ms: float = 100.0  # after a report that was not taken
-    report_wait_ms: float = 1000.0
+    report_wait_ms: float = 400.0  # for the answer to a report; it counts without
     connect_ms: float = 1000.0
     backoff_ms: float = 20.0  # the first wait before a reconnect, doubled up to the most
     backoff_most_ms: float = 1000.0
--- a/flintshift/core/listing.py
+++ b/flintshift/core/listing.py
@@ -36,7 +36,11 @@
     async def _keep(self, listed: Listed, box: Mailbox[bool]) -> None:
         serving = await box.take()
         while True:
+            began = anyio.current_time()  # an answer that is late or never comes must not delay the next
             taken = await listed.report(serving)
-            wait_s = (self.limits.report_every_ms if taken else self.limits.report_again_ms) / 1000
+            if taken:
+                wait_s = max(0.0, began + self.limits.report_every_ms / 1000 - anyio.current_time())
+            else:
+                wait_s = self.limits.report_again_ms / 1000
             with anyio.move_on_after(None if taken and not serving else wait_s):
                 serving = await box.take()
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -23,12 +23,13 @@
     """Waits for the final answer to one request, or for its caller to go."""
 
     def __init__(self) -> None:
-        self.over = anyio.Event()
         self.answer: Answer | None = None
+        self.reading: anyio.CancelScope | None = None  # set while it waits
 
     def tell(self, answer: Answer) -> None:
         self.answer = answer
-        self.over.set()
+        if self.reading is not None:
+            self.reading.cancel()
 
 
 class Connection:
@@ -128,7 +129,8 @@
     async def _linger(self, connection: Connection) -> None:
         """Take what is still coming after the last answer, for a while: closing on unread bytes resets the
         connection, and the caller might lose the answer with it."""
-        with contextlib.suppress(*BROKEN), anyio.move_on_after(self.limits.linger_ms / 1000):
+        # uvloop raises a RuntimeError where the connection is closed already.
+        with contextlib.suppress(*BROKEN, RuntimeError), anyio.move_on_after(self.limits.linger_ms / 1000):
             await connection.stream.send_eof()
             for _ in range(self.limits.linger_reads):
                 await connection.stream.receive(self.limits.read)
@@ -181,25 +183,19 @@
         """Hand a request over and wait for its answer; None when the caller went first."""
         self.counters.add(f"{self.name}.requests")
         self.decisions.submit(attempt)
-        if exchange.answer is not None:
-            return exchange.answer
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch, connection, attempt, exchange, more)
-            await exchange.over.wait()
-            tasks.cancel_scope.cancel()
-        return exchange.answer
-
-    async def _watch(self, connection: Connection, attempt: Attempt, exchange: Exchange,
-                     more: Callable[[bytes], None]) -> None:
         early = 0
-        try:
-            while early <= self.limits.head:  # what comes before the answer is kept, up to a bound
-                data = await connection.stream.receive(self.limits.read)
+        while exchange.answer is None:
+            with anyio.CancelScope() as exchange.reading:
+                if early > self.limits.head:  # what comes before the answer is kept, up to a bound
+                    await anyio.sleep_forever()
+                try:
+                    data = await connection.stream.receive(self.limits.read)
+                except BROKEN:
+                    await self.decisions.report(Departed(attempt.id))
+                    return None
                 early += len(data)
                 more(data)
-        except BROKEN:
-            await self.decisions.report(Departed(attempt.id))
-            exchange.over.set()
+        return exchange.answer
 
     async def sweep(self) -> None:
         """Close connections that have carried nothing for as long as was decided."""
--- a/flintshift/wire/names.py
+++ b/flintshift/wire/names.py
@@ -22,24 +22,29 @@
         self.to = to
 
     async def report(self, serving: bool) -> bool:
-        """One report; True when it was taken."""
+        """One report; True when it counts, as it does once it has arrived whole, answered or not."""
+        sent, word = anyio.Event(), "not_taken"
         try:
             with anyio.fail_after(self.limits.report_wait_ms / 1000):
                 async with await connect(self.to, self.limits) as stream:
                     body = json.dumps({"serving": "yes" if serving else "no"})
-                    taken = await self._put(stream, body.encode())
+                    if await self._put(stream, body.encode(), sent):
+                        word = "taken"
+        except TimeoutError:
+            word = "unanswered" if sent.is_set() else word
         except (*BROKEN, h11.ProtocolError):
-            taken = False
-        self.counters.add("names.taken" if taken else "names.not_taken")
-        return taken
+            pass
+        self.counters.add(f"names.{word}")
+        return word != "not_taken"
 
-    async def _put(self, stream: SocketStream, body: bytes) -> bool:
+    async def _put(self, stream: SocketStream, body: bytes, sent: anyio.Event) -> bool:
         conn = h11.Connection(h11.CLIENT)
         headers = [("Host", f"{self.to[0]}:{self.to[1]}"), ("Content-Length", str(len(body))),
                    ("Connection", "close")]
         request = h11.Request(method="PUT", target=f"/ns/hosts/{self.name}", headers=headers)
         await stream.send(b"".join(conn.send(event) or b"" for event in
                                    (request, h11.Data(data=body), h11.EndOfMessage())))
+        sent.set()
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -12,7 +12,7 @@
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
-from flintshift.core.attempts import Attempt, CallWanted, Report, RunOver, Up
+from flintshift.core.attempts import Attempt, CallWanted, ReplyUnsure, Report, RunOver, Up
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
@@ -41,7 +41,12 @@
         self.bound = self.linked = False  # now, and ever
         self.marks = itertools.count(1)
         self.waiting: dict[str, Callable[[dict[str, Any]], None]] = {}  # by mark: who asked
-        self.begun: dict[str, bytes] = {}  # spawns that may be repeated, of which nothing was heard yet
+        self.again: tuple[str, Callable[[], Awaitable[None]]] | None = None  # at that mark: makes good
+        self.begun: dict[str, bytes] = {}  # spawns of which nothing was heard yet
+        # How runs that stood at a call were last told to go on, of which nothing was heard since: when, at
+        # which notice, and the command where it may be sent again.
+        self.resumed: dict[str, tuple[float, int, bytes | None]] = {}
+        self.lost_ms = 0.0  # when the last link broke
         self.over = anyio.Event()  # the link in use broke, or another address is to be linked to
         self.resting: anyio.CancelScope | None = None  # its writer waits for commands
 
@@ -50,15 +55,27 @@
     def spawn(self, attempt: Attempt) -> bool:
         command = line(t="spawn", rid=attempt.id, route=attempt.class_name, b64=b64(attempt.body))
         taken = self.outbox.offer(command)
-        if taken and attempt.unique is None:
+        if taken:
             self.begun[attempt.id] = command
         return taken
 
-    def supply(self, request: str, reply: bytes) -> bool:
+    def supply(self, request: str, no: int, reply: bytes) -> bool:
+        self._resumed(request, no, None)
         return self.outbox.offer(line(t="supply", rid=request, b64=b64(reply)))
 
     def go_on(self, request: str, no: int) -> bool:
-        return self.outbox.offer(line(t="pass", rid=request, no=no))
+        command = line(t="pass", rid=request, no=no)
+        self._resumed(request, no, command)
+        return self.outbox.offer(command)
+
+    def _resumed(self, request: str, no: int, command: bytes | None) -> None:
+        now = anyio.current_time() * 1000
+        self.resumed.pop(request, None)
+        self.resumed[request] = now, no, command
+        # What was sent long enough ago has arrived, unless that was on a link that broke.
+        for known, (sent_ms, _, _) in list(itertools.islice(self.resumed.items(), 2)):
+            if self.bound and sent_ms < now - self.limits.unsure_ms:
+                del self.resumed[known]
 
     async def poll(self) -> Gauges | None:
         told = await self._ask("poll")
@@ -122,7 +139,7 @@
             pass
         self.counters.add("pool.links_lost")
         if over is self.over and not over.is_set():  # else another link has taken its place
-            self.bound = False
+            self.bound, self.lost_ms = False, anyio.current_time() * 1000
             with anyio.move_on_after(backoff.next_s()):
                 await over.wait()  # a new address is tried at once
             over.set()
@@ -145,20 +162,28 @@
                     raise JunkError(str(error)) from error
 
     async def _rebound(self, stream: SocketStream) -> None:
-        """The link is up. What was spawned on an earlier one may never have arrived: once all notices up to
-        now are read, it is spawned again, which does nothing where it runs. Keyed work is left alone: it
-        might have ended in between, and must not run twice."""
+        """The link is up. What was sent last on an earlier one may never have arrived. Once all notices up to
+        now are read, what nothing was heard of is made good: a spawn is sent again, which does nothing where
+        it runs and is `late` where it ran, and so is a pass, which names its call. A reply names none, and
+        the run may stand at its next call by now: it is reported as unsure."""
         unheard = list(self.begun)
-        if unheard and self.linked:
+        since = self.lost_ms - self.limits.unsure_ms
+        unsure = {request: no for request, (sent_ms, no, _) in self.resumed.items() if sent_ms >= since}
+        if self.linked and (unheard or unsure):
             mark = f"again-{next(self.marks)}"
 
-            def again(_: dict[str, Any]) -> None:
-                del self.waiting[mark]
+            async def again() -> None:
                 for request in unheard:
                     if request in self.begun:
                         self.outbox.offer(self.begun[request])
-
-            self.waiting[mark] = again
+                for request, no in unsure.items():
+                    _, last, command = self.resumed.get(request, (0.0, 0, None))
+                    if last == no and command is not None:
+                        self.outbox.offer(command)
+                    elif last == no:
+                        await self.report(ReplyUnsure(request, no))
+
+            self.again = mark, again
             await stream.send(line(t="poll", mark=mark))
         self.bound = self.linked = True
         await self.report(Up())
@@ -187,25 +212,32 @@
                 result = base64.b64decode(message.get("b64") or "", validate=True)
                 if status not in OUTCOMES or len(result) > self.limits.result:
                     raise JunkError("finished")
-                self.begun.pop(rid, None)
+                self._heard(rid)
                 await self.report(RunOver(rid, OUTCOMES[status], float(message.get("time_ms", 0.0)), result))
             case "blocked":
                 rid = str(message["rid"])
                 payload = base64.b64decode(message["b64"], validate=True)
-                self.begun.pop(rid, None)
+                self._heard(rid)
                 await self.report(CallWanted(rid, no, payload))
             case "polled" | "verified":
-                asked = self.waiting.get(str(message["mark"]))
-                if asked is not None:
+                mark = str(message["mark"])
+                if self.again is not None and self.again[0] == mark:
+                    again, self.again = self.again[1], None
+                    await again()
+                elif (asked := self.waiting.get(mark)) is not None:
                     asked(message)
             case "unknown":
                 self.counters.add("pool.unknown")
                 if message["status"] == "spawn":
                     rid = str(message["rid"])
-                    self.begun.pop(rid, None)
+                    self._heard(rid)
                     await self.report(RunOver(rid, OUTCOMES["run", "unknown"]))
             case "chatter":
                 pass
             case _:
                 raise JunkError(kind)
         self.read_no = no or self.read_no
+
+    def _heard(self, request: str) -> None:
+        self.begun.pop(request, None)
+        self.resumed.pop(request, None)
--- a/flintshift/wire/uwsgi_apps.py
+++ b/flintshift/wire/uwsgi_apps.py
@@ -29,7 +29,7 @@
     def spawn(self, attempt: Attempt) -> bool:
         return self.outbox.offer(attempt)
 
-    def supply(self, request: str, reply: bytes) -> bool:
+    def supply(self, request: str, no: int, reply: bytes) -> bool:
         return True  # app servers make no calls through the node
 
     def go_on(self, request: str, no: int) -> bool:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -103,6 +103,7 @@
     def __init__(self):
         super().__init__()
         self.plan, self.notices, self.numbers = {}, [], itertools.count(1)
+        self.deaf = False  # what is sent to runs that stand at a call is lost
         self.cores, self.wanting, self.tasks = asyncio.Semaphore(2), 0, set()
 
     async def serve(self, reader, writer):
@@ -127,7 +128,7 @@
                         self.tasks.add(task)
                     elif plan is not None:
                         self.tell(command["rid"], *plan)
-                case "supply" | "pass":
+                case "supply" | "pass" if not self.deaf:
                     self.finish(command["rid"])
 
     async def work(self, rid, took_ms):
@@ -171,12 +172,17 @@
 
 
 class Names(Peer):
+    mute = False  # takes reports and never answers
+
     async def serve(self, reader, writer):
         head = await reader.readuntil(b"\r\n\r\n")
         size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
         body = await reader.readexactly(size)
-        writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+        if not self.mute:
+            writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
         await writer.drain()
+        if self.mute:
+            await reader.read()
         await self.log.add((head.split(b" ")[1].decode(), json.loads(body)["serving"]))
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -34,8 +34,8 @@
     def spawn(self, attempt):
         return self.take("spawn", attempt.id)
 
-    def supply(self, request, reply):
-        return self.take("supply", request, reply)
+    def supply(self, request, no, reply):
+        return self.take("supply", request, no, reply)
 
     def go_on(self, request, no):
         return self.take("pass", request, no)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,18 +10,22 @@
 import subprocess
 import sys
 import time
+from collections import Counter
 from types import SimpleNamespace
 
 import anyio
 import pytest
-from standins import BYTES, ROOT, SETTINGS, Caller, Log, Rig, Vault, http_bytes, job
+from standins import BYTES, ROOT, SETTINGS, Caller, Log, Names, Rig, Vault, http_bytes, job
 
+from flintshift.__main__ import main
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
+from flintshift.core.listing import Listing
 from flintshift.core.ports import Posture
 from flintshift.interface import Outcome
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
+from flintshift.wire.names import NameService
 from flintshift.wire.uwsgi_front import UwsgiFront
 from flintshift.wire.vault import VaultLink
 
@@ -153,15 +157,50 @@
     assert [bind["no"] for bind in binds] == [0, 1] and len(rig.runs()) == 2
 
 
-async def test_what_may_never_have_reached_the_pool_is_spawned_again_but_for_writes(rig):
-    read, write = job("race-results"), job()
-    for class_name, fields in (("race-results", read), ("submit-time", write)):
-        (await rig.connect("http")).send(BYTES["http"](class_name, b"", fields))
+async def test_what_may_never_have_reached_the_pool_is_sent_again_where_that_is_safe(rig):
+    # A spawn does nothing where it runs and is `late` where it ran, so both classes have theirs again.
+    tries = {"race-results": job("race-results"), "submit-time": job()}
+    callers = [await rig.connect("http") for _ in tries]
+    for caller, (class_name, fields) in zip(callers, tries.items(), strict=True):
+        caller.send(BYTES["http"](class_name, b"", fields))
     await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 2)
     rig.pool.cut()
-    again = await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 3)
-    assert [run["rid"] for run in again].count(read["X-Job-Id"]) == 2
-    assert [run["rid"] for run in again].count(write["X-Job-Id"]) == 1
+    again = await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 4)
+    assert Counter(run["rid"] for run in again) == {fields["X-Job-Id"]: 2 for fields in tries.values()}
+    # A pass names its call; a reply might meet the run's next one. So what may go on without goes on without.
+    rig.pool.deaf = True
+    for fields in tries.values():
+        rig.pool.tell(fields["X-Job-Id"], "blocked", {"b64": ""})
+    await rig.pool.log.until(lambda entry: entry["t"] == "supply", 2)
+    rig.pool.cut()
+    await rig.pool.log.until(lambda entry: entry["t"] == "pass")
+    rig.pool.deaf = False
+    rig.pool.cut()  # and the pass itself may be lost
+    await rig.pool.log.until(lambda entry: entry["t"] == "pass", 2)
+    assert (await callers[0].reply()).status == 200
+    late = {"status": "late", "time_ms": 1.0}
+    rig.pool.tell(tries["race-results"]["X-Job-Id"], "finished", late)  # to a spawn that crossed the end
+    assert (await callers[1].reply()).status == 500
+    sent = [entry for entry in rig.pool.log.entries if entry["t"] in ("supply", "pass")]
+    assert Counter(entry["t"] for entry in sent) == {"supply": 2, "pass": 2}
+    assert {entry["no"] for entry in sent if entry["t"] == "pass"} == {1}
+
+
+async def test_a_report_without_an_answer_counts_and_does_not_delay_the_next():
+    names, counters, limits = Names(), Counters(), Limits(report_wait_ms=200.0, report_every_ms=200.0)
+    names.mute = True
+    await names.start()
+    service, began = NameService(("127.0.0.1", names.port), "n3", limits, counters), time.time()
+    listing = Listing([service], limits)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listing.run)
+        listing.say(True)
+        while counters["names.unanswered"] < 3:
+            await names.log.until(lambda _: True, counters["names.unanswered"] + 1)
+        tasks.cancel_scope.cancel()
+    await names.stop()
+    assert time.time() - began < 0.95 and not counters["names.not_taken"]  # 1.0 s with a wait after each
+    assert not await service.report(True) and counters["names.not_taken"] == 1
 
 
 REPLIES = [  # how the vault replies, how the call ends, and how many connections two calls then take
@@ -480,3 +519,12 @@
         assert sum(rid in ran for rid, _ in tries) <= 1
         assert len({reply.body for _, reply in tries if reply.status == 200}) <= 1
     assert not any(rid in ran for _, rid, reply in outcomes if reply.status in (429, 503))
+
+
+def test_the_program_runs_on_uvloop_and_a_word_of_a_new_configuration_cannot_end_its_start(monkeypatch):
+    asked, before = {}, signal.getsignal(signal.SIGHUP)
+    monkeypatch.setattr(anyio, "run", lambda *_, **more: asked.update(more, hup=signal.getsignal(signal.SIGHUP)))
+    monkeypatch.setattr(sys, "argv", ["flintshift"])
+    assert main() == 0
+    signal.signal(signal.SIGHUP, before)
+    assert asked == {"backend_options": {"use_uvloop": True}, "hup": signal.SIG_IGN}
