--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -523,7 +523,8 @@
 
 def test_the_program_runs_on_uvloop_and_a_word_of_a_new_configuration_cannot_end_its_start(monkeypatch):
     asked, before = {}, signal.getsignal(signal.SIGHUP)
-    monkeypatch.setattr(anyio, "run", lambda *_, **more: asked.update(more, hup=signal.getsignal(signal.SIGHUP)))
+    monkeypatch.setattr(
+        anyio, "run", lambda *_, **more: asked.update(more, hup=signal.getsignal(signal.SIGHUP)))
     monkeypatch.setattr(sys, "argv", ["flintshift"])
     assert main() == 0
     signal.signal(signal.SIGHUP, before)
