Sum the calls of the window as they end instead of walking over them for each decision

Checked: a profile of 4 s after the first cuts: Controller._call_room took 1.6 of 3.5 s of CPU, walking about 530 calls of the last 5 s for each decision (the listcomp and two sums over self.calls). Ruled out: h11 (0.4 s), mailboxes (0.05 s).

Changed: calls that are over and past their end move to a deque with a running sum, in the order of their ends; only those under way or lingering are looked at. The figure is the same, or at most one lingering call higher.

--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from operator import attrgetter
+from itertools import takewhile
+from operator import attrgetter, itemgetter
 
 from flintshift import interface as api
 from flintshift.interface import Effect, Halt, Outcome
@@ -99,7 +100,9 @@
         self.call_share = settings.call_share or math.inf
         self.call_limit = CALL_MOST * self.call_share  # less while calls are slow, may be under 1
         self.call_ms = self.best_call_ms = self.gap_ms = 0.0  # a call lately, at best; between two arrivals
-        self.calls: list[list[float]] = []  # below: start and end, or how long it may last
+        self.calls: list[list[float]] = []  # below: start, end (or how long it may last), whether it is over
+        self.past: deque[tuple[float, float]] = deque()  # those over and past their end; their sum
+        self.past_ms = 0.0
         self.keys: dict[str, float] = {}  # remembered request: when its entry runs out
         self.released: set[str] = set()  # let go unrun at this very moment
         even = QUOTA_ROOM / max(1, settings.servers)  # of a quota: what an even spread would bring here
@@ -367,7 +370,7 @@
     def _run_ended(self, work: Work, event: api.RunEnded) -> None:
         del self.work[work.id]
         if work.stage is Stage.CALLING:
-            work.call[1] = self.now + self.set.linger_ms
+            work.call[1:] = self.now + self.set.linger_ms, True
         if work.stage is Stage.FOLLOWING or event.outcome is Outcome.MOOT:
             return
         if event.outcome is Outcome.STOPPED:  # no progress: hung work that is stopped ends this way
@@ -409,11 +412,23 @@
         CALL_YOUNG. Both lives come to 0.95 of the share; the rest is for the told figure's rounding.
         """
         since = self.now - self.set.call_window_ms
-        self.calls = [call for call in self.calls if call[1] > since]
+        # What is over is summed as it ends and leaves the window: a walk over all of it for each decision
+        # would be most of what a busy server's decisions cost.
+        over = [call for call in self.calls if call[1] <= (self.now if call[2] else since)]
+        for call in sorted(over, key=itemgetter(1)):  # so that `past` is in the order of ends
+            self.calls.remove(call)
+            self.past.append((call[0], call[1]))
+            self.past_ms += call[1] - call[0]
+        while self.past and self.past[0][1] <= since:
+            start, end = self.past.popleft()
+            self.past_ms -= end - start
+        self.past_ms *= bool(self.past)  # no rounding is carried on
+        out = sum(since - start for start, _ in takewhile(lambda call: call[0] < since, self.past))
         young = self.set.cold and self.born_ms > since - self.set.linger_ms
         most = self.call_room_ms * (CALL_YOUNG if young else CALL_MOST)
-        spent = sum(end - max(start, since) for start, end in self.calls)
-        in_hand = sum(end > self.now for _, end in self.calls)
+        spent = self.past_ms - out
+        spent += sum(call[1] - max(call[0], since) for call in self.calls if call[1] > since)
+        in_hand = sum(call[1] > self.now for call in self.calls)
         return in_hand, spent, most - spent - self.set.linger_ms
 
     def _feed_calls(self) -> None:
@@ -443,7 +458,7 @@
             elif room:
                 work.stage = Stage.CALLING
                 work.tries += 1
-                work.call = [self.now, self.now + limit + self.set.linger_ms]
+                work.call = [self.now, self.now + limit + self.set.linger_ms, False]
                 self.calls.append(work.call)
                 in_hand, spent, left_ms = self._call_room()
                 crowd_room -= 1
@@ -452,7 +467,7 @@
     def _call_ended(self, work: Work, event: api.CallEnded) -> None:
         self._progress()
         unsure = event.outcome in (Outcome.TIMED_OUT, Outcome.INTERRUPTED)
-        work.call[1] = self.now + self.set.linger_ms * unsure
+        work.call[1:] = self.now + self.set.linger_ms * unsure, True
         if event.outcome in (Outcome.OK, Outcome.TIMED_OUT):
             self.call_ms += (CALL_LEARN if self.call_ms else 1.0) * (event.took_ms - self.call_ms)
             self.best_call_ms = min(self.call_ms, (self.best_call_ms or self.call_ms) * BEST_FADES)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -754,3 +754,25 @@
             server.tick(run_queue=run_queue)
         request, actions = server.arrive()
         assert (api.Run(request) in actions) is runs and bool(answers(actions, request)) is not runs
+
+
+def test_calls_that_are_over_are_summed_and_not_walked_over_again(make):
+    # Guards against decisions that cost more the more calls the window holds.
+    server = make(call_share=50.0, call_window_ms=2000.0, linger_ms=100.0)
+    ends = []
+    for turn in range(300):
+        request, _ = server.arrive("list")
+        asked = [action for action in server.needs_call(request) if isinstance(action, api.Call)]
+        started = server.now
+        server.now += 10.0 + turn % 7
+        outcome = Outcome.TIMED_OUT if turn % 5 == 0 else Outcome.OK
+        server.call_ends(request, outcome, server.now - started)
+        if asked:
+            ends.append((started, server.now + 100.0 * (outcome is Outcome.TIMED_OUT)))
+        server.ends(request)
+        since = server.now - 2000.0
+        in_hand, spent, _ = server.control._call_room()
+        exact = sum(max(0.0, end - max(start, since)) for start, end in ends)
+        assert exact - 1e-6 <= spent <= exact + 100.0  # one that lingers may count whole while it leaves
+        assert in_hand == len(server.control.calls) == sum(end > server.now for _, end in ends)
+    assert len(ends) > 200 and len(server.control.past) < 200
