Let a vault connection that was forgotten cost no call, and call once more for a read

Checked with a probe on each break (how long the connection had been idle, how long the call had been out): about 400 calls were reset within 1 ms on connections that had been idle for 0 to 250 ms, so no idle time is short enough; on new connections resets came after 1 to 106 ms, so time does not tell a forgotten connection from a reset in place of a reply either. Ruled out: resets of callers (72 in all). At fault: VaultLink reused connections for writes, whose lost call fails them; Controller._feed_calls left a read's call out for any lost reply.

Changed: a read's call that breaks on a used connection is made again on a new one; for 30 s after that writes call on new ones alone. A read whose reply was lost calls once more before it goes on poorer.

--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -74,6 +74,7 @@
     level: int = FULL
     calls: int = 0
     tries: int = 0
+    spoilt: int = 0  # of these, whose reply was lost: one such may be made again
     call: list[float] = field(default_factory=list)  # its last, as in Controller.calls
     waited_ms: float = 0.0  # spent at calls; less the clock while it stands at one
 
@@ -424,7 +425,7 @@
         if not work.answered:
             self._progress()
             self._place(work, Stage.LINED)
-            work.tries = 0
+            work.tries = work.spoilt = 0
             work.waited_ms -= self.now
 
     def _call_room(self) -> tuple[int, float, float]:
@@ -477,7 +478,8 @@
             limit = min(max(ends - self.now, TICK_MS), left_ms)
             part = SKIPPABLE if work.kind.skip_worth and slow else 1.0
             room = in_hand + 1 <= max(1.0, self.call_limit) and spent <= pace_ms * part and left_ms >= TICK_MS
-            if work.kind.skip_worth and (work.calls >= work.level or work.tries or (not room and not waits)):
+            poorer = work.calls >= work.level or work.tries > work.spoilt or (not room and not waits)
+            if work.kind.skip_worth and poorer:
                 crowd_room -= 1
                 self._resume(work)  # poorer: by its level, or no room below
                 self.out.append(api.SkipCall(work.id))
@@ -505,6 +507,8 @@
             work.calls += 1
             return
         self._place(work, Stage.LINED)
+        if event.outcome is Outcome.INTERRUPTED and work.kind.effect is Effect.SAFE:
+            work.spoilt = 1  # by what carried the call, which says nothing of what lies below
         again = work.kind.effect is Effect.SAFE or event.outcome in (Outcome.REJECTED, Outcome.UNREACHABLE)
         if not work.kind.skip_worth and (not again or work.tries >= CALL_TRIES) and not work.answered:
             self._let_go(work)
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -41,6 +41,7 @@
         self.requests: dict[str, Attempt] = {}
         self.keys = KeyTable(limits)
         self.keyed = {kind.name for kind in settings.classes if kind.effect is Effect.KEYED}
+        self.once = {kind.name for kind in settings.classes if kind.effect is not Effect.SAFE}
         self.skippable = {kind.name for kind in settings.classes if kind.skip_worth}
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
@@ -214,7 +215,8 @@
             case api.Call(_, limit_ms):
                 attempt.calling = True
                 self.counters.add("called")
-                if not self.below.ask(attempt.id, limit_ms, attempt.payload):
+                if not self.below.ask(
+                        attempt.id, limit_ms, attempt.payload, attempt.class_name in self.once):
                     self.counters.add("dropped.call")
                     self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
             case api.SkipCall():
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -49,6 +49,7 @@
     verify_ms: float = 2000.0
     call_grace_ms: float = 25.0  # past a call's limit, before the node itself gives it up
     vault_fresh_ms: float = 250.0  # a connection idle for longer is not called on: the vault may close it
+    vault_wary_ms: float = 30_000.0  # for so long after one broke, writes are called on new ones alone
     vault_rest_ms: float = 250.0  # for the rest of a reply once begun
     report_every_ms: float = 800.0  # the name service forgets after 3 s
     report_again_ms: float = 100.0  # after a report that was not taken
--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -27,6 +27,7 @@
     asked_ms: float
     limit_ms: float
     payload: bytes
+    once: bool  # it must not be made twice, nor fail for the sake of a connection
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
@@ -48,10 +49,11 @@
         self.report, self.now_ms = report, now_ms
         self.outbox: Mailbox[Ask | str] = Mailbox(limits.outbox)
         self.out: dict[str, Ask] = {}  # calls under way
+        self.wary_until_ms = 0.0  # a connection that was used before broke lately
         self.idle: list[Line] = []  # the one used last at the end
 
-    def ask(self, request: str, limit_ms: float, payload: bytes) -> bool:
-        return self.outbox.offer(Ask(request, self.now_ms(), limit_ms, payload))
+    def ask(self, request: str, limit_ms: float, payload: bytes, once: bool) -> bool:
+        return self.outbox.offer(Ask(request, self.now_ms(), limit_ms, payload, once))
 
     def give_up(self, request: str) -> None:
         if not self.outbox.offer(request):  # its reply will find nobody
@@ -87,12 +89,27 @@
             await self.report(CallOver(ask.request, OUTCOMES[by, word], self.now_ms() - ask.asked_ms, reply))
 
     async def _outcome(self, ask: Ask) -> tuple[str, str, bytes]:
+        """How the call ended. The vault may have forgotten a connection that was used before, which it resets
+        at the next call, and nothing tells that from a reset in place of a reply. So what may be made twice is
+        made again on a new connection, and what must not goes on new ones alone for a while after that."""
+        wary = ask.once and self.now_ms() < self.wary_until_ms
+        line = None if wary else self._free_line(ask.request)
+        if line is not None:
+            by, word, reply = await self._on(line, ask)
+            if word == "broken":
+                self.wary_until_ms = self.now_ms() + self.limits.vault_wary_ms
+            if word != "broken" or ask.once:
+                return by, word, reply
+            self.counters.add("vault.made_again")
         if len(self.out) > self.limits.vault_connections:  # guards the descriptors
             return "link", "refused", b""
         try:
-            line = self._free_line(ask.request) or await self._connect()
+            line = await self._connect()
         except BROKEN:
             return "link", "refused", b""
+        return await self._on(line, ask)
+
+    async def _on(self, line: Line, ask: Ask) -> tuple[str, str, bytes]:
         left_ms = ask.asked_ms + ask.limit_ms - self.now_ms()
         try:
             with anyio.fail_after(max(0.0, left_ms + self.limits.call_grace_ms) / 1000):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -159,9 +159,12 @@
     """The vault: says `reply` to a call, with the id filled in; None breaks the link under it."""
 
     reply: bytes | None = b"%b yes 5\r\nreply\r\n"
+    forgets = frozenset()  # connections that are reset at their next call, which never runs
 
     async def serve(self, reader, writer):
         while line := await reader.readline():
+            if writer in self.forgets:
+                return writer.transport.abort()
             word, request, *rest = line.decode().split()
             body = (await reader.readexactly(int(rest[1]) + 2))[:-2] if word == "ask" else b""
             await self.log.add((word, request, body))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -785,3 +785,12 @@
         server.step(api.CallerGone(request), 1.0)
         server.ends(request)
     assert len(server.control.given_up) == 256 and 999 in server.control.given_up
+
+
+def test_a_read_whose_reply_was_lost_calls_once_more_and_then_goes_on_poorer(make):
+    server = make()
+    request, _ = server.arrive("list")
+    assert any(isinstance(action, api.Call) for action in server.needs_call(request))
+    again = server.call_ends(request, Outcome.INTERRUPTED)
+    assert any(isinstance(action, api.Call) for action in again)
+    assert api.SkipCall(request) in server.call_ends(request, Outcome.INTERRUPTED)
