--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -90,8 +90,8 @@
 
     async def _outcome(self, ask: Ask) -> tuple[str, str, bytes]:
         """How the call ended. The vault may have forgotten a connection that was used before, which it resets
-        at the next call, and nothing tells that from a reset in place of a reply. So what may be made twice is
-        made again on a new connection, and what must not goes on new ones alone for a while after that."""
+        at the next call, and nothing tells that from a reset in place of a reply. So what may be made twice
+        is made again on a new connection, and what must not goes on new ones alone for a while after."""
         wary = ask.once and self.now_ms() < self.wary_until_ms
         line = None if wary else self._free_line(ask.request)
         if line is not None:
