--- a/flintshift/__main__.py
+++ b/flintshift/__main__.py
@@ -16,8 +16,6 @@
 from flintshift.lifecycle.config import Config, ConfigError, load
 from flintshift.lifecycle.node import Node
 
-DEPLOY = Path(__file__).parent.parent / "deploy"
-
 
 async def serve(reread: Callable[[], Config]) -> None:
     node = Node(reread(), reread)
@@ -29,12 +27,12 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="flintshift", description="A results node on real sockets.")
-    parser.add_argument("--uwsgi", type=Path, default=DEPLOY / "uwsgi.toml",
-                        help="where the uwsgi front listens (default: deploy/uwsgi.toml)")
+    parser.add_argument("--settings", type=Path, metavar="FILE",
+                        help="the operators' file (deploy/flintshift.yaml); none is read unless it is named")
     given = parser.parse_args()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node heeds it: it must not end the process
     try:
-        anyio.run(serve, partial(load, os.environ, given.uwsgi), backend_options={"use_uvloop": True})
+        anyio.run(serve, partial(load, os.environ, given.settings), backend_options={"use_uvloop": True})
     except ConfigError as error:
         print(f"flintshift: {error}", file=sys.stderr)
         return 2
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -5,7 +5,8 @@
 import signal
 import sys
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
 
 import anyio
 from anyio.abc import Listener, SocketStream
@@ -16,14 +17,11 @@
 from flintshift.core.gauges import GaugePlanner
 from flintshift.core.listing import Listed, Listing
 from flintshift.lifecycle.config import Config, ConfigError
-from flintshift.wire.dnssd import Browser, Record, Resolver
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
 from flintshift.wire.names import NameService
 from flintshift.wire.pool import PoolLink
-from flintshift.wire.uwsgi_apps import AppServers
-from flintshift.wire.uwsgi_front import UwsgiFront
 from flintshift.wire.vault import VaultLink
 
 
@@ -56,18 +54,11 @@
         self.fronts: list[tuple[Front, tuple[str, int]]] = [(
             HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections,
                       self.pool.verify), config.listen)]
-        self.actors = [self.decisions.run, self.pool.run, self.vault.run]
-        if (desks := config.uwsgi) is not None:
-            resolver = Resolver(desks.resolver, limits)
-            browser = Browser(resolver, desks.app_service, desks.domain, limits, counters)
-            apps = AppServers(browser, limits, counters, self.decisions.report, now_ms)
-            self.decisions.workers = {"pool": self.pool, "apps": apps}
-            lists.append(Record(resolver, desks.node_service, desks.domain, config.name, desks.listen,
-                                limits, counters, now_ms))
-            self.fronts.append((
-                UwsgiFront(fields, self.decisions, limits, counters, now_ms, limits.uwsgi_connections,
-                           self.pool.verify), desks.listen))
-            self.actors += [browser.run, apps.run]
+        self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = [
+            self.decisions.run, self.pool.run, self.vault.run]
+        if config.operators.uwsgi is not None:
+            from flintshift.lifecycle.second_front import add_second_front
+            add_second_front(self, config.operators.uwsgi, fields, lists)
         self.listing = Listing(lists, limits)
 
     async def run(self) -> None:
--- /dev/null
+++ b/tests/settings/test_operators.py
@@ -0,0 +1,118 @@
+"""The operators' file: what is read, and that each fault is named with its place, all at once."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from flintshift.settings import units
+from flintshift.settings.operators import FaultsError, parse, read
+from flintshift.settings.options import Operators
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+def faults(text: str) -> list[str]:
+    with pytest.raises(FaultsError) as caught:
+        parse("f.yaml", text, Path("/srv"))
+    return list(map(str, caught.value.faults))
+
+
+def test_the_shipped_file_is_good_and_all_off():
+    assert read(ROOT / "deploy" / "flintshift.yaml") == Operators()
+
+
+def test_an_empty_file_sets_nothing():
+    assert parse("f.yaml", "", Path()) == parse("f.yaml", "# nothing\n", Path()) == Operators()
+
+
+def test_units_become_base_values_and_folders_stand_beside_the_file():
+    usage = parse("f.yaml", "usage: {enabled: true, folder: u, period: 1.5h, sync: 10ms, segment: 64kB}",
+                  Path("/srv")).usage
+    assert usage is not None
+    assert (usage.folder, usage.period_ms, usage.sync_ms, usage.segment_bytes) == (
+        Path("/srv/u"), 5_400_000, 10.0, 64_000)
+    assert usage.export is None
+
+
+def test_yaml_1_2_reads_no_as_a_word():
+    assert faults("log: {enabled: no}") == ["f.yaml:1:7: log.enabled: expected true or false, found 'no'"]
+
+
+def test_all_faults_are_shown_at_once_in_the_order_of_their_lines():
+    assert faults("""\
+log:
+  format: xml
+  repeats: 10
+usage:
+  enabled: true
+  period: 40d
+  perod: 1h
+  export:
+    http:
+      url: http://192.0.2.1/x
+""") == [
+        "f.yaml:2:3: log.format: expected 'json' or 'text', found 'xml'",
+        "f.yaml:3:3: log.repeats: expected a number with one of ms, s, min, h, d, such as 28s or 10ms; "
+        "a number alone has no unit, found 10",
+        "f.yaml:6:3: usage.period: expected 1s to 31d, found 40d",
+        "f.yaml:7:3: usage.perod: unknown key",
+        "f.yaml:10:7: usage.export.http.url: 192.0.2.1 is no loopback address, found 'http://192.0.2.1/x'",
+    ]
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    ("usage: [", "f.yaml:1:9: no YAML 1.2: "),
+    ("a: 1\na: 2", "f.yaml:2:1: no YAML 1.2: found duplicate key"),
+    ("- a", "f.yaml:1:1: expected keys with values"),
+    ("usage: {export: {}}", "f.yaml:1:9: usage.export: expected a folder, http, or both"),
+    ("usage: {export: {folder: x, backoff: 2s, backoff-most: 1s}}", "usage.export.backoff: expected no more"),
+    ("usage: 5", "f.yaml:1:1: usage: expected keys with values, found 5"),
+    ("uwsgi: {listen: '10.0.0.1:1'}", "10.0.0.1 is no loopback address"),
+    ("uwsgi: {listen: 'here'}", "expected host:port with a loopback host"),
+    ("usage: {enabled: true, period: 1s, grace: 1h}", "usage.grace: expected at most 31 periods"),
+    ("usage: {period: 1000.5ms}", "expected a whole number of milliseconds"),
+    ("x: &a [*a]", "unknown key"),
+])
+def test_a_fault_is_named(text, told):
+    assert told in "\n".join(faults(text))
+
+
+def test_a_file_that_cannot_be_read_is_named(tmp_path):
+    with pytest.raises(FaultsError, match=r"none\.yaml: can't be read: No such file"):
+        read(tmp_path / "none.yaml")
+    (tmp_path / "latin.yaml").write_bytes(b"\xff\xfe\xff")
+    with pytest.raises(FaultsError, match="can't be read"):
+        read(tmp_path / "latin.yaml")
+
+
+@pytest.mark.parametrize(("text", "ms"), [
+    ("28s", 28_000), ("10ms", 10), ("1.5 min", 90_000), ("31d", 2_678_400_000)])
+def test_durations(text, ms):
+    assert units.duration_ms(text) == ms
+
+
+@pytest.mark.parametrize("text", [
+    "", "s", "-1s", "1e3s", "1 fortnight", "1s2", "9" * 20 + "s", None, 5, True])
+def test_what_is_no_duration(text):
+    with pytest.raises(ValueError, match="expected a number with one of"):
+        units.duration_ms(text)
+
+
+def test_shares_and_sizes():
+    assert units.share("14%") == 0.14
+    assert units.size_bytes("64kB") == 64_000 and units.size_bytes("1KiB") == 1024
+    with pytest.raises(ValueError, match="at most 100%"):
+        units.share("101%")
+
+
+def test_the_node_without_a_file_imports_no_reader_and_no_part_that_is_off():
+    listed = subprocess.run(
+        [sys.executable, "-c", "import sys, flintshift.__main__; print(*sys.modules)"],
+        cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
+    off = ("dns", "ruamel", "pydantic", "structlog", "msgspec", "click", "google", "httpx",
+           "flintshift.usage", "flintshift.storage", "flintshift.settings.operators", "flintshift.wire.dnssd")
+    assert not [name for name in listed if name in off or name.startswith(tuple(f"{part}." for part in off))]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -318,6 +318,7 @@
     folder: Path
     settings: dict = field(default_factory=lambda: SETTINGS)
     stop_ms: float = 3000.0
+    more_settings: str = ""  # of the operators' file
 
     async def __aenter__(self):
         self.pool, self.vault, self.names, self.dns = Pool(), Vault(), Names(), Dns()
@@ -329,13 +330,13 @@
         self.dns.put("app1._uwsgi._tcp.desks.example.", "TXT", '"txtvers=1"')
         self.dns.put("app1.desks.example.", "A", "127.0.0.1")
         self.ports = dict(zip(BYTES, free_ports(2), strict=True))
-        self.config, desks = self.folder / "config.json", self.folder / "uwsgi.toml"
+        self.config, desks = self.folder / "config.json", self.folder / "flintshift.yaml"
         self.configure()
-        desks.write_text(f"""enabled = true\nlisten = "127.0.0.1:{self.ports['uwsgi']}"
-            resolver = "127.0.0.1:{self.dns.port}"\ndomain = "desks.example"
-            app_service = "_uwsgi._tcp"\nnode_service = "_results._tcp"\n""")
+        desks.write_text("\n".join((
+            "uwsgi:", "  enabled: true", f"  listen: 127.0.0.1:{self.ports['uwsgi']}",
+            f"  resolver: 127.0.0.1:{self.dns.port}", "  domain: desks.example", self.more_settings)))
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "flintshift", "--uwsgi", str(desks), cwd=ROOT,
+            sys.executable, "-m", "flintshift", "--settings", str(desks), cwd=ROOT,
             env={**os.environ, "LB_CONFIG": str(self.config)}, stderr=asyncio.subprocess.PIPE)
         await self.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
         await self.dns.log.until(lambda entry: entry[0] == "update")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -14,7 +14,7 @@
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
 from flintshift.interface import Outcome
-from flintshift.lifecycle.config import ConfigError, flat, load_uwsgi
+from flintshift.settings.platform import flat
 from flintshift.wire import uwsgi
 from flintshift.wire.fields import UnusableError
 from flintshift.wire.link import address
@@ -267,14 +267,3 @@
     told = {"a": {"b": [1, True, "x"], "c": [{"d": 0.5}, {"d": False}]}, "e": []}
     assert flat(told) == {"a.b": "1,true,x", "a.c.count": "2", "a.c.0.d": "0.5", "a.c.1.d": "false", "e": ""}
     assert benchlink.listed(flat({"e": []})["e"]) == []
-
-
-@pytest.mark.parametrize(("text", "trouble"), [
-    ("enabled = true", "listen is missing"), ("enabled =", "Invalid"),
-    ('enabled = true\nlisten = "10.0.0.1:1"\nresolver = "127.0.0.1:53"\ndomain = "d"\napp_service = "a"\n'
-     'node_service = "n"', "no loopback address")])
-def test_a_bad_uwsgi_file_is_named(tmp_path, text, trouble):
-    path = tmp_path / "uwsgi.toml"
-    path.write_text(text)
-    with pytest.raises(ConfigError, match=trouble):
-        load_uwsgi(path)
