--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,18 @@
 PY = .venv/bin/python
 DEPS = .venv/.ready
 
-.PHONY: build check lint test run clean
+PROTO = flintshift/proto/usage.proto
+
+.PHONY: build check lint test run demo proto proto-fresh clean
 build: $(DEPS)
 
-$(DEPS): requirements.txt requirements-dev.txt
+$(DEPS): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || python3 -m venv .venv
 	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $@
 
-check: lint test
+check: lint proto-fresh test
 
 lint: $(DEPS)
 	$(PY) -m ruff check .
@@ -19,7 +22,19 @@
 	$(PY) -m pytest -q
 
 run: $(DEPS)
-	exec $(PY) -m flintshift
+	exec .venv/bin/flintshift run
+
+demo: $(DEPS)
+	exec .venv/bin/flintshift demo
+
+proto: $(DEPS)
+	$(PY) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. $(PROTO)
+
+proto-fresh: $(DEPS)
+	mkdir -p build/proto
+	$(PY) -m grpc_tools.protoc -I. --python_out=build/proto --pyi_out=build/proto $(PROTO)
+	@for made in _pb2.py _pb2.pyi; do \
+	  cmp build/proto/$(PROTO:.proto=)$$made $(PROTO:.proto=)$$made || { echo "run make proto"; exit 1; }; done
 
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache .mypy_cache
--- /dev/null
+++ b/flintshift/cli/main.py
@@ -0,0 +1,94 @@
+"""``flintshift``: the command line for operators. ``python -m flintshift`` is what the platform starts."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from functools import partial
+from pathlib import Path
+
+import click
+
+from flintshift.cli.usage import usage
+from flintshift.lifecycle.config import embedded, load
+
+EXIT_CODES = """\b
+Exit codes:
+  0  done, and nothing is wrong
+  1  it could not be done: a folder, a socket or a peer does not allow it
+  2  the command line or a file can't be used as it is written
+  3  done, and something was found or is left: see what was printed
+"""
+
+
+@click.group(epilog=EXIT_CODES, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(package_name="flintshift")
+def main() -> None:
+    """A results node: it takes requests, decides for each what to run, and keeps its books.
+
+    Begin with `flintshift demo`: a node among its stand-ins, with a little traffic, on this machine alone.
+    """
+
+
+@main.command(epilog=EXIT_CODES)
+@click.option("--settings", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
+              help="The operators' file (see deploy/flintshift.yaml); all its parts are off without one.")
+def run(settings: Path | None) -> None:
+    """Run one node until SIGTERM.
+
+    The file that LB_CONFIG names tells its addresses and settings. Without LB_CONFIG it runs on an embedded default:
+    callers at 127.0.0.1:8080, a worker pool at 127.0.0.1:9300, a name service at :7946 and a vault at :5432, which
+    `flintshift demo --peers-only` provides.
+    """
+    from flintshift.lifecycle.start import start
+    reread = partial(load, os.environ, settings) if os.environ.get("LB_CONFIG") else partial(embedded, settings)
+    sys.exit(start(reread))
+
+
+@main.command(epilog=EXIT_CODES)
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print the faults as a JSON array.")
+def check(file: Path, as_json: bool) -> None:
+    """Check an operators' FILE: every fault at once, each with file, line, column, path and what was expected."""
+    from dataclasses import asdict
+
+    from flintshift.settings.operators import FaultsError, read
+    try:
+        told = read(file)
+    except FaultsError as error:
+        if as_json:
+            click.echo(json.dumps([asdict(fault) for fault in error.faults]))
+        else:
+            click.echo(str(error), err=True)
+            click.echo(f"{file}: {len(error.faults)} fault{'s' * (len(error.faults) != 1)}", err=True)
+        sys.exit(2)
+    if as_json:
+        click.echo("[]")
+    else:
+        on = [name for name in ("uwsgi", "log", "usage") if getattr(told, name) is not None]
+        click.echo(f"{file}: good; on: {', '.join(on) or 'nothing'}")
+
+
+@main.command(epilog=EXIT_CODES)
+@click.option("--seconds", type=click.FloatRange(0.5, 3600), default=5.0, show_default=True, help="Of traffic.")
+@click.option("--callers", type=click.IntRange(1, 500), default=8, show_default=True)
+@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), metavar="FOLDER",
+              help="Keep the node's files here; else they go at the end.")
+@click.option("--peers-only", is_flag=True, help="Start the stand-ins alone, at the embedded default's ports, until "
+              "Ctrl-C: for `flintshift run` in another terminal.")
+@click.option("--json", "as_json", is_flag=True, help="Print the result as JSON.")
+def demo(seconds: float, callers: int, keep: Path | None, peers_only: bool, as_json: bool) -> None:
+    """A node with stand-ins for pool, vault and name service and a little traffic, on loopback.
+
+    The node keeps a ledger of use; at the end what callers counted stands beside what it booked.
+    """
+    from flintshift.lab import demo as lab
+    if peers_only:
+        sys.exit(lab.peers_only(click.echo))
+    told = lab.run(seconds, callers, keep, partial(click.echo, err=True))
+    click.echo(json.dumps(told) if as_json else lab.shown(told))
+    sys.exit(0 if told["counted"] == told["booked"] and not told["in_doubt"] else 3)
+
+
+main.add_command(usage)
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 from flintshift.interface import Gauges, Outcome
 
@@ -51,6 +52,11 @@
     call_no: int = 0  # the notice that asked for the call it stands at
     payload: bytes = b""  # of that call
     over_ms: float = 0.0  # when it was answered or its caller went
+    run_ms: float = 0.0  # of its own run, once over
+    calls: int = 0  # it made below
+    kept: bool = False  # it gets the result of an earlier try
+    poorer: bool = False  # a call was left out
+    ticket: Any = None  # of whoever books it
 
     @property
     def over(self) -> bool:
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -21,7 +21,7 @@
 from flintshift.core.keys import KeyTable, fingerprint
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
-from flintshift.core.ports import Below, Posture, Workers
+from flintshift.core.ports import Below, Books, Posture, Workers
 from flintshift.interface import Effect, Outcome
 
 
@@ -43,6 +43,7 @@
         self.keyed = {kind.name for kind in settings.classes if kind.effect is Effect.KEYED}
         self.once = {kind.name for kind in settings.classes if kind.effect is not Effect.SAFE}
         self.skippable = {kind.name for kind in settings.classes if kind.skip_worth}
+        self.books: Books | None = None
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
         self.purged_ms = 0.0
@@ -54,6 +55,10 @@
         repeat, whose first try may have run, against a refusal: it has the spare room, or fails."""
         repeat = attempt.class_name in self.keyed and self.keys.find(attempt) is not None
         spare = 0 if repeat else self.limits.mailbox_spare
+        if self.books is not None and self.books.refusing and not repeat:
+            self.counters.add("refused.not_bookable")
+            self._settle(attempt, self._refusal())
+            return
         if not self.posture.up or not self.mailbox.offer(at.Submitted(attempt), spare):
             self.counters.add("full.mailbox" if self.posture.up else "full.not_up")
             self._settle(attempt, Answer(Verdict.FAILED) if repeat else self._refusal())
@@ -125,6 +130,7 @@
                 self.counters.add("replies_unsure")
                 if attempt.class_name in self.skippable and attempt.call_no == no and not attempt.over:
                     self._workers(attempt).go_on(attempt.id, no)
+                    attempt.poorer = True
                 return None
             case at.CallOver(_, outcome, took_ms, reply):
                 if not attempt.calling:  # given up meanwhile
@@ -157,6 +163,9 @@
 
     def _run_over(self, attempt: Attempt, report: at.RunOver) -> api.Event:
         attempt.running = False
+        attempt.run_ms += report.took_ms
+        if attempt.over and self.books is not None:
+            self.books.ran_on(attempt, report.took_ms)
         if attempt.calling:
             attempt.calling = False
             self.below.give_up(attempt.id)
@@ -214,6 +223,7 @@
                 self.closing.append(attempt)
             case api.Call(_, limit_ms):
                 attempt.calling = True
+                attempt.calls += 1
                 self.counters.add("called")
                 if not self.below.ask(
                         attempt.id, limit_ms, attempt.payload, attempt.class_name in self.once):
@@ -221,6 +231,7 @@
                     self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
             case api.SkipCall():
                 self.counters.add("skipped")
+                attempt.poorer = True
                 if not self._workers(attempt).go_on(attempt.id, attempt.call_no):
                     self.counters.add("dropped.pass")
             case api.Keep(_, for_ms):
@@ -236,6 +247,7 @@
     def _follow(self, attempt: Attempt) -> None:
         entry = self.keys.find(attempt)
         self.counters.add("repeats")
+        attempt.kept = True
         if entry is None:
             self.pending.append(at.RunOver(attempt.id, Outcome.ERROR))
         elif entry.outcome is not None:
--- a/flintshift/core/ports.py
+++ b/flintshift/core/ports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol
 
 from flintshift.core.attempts import Attempt
 from flintshift.interface import Gauges
@@ -28,6 +28,27 @@
     async def poll(self) -> Gauges | None: ...
 
 
+class Books(Protocol):
+    """Who books each request's use. It may hold an answer back until that is kept."""
+
+    @property
+    def refusing(self) -> bool: ...  # new work could not be booked, and is not to be taken
+    def hold(self, attempt: Attempt, front: str) -> None: ...  # before it is submitted
+    def delivered(self, attempt: Attempt, arrived: bool) -> None: ...  # its answer was written, or could not be
+    def departed(self, attempt: Attempt, front: str) -> None: ...  # its caller went before an answer
+    def ran_on(self, attempt: Attempt, took_ms: float) -> None: ...  # a run ended after the final answer
+
+
+class Log(Protocol):
+    """Writes a structured event; ``level`` is debug, info, warning or error."""
+
+    def __call__(self, level: str, event: str, **fields: Any) -> None: ...
+
+
+def silent(level: str, event: str, **fields: Any) -> None:
+    """The log that is off."""
+
+
 @dataclass(slots=True)
 class Posture:
     """What the fronts tell callers between answers; written by the decision planner alone."""
--- /dev/null
+++ b/flintshift/lab/rig.py
@@ -0,0 +1,103 @@
+"""A node as a process of its own among its stand-ins, for the demo, benchmarks and tests of the whole program."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from flintshift.lab.peers import Apps, Dns, Names, Peer, Pool, Vault
+from flintshift.settings.embedded import configuration
+
+
+def free_ports(count: int) -> list[int]:
+    holders = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [holder.getsockname()[1] for holder in holders]
+    for holder in holders:
+        holder.close()
+    return ports
+
+
+class Rig:
+    """``settings`` is the text of an operators' file without its uwsgi part; None: none is named. ``root`` is the
+    folder that the program is imported from, ``python`` the interpreter."""
+
+    def __init__(self, folder: Path, settings: str | None = None, uwsgi: bool = False, pool: Pool | None = None,
+                 root: Path | None = None, platform: dict[str, Any] | None = None) -> None:
+        self.folder, self.settings, self.uwsgi, self.root, self.platform = folder, settings, uwsgi, root, platform
+        self.pool, self.vault, self.names, self.apps = pool or Pool(), Vault(), Names(), Apps()
+        self.process: asyncio.subprocess.Process | None = None
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        return self.pool, self.vault, self.names, self.apps
+
+    async def __aenter__(self) -> Rig:
+        for peer in self.peers:
+            await peer.start()
+        self.dns = Dns(self.apps.port)
+        await self.dns.start()
+        await self.start()
+        return self
+
+    def command(self) -> list[str]:
+        """What starts the node, with its files written."""
+        http, desks = free_ports(2)
+        self.ports = {"http": http, "uwsgi": desks}
+        self.folder.mkdir(parents=True, exist_ok=True)
+        config = configuration("n1", {"listen": http, "pool": self.pool.port, "naming": self.names.port,
+                                      "vault": self.vault.port})
+        config["settings"] |= self.platform or {}
+        (self.folder / "config.json").write_text(json.dumps(config))
+        command = [sys.executable, "-m", "flintshift"]
+        if self.settings is not None or self.uwsgi:
+            text = self.settings or ""
+            if self.uwsgi:
+                text += (f"\nuwsgi:\n  enabled: true\n  listen: 127.0.0.1:{desks}\n"
+                         f"  resolver: 127.0.0.1:{self.dns.port}\n")
+            (self.folder / "flintshift.yaml").write_text(text)
+            command += ["--settings", str(self.folder / "flintshift.yaml")]
+        return command
+
+    async def start(self, stderr: int | None = None) -> asyncio.subprocess.Process:
+        """Start the node, after a kill too; returns once it serves."""
+        self.names.serving.clear()
+        self.dns.browsed.clear()
+        process = self.process = await asyncio.create_subprocess_exec(
+            *self.command(), cwd=self.root or Path.cwd(), stderr=stderr,
+            env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")})
+        serving = asyncio.ensure_future(self.names.serving.wait())
+        gone = asyncio.ensure_future(process.wait())
+        try:
+            await asyncio.wait({serving, gone}, return_when=asyncio.FIRST_COMPLETED, timeout=20)
+            if not serving.done():
+                raise RuntimeError(f"the node did not serve (exit code {process.returncode})")
+            if self.uwsgi:
+                await asyncio.wait_for(self.dns.browsed.wait(), 10)
+        finally:
+            serving.cancel()
+            gone.cancel()
+        return process
+
+    async def kill(self) -> None:
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    async def leave(self) -> int:
+        """The notice to leave, and the exit code."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), 10)
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.kill()
+        for peer in self.peers:
+            await peer.stop()
+        self.dns.transport.close()
--- /dev/null
+++ b/flintshift/lifecycle/books.py
@@ -0,0 +1,105 @@
+"""The ledger at the node's side: what a request's answer is booked as. Imported only where the ledger is on."""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from functools import partial
+
+from flintshift import interface as api
+from flintshift.core.attempts import Answer, Attempt, Verdict
+from flintshift.core.ports import Log
+from flintshift.settings.options import UsageOptions
+from flintshift.storage.files import DiskFiles, Files, LockedError
+from flintshift.storage.snapshot import DamagedError
+from flintshift.usage.folder import LedgerFolder
+from flintshift.usage.ledger import Ledger
+from flintshift.usage.periods import LedgerClock
+from flintshift.usage.records import AGAIN, FINAL, FRONTS, GONE, KEPT, OUTCOMES, row_number
+
+SERVED, POORER, REFUSED, FAILED = (OUTCOMES.index(word) for word in ("served", "poorer", "refused", "failed"))
+WORDS = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED, Verdict.CONFLICT: FAILED}
+
+
+class Books:
+    """Makes a claim of each final answer, and a mark once it was written."""
+
+    def __init__(self, ledger: Ledger, settings: api.Settings) -> None:
+        self.ledger = ledger
+        clubs = [tenant.name for tenant in settings.tenants]
+        self.bases = {  # the number of a row's first outcome
+            (club, kind.name, front): row_number(place, class_, len(settings.classes), number, 0)
+            for place, club in enumerate((*clubs, None))
+            for class_, kind in enumerate(settings.classes)
+            for number, front in enumerate(FRONTS)}
+
+    @property
+    def refusing(self) -> bool:
+        return self.ledger.refusing
+
+    def _row(self, attempt: Attempt, front: str) -> int:
+        base = self.bases.get((attempt.tenant, attempt.class_name, front))
+        return self.bases[None, attempt.class_name, front] if base is None else base
+
+    def hold(self, attempt: Attempt, front: str) -> None:
+        attempt.tell = partial(self._told, attempt, front, attempt.tell)
+
+    def _told(self, attempt: Attempt, front: str, tell: Callable[[Answer], None], answer: Answer) -> None:
+        if attempt.ticket is not None:  # its caller went, and that was booked first
+            return
+        outcome = POORER if attempt.poorer and answer.verdict is Verdict.SERVED else WORDS[answer.verdict]
+        attempt.ticket = self.ledger.claim(
+            bytes.fromhex(attempt.id), self._row(attempt, front) + outcome,
+            (AGAIN if attempt.again else 0) | (KEPT if attempt.kept else 0), int(attempt.run_ms * 1000),
+            attempt.calls, len(attempt.body), len(answer.body), partial(tell, answer))
+
+    def delivered(self, attempt: Attempt, arrived: bool) -> None:
+        if attempt.ticket is not None:
+            self.ledger.mark(attempt.ticket, arrived)
+
+    def departed(self, attempt: Attempt, front: str) -> None:
+        if attempt.ticket is not None:  # its answer was on its way
+            self.ledger.mark(attempt.ticket, False)
+            return
+        attempt.ticket = self.ledger.claim(
+            bytes.fromhex(attempt.id), self._row(attempt, front) + GONE,
+            FINAL | (AGAIN if attempt.again else 0) | (KEPT if attempt.kept else 0), int(attempt.run_ms * 1000),
+            attempt.calls, len(attempt.body), 0, None)
+
+    def ran_on(self, attempt: Attempt, took_ms: float) -> None:
+        if attempt.ticket is not None and took_ms > 0:
+            self.ledger.add_late(attempt.ticket, int(took_ms * 1000), 0)
+
+
+def open_ledger(name: str, settings: api.Settings, options: UsageOptions, log: Log,
+                files: Files | None = None) -> Ledger:
+    """The ledger on its folder, recovered.
+
+    Raises:
+        OSError, LockedError, DamagedError: the folder can't be used; the text says why.
+    """
+    files = files or DiskFiles()
+    folder = LedgerFolder(files, options.folder)
+    try:
+        found, last_ms = folder.found, folder.book.state.last_ms
+        now = time.time() * 1000
+        clock = LedgerClock(now, time.monotonic() * 1000, last_ms)
+        folder.open(name, os.urandom(16), options.period_ms, [tenant.name for tenant in settings.tenants],
+                    [kind.name for kind in settings.classes], int(max(now, last_ms)))
+    except BaseException:
+        folder.close()
+        raise
+    for warning in found.warnings:
+        log("warning", "usage.recovery", text=warning)
+    log("info", "usage.opened", folder=str(options.folder), epoch=folder.log.epoch, records=found.records,
+        from_snapshot=found.from_snapshot, torn_bytes=found.torn, in_doubt=found.in_doubt)
+    sinks = []
+    if options.export is not None:
+        sinks = [name for name, sink in (("folder", options.export.folder), ("http", options.export.http)) if sink]
+    return Ledger(folder, options.grace_ms, options.durability, options.sync_ms,
+                  options.on_disk_failure == "refuse", options.segment_bytes, options.retention_ms, sinks, clock,
+                  lambda: time.time() * 1000, lambda: time.monotonic() * 1000, log)
+
+
+UNUSABLE = (OSError, LockedError, DamagedError)
--- a/flintshift/lifecycle/config.py
+++ b/flintshift/lifecycle/config.py
@@ -49,6 +49,12 @@
     return made(told, path, operators(operators_file))
 
 
+def embedded(operators_file: Path | None = None) -> Config:
+    """The embedded default, for a node on one machine among the stand-ins of ``lab/``."""
+    from flintshift.settings.embedded import configuration
+    return made(configuration(), "the embedded default", operators(operators_file))
+
+
 def made(told: Any, path: str, operators: Operators) -> Config:
     """A configuration of the platform's form, as JSON read it; ``path`` is for the words of faults."""
     try:
--- /dev/null
+++ b/flintshift/lifecycle/exports.py
@@ -0,0 +1,49 @@
+"""The wiring of the exporter, in the node and on its own; imported only where there is something to export to."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from flintshift.core.ports import Log
+from flintshift.settings.options import ExportOptions, UsageOptions
+from flintshift.storage.files import DiskFiles, Files
+from flintshift.storage.snapshot import DamagedError
+from flintshift.usage.export import Pace
+from flintshift.usage.exporting import ExportRun
+from flintshift.usage.ledger import Ledger
+from flintshift.usage.sinks import FolderSink, HttpSink, Sink
+
+
+def sinks_of(options: ExportOptions, files: Files) -> dict[str, Sink]:
+    sinks: dict[str, Sink] = {}
+    if options.folder is not None:
+        sinks["folder"] = FolderSink(files, options.folder)
+    if options.http is not None:
+        sinks["http"] = HttpSink(options.http.url, options.http.timeout_ms)
+    return sinks
+
+
+def export_run(usage: UsageOptions, options: ExportOptions, log: Log, until_done: bool,
+               files: Files | None = None) -> ExportRun:
+    files = files or DiskFiles()
+    pace = Pace(options.backoff_ms, options.backoff_most_ms, options.attempts_per_hour)
+    return ExportRun(files, usage.folder, sinks_of(options, files), pace, random.SystemRandom().random,
+                     lambda: time.monotonic() * 1000, log, until_done)
+
+
+def open_export(ledger: Ledger, usage: UsageOptions, log: Log) -> Callable[[], Coroutine[Any, Any, None]]:
+    """The exporter as an actor of the node. What stops it stops no request: it is told, and the node goes on."""
+    assert usage.export is not None
+    export = export_run(usage, usage.export, log, False, ledger.folder.files)
+    ledger.changed = export.look
+
+    async def run() -> None:
+        try:
+            await export.run()
+        except* (OSError, DamagedError) as errors:
+            log("error", "export.stopped", cause="; ".join(map(str, errors.exceptions)))
+
+    return run
--- /dev/null
+++ b/flintshift/lifecycle/logs.py
@@ -0,0 +1,57 @@
+"""Structured logging: one event a line on standard error, as JSON or as text. Imported only where it is on."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Callable, MutableMapping
+from typing import Any
+
+import structlog
+
+from flintshift.core.ports import Log
+from flintshift.settings.options import LogOptions
+
+LEVELS = ("debug", "info", "warning", "error")
+MOST_KNOWN = 1000  # kinds of events whose repeats are counted
+
+
+class Repeats:
+    """Lets an event through at most once in ``every_ms``; the next one tells how many were left out. Requests are
+    no repeats of each other: what tells events apart is their name with the fields that are words."""
+
+    def __init__(self, every_ms: float, now_ms: Callable[[], float]) -> None:
+        self.every_ms, self.now_ms = every_ms, now_ms
+        self.known: dict[tuple[str, ...], tuple[float, int]] = {}  # when it was last written, and how many since
+
+    def __call__(self, logger: object, method: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+        if not self.every_ms:
+            return event
+        key = (str(event["event"]), str(event.get("request", "")), str(event.get("name", "")))
+        now, (last, left_out) = self.now_ms(), self.known.pop(key, (-self.every_ms, 0))
+        if now - last < self.every_ms:
+            self.known[key] = last, left_out + 1
+            raise structlog.DropEvent
+        if len(self.known) >= MOST_KNOWN:  # the one that was met longest ago goes
+            del self.known[next(iter(self.known))]
+        self.known[key] = now, 0
+        if left_out:
+            event["left_out"] = left_out
+        return event
+
+
+def open_log(options: LogOptions, node: str, sink: Any = None) -> tuple[Log, bool]:
+    """The log, and whether it takes events of single requests."""
+    show = (structlog.processors.JSONRenderer() if options.format == "json"
+            else structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "node", "event"]))
+    logger = structlog.wrap_logger(
+        structlog.PrintLogger(sink or sys.stderr),
+        processors=[
+            structlog.processors.add_log_level, structlog.processors.TimeStamper("iso", utc=True),
+            Repeats(options.repeats_ms, lambda: time.monotonic() * 1000), show],
+        wrapper_class=structlog.make_filtering_bound_logger(options.level), node=node)
+
+    def log(level: str, event: str, **fields: Any) -> None:
+        getattr(logger, level)(event, **fields)
+
+    return log, options.level == "debug"
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -6,7 +6,7 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import Listener, SocketStream
@@ -16,7 +16,9 @@
 from flintshift.core.decisions import Decisions
 from flintshift.core.gauges import GaugePlanner
 from flintshift.core.listing import Listed, Listing
+from flintshift.core.ports import Log, silent
 from flintshift.lifecycle.config import Config, ConfigError
+from flintshift.settings.options import UsageOptions
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
@@ -24,6 +26,9 @@
 from flintshift.wire.pool import PoolLink
 from flintshift.wire.vault import VaultLink
 
+if TYPE_CHECKING:
+    from flintshift.usage.ledger import Ledger
+
 
 class Clock:
     """Unix milliseconds that never go back, however the system's clock is set."""
@@ -59,8 +64,33 @@
         if config.operators.uwsgi is not None:
             from flintshift.lifecycle.second_front import add_second_front
             add_second_front(self, config.operators.uwsgi, fields, lists)
+        self.log: Log = silent
+        requests_too = False
+        if config.operators.log is not None:
+            from flintshift.lifecycle.logs import open_log
+            self.log, requests_too = open_log(config.operators.log, config.name)
+        self.ledger: Ledger | None = None
+        if config.operators.usage is not None:
+            self._keep_books(config.operators.usage)
+        for front, _ in self.fronts:
+            front.log = self.log if requests_too else None
         self.listing = Listing(lists, limits)
 
+    def _keep_books(self, options: UsageOptions) -> None:
+        from flintshift.lifecycle.books import UNUSABLE, Books, open_ledger
+        try:
+            self.ledger = open_ledger(self.config.name, self.config.settings, options, self.log)
+        except UNUSABLE as error:
+            raise ConfigError(f"the ledger of use can't be opened: {error}") from error
+        books = Books(self.ledger, self.config.settings)
+        self.decisions.books = books
+        for front, _ in self.fronts:
+            front.books = books
+        self.actors.append(self.ledger.run)
+        if options.export is not None:
+            from flintshift.lifecycle.exports import open_export
+            self.actors.append(open_export(self.ledger, options, self.log))
+
     async def run(self) -> None:
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
         with anyio.open_signal_receiver(*told) as signals:
@@ -73,11 +103,16 @@
                 for (front, _), listener in zip(self.fronts, listeners, strict=True):
                     tasks.start_soon(front.serve, listener, tasks)
                     tasks.start_soon(front.sweep)
+                self.log("info", "node.listening", listen=[f"{host}:{port}" for _, (host, port) in self.fronts])
                 leave = anyio.Event()
                 tasks.start_soon(self._heed, signals, leave)
                 await leave.wait()
+                self.log("info", "node.leaving", stop_ms=self.limits.stop_ms)
                 await self._drain()
                 tasks.cancel_scope.cancel()
+            if self.ledger is not None:
+                await self.ledger.close()
+            self.log("info", "node.left", open=self._open())
             # Nothing is left to move: a word of a new configuration must not end the process at its exit.
             signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
@@ -97,9 +132,11 @@
             config = self.reread()
         except ConfigError as error:
             print(f"flintshift: the configuration stays: {error}", file=sys.stderr, flush=True)
+            self.log("error", "node.configuration_stays", cause=str(error))
             self.counters.add("reload.unreadable")
             return
         self.counters.add("reload.taken")
+        self.log("info", "node.configuration_taken")
         if config.pool != self.pool.to:
             self.pool.move(config.pool)
         self.vault.move(config.vault)
--- /dev/null
+++ b/flintshift/lifecycle/start.py
@@ -0,0 +1,35 @@
+"""Starts a node and turns its end into an exit code: 0 after a drain, 1 cannot start, 2 a bad configuration."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import sys
+from collections.abc import Callable
+
+import anyio
+
+from flintshift.lifecycle.config import Config, ConfigError
+from flintshift.lifecycle.node import Node
+
+
+async def serve(reread: Callable[[], Config]) -> None:
+    node = Node(reread(), reread)
+    gc.freeze()  # what stands after the start is not looked through again
+    gc.set_threshold(20_000, 10, 10)  # requests leave little behind that is in cycles
+    await node.run()
+    node.print_counters()
+
+
+def start(reread: Callable[[], Config]) -> int:
+    """Run a node until it is told to leave; ``reread`` gives its configuration, now and on SIGHUP."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node heeds it: it must not end the process
+    try:
+        anyio.run(serve, reread, backend_options={"use_uvloop": True})
+    except ConfigError as error:
+        print(f"flintshift: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"flintshift: cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/flintshift/storage/files.py
@@ -0,0 +1,124 @@
+"""The one seam to the disk. All that is kept goes through ``Files``, which tests replace by a file system that
+loses, tears and refuses (``tests/storage/sim_files.py``).
+
+Every method raises OSError as the system does. What was appended survives the death of the process at once, and
+the death of the system after ``sync``; a name that was made or changed survives it after ``sync_folder``.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+
+class LockedError(Exception):
+    """Another process works in the folder."""
+
+
+class File(Protocol):
+    """A file that grows at its end."""
+
+    def append(self, data: bytes) -> None: ...  # after an OSError a part of it may stand there
+    def sync(self) -> None: ...
+    def close(self) -> None: ...
+
+
+class Lock(Protocol):
+    def close(self) -> None: ...
+
+
+class Files(Protocol):
+    def make_folder(self, path: Path) -> None: ...
+    def names(self, folder: Path) -> list[str]: ...  # sorted; empty where there is no such folder
+    def read(self, path: Path) -> bytes: ...
+    def age_ms(self, path: Path, now_ms: float) -> float: ...  # since it was last written
+    def create(self, path: Path) -> File: ...  # FileExistsError where there is one
+    def extend(self, path: Path) -> File: ...
+    def truncate(self, path: Path, size: int) -> None: ...
+    def rename(self, path: Path, to: Path) -> None: ...  # replaces what is there, atomically
+    def link(self, path: Path, to: Path) -> None: ...  # FileExistsError where something is there
+    def remove(self, path: Path) -> None: ...
+    def sync_folder(self, folder: Path) -> None: ...
+    def lock(self, path: Path) -> Lock: ...  # held until closed or the process ends
+
+
+class DiskFile:
+    def __init__(self, path: Path, flags: int) -> None:
+        self.fd = os.open(path, flags | os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC, 0o640)
+
+    def append(self, data: bytes) -> None:
+        written = os.write(self.fd, data)
+        while written < len(data):  # a disk that fills up takes a part first
+            written += os.write(self.fd, data[written:])
+
+    def sync(self) -> None:
+        os.fdatasync(self.fd)
+
+    def close(self) -> None:
+        fd, self.fd = self.fd, -1
+        if fd >= 0:
+            os.close(fd)
+
+
+class DiskFiles:
+    """The real disk."""
+
+    def make_folder(self, path: Path) -> None:
+        path.mkdir(parents=True, exist_ok=True)
+
+    def names(self, folder: Path) -> list[str]:
+        try:
+            return sorted(os.listdir(folder))
+        except FileNotFoundError:
+            return []
+
+    def read(self, path: Path) -> bytes:
+        return path.read_bytes()
+
+    def age_ms(self, path: Path, now_ms: float) -> float:
+        return now_ms - path.stat().st_mtime * 1000
+
+    def create(self, path: Path) -> DiskFile:
+        return DiskFile(path, os.O_CREAT | os.O_EXCL)
+
+    def extend(self, path: Path) -> DiskFile:
+        return DiskFile(path, 0)
+
+    def truncate(self, path: Path, size: int) -> None:
+        fd = os.open(path, os.O_WRONLY | os.O_CLOEXEC)
+        try:
+            os.ftruncate(fd, size)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    def rename(self, path: Path, to: Path) -> None:
+        os.replace(path, to)
+
+    def link(self, path: Path, to: Path) -> None:
+        os.link(path, to)
+
+    def remove(self, path: Path) -> None:
+        path.unlink()
+
+    def sync_folder(self, folder: Path) -> None:
+        fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+    def lock(self, path: Path) -> DiskFile:
+        """The system's advisory lock (flock): it goes with the process, however that ends."""
+        held = DiskFile(path, os.O_CREAT)
+        try:
+            fcntl.flock(held.fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            held.close()
+            raise LockedError(f"{path.parent}: another process works in this folder") from None
+        except OSError:
+            held.close()
+            raise
+        return held
--- /dev/null
+++ b/flintshift/storage/log.py
@@ -0,0 +1,198 @@
+"""An append-only log in segments.
+
+A segment is a file named by the sequence of its first record, sixteen hex digits, with a head of its own (magic,
+format version, feature bits, checksum) and frames after it. Sequences have no gap, within a segment and from one
+to the next; epochs never fall. ``recover`` cuts a torn tail of the last segment and stops at anything else that
+is not as it was written: a frame is dropped only where a cut explains it.
+
+Nothing here decides when to sync or to begin a segment: the owner does, by ``size`` and its own clock.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+
+from google_crc32c import value as crc32c
+
+from flintshift.storage import frames
+from flintshift.storage.files import File, Files
+from flintshift.storage.frames import Damage, Record, Torn
+from flintshift.storage.snapshot import DamagedError
+
+MAGIC, VERSION, FEATURES = b"FSLG", 1, 0
+SEGMENT = struct.Struct("<4sHHI")  # magic, version, feature bits, CRC32C of these
+ENDING = ".log"
+
+
+class BrokenError(Exception):
+    """A write or a sync failed before: what stands in the segment is unknown until a new one is begun."""
+
+
+def segment_name(first: int) -> str:
+    return f"{first:016x}{ENDING}"
+
+
+def segment_head(version: int = VERSION, features: int = FEATURES) -> bytes:
+    told = SEGMENT.pack(MAGIC, version, features, 0)[:-4]
+    return told + int(crc32c(told)).to_bytes(4, "little")
+
+
+def segments(files: Files, folder: Path) -> list[tuple[int, str]]:
+    """First sequence and name of each, in order; other names in the folder are not touched."""
+    found = []
+    for name in files.names(folder):
+        stem, ending = name[:-len(ENDING)], name[-len(ENDING):]
+        if ending == ENDING and len(stem) == 16:
+            try:
+                found.append((int(stem, 16), name))
+            except ValueError:
+                continue
+    return sorted(found)
+
+
+def check_head(path: Path, data: bytes) -> None:
+    magic, version, features, check = SEGMENT.unpack_from(data)
+    if magic != MAGIC or crc32c(data[:SEGMENT.size - 4]) != check:
+        raise DamagedError(f"{path}: is damaged: no head of a segment at offset 0")
+    if version != VERSION or features & ~FEATURES:
+        raise DamagedError(f"{path}: is of format {version} with features {features:#x}; "
+                           f"this program reads format {VERSION} with features up to {FEATURES:#x}")
+
+
+@dataclass(slots=True)
+class Reach:
+    """How far a log was read."""
+
+    following: int  # the sequence after the last record
+    epoch: int
+    segment: int | None = None  # the first sequence of the last segment
+    size: int = 0  # of that segment, as far as it is whole
+    torn: int = 0  # bytes after that
+
+
+def records(files: Files, folder: Path, first: int, reach: Reach) -> Iterator[Record]:
+    """The records from a sequence on which a segment begins; ``reach`` tells at the end how far they went. The
+    files are not changed, so a log that another process writes can be read too.
+
+    Raises:
+        DamagedError: something is not as it was written, or is missing.
+    """
+    listed = [(start, name) for start, name in segments(files, folder) if start >= first]
+    for place, (start, name) in enumerate(listed):
+        path, last = folder / name, place == len(listed) - 1
+        if start != reach.following:
+            raise DamagedError(f"{folder}: records {reach.following} to {start - 1} are missing before {name}")
+        data = files.read(path)
+        reach.segment, reach.size, reach.torn = start, 0, len(data)
+        if len(data) < SEGMENT.size or not any(data):
+            if not last:
+                raise DamagedError(f"{path}: is damaged: cut at offset {len(data)}, yet more segments follow")
+            return
+        check_head(path, data)
+        reach.size = SEGMENT.size
+        for found in frames.unpack(data, SEGMENT.size):
+            if type(found) is Record:
+                if found.sequence != reach.following or found.epoch < reach.epoch:
+                    raise DamagedError(f"{path}: is damaged: record {found.sequence} of epoch {found.epoch} "
+                                       f"stands where {reach.following} is due, offset {reach.size}")
+                reach.following += 1
+                reach.epoch = found.epoch
+                reach.size += frames.OVERHEAD + len(found.payload)
+                yield found
+            elif isinstance(found, Damage):
+                raise DamagedError(f"{path}: is damaged: offset {found.offset}: {found.text}")
+            elif isinstance(found, Torn) and not last:
+                raise DamagedError(f"{path}: is damaged: cut at offset {found.offset}, yet more segments follow")
+        reach.torn = len(data) - reach.size
+
+
+class Log:
+    """The end of a log that this process writes; made by ``recover`` or ``begin``."""
+
+    def __init__(self, files: Files, folder: Path, epoch: int, following: int) -> None:
+        self.files, self.folder, self.epoch, self.following = files, folder, epoch, following
+        self.size = 0  # of the segment in use
+        self.file: File | None = None
+        self.broken = False
+
+    def resume(self, reach: Reach) -> None:
+        """Go on at the end of what was read, with its torn tail cut; a new segment where there is none."""
+        if reach.segment is None or reach.size == 0:
+            if reach.segment is not None:  # its head was never written whole: nothing is in it
+                self.files.remove(self.folder / segment_name(reach.segment))
+            self.begin()
+            return
+        path = self.folder / segment_name(reach.segment)
+        if reach.torn:
+            self.files.truncate(path, reach.size)
+        self.file, self.size, self.broken = self.files.extend(path), reach.size, False
+
+    def begin(self) -> None:
+        """Begin a new segment. The one before is synced first, unless it is broken: then all of it must stand in a
+        snapshot that is durable."""
+        path = self.folder / segment_name(self.following)
+        if self.file is not None:
+            old, self.file = self.file, None
+            try:
+                if not self.broken:  # a segment is whole on the disk before another follows it
+                    old.sync()
+            finally:
+                old.close()
+        if path.name in self.files.names(self.folder):  # nothing that counts can be in it: it would be in use
+            self.files.remove(path)
+        file = self.files.create(path)
+        self.broken = True  # until its head and its name stand
+        try:
+            file.append(segment_head())
+            file.sync()
+            self.files.sync_folder(self.folder)
+        except OSError:
+            file.close()
+            raise
+        self.file, self.size, self.broken = file, SEGMENT.size, False
+
+    def append(self, items: list[tuple[int, bytes]]) -> int:
+        """Write records of (kind, payload) by one call of the system; returns the sequence of the first. They
+        survive the death of the process from then on.
+
+        Raises:
+            OSError: the disk refused; a part may stand there, and nothing more can be written until ``begin``.
+            BrokenError: that happened before.
+        """
+        if self.broken or self.file is None:
+            raise BrokenError(f"{self.folder}: a write or a sync failed before")
+        first, epoch, pack = self.following, self.epoch, frames.pack
+        data = b"".join([pack(first + place, epoch, kind, payload)
+                         for place, (kind, payload) in enumerate(items)])
+        try:
+            self.file.append(data)
+        except OSError:
+            self.broken = True
+            raise
+        self.following += len(items)
+        self.size += len(data)
+        return first
+
+    def sync(self) -> None:
+        """All that was appended before the call survives the death of the system. May be called by another
+        thread while this one appends.
+
+        Raises:
+            OSError: it failed: what was written since the last sync is unknown.
+        """
+        file = self.file
+        if self.broken or file is None:
+            raise BrokenError(f"{self.folder}: a write or a sync failed before")
+        try:
+            file.sync()
+        except OSError:
+            self.broken = True
+            raise
+
+    def close(self) -> None:
+        if self.file is not None:
+            self.file.close()
+            self.file = None
--- /dev/null
+++ b/flintshift/usage/folder.py
@@ -0,0 +1,217 @@
+"""The ledger's folder: log, snapshots and documents on disk, and what recovery makes of them.
+
+==================  =============================================================================
+``LOCK``            held by the process that writes here
+``log/``            segments (``storage/log.py``)
+``snapshots/``      the book as it was when a segment began, named by the last sequence in it
+``documents/``      closed periods and revisions, each written once
+``acks/SINK/``      a file for each document that the sink has acknowledged, with its digest
+``inbox/``          corrections handed in while a node runs; ``replies/`` what became of them
+==================  =============================================================================
+
+No rule stands here: what is written is decided by the keeper, what it adds up to by the book.
+"""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from flintshift.proto import usage_pb2 as pb
+from flintshift.storage import snapshot
+from flintshift.storage.files import Files, Lock
+from flintshift.storage.log import BrokenError, Log, Reach, records, segments
+from flintshift.storage.snapshot import DamagedError
+from flintshift.usage import documents
+from flintshift.usage.book import Book, Bounds, Document
+from flintshift.usage.records import SNAPSHOT_KIND, Entry, Opened, pack, unpack
+
+ENDING = ".snapshot"
+
+
+@dataclass(slots=True)
+class Recovered:
+    """What a start found."""
+
+    records: int = 0  # replayed
+    from_snapshot: int = 0  # the last sequence in it; 0: there was none
+    torn: int = 0  # bytes cut from the tail
+    in_doubt: int = 0
+    warnings: list[str] = field(default_factory=list)
+
+
+def snapshot_name(sequence: int) -> str:
+    return f"{sequence:016x}{ENDING}"
+
+
+def snapshots(files: Files, folder: Path) -> list[int]:
+    return sorted((int(name[:16], 16) for name in files.names(folder / "snapshots")
+                   if name.endswith(ENDING) and len(name) == 16 + len(ENDING)), reverse=True)
+
+
+def load(files: Files, folder: Path, bounds: Bounds | None = None) -> tuple[Book, Reach, Recovered]:
+    """The book as the folder holds it. Nothing is changed, so a folder in use can be read too.
+
+    Raises:
+        DamagedError: something that was written whole is not as it was.
+    """
+    book, found = Book(bounds or Bounds()), Recovered()
+    for sequence in snapshots(files, folder):
+        path = folder / "snapshots" / snapshot_name(sequence)
+        try:
+            record = snapshot.opened(path, files.read(path), SNAPSHOT_KIND)
+            book = Book.load(record.payload, bounds)
+        except (DamagedError, ValueError) as error:
+            found.warnings.append(f"{error}; an older one is used")
+            continue
+        found.from_snapshot = sequence
+        break
+    else:
+        if found.warnings:
+            raise DamagedError(f"{folder}: no snapshot can be used: {'; '.join(found.warnings)}")
+    reach = Reach(book.state.sequence + 1, book.state.epoch)
+    apply = book.apply
+    for record in records(files, folder / "log", reach.following, reach):
+        try:
+            entry = unpack(record.kind, record.payload)
+        except ValueError as error:
+            raise DamagedError(f"{folder}: record {record.sequence} can't be used: {error}") from error
+        apply(record.sequence, record.epoch, entry)
+        found.records += 1
+    if reach.following == 1 and any(name.endswith(documents.ENDING) for name in files.names(folder / "documents")):
+        raise DamagedError(f"{folder}: documents stand, but the log and the snapshots are gone")
+    found.torn = reach.torn
+    return book, reach, found
+
+
+class LedgerFolder:
+    """The folder as the one process that writes in it holds it."""
+
+    def __init__(self, files: Files, folder: Path, bounds: Bounds | None = None) -> None:
+        self.files, self.folder = files, folder
+        for name in ("", "log", "snapshots", "documents", "inbox", "replies", "acks"):
+            files.make_folder(folder / name)
+        self.lock: Lock = files.lock(folder / "LOCK")
+        try:
+            for name in ("", "snapshots", "documents"):
+                snapshot.sweep(files, folder / name)
+            self.book, self.reach, self.found = load(files, folder, bounds)
+            self.found.in_doubt = len(self.book.state.waiting)
+            self.log = Log(files, folder / "log", self.reach.epoch + 1, self.reach.following)
+            self.log.resume(self.reach)
+        except BaseException:
+            self.lock.close()
+            raise
+
+    def open(self, node: str, drawn: bytes, period_ms: int, clubs: list[str], classes: list[str],
+             now_ms: int) -> None:
+        """Begin a life: what was on its way in the one before is in doubt from here on."""
+        life = self.book.state.life or drawn
+        self.append([Opened(node, life, period_ms, clubs, classes, now_ms)])
+        self.log.sync()
+
+    def append(self, entries: list[Entry]) -> None:
+        """Write records, then apply them.
+
+        Raises:
+            OSError, BrokenError: the disk refused; nothing was applied.
+        """
+        first = self.log.append([pack(entry) for entry in entries])
+        self.apply(first, entries)
+
+    def apply(self, first: int, entries: list[Entry]) -> None:
+        for place, entry in enumerate(entries):
+            self.book.apply(first + place, self.log.epoch, entry)
+
+    def snapshot_now(self) -> bytes:
+        state = self.book.state
+        return snapshot.sealed(SNAPSHOT_KIND, self.log.epoch, state.sequence, self.book.dump())
+
+    def write_snapshot(self, sequence: int, data: bytes) -> None:
+        snapshot.publish(self.files, self.folder / "snapshots" / snapshot_name(sequence), data)
+
+    def write_documents(self, made: list[Document]) -> int:
+        """Publish documents in files of their own; returns the number of the last."""
+        for document in made:
+            snapshot.publish(self.files, self.folder / "documents" / document.name, document.data)
+        return made[-1].number
+
+    def close(self) -> None:
+        try:
+            if not self.log.broken and self.log.file is not None:
+                self.log.sync()
+        except (OSError, BrokenError):
+            pass  # what is lost by it is in doubt at the next start
+        finally:
+            self.log.close()
+            self.lock.close()
+
+
+def read_documents(files: Files, folder: Path, name_part: str = "") -> dict[str, pb.UsageDocument]:
+    """The documents that stand, by name, in the order in which they were made.
+
+    Raises:
+        DamagedError: one can't be read.
+    """
+    found = {}
+    for name in files.names(folder / "documents"):
+        if documents.NAME.fullmatch(name) and name_part in name:
+            path = folder / "documents" / name
+            try:
+                found[name] = documents.read(files.read(path))
+            except documents.DocumentError as error:
+                raise DamagedError(f"{path}: {error}") from error
+    return dict(sorted(found.items(), key=lambda pair: pair[1].number))
+
+
+def unacknowledged(files: Files, folder: Path, sinks: list[str]) -> dict[str, list[str]]:
+    """For each sink the names of the documents that it has not acknowledged."""
+    standing = [name for name in files.names(folder / "documents") if documents.NAME.fullmatch(name)]
+    left = {}
+    for sink in sinks:
+        taken = set(files.names(folder / "acks" / sink))
+        left[sink] = [name for name in standing if name not in taken]
+    return left
+
+
+def retire(files: Files, folder: Path, sinks: list[str], retention_ms: float, now_ms: float) -> tuple[list[str], int]:
+    """Remove what every sink has and what is older than the retention: documents with their acknowledgements, then
+    segments and snapshots that no recovery needs and that cover no document still to be exported. Without a sink
+    all documents stay.
+
+    Returns the names that went, and the begin of the first period that still has a document (0: unknown).
+    """
+    gone: list[str] = []
+    if not sinks:
+        return gone, 0
+    left = {name for names in unacknowledged(files, folder, sinks).values() for name in names}
+    first_needed: int | None = None
+    kept_from = 0
+    for name, document in read_documents(files, folder).items():
+        path = folder / "documents" / name
+        if name not in left and files.age_ms(path, now_ms) >= retention_ms:
+            files.remove(path)
+            for sink in sinks:
+                files.remove(folder / "acks" / sink / name)
+            gone.append(name)
+        else:
+            kept_from = min(kept_from or document.period_ms, document.period_ms)
+            if name in left:
+                first_needed = min(first_needed or document.first_sequence, document.first_sequence)
+    known = snapshots(files, folder)
+    for sequence in known[2:]:
+        name = snapshot_name(sequence)
+        files.remove(folder / "snapshots" / name)
+        gone.append(name)
+    if len(known) < 2:
+        return gone, kept_from
+    listed = segments(files, folder / "log")
+    for (_, name), (following, _) in itertools.pairwise(listed):
+        needed = following > known[1] + 1 or (first_needed is not None and following > first_needed)
+        if needed or files.age_ms(folder / "log" / name, now_ms) < retention_ms:
+            break
+        files.remove(folder / "log" / name)
+        gone.append(name)
+    return gone, kept_from
+
--- /dev/null
+++ b/flintshift/usage/keeper.py
@@ -0,0 +1,132 @@
+"""The keeper: decides which records the ledger writes. Without I/O; time is handed in, the book is read, not changed.
+
+- A period turns when the ledger's time leaves it, and never to one that has closed.
+- It closes once, in the order of time, a grace after its end, when no answer of it is on its way any more: a front
+  writes no answer for longer than ``Limits.write_ms``, so this ends.
+- A change of the length takes effect at the end of the period that is open then; the next one is cut to its grid.
+- A correction is taken once. It changes an open period's rows, and makes a revision of a closed one.
+"""
+
+from __future__ import annotations
+
+import re
+
+from flintshift.usage.book import Book, content_of, joined
+from flintshift.usage.periods import period_of
+from flintshift.usage.records import (
+    AMOUNTS,
+    FRONTS,
+    OTHER,
+    OUTCOMES,
+    Closed,
+    Corrected,
+    Forgotten,
+    Gap,
+    Published,
+    Stepped,
+    Turned,
+)
+from flintshift.usage.vocabulary import (
+    Append,
+    ClockMoved,
+    CorrectionAsked,
+    DiskBack,
+    DocumentsStand,
+    KeeperAction,
+    KeeperEvent,
+    Reply,
+    Retired,
+    Tick,
+)
+
+MOST = 2**63 - 1
+IDENTIFIER = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+
+class Keeper:
+    def __init__(self, book: Book, grace_ms: int) -> None:
+        self.book, self.grace_ms = book, grace_ms
+
+    def handle(self, now_ms: float, event: KeeperEvent) -> list[KeeperAction]:
+        now = int(now_ms)
+        match event:
+            case Tick():
+                return self._time_passed(now)
+            case ClockMoved(by_ms):
+                return [*self._time_passed(now), Append(Stepped(now, by_ms))]
+            case CorrectionAsked():
+                return self._correction(now, event)
+            case DocumentsStand(number):
+                return [Append(Published(number))]
+            case Retired(before_ms):
+                return [Append(Forgotten(before_ms))]
+            case DiskBack(from_ms, requests, cause):
+                return [Append(Gap(from_ms, now, requests, cause))]
+
+    def _time_passed(self, now: int) -> list[KeeperAction]:
+        state = self.book.state
+        actions: list[KeeperAction] = []
+        current, edge = state.current, state.closed_to
+        if current is not None:
+            edge = max(edge, current + state.periods[current].length)
+        if current is None or now >= edge:
+            current = max(period_of(now, state.period_ms), edge)
+            actions.append(Append(Turned(current, period_of(current, state.period_ms) + state.period_ms - current)))
+        answers = {found.period for found in state.waiting.values()}
+        for begin, period in sorted(state.periods.items()):
+            if begin == current or now < begin + period.length + self.grace_ms or begin in answers:
+                break  # in their order: a later one does not close before an earlier one
+            actions.append(Append(Closed(begin, now)))
+        return actions
+
+    def _correction(self, now: int, asked: CorrectionAsked) -> list[KeeperAction]:
+        entry = Corrected(asked.id, asked.author, asked.reason, now, asked.period, asked.club, asked.class_name,
+                          asked.front, asked.outcome, list(asked.amounts), self._length(asked))
+        known = self.book.state.corrections.get(asked.id)
+        if known is not None:
+            if known[0] == content_of(entry):
+                return [Reply(True, "was taken before; nothing changes")]
+            return [Reply(False, f"the id {asked.id} was taken before with another content")]
+        fault = self._fault(asked)
+        if fault is not None:
+            return [Reply(False, fault)]
+        if asked.period in self.book.state.periods:
+            return [Append(entry), Reply(True, "is in the period, which is open")]
+        revision = self.book.state.revisions.get(asked.period, 0) + 1
+        return [Append(entry), Reply(True, f"makes revision {revision} of the period, which has closed")]
+
+    def _length(self, asked: CorrectionAsked) -> int:
+        period = self.book.state.periods.get(asked.period)
+        return period.length if period is not None else asked.length or 0
+
+    def _fault(self, asked: CorrectionAsked) -> str | None:
+        """Why a correction is impossible; None where it is not."""
+        state = self.book.state
+        if IDENTIFIER.fullmatch(asked.id) is None:
+            return "the id is 1 to 64 of A-Z a-z 0-9 . _ -"
+        if not asked.author.strip() or not asked.reason.strip() or max(len(asked.author), len(asked.reason)) > 500:
+            return "author and reason are 1 to 500 characters each"
+        if asked.club not in (*state.clubs, OTHER):
+            return f"the club {asked.club!r} is unknown; known are {', '.join((*state.clubs, OTHER))}"
+        if asked.class_name not in state.classes:
+            return f"the class {asked.class_name!r} is unknown; known are {', '.join(state.classes)}"
+        if asked.front not in FRONTS or asked.outcome not in OUTCOMES:
+            return f"the front is one of {', '.join(FRONTS)}, the outcome one of {', '.join(OUTCOMES)}"
+        if len(asked.amounts) != len(AMOUNTS) or not any(asked.amounts):
+            return "nothing is corrected: all amounts are 0"
+        if len(state.corrections) >= self.book.bounds.corrections:
+            return f"{len(state.corrections):,} corrections are known, the most that there may be"
+        period = state.periods.get(asked.period)
+        if period is not None:
+            names = asked.club, asked.class_name, asked.front, asked.outcome
+            standing = tuple(period.rows.get(joined(names), [0] * len(AMOUNTS)))
+        elif asked.length is None:
+            return f"no period begins at {asked.period} ms"
+        else:
+            standing = asked.closed or (0,) * len(AMOUNTS)
+        for name, before, by in zip(AMOUNTS, standing, asked.amounts, strict=True):
+            if abs(by) > MOST or before + by > MOST:
+                return f"{name}: {before:,} and {by:+,} is more than {MOST:,}"
+            if before + by < 0:
+                return f"{name}: {before:,} and {by:+,} is below zero"
+        return None
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -15,7 +15,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
 from flintshift.core.limits import Limits
-from flintshift.core.ports import Posture
+from flintshift.core.ports import Books, Log, Posture
 from flintshift.wire.fields import Fields, UnusableError
 from flintshift.wire.link import BROKEN
 
@@ -61,6 +61,8 @@
         self.counters, self.now_ms, self.most, self.verify = counters, now_ms, most, verify
         self.connections: set[Connection] = set()
         self.idle: tuple[dict[Connection, None], ...] = ({}, {})  # that never spoke, that did; idlest first
+        self.books: Books | None = None
+        self.log: Log | None = None  # of requests; None: not at this level
         self.accepting = anyio.CancelScope()
         self.closing = False  # all that is open gets its answer and is closed
 
@@ -102,9 +104,11 @@
                         await self._linger(connection)
             except BROKEN:
                 self.counters.add(f"{self.name}.connections_broken")
-            except Exception:  # a fault met on one connection must not end the others
+            except Exception as error:  # a fault met on one connection must not end the others
                 self.counters.add(f"{self.name}.faults")
                 traceback.print_exc()
+                if self.log is not None:
+                    self.log("error", "front.fault", front=self.name, fault=repr(error))
             finally:
                 self.connections.discard(connection)
                 self._stir(connection)
@@ -192,6 +196,8 @@
                        more: Callable[[bytes], None]) -> Answer | None:
         """Hand a request over and wait for its answer; None when the caller went first."""
         self.counters.add(f"{self.name}.requests")
+        if self.books is not None:
+            self.books.hold(attempt, self.name)
         self.decisions.submit(attempt)
         early = 0
         while exchange.answer is None:
@@ -201,12 +207,28 @@
                 try:
                     data = await connection.stream.receive(self.limits.read)
                 except BROKEN:
+                    if self.books is not None:
+                        self.books.departed(attempt, self.name)
                     await self.decisions.report(Departed(attempt.id))
                     return None
                 early += len(data)
                 more(data)
         return exchange.answer
 
+    async def deliver(self, connection: Connection, attempt: Attempt, answer: Answer, data: bytes) -> None:
+        """Write a request's final answer."""
+        arrived = False
+        try:
+            await self.write(connection, data)
+            arrived = True
+        finally:
+            if self.books is not None:
+                self.books.delivered(attempt, arrived)
+            if self.log is not None:
+                self.log("debug", "request.answered", request=attempt.id, club=attempt.tenant, front=self.name,
+                         class_name=attempt.class_name, verdict=answer.verdict.value, arrived=arrived,
+                         age_ms=round(self.now_ms() - attempt.door_ms, 1))
+
     async def sweep(self) -> None:
         """Close connections that have carried nothing for as long as was decided, and those whose callers
         take no answer: they must not be held for ever."""
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -99,7 +99,9 @@
         attempt = self.fields.attempt(class_name, body, get, exchange.tell)
         answer = await self.exchange(connection, attempt, exchange, more)
         if answer is not None:
-            await self._say(connection, keep, status_of(answer, self.posture), answer.body, answer)
+            said = headers_of(answer, answer.body, self.posture, self.closing or not keep)
+            await self.deliver(connection, attempt, answer,
+                               written(status_of(answer, self.posture), said, answer.body))
         return answer is not None
 
     async def _say(self, connection: Connection, keep: bool, status: int, body: bytes,
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -56,7 +56,9 @@
         attempt.workers, attempt.head = "apps", head + block
         answer = await self.exchange(connection, attempt, exchange, lambda data: None)
         if answer is not None:
-            await self._say(connection, status_of(answer, self.posture), answer.body, answer)
+            headers = headers_of(answer, answer.body, self.posture, close=True)
+            await self.deliver(connection, attempt, answer,
+                               written(status_of(answer, self.posture), headers, answer.body))
 
     async def _say(self, connection: Connection, status: int, body: bytes,
                    answer: Answer | None = None) -> None:
