--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -103,7 +103,8 @@
     with tempfile.TemporaryDirectory(prefix="flintshift-bench-") as name:
         folder = Path(name)
         runs: list[tuple[str, str, str | None, Path]] = [
-            (front, variant, settings, ROOT) for front in given.fronts.split(",") for variant, settings in VARIANTS.items()]
+            (front, variant, settings, ROOT)
+            for front in given.fronts.split(",") for variant, settings in VARIANTS.items()]
         if given.base:
             base = folder / "base"
             base.mkdir()
--- a/flintshift/usage/export.py
+++ b/flintshift/usage/export.py
@@ -115,7 +115,7 @@
         sink.tokens = min(float(self.pace.attempts_per_hour), sink.tokens + gone_ms * rate)
         sink.counted_ms = now_ms
         if sink.failed and sink.tokens < 1.0:
-            return [WakeAt(now_ms + (1.0 - sink.tokens) / rate)]
+            return [WakeAt(now_ms + max(1.0, (1.0 - sink.tokens) / rate))]  # a rounded rest is no busy loop
         if sink.failed:  # what goes well needs no budget: its number is that of the documents
             sink.tokens -= 1.0
         sink.out = sink.waiting.popleft()
--- /dev/null
+++ b/tests/usage/test_export.py
@@ -0,0 +1,237 @@
+"""The exporter: its heart by itself, its sinks against a billing system that misbehaves, and two of them at once."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import anyio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from storage.sim_files import SimFiles
+
+from flintshift.lab.billing import FAULTS, Billing
+from flintshift.proto import usage_pb2 as pb
+from flintshift.storage.files import DiskFiles, LockedError
+from flintshift.usage import documents
+from flintshift.usage.export import Exporter, Pace
+from flintshift.usage.exporting import ExportRun, order
+from flintshift.usage.folder import unacknowledged
+from flintshift.usage.sinks import FolderSink, HttpSink, judged
+from flintshift.usage.vocabulary import (
+    Acknowledge,
+    Alarm,
+    Deliver,
+    Delivered,
+    Found,
+    NotDelivered,
+    Rejected,
+    Stand,
+    Superseded,
+    Tick,
+    WakeAt,
+)
+
+HOUR = 3_600_000.0
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def document(number, node="n1"):
+    return pb.UsageDocument(schema=1, node=node, life=b"l" * 16, epoch=1, number=number, period_ms=number * 1000,
+                            length_ms=1000, rows=[documents.row(("a", "look", "http", "served"), [number] * 7)])
+
+
+def folder_with(path, count):
+    made = {}
+    for place in ("documents", "acks"):
+        (path / place).mkdir(parents=True)
+    for number in range(1, count + 1):
+        one = document(number)
+        made[documents.name_of(one)] = documents.packed(one)
+        (path / "documents" / documents.name_of(one)).write_bytes(documents.packed(one))
+    return made
+
+
+def exporting(path, sinks, backoff_ms=2.0, said=None, attempts=100_000):
+    import time
+    return ExportRun(DiskFiles(), path, sinks, Pace(backoff_ms, 50.0, attempts), random.Random(1).random,
+                     lambda: time.monotonic() * 1000, lambda level, event, **more: said is None or said.append((event, more)),
+                     until_done=True)
+
+
+# The heart.
+
+
+def test_documents_go_in_their_order_one_at_a_time_to_each_sink():
+    heart = Exporter(["x", "y"], Pace(), lambda: 1.0, 0.0)
+    assert heart.handle(0, Found("x", "1")) == [Deliver("x", "1", 1)]
+    assert heart.handle(0, Found("x", "2")) == heart.handle(0, Found("x", "1")) == []
+    assert heart.handle(0, Found("y", "1")) == [Deliver("y", "1", 1)]
+    assert heart.handle(5, Delivered("x", "1")) == [Acknowledge("x", "1"), Deliver("x", "2", 1)]
+    assert heart.handle(6, Delivered("x", "1")) == []  # told twice
+
+
+def test_a_sink_that_is_down_is_tried_with_growing_waits_and_never_in_a_loop():
+    heart = Exporter(["x"], Pace(100.0, 2000.0, 600), lambda: 1.0, 0.0)
+    now, waits = 0.0, []
+    actions = heart.handle(now, Found("x", "1"))
+    for _ in range(8):
+        assert actions == [Deliver("x", "1", len(waits) + 1)]
+        wake = next(one for one in heart.handle(now, NotDelivered("x", "1", "down")) if isinstance(one, WakeAt))
+        assert heart.handle(now, Tick()) == [wake]  # not before
+        waits.append(wake.at_ms - now)
+        now = wake.at_ms
+        actions = heart.handle(now, Tick())
+    assert waits == [100, 200, 400, 800, 1600, 2000, 2000, 2000]
+
+
+@given(st.integers(1, 50), st.floats(0, 1), st.integers(0, 99))
+@settings(deadline=None, derandomize=True)
+def test_a_day_without_the_sink_costs_no_more_than_the_budget(budget, low, seed):
+    draw = random.Random(seed)
+    heart = Exporter(["x"], Pace(10.0, 1000.0, budget), lambda: low * draw.random(), 0.0)
+    now, attempts = 0.0, 0
+    actions = heart.handle(now, Found("x", "1"))
+    while now < 6 * HOUR:
+        if any(isinstance(one, Deliver) for one in actions):
+            attempts += 1
+            actions = heart.handle(now, NotDelivered("x", "1", "down"))
+        wakes = [one.at_ms for one in actions if isinstance(one, WakeAt)]
+        assert wakes and min(wakes) > now  # no busy loop
+        now = min(wakes)
+        actions = heart.handle(now, Tick())
+    assert attempts <= 7 * budget + 2  # a full bucket, and six hours' worth
+
+
+def test_a_sink_may_say_when_to_come_back_and_failures_raise_an_alarm():
+    heart = Exporter(["x"], Pace(100.0, 2000.0, alarm_after=2), lambda: 0.5, 0.0)
+    heart.handle(0, Found("x", "1"))
+    assert heart.handle(0, NotDelivered("x", "1", "429", 7000.0)) == [WakeAt(7000.0)]
+    assert heart.handle(7000, Tick()) == [Deliver("x", "1", 2)]
+    actions = heart.handle(7000, NotDelivered("x", "1", "down"))
+    assert Alarm("x", "1", "2 attempts in a row failed: down") in actions
+
+
+def test_what_is_rejected_is_put_aside_and_the_next_goes_on():
+    heart = Exporter(["x"], Pace(), lambda: 0.5, 0.0)
+    heart.handle(0, Found("x", "1"))
+    heart.handle(0, Found("x", "2"))
+    assert heart.handle(0, Rejected("x", "1", "no")) == [Alarm("x", "1", "no"), Deliver("x", "2", 1)]
+    heart.handle(0, Delivered("x", "2"))
+    assert heart.handle(0, Found("x", "1")) == []  # not in this life
+
+
+def test_an_exporter_that_was_superseded_delivers_nothing_more():
+    heart = Exporter(["x"], Pace(), lambda: 0.5, 0.0)
+    heart.handle(0, Found("x", "1"))
+    assert Stand("x") in heart.handle(0, Superseded("x", "later"))
+    assert heart.handle(0, Found("x", "2")) == heart.handle(HOUR, Tick()) == []
+
+
+def test_the_queue_is_bounded_and_what_was_left_out_is_found_again():
+    heart = Exporter(["x"], Pace(queue=3), lambda: 0.5, 0.0)
+    for name in "abcdef":
+        heart.handle(0, Found("x", name))
+    assert heart.sinks["x"].known == {"a", "b", "c"}
+    heart.handle(0, Delivered("x", "a"))
+    heart.handle(0, Found("x", "d"))
+    assert heart.sinks["x"].known == {"b", "c", "d"}
+
+
+@pytest.mark.parametrize(("status", "answer", "kind"), [
+    (200, b'{"digest": "d"}', Delivered), (201, b'{"digest": "d"}', Delivered), (409, b'{"digest": "d"}', Delivered),
+    (409, b'{"digest": "e"}', Rejected), (409, b"", NotDelivered), (200, b'{"digest": "e"}', NotDelivered),
+    (200, b"junk", NotDelivered), (200, b"[]", NotDelivered), (412, b"", Superseded), (500, b"", NotDelivered),
+    (429, b"", NotDelivered), (404, b"", Rejected), (301, b"", Rejected), (400, b'{"digest": "d"}', Rejected)])
+def test_what_an_answer_means(status, answer, kind):
+    assert type(judged("n", "d", status, answer, "")) is kind
+
+
+def test_retry_after_is_heeded_where_it_is_a_number():
+    assert judged("n", "d", 503, b"", "7").again_after_ms == 7000
+    assert judged("n", "d", 503, b"", "Wed, 21 Oct").again_after_ms == 0
+
+
+# The sinks.
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("fault", FAULTS)
+async def test_each_fault_of_a_billing_system_ends_with_the_document_there_once(tmp_path, fault):
+    made = folder_with(tmp_path / "u", 3)
+    billing = Billing(tmp_path / "billing", late_s=0.05)
+    billing.script = [fault, "", fault, fault]
+    url = f"http://127.0.0.1:{await billing.start()}/usage"
+    export = exporting(tmp_path / "u", {"http": HttpSink(url, 100.0)})
+    with anyio.fail_after(20):
+        await export.run()
+    assert {path.name: path.read_bytes() for path in (tmp_path / "billing").iterdir()} == made
+    assert billing.met[fault] >= 2 and billing.conflicts == 0
+    assert unacknowledged(DiskFiles(), tmp_path / "u", ["http"]) == {"http": []}
+    billing.stop()
+
+
+@pytest.mark.anyio
+async def test_a_billing_system_that_holds_something_else_is_told_of_and_the_rest_goes_on(tmp_path):
+    made = folder_with(tmp_path / "u", 3)
+    billing, said = Billing(tmp_path / "billing"), []
+    (tmp_path / "billing" / sorted(made)[1]).write_bytes(b"something else")
+    url = f"http://127.0.0.1:{await billing.start()}/usage"
+    await exporting(tmp_path / "u", {"http": HttpSink(url, 1000.0)}, said=said).run()
+    assert unacknowledged(DiskFiles(), tmp_path / "u", ["http"]) == {"http": [sorted(made)[1]]}
+    assert [more["name"] for event, more in said if event == "export.alarm"] == [sorted(made)[1]]
+    billing.stop()
+
+
+@pytest.mark.anyio
+async def test_an_exporter_of_an_earlier_epoch_is_refused(tmp_path):
+    folder_with(tmp_path / "u", 1)
+    billing = Billing(tmp_path / "billing")
+    billing.epoch = 7
+    url = f"http://127.0.0.1:{await billing.start()}/usage"
+    await exporting(tmp_path / "u", {"http": HttpSink(url, 1000.0)}).run()
+    assert not list((tmp_path / "billing").iterdir())
+    assert unacknowledged(DiskFiles(), tmp_path / "u", ["http"])["http"]
+    billing.stop()
+
+
+@pytest.mark.anyio
+async def test_two_exporters_on_one_folder_are_refused_and_each_run_has_a_later_epoch(tmp_path):
+    folder_with(tmp_path / "u", 2)
+    held = DiskFiles().lock(tmp_path / "u" / "EXPORT.LOCK")
+    with pytest.raises(LockedError):
+        await exporting(tmp_path / "u", {"folder": FolderSink(DiskFiles(), tmp_path / "out")}).run()
+    held.close()
+    for epoch in (1, 2):
+        run = exporting(tmp_path / "u", {"folder": FolderSink(DiskFiles(), tmp_path / "out")})
+        await run.run()
+        assert run.epoch == epoch
+    assert len(list((tmp_path / "out").iterdir())) == 2
+
+
+def test_of_two_exporters_that_publish_at_once_both_find_the_same_document():
+    files = SimFiles()
+    first, second = FolderSink(files, Path("/out")), FolderSink(files, Path("/out"))
+    assert first.put("n", b"data", 1) == Delivered("folder", "n")
+    assert second.put("n", b"data", 2) == Delivered("folder", "n")
+    assert isinstance(second.put("n", b"other", 2), Rejected)
+    assert files.read(Path("/out/n")) == b"data" and files.names(Path("/out")) == ["n"]
+
+
+@pytest.mark.anyio
+async def test_a_document_that_was_damaged_is_never_delivered(tmp_path):
+    made = folder_with(tmp_path / "u", 2)
+    (tmp_path / "u" / "documents" / sorted(made)[0]).write_bytes(b"\xff damaged")
+    await exporting(tmp_path / "u", {"folder": FolderSink(DiskFiles(), tmp_path / "out")}).run()
+    assert [path.name for path in (tmp_path / "out").iterdir()] == [sorted(made)[1]]
+
+
+def test_names_are_in_the_order_of_periods_and_revisions():
+    names = ["n1.e1.19700101T000002.000Z.r0.usage", "n1.e9.19700101T000001.000Z.r10.usage",
+             "n1.e1.19700101T000001.000Z.r2.usage"]
+    assert order(names) == [names[2], names[1], names[0]]
