--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PROTO = flintshift/proto/usage.proto
 
-.PHONY: build check lint test run demo proto proto-fresh clean
+.PHONY: build check lint test run demo proto proto-fresh clean kill-exporter kill-node bench
 build: $(DEPS)
 
 $(DEPS): requirements.txt requirements-dev.txt pyproject.toml
@@ -36,5 +36,17 @@
 	@for made in _pb2.py _pb2.pyi; do \
 	  cmp build/proto/$(PROTO:.proto=)$$made $(PROTO:.proto=)$$made || { echo "run make proto"; exit 1; }; done
 
+# Long runs, not in CI; what they told last is committed in benchmarks/results.
+kill-exporter: $(DEPS)
+	$(PY) benchmarks/kill_exporter.py --runs 1000 --out benchmarks/results/kill_exporter.json
+
+kill-node: $(DEPS)
+	$(PY) benchmarks/kill_node.py --runs 50 --out benchmarks/results/kill_node.json
+
+bench: $(DEPS)
+	mkdir -p build
+	$(PY) benchmarks/ledger_store.py --out benchmarks/results/ledger_store.json
+	$(PY) benchmarks/request_cost.py --out benchmarks/results/request_cost.json
+
 clean:
 	rm -rf .venv .pytest_cache .ruff_cache .mypy_cache
--- a/benchmarks/kill_exporter.py
+++ b/benchmarks/kill_exporter.py
@@ -11,18 +11,17 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import json
 import random
 import sys
-import tempfile
 import time
 from collections import Counter
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT))
+sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
+
+from kills import command, many  # noqa: E402
 
 from flintshift.lab.billing import Billing  # noqa: E402
 from flintshift.storage.files import DiskFiles  # noqa: E402
@@ -128,40 +127,20 @@
 async def play(runs: int, parallel: int, seed: int) -> dict[str, object]:
     points: Counter[str] = Counter()
     wrong: list[dict[str, int]] = []
-    total = done = 0
-    room = asyncio.Semaphore(parallel)
-    began = time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="flintshift-kill-") as name:
-        async def run(number: int) -> None:
-            nonlocal done, total
-            async with room:
-                served, billed = await one(number, Path(name), points, 0.6)
-            total += served
-            done += 1
-            if served != billed:
-                wrong.append({"seed": number, "served": served, "billed": billed})
-            if done % 50 == 0:
-                print(f"{done} of {runs} runs, {sum(points.values())} kills, {len(wrong)} wrong, "
-                      f"{time.monotonic() - began:.0f} s", file=sys.stderr, flush=True)
-        await asyncio.gather(*(run(seed + number) for number in range(runs)))
-    return {"runs": runs, "kills": sum(points.values()) - points["had ended"], "points": dict(sorted(points.items())),
-            "served": total, "mismatches": len(wrong), "wrong": wrong, "seconds": round(time.monotonic() - began, 1)}
+    total = 0
 
+    async def run(number: int, folder: Path) -> int:
+        nonlocal total
+        served, billed = await one(number, folder, points, 0.6)
+        total += served
+        if served != billed:
+            wrong.append({"seed": number, "served": served, "billed": billed})
+        return len(wrong)
 
-def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--runs", type=int, default=1000)
-    parser.add_argument("--parallel", type=int, default=6)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--out", type=Path)
-    given = parser.parse_args()
-    told = asyncio.run(play(given.runs, given.parallel, given.seed))
-    text = json.dumps(told, indent=1)
-    print(text)
-    if given.out:
-        given.out.write_text(text + "\n")
-    return 3 if told["mismatches"] else 0
+    seconds = await many(runs, parallel, seed, 50, run)
+    return {"runs": runs, "kills": sum(points.values()) - points["had ended"], "points": dict(sorted(points.items())),
+            "served": total, "mismatches": len(wrong), "wrong": wrong, "seconds": seconds}
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(command(__doc__, play, 1000, 6))
--- a/benchmarks/kill_node.py
+++ b/benchmarks/kill_node.py
@@ -11,18 +11,16 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
-import json
 import random
 import sys
-import tempfile
-import time
 from collections import Counter
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT))
+sys.path[:0] = [str(ROOT), str(ROOT / "benchmarks")]
+
+from kills import command, many  # noqa: E402
 
 from flintshift.lab.callers import Caller, Tally  # noqa: E402
 from flintshift.lab.peers import Pool  # noqa: E402
@@ -118,34 +116,16 @@
 async def play(runs: int, parallel: int, seed: int) -> dict[str, object]:
     totals: Counter[str] = Counter()
     wrong: list[str] = []
-    room, began = asyncio.Semaphore(parallel), time.monotonic()
-    with tempfile.TemporaryDirectory(prefix="flintshift-kill-") as name:
-        async def run(number: int) -> None:
-            async with room:
-                found, told = await one(number, Path(name), ("process-death", "power-cut")[number % 2])
-            wrong.extend(f"seed {number}: {text}" for text in found)
-            totals.update(told)
-            totals["runs"] += 1
-            if totals["runs"] % 10 == 0:
-                print(f"{totals['runs']} of {runs} runs, {len(wrong)} wrong", file=sys.stderr, flush=True)
-        await asyncio.gather(*(run(seed + number) for number in range(runs)))
-    return {**totals, "kills": 2 * runs, "wrong": wrong, "seconds": round(time.monotonic() - began, 1)}
-
-
-def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("--runs", type=int, default=50)
-    parser.add_argument("--parallel", type=int, default=3)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--out", type=Path)
-    given = parser.parse_args()
-    told = asyncio.run(play(given.runs, given.parallel, given.seed))
-    text = json.dumps(told, indent=1)
-    print(text)
-    if given.out:
-        given.out.write_text(text + "\n")
-    return 3 if told["wrong"] else 0
+
+    async def run(number: int, folder: Path) -> int:
+        found, told = await one(number, folder, ("process-death", "power-cut")[number % 2])
+        wrong.extend(f"seed {number}: {text}" for text in found)
+        totals.update(told)
+        return len(wrong)
+
+    seconds = await many(runs, parallel, seed, 10, run)
+    return {"runs": runs, "kills": 2 * runs, **totals, "wrong": wrong, "seconds": seconds}
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(command(__doc__, play, 50, 3))
--- a/tests/test_ledger_node.py
+++ b/tests/test_ledger_node.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+import random
 import resource
+import shutil
 import subprocess
 import sys
 from collections import Counter
@@ -12,12 +14,14 @@
 
 import pytest
 
+from flintshift.lab.billing import Billing
 from flintshift.lab.callers import Caller, Tally, fields_of, http_request, reply
 from flintshift.lab.demo import booked_in
 from flintshift.lab.peers import Pool
 from flintshift.lab.rig import Rig
 from flintshift.settings.embedded import CLUBS
 from flintshift.storage.files import DiskFiles
+from flintshift.usage import documents
 from flintshift.usage.folder import read_documents
 
 ROOT = Path(__file__).parent.parent
@@ -158,6 +162,21 @@
         assert await rig.leave() == 0
 
 
+async def test_two_exporters_at_once_and_two_copies_of_a_folder_bill_once(tmp_path):
+    """One of two on a folder is refused; two copies that know nothing of each other deliver the same documents."""
+    served = kill_exporter.make(tmp_path / "u", random.Random(3))
+    shutil.copytree(tmp_path / "u", tmp_path / "copy")
+    billing = Billing(tmp_path / "billing", 0.3, 7, late_s=0.05)
+    url = f"http://127.0.0.1:{await billing.start()}/usage"
+    processes = [await kill_exporter.export(folder, url)
+                 for folder in (tmp_path / "u", tmp_path / "u", tmp_path / "copy", tmp_path / "copy")]
+    codes = [await process.wait() for process in processes]
+    assert all(code in (0, 1) for code in codes) and 0 in codes[:2] and 0 in codes[2:]
+    found = [documents.read(path.read_bytes()) for path in (tmp_path / "billing").iterdir()]
+    assert sum(row.amounts.requests for one in found for row in one.rows) == served and billing.conflicts == 0
+    billing.stop()
+
+
 async def test_a_second_node_on_the_folder_and_a_damaged_log_are_refused_in_one_line(tmp_path):
     async with Rig(tmp_path, LEDGER.format("1h", "serve"), root=ROOT) as rig:
         assert (await ask(rig))[0] == 200
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -15,7 +15,7 @@
 from storage.sim_files import SimFiles, StoppedError
 
 from flintshift.proto import usage_pb2 as pb
-from flintshift.storage.snapshot import publish
+from flintshift.storage.snapshot import DamagedError, publish
 from flintshift.usage import documents
 from flintshift.usage.corrections import to_json
 from flintshift.usage.folder import LedgerFolder, load, read_documents, retire
@@ -273,3 +273,32 @@
     with pytest.raises(documents.DocumentError, match="is of schema 9; this program reads schema 1"):
         documents.read(pb.UsageDocument(schema=9).SerializeToString())
     assert OUTCOMES[GONE] == "gone"
+
+
+def test_a_change_of_every_byte_and_a_cut_at_every_offset_of_a_ledger():
+    """Every file that recovery reads: a changed byte stops it, or an older snapshot makes the same book; a cut of the
+    last segment loses only what was cut; nothing is ever invented."""
+    files = SimFiles()
+    run(files)
+    whole = load(files, FOLDER)[0].state
+    read_ = [path for path in files.names_now if path.parent.name in ("log", "snapshots") and path.suffix != ".new"]
+    assert len(read_) >= 3
+    stopped = 0
+    for path in read_:
+        data = bytes(files.names_now[path].data)
+        for offset in range(len(data)):
+            files.names_now[path].data[offset] ^= 0x41
+            try:
+                assert load(files, FOLDER)[0].state == whole
+            except DamagedError:
+                stopped += 1
+            files.names_now[path].data[:] = data
+    assert stopped > 30
+    path = max(path for path in read_ if path.parent.name == "log")
+    data, last = bytes(files.names_now[path].data), 0
+    for size in range(len(data) + 1):
+        files.names_now[path].data[:] = data[:size]
+        state = load(files, FOLDER)[0].state
+        assert last <= state.sequence <= whole.sequence
+        last = state.sequence
+    assert last == whole.sequence
