--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -14,12 +14,12 @@
 import asyncio
 import json
 import os
-import shutil
 import statistics
 import subprocess
 import sys
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
+from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
 
@@ -37,7 +37,6 @@
     "off": None,
     "process-death": LEDGER.format("process-death", "50ms"),
     "power-cut 5ms": LEDGER.format("power-cut", "5ms"),
-    "none": LEDGER.format("none", "50ms"),
 }
 PLATFORM = {"tenants": [{"name": club, "quotaPerS": 100_000.0} for club in CLUBS]}
 
@@ -67,60 +66,66 @@
     return 0.0
 
 
-async def measure(folder: Path, front: str, settings: str | None, root: Path, requests: int, callers: int,
-                  executor: ProcessPoolExecutor) -> dict[str, float]:
-    loop = asyncio.get_running_loop()
-    async with Rig(folder, settings, uwsgi=front == "uwsgi", root=root, pool=Pool(cores=64),
-                   platform=PLATFORM) as rig:
-        assert rig.process is not None
-        pid = rig.process.pid
-
-        async def load(count: int) -> tuple[int, list[float], float]:
-            began = loop.time()
-            parts = await asyncio.gather(*(loop.run_in_executor(
-                executor, ask, rig.ports[front], front, callers, count // WORKERS, seed) for seed in range(WORKERS)))
-            return sum(part[0] for part in parts), [ms for part in parts for ms in part[1]], loop.time() - began
-
-        await load(requests // 5)
-        before = cpu_s(pid)
-        answers, delays, took_s = await load(requests)
-        spent = cpu_s(pid) - before
-        delays.sort()
-        return {"answers": answers, "cpu_us": spent / answers * 1e6, "per_s": answers / took_s,
-                "p50_ms": delays[len(delays) // 2], "p99_ms": delays[len(delays) * 99 // 100],
-                "rss_mb": resident_mb(pid)}
+Run = tuple[str, str, str | None, Path]  # front, variant, operators' file, where the program stands
+
+
+async def burst(rig: Rig, front: str, requests: int, callers: int, executor: ProcessPoolExecutor,
+                seed: int) -> dict[str, float]:
+    """Load on one node, which the others leave in peace meanwhile."""
+    assert rig.process is not None
+    loop, pid = asyncio.get_running_loop(), rig.process.pid
+    before, began = cpu_s(pid), loop.time()
+    parts = await asyncio.gather(*(loop.run_in_executor(
+        executor, ask, rig.ports[front], front, callers, requests // WORKERS, seed + worker)
+        for worker in range(WORKERS)))
+    took_s, spent = loop.time() - began, cpu_s(pid) - before
+    answers, delays = sum(part[0] for part in parts), sorted(ms for part in parts for ms in part[1])
+    return {"answers": answers, "cpu_us": spent / answers * 1e6, "per_s": answers / took_s,
+            "p50_ms": delays[len(delays) // 2], "p99_ms": delays[len(delays) * 99 // 100], "rss_mb": resident_mb(pid)}
+
+
+async def measure(runs: list[Run], folder: Path, rounds: int, requests: int,
+                  callers: int) -> dict[tuple[str, str], list[dict[str, float]]]:
+    found: dict[tuple[str, str], list[dict[str, float]]] = {run[:2]: [] for run in runs}
+    async with AsyncExitStack() as stack:
+        executor = stack.enter_context(ProcessPoolExecutor(WORKERS))
+        rigs = []
+        for number, (front, _, settings, root) in enumerate(runs):
+            rigs.append(await stack.enter_async_context(Rig(
+                folder / f"{number}", settings, uwsgi=front == "uwsgi", root=root, pool=Pool(cores=64),
+                platform=PLATFORM)))
+        for round_ in range(rounds + 1):  # the first is not counted
+            order = list(range(len(runs)))
+            for place in order[round_ % len(order):] + order[:round_ % len(order)]:
+                front, variant, _, _ = runs[place]
+                told = await burst(rigs[place], front, requests // (1 if front == "http" else 3), callers, executor,
+                                   round_ * 10)
+                if round_:
+                    found[front, variant].append(told)
+            print(f"round {round_} of {rounds}", file=sys.stderr, flush=True)
+    return found
 
 
 async def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--base", metavar="REV", help="an earlier version of this repository to take turns with")
     parser.add_argument("--fronts", default="http,uwsgi", help="default: %(default)s")
-    parser.add_argument("--requests", type=int, default=12_000)
-    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--requests", type=int, default=1800, help="a burst; a third of that over uwsgi")
+    parser.add_argument("--rounds", type=int, default=20)
     parser.add_argument("--callers", type=int, default=8, help="in each of the caller processes")
     parser.add_argument("--out", type=Path, help="write the result here as JSON")
     given = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="flintshift-bench-") as name:
         folder = Path(name)
-        runs: list[tuple[str, str, str | None, Path]] = [
-            (front, variant, settings, ROOT)
-            for front in given.fronts.split(",") for variant, settings in VARIANTS.items()]
+        runs: list[Run] = [(front, variant, settings, ROOT)
+                           for front in given.fronts.split(",") for variant, settings in VARIANTS.items()]
         if given.base:
             base = folder / "base"
             base.mkdir()
             tree = subprocess.run(["git", "archive", given.base], cwd=ROOT, capture_output=True, check=True).stdout
             subprocess.run(["tar", "-x", "-C", str(base)], input=tree, check=True)
             runs.insert(0, ("http", f"off at {given.base[:12]}", None, base))
-        found: dict[tuple[str, str], list[dict[str, float]]] = {run[:2]: [] for run in runs}
-        with ProcessPoolExecutor(WORKERS) as executor:
-            for number in range(given.rounds):
-                for front, variant, settings, root in runs if number % 2 == 0 else reversed(runs):
-                    place = folder / "node"
-                    shutil.rmtree(place, ignore_errors=True)
-                    told = await measure(place, front, settings, root, given.requests, given.callers, executor)
-                    found[front, variant].append(told)
-                    print(f"round {number + 1}: {front:<6}{variant:<22}{told['cpu_us']:7.0f} us  "
-                          f"{told['per_s']:7.0f} /s  p99 {told['p99_ms']:.1f} ms", file=sys.stderr, flush=True)
+        found = await measure(runs, folder, given.rounds, given.requests, given.callers)
     table = []
     print(f"{'front':<7}{'ledger':<22}{'CPU us':>8}{'to off':>8}{'per s':>8}{'to off':>8}{'p50 ms':>8}{'p99 ms':>8}"
           f"{'RSS MB':>8}")
