--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -3,8 +3,9 @@
     python benchmarks/request_cost.py [--base REV] [--requests N] [--rounds N]
 
 The node runs as a process of its own; the pool and the other stand-ins run in this one and callers in several more,
-so their cost does not count: CPU is what the system accounts to the node (utime and stime in /proc/PID/stat). The
-variants take turns within each round, and ratios are the medians of the rounds' ratios to ``off`` of the same round.
+so their cost does not count: CPU is what the system accounts to the node (utime and stime in /proc/PID/stat). All
+nodes stand all the time and get short bursts of load in turns. Ratios are the medians of the rounds' ratios to ``off``
+of the same round, so that a machine whose speed drifts changes them little.
 ``--base`` checks out an earlier version of this repository beside it and has it take turns too (HTTP alone).
 """
 
--- /dev/null
+++ b/tests/usage/test_folder.py
@@ -0,0 +1,97 @@
+"""What goes from the ledger's folder, and when; snapshots that can't be used."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from storage.sim_files import SimFiles
+
+from flintshift.storage.files import DiskFiles
+from flintshift.storage.log import segments
+from flintshift.storage.snapshot import DamagedError, publish
+from flintshift.usage import documents
+from flintshift.usage.folder import LedgerFolder, load, read_documents, retire, snapshots
+from flintshift.usage.keeper import Keeper
+from flintshift.usage.records import FINAL, Claim
+from flintshift.usage.vocabulary import Tick
+
+FOLDER = Path("/u")
+DAY = 86_400_000.0
+
+
+def ledger(files, periods=6):
+    """One closed period a second, each with its own segment and snapshot."""
+    holder = LedgerFolder(files, FOLDER)
+    holder.open("n1", b"l" * 16, 1000, ["a"], ["look"], 0)
+    keeper = Keeper(holder.book, 0)
+    for number in range(periods + 1):
+        files.now_ms = number * 1000.0
+        for action in keeper.handle(files.now_ms, Tick()):
+            holder.append([action.entry])
+        holder.append([Claim(number.to_bytes(8, "big"), 0, FINAL, 1, 0, 1, 1)])
+        sequence, data = holder.book.state.sequence, holder.snapshot_now()
+        holder.log.begin()
+        holder.write_snapshot(sequence, data)
+    holder.write_documents(holder.book.state.documents)
+    return holder
+
+
+def acknowledge(files, names):
+    files.make_folder(FOLDER / "acks" / "http")
+    for name in names:
+        publish(files, FOLDER / "acks" / "http" / name, b"digest")
+
+
+def standing(files):
+    return (len(read_documents(files, FOLDER)), len(segments(files, FOLDER / "log")), len(snapshots(files, FOLDER)))
+
+
+def test_without_a_sink_nothing_goes():
+    files = SimFiles()
+    ledger(files)
+    before = standing(files)
+    assert retire(files, FOLDER, [], 0.0, 99 * DAY) == ([], 0) and standing(files) == before
+
+
+def test_what_a_sink_does_not_have_stays_with_the_segments_that_cover_it():
+    files = SimFiles()
+    ledger(files)
+    state = load(files, FOLDER)[0].state
+    names = list(read_documents(files, FOLDER))
+    acknowledge(files, names[:2])
+    gone, kept_from = retire(files, FOLDER, ["http"], 0.0, 99 * DAY)
+    left = list(read_documents(files, FOLDER))
+    assert left == names[2:] and kept_from == 2000
+    first_needed = read_documents(files, FOLDER)[left[0]].first_sequence
+    assert segments(files, FOLDER / "log")[0][0] <= first_needed
+    assert any(name.endswith(".log") for name in gone) and load(files, FOLDER)[0].state == state
+
+
+def test_what_is_exported_stays_for_its_retention_and_then_goes():
+    files = SimFiles()
+    ledger(files)
+    state = load(files, FOLDER)[0].state
+    acknowledge(files, read_documents(files, FOLDER))
+    retire(files, FOLDER, ["http"], DAY, DAY - 1)
+    assert standing(files)[:2] == (6, 8)
+    retire(files, FOLDER, ["http"], DAY, 2 * DAY)
+    assert standing(files) == (0, 2, 2) and files.names(FOLDER / "acks" / "http") == []
+    assert load(files, FOLDER)[0].state == state
+
+
+def test_a_damaged_snapshot_gives_way_to_an_older_one_and_is_told():
+    files = SimFiles()
+    ledger(files)
+    state = load(files, FOLDER)[0].state
+    newest = FOLDER / "snapshots" / f"{snapshots(files, FOLDER)[0]:016x}.snapshot"
+    files.names_now[newest].data[30] ^= 1
+    book, _, found = load(files, FOLDER)
+    assert book.state == state and "an older one is used" in found.warnings[0]
+
+
+def test_a_folder_whose_log_is_gone_is_not_taken_for_a_new_one(tmp_path):
+    (tmp_path / "documents").mkdir()
+    (tmp_path / "documents" / f"n1.e1.{documents.utc(0)}.r0.usage").write_bytes(b"")
+    with pytest.raises(DamagedError, match="documents stand, but the log and the snapshots are gone"):
+        LedgerFolder(DiskFiles(), tmp_path)
