Begin the exporter again after its disk refused, and outlive a folder that can't be listed

Cause: read again for what would wake a pager: an input/output error while the exporter looked for documents ended it until the next start of the node, and one while the inbox was listed ended the node. Change: the exporter's actor begins again after 30 s; listing the inbox is guarded. Result: a test for each, failing before.

--- a/flintshift/lifecycle/exports.py
+++ b/flintshift/lifecycle/exports.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+import anyio
+
 from flintshift.core.ports import Log
 from flintshift.settings.options import ExportOptions, UsageOptions
 from flintshift.storage.files import DiskFiles, Files
@@ -16,6 +18,8 @@
 from flintshift.usage.ledger import Ledger
 from flintshift.usage.sinks import FolderSink, HttpSink, Sink
 
+AGAIN_S = 30.0  # after what stopped an exporter: a disk that refuses, or a file that was damaged
+
 
 def sinks_of(options: ExportOptions, files: Files) -> dict[str, Sink]:
     sinks: dict[str, Sink] = {}
@@ -35,15 +39,18 @@
 
 
 def open_export(ledger: Ledger, usage: UsageOptions, log: Log) -> Callable[[], Coroutine[Any, Any, None]]:
-    """The exporter as an actor of the node. What stops it stops no request: it is told, and the node goes on."""
-    assert usage.export is not None
-    export = export_run(usage, usage.export, log, False, ledger.folder.files)
-    ledger.changed = export.look
+    """The exporter as an actor of the node. What stops it stops no request: it is told, and begun again later."""
+    options = usage.export
+    assert options is not None
 
     async def run() -> None:
-        try:
-            await export.run()
-        except* (OSError, DamagedError) as errors:
-            log("error", "export.stopped", cause="; ".join(map(str, errors.exceptions)))
+        while True:
+            export = export_run(usage, options, log, False, ledger.folder.files)
+            ledger.changed = export.look
+            try:
+                await export.run()
+            except* (OSError, DamagedError) as errors:
+                log("error", "export.stopped", cause="; ".join(map(str, errors.exceptions)))
+            await anyio.sleep(AGAIN_S)
 
     return run
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -333,7 +333,12 @@
 
     async def _inbox(self) -> None:
         files, folder = self.folder.files, self.folder.folder
-        for name in [name for name in files.names(folder / "inbox") if name.endswith(".json")][:INBOX_MOST]:
+        try:
+            handed_in = [name for name in files.names(folder / "inbox") if name.endswith(".json")]
+        except OSError as error:
+            self.say("error", "usage.inbox_failed", name="", cause=str(error))
+            return
+        for name in handed_in[:INBOX_MOST]:
             path = folder / "inbox" / name
             try:
                 reply = self.correct(files.read(path))
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -5,6 +5,7 @@
 import random
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import anyio
 import pytest
@@ -13,7 +14,9 @@
 from storage.sim_files import SimFiles
 
 from flintshift.lab.billing import FAULTS, Billing
+from flintshift.lifecycle import exports
 from flintshift.proto import usage_pb2 as pb
+from flintshift.settings.options import ExportOptions, UsageOptions
 from flintshift.storage.files import DiskFiles, LockedError
 from flintshift.usage import documents
 from flintshift.usage.export import Exporter, Pace
@@ -238,3 +241,31 @@
     names = ["n1.e1.19700101T000002.000Z.r0.usage", "n1.e9.19700101T000001.000Z.r10.usage",
              "n1.e1.19700101T000001.000Z.r2.usage"]
     assert order(names) == [names[2], names[1], names[0]]
+
+
+@pytest.mark.anyio
+async def test_an_exporter_in_a_node_that_was_stopped_by_its_disk_begins_again(tmp_path, monkeypatch):
+    made, said = folder_with(tmp_path / "u", 2), []
+    monkeypatch.setattr(exports, "AGAIN_S", 0.05)
+    options = ExportOptions(tmp_path / "out", None, 1.0, 10.0, 100)
+    usage = UsageOptions(tmp_path / "u", 1000, 0, "none", 0.0, "serve", 1 << 20, 0, options)
+
+    class Files(DiskFiles):
+        left = 2
+
+        def lock(self, path):
+            if self.left:
+                self.left -= 1
+                raise OSError(5, "refused here")
+            return super().lock(path)
+
+    ledger = SimpleNamespace(folder=SimpleNamespace(files=Files()), changed=None)
+    run = exports.open_export(ledger, usage, lambda level, event, **more: said.append(event))
+    with anyio.move_on_after(10):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(run)
+            while {path.name for path in (tmp_path / "out").glob("*")} != set(made):
+                await anyio.sleep(0.02)
+            tasks.cancel_scope.cancel()
+    assert {path.name: path.read_bytes() for path in (tmp_path / "out").iterdir()} == made
+    assert said.count("export.stopped") == 2
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -302,3 +302,22 @@
         assert last <= state.sequence <= whole.sequence
         last = state.sequence
     assert last == whole.sequence
+
+
+def test_a_folder_that_cannot_be_listed_for_a_while_ends_nothing():
+    async def work():
+        files = SimFiles()
+        life, names = Life(files, BEGIN), files.names
+
+        def refused(folder):
+            raise OSError(errno.EIO, "refused here")
+        files.names = refused
+        await life.ledger.tick()
+        await life.answer(1)
+        files.names = names
+        await life.ledger.tick()
+        await life.ledger.close()
+        return files, life
+
+    files, life = asyncio.run(work())
+    assert life.delivered == verify(files, life) == {1}
