Bound the sync that answers wait for: 5 ms with power-cut by default, at most 100 ms

Cause: with durability power-cut the default of 50 ms, and any value up to a minute, held each answer for it, past due times. Change: the default follows the durability (5 ms with power-cut, else 50 ms); more than 100 ms with power-cut is a fault of the file.

--- a/flintshift/settings/operators.py
+++ b/flintshift/settings/operators.py
@@ -126,13 +126,17 @@
     period: Annotated[Duration, times("1s", "31d"), AfterValidator(whole_ms)] = 3_600_000.0
     grace: Annotated[Duration, times("0ms", "1d"), AfterValidator(whole_ms)] = 30_000.0
     durability: Literal["power-cut", "process-death", "none"] = "process-death"
-    sync: Annotated[Duration, times("0ms", "1min")] = 50.0
+    sync: Annotated[Duration, times("0ms", "1min")] | None = None  # by durability: see SYNC_MS
     on_disk_failure: Literal["serve", "refuse"] = "serve"
     segment: Annotated[Size, sizes("4KiB", "1GiB")] = 16 << 20
     retention: Annotated[Duration, times("0ms", "3660d"), AfterValidator(whole_ms)] = 35 * 86_400_000.0
     export: ExportPart | None = None
 
 
+SYNC_MS = {"power-cut": 5.0, "process-death": 50.0, "none": 50.0}
+SYNC_HELD_MS = 100.0  # the most where answers wait for it: they have due times
+
+
 class File(Part):
     uwsgi: UwsgiPart = UwsgiPart()
     log: LogPart = LogPart()
@@ -192,6 +196,9 @@
         found.append(("usage.export", "expected a folder, http, or both to export to"))
     if export is not None and export.backoff > export.backoff_most:
         found.append(("usage.export.backoff", "expected no more than backoff-most"))
+    if told.usage.durability == "power-cut" and (told.usage.sync or 0.0) > SYNC_HELD_MS:
+        found.append(("usage.sync", f"expected at most {units.written_ms(SYNC_HELD_MS)} with durability power-cut, "
+                                    "where answers wait for it"))
     if told.usage.enabled and told.usage.grace > 31 * told.usage.period:
         found.append(("usage.grace", "expected at most 31 periods"))
     return found
@@ -254,7 +261,8 @@
                            uwsgi.node_service) if uwsgi.enabled else None,
         log=LogOptions(log.format, log.level, log.repeats) if log.enabled else None,
         usage=UsageOptions(
-            base / usage.folder, int(usage.period), int(usage.grace), usage.durability, usage.sync,
+            base / usage.folder, int(usage.period), int(usage.grace), usage.durability,
+            SYNC_MS[usage.durability] if usage.sync is None else usage.sync,
             usage.on_disk_failure, usage.segment, int(usage.retention),
             _export(usage.export, base)) if usage.enabled else None,
     )
--- a/tests/settings/test_operators.py
+++ b/tests/settings/test_operators.py
@@ -38,6 +38,14 @@
     assert usage.export is None
 
 
+@pytest.mark.parametrize(("text", "sync_ms"), [
+    ("", 50.0), (", durability: power-cut", 5.0), (", durability: power-cut, sync: 20ms", 20.0),
+    (", sync: 1s", 1000.0)])
+def test_the_sync_follows_the_durability_unless_it_is_given(text, sync_ms):
+    usage = parse("f.yaml", f"usage: {{enabled: true{text}}}", Path()).usage
+    assert usage is not None and usage.sync_ms == sync_ms
+
+
 def test_yaml_1_2_reads_no_as_a_word():
     assert faults("log: {enabled: no}") == ["f.yaml:1:7: log.enabled: expected true or false, found 'no'"]
 
@@ -74,6 +82,7 @@
     ("uwsgi: {listen: '10.0.0.1:1'}", "10.0.0.1 is no loopback address"),
     ("uwsgi: {listen: 'here'}", "expected host:port with a loopback host"),
     ("usage: {enabled: true, period: 1s, grace: 1h}", "usage.grace: expected at most 31 periods"),
+    ("usage: {durability: power-cut, sync: 101ms}", "f.yaml:1:32: usage.sync: expected at most 100ms with durability"),
     ("usage: {period: 1000.5ms}", "expected a whole number of milliseconds"),
     ("x: &a [*a]", "unknown key"),
 ])
