--- a/tests/test_ledger_node.py
+++ b/tests/test_ledger_node.py
@@ -146,7 +146,8 @@
     settings = LEDGER.format("1s", "serve").replace("usage: {", "usage: {export: {folder: out}, ")
     async with Rig(tmp_path, settings, root=ROOT) as rig:
         assert (await ask(rig))[0] == 200
-        name = await until(lambda: [path.name for path in (tmp_path / "out").glob("*.r0.usage")], "no export")
+        name = await until(lambda: [path.name for path in (tmp_path / "out").glob("*.r0.usage")
+                                    if documents.read(path.read_bytes()).rows], "the period in use was not exported")
         first = (tmp_path / "out" / name[0]).read_bytes()
         command = [sys.executable, "-m", "flintshift.cli", "usage", "correct", "--folder", str(tmp_path / "usage"),
                    "--id", "c-1", "--author", "op", "--reason", "counted twice", "--club", "sur-pacers", "--class",
