Answer within 250 ms though the disk hangs, and book what came in a gap

And records booked while a segment was begun after a gap could get sequences twice. Change: the first answer that has waited 250 ms turns the disk into one that refuses; what ran is answered and booked in memory. A segment's first sequence is named, not read while others move it; the records of a reopening are bounded at 100,000.

--- a/flintshift/storage/log.py
+++ b/flintshift/storage/log.py
@@ -152,10 +152,11 @@
             self.files.truncate(path, reach.size)
         self.file, self.size, self.broken = self.files.extend(path), reach.size, False
 
-    def begin(self) -> None:
+    def begin(self, first: int | None = None) -> None:
         """Begin a new segment. The one before is synced first, unless it is broken: then all of it must stand in a
-        snapshot that is durable."""
-        path = self.folder / segment_name(self.following)
+        snapshot that is durable. ``first`` is the sequence that it begins with, where ``following`` may
+        move on meanwhile."""
+        path = self.folder / segment_name(self.following if first is None else first)
         if self.file is not None:
             old, self.file = self.file, None
             try:
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -40,7 +40,9 @@
 )
 
 TICK_S = 0.25
+HELD_S = 0.25  # an answer waits no longer for a disk that hangs: it has a due time, and what ran is answered
 MARK_S = 0.01  # a mark waits so long for claims to be written with; until then its request would be in doubt
+BACKLOG_MOST = 100_000  # records that come while a segment is begun after a gap
 REOPEN_MS = 1000.0  # between two tries to write again after the disk refused
 RETIRE_MS = 60_000.0
 INBOX_MOST = 100  # corrections taken in one tick
@@ -75,6 +77,7 @@
         self.undelivered: list[Ticket] = []
         self.late: list[Late] = []
         self.held: list[tuple[int, Callable[[], object]]] = []  # answers that wait for the sync of a sequence
+        self.watching = False  # over those that wait for the disk
         self.marking = False  # a flush of marks is
         self.due = False  # a flush is due in this turn of the loop
         self.moving = False  # a new segment is begun: nothing is written meanwhile
@@ -132,6 +135,7 @@
     def _flush(self) -> None:
         self.due = False
         if self.moving:
+            self._watch()
             return
         if self._now() >= self.turn_ms:
             self._tell(Tick())
@@ -156,9 +160,28 @@
         for ticket, _, deliver in claims:
             if deliver is not None and wait:
                 self.held.append((ticket.sequence, deliver))
+                self._watch()
             elif deliver is not None:
                 deliver()
 
+    def _watch(self) -> None:
+        if not self.watching:
+            self.watching = True
+            first = self.claims[0][0] if self.moving else self.held[0][0]
+            asyncio.get_running_loop().call_later(HELD_S, self._held_long, first)
+
+    def _held_long(self, first: object) -> None:
+        """The disk hangs in a sync or a new segment. The first that waits has waited for too long: what ran is
+        answered, booked in memory, and the disk is taken for one that refuses."""
+        self.watching = False
+        waiting = [ticket for ticket, _, _ in self.claims] if self.moving else [number for number, _ in self.held]
+        if first in waiting:
+            self._refused(TimeoutError(f"the disk hangs for over {HELD_S:g} s"))
+            self.moving = False
+            self._flush()
+        elif waiting:
+            self._watch()
+
     def _write(self, entries: list[Entry]) -> None:
         """Write and apply; where the disk refuses, apply alone."""
         log, items = self.folder.log, [pack(entry) for entry in entries]
@@ -174,6 +197,8 @@
             self.gap = since, count + sum(kind == CLAIM_KIND for kind, _ in items), cause
             if self.backlog is not None:
                 self.backlog += items
+                if len(self.backlog) > BACKLOG_MOST:  # the next try begins with a snapshot of all again
+                    self.backlog = None
         self.folder.apply(first, entries)
         if not self.dirty.is_set():
             self.dirty.set()
@@ -269,7 +294,7 @@
             self.moving = True
             sequence, data = self.book.state.sequence, self.folder.snapshot_now()
             try:
-                await anyio.to_thread.run_sync(self.folder.log.begin)
+                await anyio.to_thread.run_sync(self.folder.log.begin, sequence + 1)
             except OSError as error:
                 self._refused(error)
             finally:
@@ -286,22 +311,19 @@
         self.tried_ms = self.steady_ms()
         async with self.disk:
             log, sequence, data = self.folder.log, self.book.state.sequence, self.folder.snapshot_now()
-            self.backlog = []
-            following = log.following
+            self.backlog, log.broken = [], True
             try:
                 await anyio.to_thread.run_sync(self.folder.write_snapshot, sequence, data)
-                after, log.following = log.following, following
-                log.broken = True
-                self.moving = True
+                await anyio.to_thread.run_sync(log.begin, sequence + 1)
+                if self.backlog is None:
+                    raise TimeoutError(f"over {BACKLOG_MOST:,} records came while it was tried")
+                after, log.following = log.following, sequence + 1
                 try:
-                    await anyio.to_thread.run_sync(log.begin)
+                    if self.backlog:
+                        log.append(self.backlog)
                 finally:
-                    self.moving = False
-                if self.backlog:
-                    log.append(self.backlog)
-                log.following = max(after, log.following)
+                    log.following = after
             except (OSError, BrokenError) as error:
-                log.following = max(log.following, following + len(self.backlog))
                 self.say("warning", "usage.disk_still_refuses", cause=str(error))
                 return
             finally:
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import errno
+import threading
 from functools import partial
 from pathlib import Path
 
@@ -17,6 +18,7 @@
 from flintshift.proto import usage_pb2 as pb
 from flintshift.storage.snapshot import DamagedError, publish
 from flintshift.usage import documents
+from flintshift.usage import ledger as ledger_module
 from flintshift.usage.corrections import to_json
 from flintshift.usage.folder import LedgerFolder, load, read_documents, retire
 from flintshift.usage.ledger import Ledger
@@ -321,3 +323,71 @@
 
     files, life = asyncio.run(work())
     assert life.delivered == verify(files, life) == {1}
+
+
+class Hanging(SimFiles):
+    """A disk on which syncs hang while ``gate`` is shut."""
+
+    def __init__(self):
+        super().__init__()
+        self.gate = threading.Event()
+        self.gate.set()
+
+    def step(self, what, path, do=lambda: None, partial=lambda: None):
+        if what == "sync":
+            self.gate.wait(20)
+        return super().step(what, path, do, partial)
+
+
+@pytest.mark.parametrize("at", ["sync", "segment", "reopen"])
+def test_a_disk_that_hangs_holds_no_answer_past_its_bound_and_loses_nothing(at, monkeypatch):
+    """In a sync, in a new segment, and in the try to come back from a gap."""
+    monkeypatch.setattr(ledger_module, "HELD_S", 0.05)
+
+    async def work():
+        files = Hanging()
+        life = Life(files, BEGIN)
+        ledger = life.ledger
+        ledger.due = ledger.marking = False  # flushed by itself
+        async with asyncio.TaskGroup() as tasks:
+            running = tasks.create_task(ledger.run())
+            tickets = {}
+
+            def claim(number):
+                tickets[number] = ledger.claim(number.to_bytes(8, "big"), ROW, 0, 10, 1, 1 << number, 5,
+                                               lambda: life.delivered.add(number))
+
+            async def answered(number):
+                async with asyncio.timeout(5):
+                    while number not in life.delivered:
+                        await asyncio.sleep(0.005)
+                ledger.mark(tickets[number], True)
+
+            claim(1)
+            await answered(1)
+            if at == "reopen":
+                ledger._refused(OSError("refused here"))
+            files.gate.clear()
+            if at == "segment":
+                ledger.segment_bytes = 1  # the next tick begins one
+                await asyncio.sleep(0.4)
+            for number in range(2, 7):
+                claim(number)
+                await answered(number)  # while the disk hangs
+            assert ledger.gap is not None
+            ledger.segment_bytes = 1 << 30
+            files.gate.set()
+            life.at_ms += 2000
+            async with asyncio.timeout(10):
+                while ledger.gap is not None:
+                    life.at_ms += 500
+                    await asyncio.sleep(0.05)
+            claim(7)
+            await answered(7)
+            await asyncio.sleep(0.05)
+            running.cancel()
+        await ledger.close()
+        return files, life
+
+    files, life = asyncio.run(work())
+    assert verify(files, life, frozenset(range(1, 8))) == set(range(1, 8))
