Bound open periods and unwritten documents; correct only what has settled

Cause: while documents can't be written, each period that closed stayed in memory, without a bound. With that bounded, the property test met a second fault: a correction counted an answer on its way, which a death then took out of the row, below zero. Change: at most 64 documents wait and 64 periods are open; the last goes on past its end, and the next begins where the time is by then. A correction is held against the row less the claims without a mark.

--- a/flintshift/usage/book.py
+++ b/flintshift/usage/book.py
@@ -4,7 +4,8 @@
 whether a correction is taken: ``keeper.py`` does, and writes records.
 
 Memory is bounded: rows by clubs, classes, fronts and outcomes for each open period; claims by the answers on their
-way; what is in doubt, corrections, gaps, steps and lives by ``Bounds``, past which they are counted and not listed.
+way; what is in doubt, corrections, gaps, steps and lives by ``Bounds``, past which they are counted and not listed;
+open periods and documents by the keeper, which neither turns nor closes past their bounds.
 """
 
 from __future__ import annotations
@@ -49,6 +50,8 @@
     doubted: int = 10_000  # requests in doubt, a period
     corrections: int = 10_000  # whose ids are known
     notes: int = 1000  # gaps, steps and lives, a period
+    documents: int = 64  # made, and not in files of their own yet
+    periods: int = 64  # open at once
 
 
 class Waiting(msgspec.Struct, array_like=True, gc=False):
@@ -137,6 +140,14 @@
         return {begin: {parted(key): list(row) for key, row in sorted(period.rows.items())}
                 for begin, period in sorted(self.state.periods.items())}
 
+    def settled(self, begin: int, names: Names) -> list[int]:
+        """A row of an open period less the claims whose answers are on their way, which may still leave it."""
+        row = list(self.state.periods[begin].rows.get(joined(names), [0] * len(AMOUNTS)))
+        for found in self.state.waiting.values():
+            if found.period == begin and self.names_of(found.claim.row) == names:
+                row = [amount - less for amount, less in zip(row, amounts_of(found.claim), strict=True)]
+        return row
+
     def dump(self) -> bytes:
         return msgspec.msgpack.encode(self.state)
 
@@ -218,10 +229,7 @@
 
     def _move(self, found: Waiting, to: list[int] | None) -> list[int]:
         """Take a claim out of its row again, and into another one if there is one; returns its amounts."""
-        claim = found.claim
-        amounts = [1, int(bool(claim.flags & AGAIN)), int(bool(claim.flags & KEPT)), claim.run_us, claim.calls,
-                   claim.bytes_in, claim.bytes_out]
-        row = self._row(found.period, claim.row)
+        amounts, row = amounts_of(found.claim), self._row(found.period, found.claim.row)
         for place, amount in enumerate(amounts):
             row[place] -= amount
             if to is not None:
@@ -319,6 +327,11 @@
         state.number, state.digest = document.number, documents.digest_of(data)
 
 
+def amounts_of(claim: Claim) -> list[int]:
+    return [1, int(bool(claim.flags & AGAIN)), int(bool(claim.flags & KEPT)), claim.run_us, claim.calls,
+            claim.bytes_in, claim.bytes_out]
+
+
 def content_of(entry: Corrected) -> bytes:
     """What makes two corrections the same: all but the time at which they came."""
     return documents.digest_of(msgspec.msgpack.encode(
--- a/flintshift/usage/keeper.py
+++ b/flintshift/usage/keeper.py
@@ -3,6 +3,8 @@
 - A period turns when the ledger's time leaves it, and never to one that has closed.
 - It closes once, in the order of time, a grace after its end, when no answer of it is on its way any more: a front
   writes no answer for longer than ``Limits.write_ms``, so this ends.
+- While documents can't be written, at most ``Bounds.documents`` are made and ``Bounds.periods`` are open: the last
+  one then goes on past its end, and the next begins where the time is by then.
 - A change of the length takes effect at the end of the period that is open then; the next one is cut to its grid.
 - A correction is taken once. It changes an open period's rows, and makes a revision of a closed one.
 """
@@ -11,7 +13,7 @@
 
 import re
 
-from flintshift.usage.book import Book, content_of, joined
+from flintshift.usage.book import Book, content_of
 from flintshift.usage.periods import period_of
 from flintshift.usage.records import (
     AMOUNTS,
@@ -69,13 +71,17 @@
         current, edge = state.current, state.closed_to
         if current is not None:
             edge = max(edge, current + state.periods[current].length)
-        if current is None or now >= edge:
+        if current is None or (now >= edge and len(state.periods) < self.book.bounds.periods):
             current = max(period_of(now, state.period_ms), edge)
             actions.append(Append(Turned(current, period_of(current, state.period_ms) + state.period_ms - current)))
+        room = self.book.bounds.documents - len(state.documents)
         answers = {found.period for found in state.waiting.values()}
         for begin, period in sorted(state.periods.items()):
             if begin == current or now < begin + period.length + self.grace_ms or begin in answers:
                 break  # in their order: a later one does not close before an earlier one
+            if room <= 0:
+                break
+            room -= 1
             actions.append(Append(Closed(begin, now)))
         return actions
 
@@ -117,9 +123,11 @@
         if len(state.corrections) >= self.book.bounds.corrections:
             return f"{len(state.corrections):,} corrections are known, the most that there may be"
         period = state.periods.get(asked.period)
+        if period is None and len(state.documents) >= self.book.bounds.documents:
+            return f"{len(state.documents)} documents wait to be written: look at the disk, and hand it in again"
         if period is not None:
             names = asked.club, asked.class_name, asked.front, asked.outcome
-            standing = tuple(period.rows.get(joined(names), [0] * len(AMOUNTS)))
+            standing = tuple(self.book.settled(asked.period, names))
         elif asked.length is None:
             return f"no period begins at {asked.period} ms"
         else:
