Decide syncs, segments and gaps in a module without I/O

Cause: when to sync, to begin a segment, to try again after a refusal and how long an answer waits stood in the ledger's driver, spread over four tasks and a lock, where a test needed an event loop to reach them. Change: storage/commit.py is told what was written and how operations end, and answers with the next operation, releases and wake-ups; the driver does one operation at a time.

--- a/flintshift/cli/usage.py
+++ b/flintshift/cli/usage.py
@@ -170,6 +170,8 @@
     An open period is changed. A period that has closed gets a numbered revision with the difference; its documents
     stay as they are. While a node runs on the folder the correction is handed to it; else it is booked here.
     """
+    import anyio
+
     from flintshift.usage.corrections import to_json
     from flintshift.usage.vocabulary import CorrectionAsked
     amounts = [0] * len(AMOUNTS)
@@ -183,25 +185,26 @@
     if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", id_):
         raise click.UsageError("--id is 1 to 64 of A-Z a-z 0-9 . _ -")
     try:
-        taken, text = _correct_here(folder, asked)
+        taken, text = anyio.run(_correct_here, folder, asked)
     except LockedError:
         taken, text = _hand_in(folder, id_, asked, wait)
     click.echo(text, err=not taken)
     sys.exit(0 if taken else 3)
 
 
-def _correct_here(folder: Path, asked: bytes) -> tuple[bool, str]:
+async def _correct_here(folder: Path, asked: bytes) -> tuple[bool, str]:
+    from flintshift.storage.commit import CommitLimits
     from flintshift.usage.ledger import Ledger
     from flintshift.usage.periods import LedgerClock
     holder = LedgerFolder(FILES, folder)
     try:
         wall = time.time() * 1000
-        ledger = Ledger(holder, 0, "power-cut", 0.0, False, 1 << 30, 0.0, [],
+        ledger = Ledger(holder, 0, CommitLimits(syncs=False), False, 0.0, [],
                         LedgerClock(wall, 0.0, holder.book.state.last_ms), lambda: wall, lambda: 0.0,
                         lambda *_, **__: None)
         reply = ledger.correct(asked)
-        if ledger.gap is not None:
-            return False, f"could not be written: {ledger.gap[2]}"
+        if ledger.commit.gap is not None:
+            return False, f"could not be written: {ledger.commit.gap.cause}"
         holder.log.sync()
         if holder.book.state.documents:
             holder.write_documents(holder.book.state.documents)
--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -11,10 +11,11 @@
 from flintshift.core.attempts import Answer, Attempt, Verdict
 from flintshift.core.ports import Log
 from flintshift.settings.options import UsageOptions
+from flintshift.storage.commit import CommitLimits
 from flintshift.storage.files import DiskFiles, Files, LockedError
 from flintshift.storage.snapshot import DamagedError
 from flintshift.usage.folder import LedgerFolder
-from flintshift.usage.ledger import Ledger
+from flintshift.usage.ledger import HELD_MS, REOPEN_MS, Ledger
 from flintshift.usage.periods import LedgerClock
 from flintshift.usage.records import AGAIN, FINAL, FRONTS, GONE, KEPT, OUTCOMES, row_number
 
@@ -103,9 +104,10 @@
     sinks = []
     if options.export is not None:
         sinks = [name for name, sink in (("folder", options.export.folder), ("http", options.export.http)) if sink]
-    return Ledger(folder, options.grace_ms, options.durability, options.sync_ms,
-                  options.on_disk_failure == "refuse", options.segment_bytes, options.retention_ms, sinks, clock,
-                  lambda: time.time() * 1000, lambda: time.monotonic() * 1000, log)
+    limits = CommitLimits(options.durability != "none", options.durability == "power-cut", options.sync_ms, HELD_MS,
+                          REOPEN_MS, options.segment_bytes)
+    return Ledger(folder, options.grace_ms, limits, options.on_disk_failure == "refuse", options.retention_ms, sinks,
+                  clock, lambda: time.time() * 1000, lambda: time.monotonic() * 1000, log)
 
 
 UNUSABLE = (OSError, LockedError, DamagedError)
--- /dev/null
+++ b/flintshift/storage/commit.py
@@ -0,0 +1,240 @@
+"""Group commit, new segments, and a disk that refuses or hangs: what is done to a log, and when. Without I/O.
+
+The owner writes records by itself (one call of the system for all that came in one turn) and tells it here; it is
+told when to sync, to begin a segment, to release answers, and to take the disk for one that refuses. One operation
+is under way at a time. An answer waits for the disk no longer than ``held_ms``, whatever the disk does: what was run
+is answered. From then on, as after a refusal, there is a gap: records stand in memory alone until a snapshot of all is
+written and a new segment begun behind it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class CommitLimits:
+    syncs: bool = True  # records are synced within ``sync_ms``; else only where it is asked for
+    holds: bool = False  # answers wait for that sync
+    sync_ms: float = 50.0
+    held_ms: float = 250.0
+    reopen_ms: float = 1000.0  # between two tries to end a gap
+    segment_bytes: int = 16 << 20
+
+
+# Told.
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """Time has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stalled:
+    """Something waits to be written while a segment is begun."""
+
+
+@dataclass(frozen=True, slots=True)
+class SyncWanted:
+    """This sequence must be synced before its owner goes on."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A write, or the operation that was under way, failed."""
+
+    cause: str
+    write: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The operation that was under way has ended well."""
+
+
+CommitEvent = Woken | Stalled | SyncWanted | Refused | Done
+
+
+# Answered.
+
+
+@dataclass(frozen=True, slots=True)
+class Sync:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class BeginSegment:
+    """Write nothing until it is done."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reopen:
+    """Write a snapshot of all, begin a segment behind it, and write there what came meanwhile."""
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Answers up to this sequence may leave."""
+
+    upto: float
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """What was stalled may be written now, or booked in memory where there is a gap."""
+
+
+@dataclass(frozen=True, slots=True)
+class GapBegan:
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class GapEnded:
+    since_ms: float
+    requests: int
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class StillRefused:
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class WakeAt:
+    at_ms: float
+
+
+Operation = Sync | BeginSegment | Reopen
+CommitAction = Operation | Release | Write | GapBegan | GapEnded | StillRefused | WakeAt
+
+
+@dataclass(slots=True)
+class GapNow:
+    since_ms: float
+    requests: int
+    cause: str
+
+
+class Commit:
+    """All times are of one steady clock."""
+
+    def __init__(self, limits: CommitLimits, synced: int) -> None:
+        self.limits = limits
+        self.written = self.synced = synced  # sequences
+        self.size = 0  # of the segment
+        self.under_way: Operation | None = None
+        self.upto = 0  # what the sync under way covers
+        self.wanted = 0  # a sequence that somebody waits to see synced
+        self.due_ms = math.inf  # of the next sync
+        self.holding: deque[tuple[int, float]] = deque()  # since when answers up to a sequence wait
+        self.stalled_ms = math.inf  # since when something waits for a segment
+        self.tried_ms = -math.inf
+        self.gap: GapNow | None = None
+
+    @property
+    def stalls(self) -> bool:
+        """Nothing may be written now."""
+        return self.gap is None and isinstance(self.under_way, BeginSegment)
+
+    def wrote(self, now_ms: float, sequence: int, size: int, requests: int) -> list[CommitAction]:
+        """Records up to this sequence stand in the segment, which has this size; or in memory, in a gap. Of them so
+        many are requests, whose answers wait where ``holds``. (No event: it comes with each write.)"""
+        self.written, self.size = sequence, size
+        if self.gap is not None:
+            self.gap.requests += requests
+            return []
+        if requests and self.limits.holds:
+            self.holding.append((sequence, now_ms))
+        if self.due_ms != math.inf and size < self.limits.segment_bytes:
+            return []  # the wake-up for that sync is set, and comes before any answer has waited too long
+        if self.limits.syncs:
+            self.due_ms = min(self.due_ms, now_ms + self.limits.sync_ms)
+        return self._next(now_ms)
+
+    def handle(self, now_ms: float, event: CommitEvent) -> list[CommitAction]:
+        match event:
+            case Woken():
+                if self._waited_ms(now_ms) >= self.limits.held_ms:
+                    return self._begin_gap(now_ms, f"the disk hangs for {self.limits.held_ms:g} ms")
+                return self._next(now_ms)
+            case Stalled():
+                self.stalled_ms = min(self.stalled_ms, now_ms)
+                return [WakeAt(self.stalled_ms + self.limits.held_ms)]
+            case SyncWanted(sequence):
+                self.wanted = max(self.wanted, sequence)
+                return self._next(now_ms)
+            case Refused(cause, write):
+                over = None if write else self._over()
+                if isinstance(over, Reopen):
+                    return [StillRefused(cause), *self._next(now_ms)]
+                return self._begin_gap(now_ms, cause)
+            case Done():
+                return self._done(now_ms, self._over())
+
+    def _over(self) -> Operation | None:
+        over, self.under_way = self.under_way, None
+        return over
+
+    def _done(self, now_ms: float, over: Operation | None) -> list[CommitAction]:
+        actions: list[CommitAction] = []
+        if isinstance(over, Reopen) and self.gap is not None:
+            gap, self.gap = self.gap, None
+            self.due_ms = now_ms  # what came meanwhile is written, not synced
+            actions.append(GapEnded(gap.since_ms, gap.requests, gap.cause))
+        elif isinstance(over, Sync) and self.gap is None:
+            self.synced = self.upto
+            while self.holding and self.holding[0][0] <= self.synced:
+                self.holding.popleft()
+            actions.append(Release(self.synced))
+            if self.written > self.synced and self.limits.syncs:
+                self.due_ms = min(self.due_ms, now_ms + self.limits.sync_ms)
+        elif isinstance(over, BeginSegment) and self.gap is None:
+            self.stalled_ms, self.size = math.inf, 0
+            actions.append(Write())
+        return actions + self._next(now_ms)
+
+    def _begin_gap(self, now_ms: float, cause: str) -> list[CommitAction]:
+        actions: list[CommitAction] = []
+        if self.gap is None:
+            self.gap, self.tried_ms = GapNow(now_ms, 0, cause), now_ms
+            self.holding.clear()
+            self.due_ms = self.stalled_ms = math.inf
+            actions = [GapBegan(cause), Release(math.inf), Write()]
+        return actions + self._next(now_ms)
+
+    def _waited_ms(self, now_ms: float) -> float:
+        since = min(self.holding[0][1] if self.holding else math.inf, self.stalled_ms)
+        return now_ms - since if self.gap is None else -math.inf
+
+    def _next(self, now_ms: float) -> list[CommitAction]:
+        """The operation that is due, or when one will be."""
+        wakes = [one[1] + self.limits.held_ms for one in list(self.holding)[:1]]
+        if self.under_way is None:
+            operation, at_ms = self._due(now_ms)
+            if operation is not None:
+                self.under_way = operation
+                return [operation, *map(WakeAt, wakes)]
+            wakes.append(at_ms)
+        return [WakeAt(at_ms) for at_ms in wakes if at_ms != math.inf]
+
+    def _due(self, now_ms: float) -> tuple[Operation | None, float]:
+        if self.gap is not None:
+            at_ms = self.tried_ms + self.limits.reopen_ms
+            if now_ms < at_ms:
+                return None, at_ms
+            self.tried_ms = now_ms
+            return Reopen(), now_ms
+        if self.size >= self.limits.segment_bytes:
+            return BeginSegment(), now_ms
+        if self.wanted > self.synced or now_ms >= self.due_ms:
+            self.upto, self.due_ms = self.written, math.inf
+            return Sync(), now_ms
+        return None, self.due_ms
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -2,8 +2,8 @@
 
 A claim is written before the answer leaves, and a mark once it has left; a death between them leaves the request
 in doubt, listed by its id, never silently either way. Claims and marks that come in one turn of the event loop are
-written by one call of the system (group commit). With durability ``power-cut`` the answers also wait for the
-sync that follows within ``sync_ms``; with ``process-death`` that sync runs behind them.
+written by one call of the system (group commit). Where ``holds`` is set (durability power-cut) the answers also wait
+for the sync that follows within ``sync_ms``; else that sync runs behind them.
 
 Where the disk refuses, the book goes on in memory and the gap is told; what it holds is written as a snapshot as
 soon as the disk takes it again, so nothing is lost but by a death in between.
@@ -14,6 +14,7 @@
 import asyncio
 import json
 import math
+from collections import deque
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Protocol
@@ -21,13 +22,33 @@
 import anyio
 
 from flintshift.storage import snapshot
+from flintshift.storage.commit import (
+    BeginSegment,
+    Commit,
+    CommitAction,
+    CommitLimits,
+    Done,
+    GapBegan,
+    GapEnded,
+    Operation,
+    Refused,
+    Release,
+    Reopen,
+    Stalled,
+    StillRefused,
+    Sync,
+    SyncWanted,
+    WakeAt,
+    Woken,
+    Write,
+)
 from flintshift.storage.log import BrokenError
 from flintshift.usage import documents
 from flintshift.usage.corrections import base_of, from_json
 from flintshift.usage.folder import LedgerFolder, retire
 from flintshift.usage.keeper import Keeper
 from flintshift.usage.periods import LedgerClock
-from flintshift.usage.records import CLAIM_KIND, Claim, Ended, Entry, Late, Marked, pack
+from flintshift.usage.records import Claim, Ended, Entry, Late, Marked, pack
 from flintshift.usage.vocabulary import (
     Append,
     ClockMoved,
@@ -40,10 +61,11 @@
 )
 
 TICK_S = 0.25
-HELD_S = 0.25  # an answer waits no longer for a disk that hangs: it has a due time, and what ran is answered
+HELD_MS = 250.0  # an answer waits no longer for a disk that hangs: it has a due time, and what ran is answered
 MARK_S = 0.01  # a mark waits so long for claims to be written with; until then its request would be in doubt
 BACKLOG_MOST = 100_000  # records that come while a segment is begun after a gap
 REOPEN_MS = 1000.0  # between two tries to write again after the disk refused
+CLOSE_S = 2.0  # for the disk, when the node leaves: what hangs then is in doubt at the next start
 RETIRE_MS = 60_000.0
 INBOX_MOST = 100  # corrections taken in one tick
 
@@ -64,37 +86,37 @@
 
 
 class Ledger:
-    def __init__(self, folder: LedgerFolder, grace_ms: int, durability: str, sync_ms: float, refuse: bool,
-                 segment_bytes: int, retention_ms: float, sinks: list[str], clock: LedgerClock,
-                 wall_ms: Callable[[], float], steady_ms: Callable[[], float], say: Say) -> None:
+    """``limits`` say what the disk is to do for an answer; what it is told is decided in ``storage/commit.py``."""
+
+    def __init__(self, folder: LedgerFolder, grace_ms: int, limits: CommitLimits, refuse: bool, retention_ms: float,
+                 sinks: list[str], clock: LedgerClock, wall_ms: Callable[[], float],
+                 steady_ms: Callable[[], float], say: Say) -> None:
         self.folder, self.book = folder, folder.book
         self.keeper = Keeper(folder.book, grace_ms)
-        self.durability, self.sync_ms, self.refuse = durability, sync_ms, refuse
-        self.segment_bytes, self.retention_ms, self.sinks = segment_bytes, retention_ms, sinks
+        self.commit = Commit(limits, folder.log.following - 1)
+        self.refuse, self.retention_ms, self.sinks = refuse, retention_ms, sinks
         self.clock, self.wall_ms, self.steady_ms, self.say = clock, wall_ms, steady_ms, say
         self.claims: list[tuple[Ticket, Claim, Callable[[], object] | None]] = []  # not written yet
         self.delivered: list[Ticket] = []  # not marked yet
         self.undelivered: list[Ticket] = []
         self.late: list[Late] = []
-        self.held: list[tuple[int, Callable[[], object]]] = []  # answers that wait for the sync of a sequence
-        self.watching = False  # over those that wait for the disk
-        self.marking = False  # a flush of marks is
+        self.held: deque[tuple[int, Callable[[], object]]] = deque()  # answers that wait for the sync of a sequence
+        self.marking = False  # a flush of marks is due
         self.due = False  # a flush is due in this turn of the loop
-        self.moving = False  # a new segment is begun: nothing is written meanwhile
-        self.synced = folder.log.following - 1
-        self.dirty = anyio.Event()
-        self.disk = anyio.Lock()  # of sync, a new segment, and the end
-        self.gap: tuple[int, int, str] | None = None  # since when, how many, why
         self.backlog: list[tuple[int, bytes]] | None = None  # what came after the snapshot that closes a gap
-        self.tried_ms = -math.inf
+        self.operation: Operation | None = None  # the disk's next
+        self.changed_disk = anyio.Event()  # there is one, or one has ended
+        self.timer: asyncio.TimerHandle | None = None
+        self.snapshot_due: tuple[int, bytes] | None = None  # of the segment that was begun last
         self.turn_ms = 0  # the end of the period of now
+        self.steps: list[int] = []  # of the clock, not told yet
         self.retired_ms = -math.inf
         self.changed: Callable[[], object] = lambda: None  # documents stand that did not before
 
     @property
     def refusing(self) -> bool:
         """New work is not to be taken: it could not be booked."""
-        return self.refuse and self.gap is not None
+        return self.refuse and self.commit.gap is not None
 
     # What the node tells.
 
@@ -134,8 +156,8 @@
 
     def _flush(self) -> None:
         self.due = False
-        if self.moving:
-            self._watch()
+        if self.commit.stalls:
+            self._do(self.commit.handle(self.steady_ms(), Stalled()))
             return
         if self._now() >= self.turn_ms:
             self._tell(Tick())
@@ -154,69 +176,153 @@
             entries.append(Marked(base, [ticket.sequence - base for ticket in delivered],
                                   [ticket.sequence - base for ticket in undelivered]))
         entries += late
+        holds = self.commit.limits.holds
+        if holds:  # before the write, which may tell that they are not to wait
+            self.held += [(ticket.sequence, deliver) for ticket, _, deliver in claims if deliver is not None]
         if entries:
-            self._write(entries)
-        wait = self.durability == "power-cut" and self.gap is None
-        for ticket, _, deliver in claims:
-            if deliver is not None and wait:
-                self.held.append((ticket.sequence, deliver))
-                self._watch()
-            elif deliver is not None:
-                deliver()
-
-    def _watch(self) -> None:
-        if not self.watching:
-            self.watching = True
-            first = self.claims[0][0] if self.moving else self.held[0][0]
-            asyncio.get_running_loop().call_later(HELD_S, self._held_long, first)
-
-    def _held_long(self, first: object) -> None:
-        """The disk hangs in a sync or a new segment. The first that waits has waited for too long: what ran is
-        answered, booked in memory, and the disk is taken for one that refuses."""
-        self.watching = False
-        waiting = [ticket for ticket, _, _ in self.claims] if self.moving else [number for number, _ in self.held]
-        if first in waiting:
-            self._refused(TimeoutError(f"the disk hangs for over {HELD_S:g} s"))
-            self.moving = False
-            self._flush()
-        elif waiting:
-            self._watch()
-
-    def _write(self, entries: list[Entry]) -> None:
+            self._write(entries, len(claims))
+        if not holds:
+            for _, _, deliver in claims:
+                if deliver is not None:
+                    deliver()
+        elif self.commit.gap is not None:
+            self._release(math.inf)
+
+    def _write(self, entries: list[Entry], requests: int = 0) -> None:
         """Write and apply; where the disk refuses, apply alone."""
         log, items = self.folder.log, [pack(entry) for entry in entries]
         first = log.following
-        if self.gap is None:
+        actions: list[CommitAction] = []
+        if self.commit.gap is None:
             try:
                 log.append(items)
             except (OSError, BrokenError) as error:
-                self._refused(error)
-        if self.gap is not None:
+                actions = self.commit.handle(self.steady_ms(), Refused(str(error), write=True))
+        if self.commit.gap is not None:
             log.following = first + len(items)
-            since, count, cause = self.gap
-            self.gap = since, count + sum(kind == CLAIM_KIND for kind, _ in items), cause
             if self.backlog is not None:
                 self.backlog += items
                 if len(self.backlog) > BACKLOG_MOST:  # the next try begins with a snapshot of all again
                     self.backlog = None
         self.folder.apply(first, entries)
-        if not self.dirty.is_set():
-            self.dirty.set()
-
-    def _refused(self, error: Exception) -> None:
-        if self.gap is None:
-            self.gap = int(self._now()), 0, str(error)
-            self.say("error", "usage.disk_refused", cause=str(error),
-                     then="new work is refused" if self.refuse else "booked in memory")
-        held, self.held = self.held, []
-        for _, deliver in held:  # what was run is answered, whatever the disk does
-            deliver()
+        actions += self.commit.wrote(self.steady_ms(), first + len(items) - 1, log.size, requests)
+        if actions:
+            self._do(actions)
+
+    def _do(self, actions: list[CommitAction]) -> None:
+        """What the commit says; an operation of the disk is left to ``work``."""
+        for action in actions:
+            match action:
+                case Sync() | BeginSegment() | Reopen():
+                    self.operation = action
+                    self._disk_changed()
+                case Release(upto):
+                    self._release(upto)
+                case Write():
+                    if not self.due:
+                        self._flush_soon()
+                case WakeAt(at_ms):
+                    self._wake_at(at_ms)
+                case GapBegan(cause):
+                    self.say("error", "usage.disk_refused", cause=cause,
+                             then="new work is refused" if self.refuse else "booked in memory")
+                    self._disk_changed()
+                case GapEnded(since_ms, requests, cause):
+                    ago_ms = self.steady_ms() - since_ms
+                    self._tell(DiskBack(int(self._now() - ago_ms), requests, cause))
+                    self.say("info", "usage.disk_back", requests_in_memory=requests)
+                case StillRefused(cause):
+                    self.say("warning", "usage.disk_still_refuses", cause=cause)
+
+    def _release(self, upto: float) -> None:
+        held = self.held
+        while held and held[0][0] <= upto:
+            held.popleft()[1]()
+
+    def _wake_at(self, at_ms: float) -> None:
+        loop = asyncio.get_running_loop()
+        when = loop.time() + max(0.0, at_ms - self.steady_ms()) / 1000
+        if self.timer is not None:
+            if self.timer.when() <= when:
+                return
+            self.timer.cancel()
+        self.timer = loop.call_at(when, self._woken)
+
+    def _woken(self) -> None:
+        self.timer = None
+        self._do(self.commit.handle(self.steady_ms(), Woken()))
+
+    def _disk_changed(self) -> None:
+        changed, self.changed_disk = self.changed_disk, anyio.Event()
+        changed.set()
+
+    async def work(self) -> None:
+        """Do the disk's next operation, if there is one."""
+        operation, self.operation = self.operation, None
+        if operation is None:
+            return
+        event: Done | Refused = Done()
+        try:
+            match operation:
+                case Sync():
+                    await anyio.to_thread.run_sync(self.folder.log.sync)
+                case BeginSegment():
+                    await self._begin_segment()
+                case Reopen():
+                    await self._reopen()
+        except (OSError, BrokenError) as error:
+            event = Refused(str(error))
+        self.backlog = None
+        self._do(self.commit.handle(self.steady_ms(), event))
+        self._disk_changed()
+
+    async def _begin_segment(self) -> None:
+        """Keep the book as it stands now: recovery will begin there."""
+        sequence, data = self.book.state.sequence, self.folder.snapshot_now()
+        await anyio.to_thread.run_sync(self.folder.log.begin, sequence + 1)
+        self.snapshot_due = sequence, data
+
+    async def _reopen(self) -> None:
+        log, sequence, data = self.folder.log, self.book.state.sequence, self.folder.snapshot_now()
+        self.backlog, log.broken = [], True
+        await anyio.to_thread.run_sync(self.folder.write_snapshot, sequence, data)
+        await anyio.to_thread.run_sync(log.begin, sequence + 1)
+        if self.backlog is None:
+            raise TimeoutError(f"over {BACKLOG_MOST:,} records came while it was tried")
+        after, log.following = log.following, sequence + 1
+        try:
+            if self.backlog:
+                log.append(self.backlog)
+        finally:
+            log.following = after
+
+    async def _operation_ends(self) -> None:
+        changed = self.changed_disk
+        if self.operation is not None:
+            await self.work()
+        else:
+            await changed.wait()
+
+    async def _writable(self) -> None:
+        """Nothing is written while a segment is begun."""
+        while self.commit.stalls:
+            await self._operation_ends()
+
+    async def _synced(self) -> bool:
+        """All that is written is synced; False in a gap."""
+        wanted = self.book.state.sequence
+        self._do(self.commit.handle(self.steady_ms(), SyncWanted(wanted)))
+        while self.commit.gap is None and self.commit.synced < wanted:
+            await self._operation_ends()
+        return self.commit.gap is None
 
     def _now(self) -> float:
         now, step = self.clock.read(self.wall_ms(), self.steady_ms())
         if step is not None:
             self.say("warning", "usage.clock_stepped", by_ms=step.by_ms)
-            self._tell(ClockMoved(step.by_ms), now)
+            self.steps.append(step.by_ms)
+        while self.steps and not self.commit.stalls:
+            self._tell(ClockMoved(self.steps.pop(0)), now)
         return now
 
     def _tell(self, event: KeeperEvent, now: float | None = None) -> Reply | None:
@@ -239,115 +345,52 @@
         """Until cancelled."""
         self._tell(Tick())
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._sync)
+            tasks.start_soon(self._work_on)
             while True:
                 await self.tick()
                 await anyio.sleep(TICK_S)
 
+    async def _work_on(self) -> None:
+        while True:
+            changed = self.changed_disk
+            if self.operation is None:
+                await changed.wait()
+            await self.work()
+
     async def tick(self) -> None:
-        """Turn and close periods, publish documents, take corrections, begin segments, remove what is past."""
-        if not self.moving:
-            self._tell(Tick())
-        if self.gap is not None:
-            await self._reopen()
+        """Turn and close periods, publish documents, take corrections, keep snapshots, remove what is past."""
+        await self._writable()
+        self._tell(Tick())
+        if self.commit.gap is not None:
+            self._do(self.commit.handle(self.steady_ms(), Woken()))
         await self._documents()
         await self._inbox()
-        if self.folder.log.size >= self.segment_bytes and self.gap is None:
-            await self._roll()
+        await self._snapshot()
         now = self._now()
         if now - self.retired_ms >= RETIRE_MS:
             self.retired_ms = now
             await self._retire(now)
 
-    async def _sync(self) -> None:
-        while True:
-            await self.dirty.wait()
-            if self.durability == "none":
-                return
-            await anyio.sleep(self.sync_ms / 1000)
-            self.dirty = anyio.Event()
-            if self.gap is None:
-                async with self.disk:
-                    await self._sync_now()
-
-    async def _sync_now(self) -> None:
-        upto = self.folder.log.following - 1
-        try:
-            await anyio.to_thread.run_sync(self.folder.log.sync)
-        except (OSError, BrokenError) as error:
-            self._refused(error)
+    async def _snapshot(self) -> None:
+        due, self.snapshot_due = self.snapshot_due, None
+        if due is None:
             return
-        self.synced = upto
-        held, self.held = self.held, []
-        for sequence, deliver in held:
-            if sequence <= upto:
-                deliver()
-            else:
-                self.held.append((sequence, deliver))
-
-    async def _roll(self) -> None:
-        """Begin a new segment, and keep the book as it stood then: recovery begins there."""
-        async with self.disk:
-            await self._sync_now()
-            if self.gap is not None:
-                return
-            self.moving = True
-            sequence, data = self.book.state.sequence, self.folder.snapshot_now()
-            try:
-                await anyio.to_thread.run_sync(self.folder.log.begin, sequence + 1)
-            except OSError as error:
-                self._refused(error)
-            finally:
-                self.moving = False
-                self._flush()
-            try:
-                await anyio.to_thread.run_sync(self.folder.write_snapshot, sequence, data)
-            except OSError as error:  # the log alone holds all: the next one is tried with the next segment
-                self.say("warning", "usage.snapshot_failed", cause=str(error))
-
-    async def _reopen(self) -> None:
-        if self.steady_ms() - self.tried_ms < REOPEN_MS:
-            return
-        self.tried_ms = self.steady_ms()
-        async with self.disk:
-            log, sequence, data = self.folder.log, self.book.state.sequence, self.folder.snapshot_now()
-            self.backlog, log.broken = [], True
-            try:
-                await anyio.to_thread.run_sync(self.folder.write_snapshot, sequence, data)
-                await anyio.to_thread.run_sync(log.begin, sequence + 1)
-                if self.backlog is None:
-                    raise TimeoutError(f"over {BACKLOG_MOST:,} records came while it was tried")
-                after, log.following = log.following, sequence + 1
-                try:
-                    if self.backlog:
-                        log.append(self.backlog)
-                finally:
-                    log.following = after
-            except (OSError, BrokenError) as error:
-                self.say("warning", "usage.disk_still_refuses", cause=str(error))
-                return
-            finally:
-                self.backlog = None
-            assert self.gap is not None
-            (since, count, cause), self.gap = self.gap, None
-        self._tell(DiskBack(since, count, cause))
-        self.say("info", "usage.disk_back", requests_in_memory=count)
-        self._flush()
+        try:
+            await anyio.to_thread.run_sync(self.folder.write_snapshot, *due)
+        except OSError as error:  # the log alone holds all: the next one is tried with the next segment
+            self.say("warning", "usage.snapshot_failed", cause=str(error))
 
     async def _documents(self) -> None:
         made = list(self.book.state.documents)
-        if not made or self.gap is not None:
+        # The record that made a document must not be lost where the document stands.
+        if not made or not await self._synced():
             return
         try:
-            if self.durability != "none":  # the record that made it must not be lost where its document stands
-                async with self.disk:
-                    await self._sync_now()
-                if self.gap is not None:
-                    return
             number = await anyio.to_thread.run_sync(self.folder.write_documents, made)
         except OSError as error:
             self.say("error", "usage.document_failed", cause=str(error))
             return
+        await self._writable()
         self._tell(DocumentsStand(number))
         for document in made:
             self.say("info", "usage.document", name=document.name, bytes=len(document.data))
@@ -363,11 +406,10 @@
         for name in handed_in[:INBOX_MOST]:
             path = folder / "inbox" / name
             try:
+                await self._writable()
                 reply = self.correct(files.read(path))
                 told = {"taken": reply.taken, "text": reply.text}
-                if self.gap is None and self.durability != "none":
-                    async with self.disk:
-                        await self._sync_now()
+                await self._synced()
                 await anyio.to_thread.run_sync(partial(
                     snapshot.publish, files, folder / "replies" / name, json.dumps(told).encode()))
                 files.remove(path)
@@ -396,13 +438,18 @@
         if gone:
             self.say("info", "usage.retired", names=len(gone))
             if kept_from and any(name.endswith(documents.ENDING) for name in gone):
+                await self._writable()
                 self._tell(Retired(kept_from))
 
     async def close(self) -> None:
         """The node leaves in good order: all is written, nothing is in doubt."""
+        with anyio.move_on_after(CLOSE_S):
+            while self.commit.under_way is not None:
+                await self._operation_ends()
         self._flush()
-        async with self.disk:
-            if self.gap is None:
-                self._write([Ended(int(self._now()))])
-            await anyio.to_thread.run_sync(self.folder.close)
-
+        if self.commit.gap is None:
+            self._write([Ended(int(self._now()))])
+        if self.timer is not None:
+            self.timer.cancel()
+        with anyio.move_on_after(CLOSE_S):
+            await anyio.to_thread.run_sync(self.folder.close, abandon_on_cancel=True)
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -9,6 +9,8 @@
 import contextlib
 import errno
 import threading
+import time
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 
@@ -16,9 +18,9 @@
 from storage.sim_files import SimFiles, StoppedError
 
 from flintshift.proto import usage_pb2 as pb
+from flintshift.storage.commit import CommitLimits, Refused
 from flintshift.storage.snapshot import DamagedError, publish
 from flintshift.usage import documents
-from flintshift.usage import ledger as ledger_module
 from flintshift.usage.corrections import to_json
 from flintshift.usage.folder import LedgerFolder, load, read_documents, retire
 from flintshift.usage.ledger import Ledger
@@ -37,33 +39,48 @@
 class Life:
     """One life of a ledger on a simulated disk and clock; its tasks are stepped by hand."""
 
-    def __init__(self, files, at_ms, durability="power-cut", refuse=False):
+    def __init__(self, files, at_ms, durability="power-cut", refuse=False, steady_ms=None, **limits):
         self.files, self.at_ms = files, at_ms
         holder = LedgerFolder(files, FOLDER)
         holder.open("n1", b"l" * 16, 1000, CLUBS, CLASSES, at_ms)
-        clock = LedgerClock(at_ms, at_ms, holder.book.state.last_ms)
+        steady_ms = steady_ms or (lambda: self.at_ms)
+        clock = LedgerClock(at_ms, steady_ms(), holder.book.state.last_ms)
         self.told = []
-        self.ledger = Ledger(holder, 100, durability, 0.0, refuse, 300, 0.0, ["folder"], clock, lambda: self.at_ms,
-                             lambda: self.at_ms, lambda level, event, **more: self.told.append((event, more)))
+        told = CommitLimits(**{"holds": durability == "power-cut", "sync_ms": 0.0, "segment_bytes": 300, **limits})
+        self.ledger = Ledger(holder, 100, told, refuse, 0.0, ["folder"], clock, lambda: self.at_ms, steady_ms,
+                             lambda level, event, **more: self.told.append((event, more)))
         self.ledger.due = self.ledger.marking = True  # flushed by hand alone
-        self.ledger._tell(Tick())
         self.delivered = set()
 
+    async def flush(self):
+        while self.ledger.commit.stalls:
+            await self.ledger.work()
+        self.ledger._flush()
+        self.ledger.due = True
+
+    async def tick(self):
+        await self.ledger.work()
+        await self.ledger.tick()
+        while self.ledger.operation is not None:
+            await self.ledger.work()
+        await self.flush()
+
     async def answer(self, *numbers, final=False):
         """Claims of one turn; those whose answers left are marked."""
+        if self.ledger.turn_ms == 0:
+            self.ledger._tell(Tick())
         tickets = {}
         for number in numbers:
             row, flags = (ROW + GONE, FINAL) if final else (ROW, 0)
             deliver = None if final else partial(self.delivered.add, number)
             tickets[number] = self.ledger.claim(number.to_bytes(8, "big"), row, flags, 10, 1, 1 << number, 5, deliver)
-        self.ledger._flush()
-        if self.ledger.durability == "power-cut" and self.ledger.gap is None:
-            async with self.ledger.disk:
-                await self.ledger._sync_now()
+        await self.flush()
+        if self.ledger.commit.limits.holds:
+            await self.ledger._synced()
         for number, ticket in tickets.items():
             if not final and number in self.delivered:
                 self.ledger.mark(ticket, True)
-        self.ledger._flush()
+        await self.flush()
 
     async def export(self):
         """What the exporter does, without its waits."""
@@ -86,16 +103,16 @@
     life.at_ms += 1000
     await life.answer(4)
     life.at_ms += 200
-    await life.ledger.tick()  # closes the first period, publishes it; the segment is full: a new one
+    await life.tick()  # closes the first period, publishes it; the segment is full: a new one
     await life.export()
     asked = CorrectionAsked("c1", "op", "a wrong count", BEGIN, "b", "look", "http", "served",
                             (1, 0, 0, 0, 0, 1 << 40, 0))
     life.ledger.correct(to_json(asked))
-    await life.ledger.tick()
+    await life.tick()
     await life.answer(5, 6)
     await life.export()
     life.at_ms += 2000
-    await life.ledger.tick()
+    await life.tick()
     retire(files, FOLDER, ["folder"], 0.0, life.at_ms)
     await life.ledger.close()
 
@@ -136,8 +153,8 @@
     """The next life: recovers, closes all that was open, exports, and ends."""
     life = Life(files, at_ms)
     life.at_ms += 5000
-    await life.ledger.tick()
-    await life.ledger.tick()
+    await life.tick()
+    await life.tick()
     await life.export()
     before = booked_and_doubted(files)
     await life.ledger.close()
@@ -217,12 +234,12 @@
             await life.answer(number)
             refused |= life.ledger.refusing
             life.at_ms += 400
-            await life.ledger.tick()
+            await life.tick()
         files.refuse = {}
         for _ in range(4):  # the disk is back
             life.at_ms += 1500
-            await life.ledger.tick()
-        assert life.ledger.gap is None and not life.ledger.refusing
+            await life.tick()
+        assert life.ledger.commit.gap is None and not life.ledger.refusing
         await life.ledger.close()
         return life, refused
 
@@ -246,7 +263,7 @@
     for number in range(1, 9):
         await life.answer(number)
         life.at_ms += 300
-        await life.ledger.tick()
+        await life.tick()
 
 
 def test_with_process_death_alone_a_lost_tail_invents_nothing():
@@ -314,10 +331,10 @@
         def refused(folder):
             raise OSError(errno.EIO, "refused here")
         files.names = refused
-        await life.ledger.tick()
+        await life.tick()
         await life.answer(1)
         files.names = names
-        await life.ledger.tick()
+        await life.tick()
         await life.ledger.close()
         return files, life
 
@@ -340,17 +357,17 @@
 
 
 @pytest.mark.parametrize("at", ["sync", "segment", "reopen"])
-def test_a_disk_that_hangs_holds_no_answer_past_its_bound_and_loses_nothing(at, monkeypatch):
+def test_a_disk_that_hangs_holds_no_answer_past_its_bound_and_loses_nothing(at):
     """In a sync, in a new segment, and in the try to come back from a gap."""
-    monkeypatch.setattr(ledger_module, "HELD_S", 0.05)
-
     async def work():
-        files = Hanging()
-        life = Life(files, BEGIN)
+        files, began = Hanging(), time.monotonic()
+        life = Life(files, BEGIN, steady_ms=lambda: (time.monotonic() - began) * 1000, held_ms=50.0, reopen_ms=50.0,
+                    segment_bytes=1 << 30)
         ledger = life.ledger
         ledger.due = ledger.marking = False  # flushed by itself
         async with asyncio.TaskGroup() as tasks:
             running = tasks.create_task(ledger.run())
+            await asyncio.sleep(0.05)
             tickets = {}
 
             def claim(number):
@@ -366,22 +383,19 @@
             claim(1)
             await answered(1)
             if at == "reopen":
-                ledger._refused(OSError("refused here"))
+                ledger._do(ledger.commit.handle(ledger.steady_ms(), Refused("refused here", write=True)))
             files.gate.clear()
             if at == "segment":
-                ledger.segment_bytes = 1  # the next tick begins one
-                await asyncio.sleep(0.4)
+                ledger.commit.limits = replace(ledger.commit.limits, segment_bytes=1)  # the next write begins one
             for number in range(2, 7):
                 claim(number)
                 await answered(number)  # while the disk hangs
-            assert ledger.gap is not None
-            ledger.segment_bytes = 1 << 30
+            assert ledger.commit.gap is not None
+            ledger.commit.limits = replace(ledger.commit.limits, segment_bytes=1 << 30)
             files.gate.set()
-            life.at_ms += 2000
             async with asyncio.timeout(10):
-                while ledger.gap is not None:
-                    life.at_ms += 500
-                    await asyncio.sleep(0.05)
+                while ledger.commit.gap is not None:
+                    await asyncio.sleep(0.02)
             claim(7)
             await answered(7)
             await asyncio.sleep(0.05)
