Choose what is removed, and when an export is done, in modules without I/O

What was put aside filled the exporter's queue: after 1,000 such documents nothing more would have gone, silently. Answers to corrections that nobody fetched stayed for ever, and corrections were never forgotten once all documents had gone.

--- a/flintshift/usage/export.py
+++ b/flintshift/usage/export.py
@@ -39,12 +39,14 @@
     attempts_per_hour: int = 600
     queue: int = 1000  # documents that wait for a sink; more are found again later
     alarm_after: int = 5  # attempts in a row that failed
+    put_aside: int = 1000  # documents that the sink will never take; past this it is left alone
 
 
 @dataclass(slots=True)
 class Sink:
     waiting: deque[str] = field(default_factory=deque)
-    known: set[str] = field(default_factory=set)  # waiting, or put aside
+    known: set[str] = field(default_factory=set)  # waiting or being delivered
+    put_aside: set[str] = field(default_factory=set)
     out: str | None = None  # being delivered
     failed: int = 0  # attempts in a row
     again_ms: float = 0.0
@@ -66,7 +68,8 @@
         sink = self.sinks[event.sink]
         match event:
             case Found(name=name):
-                if name not in sink.known and len(sink.known) < self.pace.queue:
+                fresh = name not in sink.known and name not in sink.put_aside
+                if fresh and len(sink.known) < self.pace.queue:
                     sink.known.add(name)
                     sink.waiting.append(name)
             case Delivered(name=name):
@@ -84,13 +87,24 @@
             case Rejected(name=name, text=text):
                 if sink.out != name:
                     return []
-                self._over(sink)  # it stays known: not found again in this life
+                self._over(sink)
+                sink.known.discard(name)
+                sink.put_aside.add(name)  # not found again in this life
+                if len(sink.put_aside) >= self.pace.put_aside:
+                    sink.stands = True
+                    return [Alarm(event.sink, name, f"{text}; {len(sink.put_aside):,} documents are put aside, and no "
+                                  "more are sent: look at the sink, then start the exporter again"), Stand(event.sink)]
                 return [Alarm(event.sink, name, text), *self._next(now_ms, event.sink)]
             case Superseded(text=text):
                 sink.stands, sink.out = True, None
                 return [Alarm(event.sink, "", text), Stand(event.sink)]
         return self._next(now_ms, event.sink)
 
+    @property
+    def done(self) -> bool:
+        """Nothing that was found waits or is under way, but for what was put aside or is left alone."""
+        return all(sink.out is None and (sink.stands or not sink.waiting) for sink in self.sinks.values())
+
     def _over(self, sink: Sink) -> None:
         sink.out, sink.failed, sink.again_ms = None, 0, 0.0
 
--- a/flintshift/usage/exporting.py
+++ b/flintshift/usage/exporting.py
@@ -50,9 +50,6 @@
         self.epoch = 0
         self.wake_ms = math.inf
         self.changed = anyio.Event()
-        self.put_aside: set[tuple[str, str]] = set()
-        self.out = 0  # deliveries under way
-        self.standing: set[str] = set()  # sinks that another exporter has taken over
 
     def look(self) -> None:
         """There may be new documents."""
@@ -105,9 +102,7 @@
             for name in order(names):
                 self._tell(tasks, Found(sink, name))
         self._tell(tasks, Tick())
-        waiting = [(sink, name) for sink, names in left.items() for name in names
-                   if (sink, name) not in self.put_aside and sink not in self.standing]
-        if self.until_done and not waiting and not self.out:
+        if self.until_done and self.heart.done:
             return False
         wait_ms = min(max(self.wake_ms - self.now_ms(), 1.0), LOOK_MS)
         self.wake_ms = math.inf
@@ -119,7 +114,6 @@
         for action in self.heart.handle(self.now_ms(), event):
             match action:
                 case Deliver(sink, name, attempt):
-                    self.out += 1
                     tasks.start_soon(self._deliver, tasks, sink, name, attempt)
                 case Acknowledge(sink, name):
                     self.say("info", "export.delivered", sink=sink, name=name)
@@ -129,8 +123,7 @@
                 case WakeAt(at_ms):
                     self.wake_ms = min(self.wake_ms, at_ms)
                 case Stand(sink):
-                    self.standing.add(sink)
-                    self.changed.set()
+                    self.say("error", "export.stands", sink=sink)
 
     async def _deliver(self, tasks: TaskGroup, sink: str, name: str, attempt: int) -> None:
         path = self.folder / "documents" / name
@@ -144,11 +137,8 @@
             told = NotDelivered(sink, name, str(error))
         if isinstance(told, NotDelivered):
             self.say("warning", "export.not_delivered", sink=sink, name=name, attempt=attempt, text=told.text)
-        elif isinstance(told, Rejected):
-            self.put_aside.add((sink, name))
         elif isinstance(told, Delivered):
             told = await self._acknowledge(told, data)
-        self.out -= 1
         self._tell(tasks, told)
         self.changed.set()
 
--- a/flintshift/usage/folder.py
+++ b/flintshift/usage/folder.py
@@ -15,7 +15,6 @@
 from __future__ import annotations
 
 import gc
-import itertools
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -27,8 +26,10 @@
 from flintshift.usage import documents
 from flintshift.usage.book import Book, Bounds, Document
 from flintshift.usage.records import CLAIM_KIND, SNAPSHOT_KIND, Entry, Opened, pack, unpack, unpack_claim
+from flintshift.usage.retention import Removal, StandingDocument, StandingSegment, removal
 
 ENDING = ".snapshot"
+REPLY_MS = 86_400_000.0  # an answer to a correction is kept so long for whoever handed it in
 
 
 @dataclass(slots=True)
@@ -189,43 +190,28 @@
     return left
 
 
-def retire(files: Files, folder: Path, sinks: list[str], retention_ms: float, now_ms: float) -> tuple[list[str], int]:
-    """Remove what every sink has and what is older than the retention: documents with their acknowledgements, then
-    segments and snapshots that no recovery needs and that cover no document still to be exported. Without a sink
-    all documents stay.
-
-    Returns the names that went, and the begin of the first period that still has a document (0: unknown).
-    """
-    gone: list[str] = []
-    if not sinks:
-        return gone, 0
+def retire(files: Files, folder: Path, sinks: list[str], retention_ms: float, now_ms: float,
+           closed_to_ms: int) -> Removal:
+    """Remove what ``retention.removal`` names, and answers to corrections that nobody fetched."""
     left = {name for names in unacknowledged(files, folder, sinks).values() for name in names}
-    first_needed: int | None = None
-    kept_from = 0
-    for name, document in read_documents(files, folder).items():
-        path = folder / "documents" / name
-        if name not in left and files.age_ms(path, now_ms) >= retention_ms:
-            files.remove(path)
-            for sink in sinks:
+    standing = [StandingDocument(name, document.period_ms, document.first_sequence,
+                                 files.age_ms(folder / "documents" / name, now_ms), name not in left)
+                for name, document in read_documents(files, folder).items()]
+    listed = [StandingSegment(name, first, files.age_ms(folder / "log" / name, now_ms))
+              for first, name in segments(files, folder / "log")]
+    gone = removal(standing, listed, snapshots(files, folder), retention_ms, bool(sinks), closed_to_ms)
+    for name in gone.documents:  # before its acknowledgements: a death between leaves these alone, and they go below
+        files.remove(folder / "documents" / name)
+    for sink in sinks:
+        stands = set(files.names(folder / "documents"))
+        for name in files.names(folder / "acks" / sink):
+            if name not in stands:
                 files.remove(folder / "acks" / sink / name)
-            gone.append(name)
-        else:
-            kept_from = min(kept_from or document.period_ms, document.period_ms)
-            if name in left:
-                first_needed = min(first_needed or document.first_sequence, document.first_sequence)
-    known = snapshots(files, folder)
-    for sequence in known[2:]:
-        name = snapshot_name(sequence)
-        files.remove(folder / "snapshots" / name)
-        gone.append(name)
-    if len(known) < 2:
-        return gone, kept_from
-    listed = segments(files, folder / "log")
-    for (_, name), (following, _) in itertools.pairwise(listed):
-        needed = following > known[1] + 1 or (first_needed is not None and following > first_needed)
-        if needed or files.age_ms(folder / "log" / name, now_ms) < retention_ms:
-            break
+    for sequence in gone.snapshots:
+        files.remove(folder / "snapshots" / snapshot_name(sequence))
+    for name in gone.segments:
         files.remove(folder / "log" / name)
-        gone.append(name)
-    return gone, kept_from
-
+    for name in files.names(folder / "replies"):
+        if files.age_ms(folder / "replies" / name, now_ms) >= REPLY_MS:
+            files.remove(folder / "replies" / name)
+    return gone
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -43,7 +43,6 @@
     Write,
 )
 from flintshift.storage.log import BrokenError
-from flintshift.usage import documents
 from flintshift.usage.corrections import base_of, from_json
 from flintshift.usage.folder import LedgerFolder, retire
 from flintshift.usage.keeper import Keeper
@@ -66,7 +65,7 @@
 BACKLOG_MOST = 100_000  # records that come while a segment is begun after a gap
 REOPEN_MS = 1000.0  # between two tries to write again after the disk refused
 CLOSE_S = 2.0  # for the disk, when the node leaves: what hangs then is in doubt at the next start
-RETIRE_MS = 60_000.0
+RETIRE_MS = 600_000.0
 INBOX_MOST = 100  # corrections taken in one tick
 
 
@@ -369,7 +368,7 @@
         now = self._now()
         if now - self.retired_ms >= RETIRE_MS:
             self.retired_ms = now
-            await self._retire(now)
+            await self._retire()
 
     async def _snapshot(self) -> None:
         due, self.snapshot_due = self.snapshot_due, None
@@ -428,18 +427,18 @@
         self.say("info", "usage.correction", id=asked.id, taken=reply.taken, text=reply.text, author=asked.author)
         return reply
 
-    async def _retire(self, now: float) -> None:
+    async def _retire(self) -> None:
         try:
-            gone, kept_from = await anyio.to_thread.run_sync(
-                retire, self.folder.files, self.folder.folder, self.sinks, self.retention_ms, self.wall_ms())
+            gone = await anyio.to_thread.run_sync(retire, self.folder.files, self.folder.folder, self.sinks,
+                                                  self.retention_ms, self.wall_ms(), self.book.state.closed_to)
         except (OSError, snapshot.DamagedError) as error:
             self.say("warning", "usage.retire_failed", cause=str(error))
             return
-        if gone:
-            self.say("info", "usage.retired", names=len(gone))
-            if kept_from and any(name.endswith(documents.ENDING) for name in gone):
-                await self._writable()
-                self._tell(Retired(kept_from))
+        if gone.documents or gone.segments:
+            self.say("info", "usage.retired", documents=len(gone.documents), segments=len(gone.segments))
+        if gone.retired_before_ms is not None:
+            await self._writable()
+            self._tell(Retired(gone.retired_before_ms))
 
     async def close(self) -> None:
         """The node leaves in good order: all is written, nothing is in doubt."""
--- a/flintshift/usage/vocabulary.py
+++ b/flintshift/usage/vocabulary.py
@@ -165,7 +165,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Stand:
-    """Stop delivering to this sink: another exporter has taken over."""
+    """Nothing more is delivered to this sink: another exporter has taken over, or too much was put aside."""
 
     sink: str
 
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -132,6 +132,16 @@
     assert heart.handle(0, Found("x", "1")) == []  # not in this life
 
 
+def test_a_sink_that_rejects_all_is_left_alone_at_a_bound_and_says_so():
+    heart = Exporter(["x", "y"], Pace(queue=2, put_aside=3), lambda: 0.5, 0.0)
+    for name in "abcd":  # more than the queue holds: what was put aside takes no place in it
+        heart.handle(0, Found("x", name))
+        told = heart.handle(0, Rejected("x", name, "no"))
+    assert heart.sinks["x"].put_aside == {"a", "b", "c"} and heart.sinks["x"].stands
+    assert told == [] and heart.done
+    assert heart.handle(0, Found("y", "a")) == [Deliver("y", "a", 1)] and not heart.done
+
+
 def test_an_exporter_that_was_superseded_delivers_nothing_more():
     heart = Exporter(["x"], Pace(), lambda: 0.5, 0.0)
     heart.handle(0, Found("x", "1"))
--- a/tests/usage/test_folder.py
+++ b/tests/usage/test_folder.py
@@ -51,7 +51,8 @@
     files = SimFiles()
     ledger(files)
     before = standing(files)
-    assert retire(files, FOLDER, [], 0.0, 99 * DAY) == ([], 0) and standing(files) == before
+    retire(files, FOLDER, [], 0.0, 99 * DAY, 6000)
+    assert standing(files) == (*before[:2], 2)  # of snapshots two are enough
 
 
 def test_what_a_sink_does_not_have_stays_with_the_segments_that_cover_it():
@@ -60,12 +61,12 @@
     state = load(files, FOLDER)[0].state
     names = list(read_documents(files, FOLDER))
     acknowledge(files, names[:2])
-    gone, kept_from = retire(files, FOLDER, ["http"], 0.0, 99 * DAY)
+    gone = retire(files, FOLDER, ["http"], 0.0, 99 * DAY, 6000)
     left = list(read_documents(files, FOLDER))
-    assert left == names[2:] and kept_from == 2000
+    assert left == names[2:] and gone.retired_before_ms == 2000
     first_needed = read_documents(files, FOLDER)[left[0]].first_sequence
     assert segments(files, FOLDER / "log")[0][0] <= first_needed
-    assert any(name.endswith(".log") for name in gone) and load(files, FOLDER)[0].state == state
+    assert gone.segments and load(files, FOLDER)[0].state == state
 
 
 def test_what_is_exported_stays_for_its_retention_and_then_goes():
@@ -73,9 +74,9 @@
     ledger(files)
     state = load(files, FOLDER)[0].state
     acknowledge(files, read_documents(files, FOLDER))
-    retire(files, FOLDER, ["http"], DAY, DAY - 1)
+    assert retire(files, FOLDER, ["http"], DAY, DAY - 1, 6000).retired_before_ms is None
     assert standing(files)[:2] == (6, 8)
-    retire(files, FOLDER, ["http"], DAY, 2 * DAY)
+    assert retire(files, FOLDER, ["http"], DAY, 2 * DAY, 6000).retired_before_ms == 6000  # corrections may go too
     assert standing(files) == (0, 2, 2) and files.names(FOLDER / "acks" / "http") == []
     assert load(files, FOLDER)[0].state == state
 
@@ -95,3 +96,16 @@
     (tmp_path / "documents" / f"n1.e1.{documents.utc(0)}.r0.usage").write_bytes(b"")
     with pytest.raises(DamagedError, match="documents stand, but the log and the snapshots are gone"):
         LedgerFolder(DiskFiles(), tmp_path)
+
+
+def test_what_is_left_of_a_death_and_answers_that_nobody_fetched_go():
+    files = SimFiles()
+    ledger(files)
+    acknowledge(files, [*read_documents(files, FOLDER), "n0.of-a-document-that-went.usage"])
+    files.make_folder(FOLDER / "replies")
+    publish(files, FOLDER / "replies" / "old.json", b"{}")
+    files.now_ms = 2 * DAY
+    publish(files, FOLDER / "replies" / "new.json", b"{}")
+    retire(files, FOLDER, ["http"], 99 * DAY, 2 * DAY, 6000)
+    assert len(files.names(FOLDER / "acks" / "http")) == 6 == standing(files)[0]
+    assert files.names(FOLDER / "replies") == ["new.json"]
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -113,7 +113,7 @@
     await life.export()
     life.at_ms += 2000
     await life.tick()
-    retire(files, FOLDER, ["folder"], 0.0, life.at_ms)
+    retire(files, FOLDER, ["folder"], 0.0, life.at_ms, life.ledger.book.state.closed_to)
     await life.ledger.close()
 
 
