Test that marks are written, and that nothing is written while a segment is begun

Cause: 23 mutants of guards were run against the tests; four passed: one guard was never reached, and three had no test (marks left out, a record or a step of the clock written while a segment is begun). Change: the dead guard is gone; what is on its way counts as in doubt where a test compares books; a test holds a segment's sync while a document, a tick and a step come.

--- a/flintshift/lab/demo.py
+++ b/flintshift/lab/demo.py
@@ -25,11 +25,11 @@
 
 
 def booked_in(folder: Path) -> tuple[Counter[str], int]:
-    """Requests by club in all periods of a ledger, and how many are in doubt."""
+    """Requests by club in all periods of a ledger, and how many are in doubt, or would be after a death now."""
     files = DiskFiles()
     book, _, _ = load(files, folder)
     found: Counter[str] = Counter()
-    doubt = sum(len(period.doubted) for period in book.state.periods.values())
+    doubt = len(book.state.waiting) + sum(len(period.doubted) for period in book.state.periods.values())
     for document in read_documents(files, folder).values():
         doubt += len(document.in_doubt)
         for row in document.rows:
--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -51,8 +51,6 @@
         attempt.tell = partial(self._told, attempt, front, attempt.tell)
 
     def _told(self, attempt: Attempt, front: str, tell: Callable[[Answer], None], answer: Answer) -> None:
-        if attempt.ticket is not None:  # its caller went, and that was booked first
-            return
         attempt.tell = nobody  # guards against the circle of attempt and tell, which only the collector would free
         outcome = POORER if attempt.poorer and answer.verdict is Verdict.SERVED else WORDS[answer.verdict]
         attempt.ticket = self.ledger.claim(
@@ -65,7 +63,7 @@
             self.ledger.mark(attempt.ticket, arrived)
 
     def departed(self, attempt: Attempt, front: str) -> None:
-        attempt.tell = nobody
+        attempt.tell = nobody  # guards against a second claim, where it is answered all the same
         if attempt.ticket is not None:  # its answer was on its way
             self.ledger.mark(attempt.ticket, False)
             return
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -343,7 +343,7 @@
 
 
 class Hanging(SimFiles):
-    """A disk on which syncs hang while ``gate`` is shut."""
+    """A disk on which syncs of the log hang while ``gate`` is shut."""
 
     def __init__(self):
         super().__init__()
@@ -351,7 +351,7 @@
         self.gate.set()
 
     def step(self, what, path, do=lambda: None, partial=lambda: None):
-        if what == "sync":
+        if what == "sync" and path.suffix == ".log":
             self.gate.wait(20)
         return super().step(what, path, do, partial)
 
@@ -405,3 +405,46 @@
 
     files, life = asyncio.run(work())
     assert verify(files, life, frozenset(range(1, 8))) == set(range(1, 8))
+
+
+def test_nothing_is_written_while_a_segment_is_begun():
+    """A document ends up in its file, a clock steps and a correction comes just then: all wait for the segment."""
+    async def work():
+        files = Hanging()
+        life = Life(files, BEGIN, "process-death", segment_bytes=1 << 30)
+        ledger = life.ledger
+        await life.answer(1)
+        life.at_ms += 2000
+        ledger._tell(Tick())  # the period closes: its document waits to be written
+        assert ledger.book.state.documents
+        await ledger._synced()
+        documents_written = asyncio.Event()
+
+        async def slowly():
+            return documents_written.set() or True
+        ledger._synced = slowly
+        ledger.commit.limits = replace(ledger.commit.limits, segment_bytes=1)
+        await life.ledger.work()
+        ledger._do(ledger.commit.wrote(life.at_ms, ledger.book.state.sequence, ledger.folder.log.size, 0))
+        assert ledger.commit.stalls
+        files.gate.clear()
+        beginning = asyncio.create_task(ledger.work())
+        await asyncio.sleep(0.05)  # it hangs
+        sequence = ledger.book.state.sequence
+        tasks = [asyncio.create_task(ledger._documents()), asyncio.create_task(ledger.tick())]
+        ledger.steps.append(7000)
+        ledger._now()
+        await asyncio.sleep(0.1)
+        assert ledger.book.state.sequence == sequence and ledger.steps == [7000]
+        files.gate.set()
+        await beginning
+        await asyncio.gather(*tasks)
+        ledger._now()
+        assert ledger.steps == []
+        await life.answer(2)
+        await ledger.close()
+        return files, life
+
+    files, life = asyncio.run(work())
+    assert verify(files, life) == {1, 2}
+    assert [step.by_ms for found in out_documents(files).values() for step in found.steps] == [7000]
