Open a control door: ready, out-of-service and in-service, and a drain that health checks tell

Design: a small HTTP/1.1 front of its own (wire/control_front.py) with a table of connections apart from the callers', in which the oldest makes room after 40 ms and three turns of the loop. A call only sets a word of the posture that fronts read (`out`), so it never waits behind the decision planner's mailbox. Out of service is no notice to leave: health is bad at once, all that arrives is answered as always, and the name service goes on hearing from the node, now `no`: one that falls silent looks dead and is found again late. Rejected: the calls as further paths of the callers' front (a full table would shut the operators out, and they would be reachable for callers); a report to the planner (a full mailbox under load would hold the answer); a thread of its own with a second loop (memory on small nodes; to be weighed again if the answers are late under load). Where `control` and LB_CONTROL name no address, the module is not loaded and nothing listens.

--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -28,9 +28,9 @@
 class Decisions:
     def __init__(self, settings: api.Settings, seed: int, limits: Limits, counters: Counters,
                  now_ms: Callable[[], float], wake_at: Callable[[float, str], None],
-                 list_as: Callable[[bool], None]) -> None:
+                 list_: Callable[[], None]) -> None:
         self.settings, self.limits, self.counters = settings, limits, counters
-        self.now_ms, self.wake_at, self.list_as = now_ms, wake_at, list_as
+        self.now_ms, self.wake_at, self.list = now_ms, wake_at, list_
         # The grace counts from when the notice was given, not from when it was heard.
         grace_ms = max(0.0, settings.drain_grace_ms - limits.notice_late_ms)
         self.controller = Controller(replace(settings, drain_grace_ms=grace_ms), seed)
@@ -103,11 +103,11 @@
                 if self.posture.up:  # the link came back: the controller goes on
                     return None
                 self.posture.up = True
-                self.list_as(not self.posture.leaving)
+                self.list()
                 return api.Started()
             case at.Notice(stops_in_ms):
                 self.posture.leaving = True
-                self.list_as(False)
+                self.list()
                 return api.Leaving(stops_in_ms)
         attempt = self.requests.get(report.request)
         if attempt is None:  # it is over: late reports of it change nothing
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -18,6 +18,7 @@
     vars: int = 16_384  # a uwsgi block of variables
     line: int = 65_536  # one line from a peer, or one reply
     vault_line: int = 256  # the line that a reply of the vault begins with
+    control_head: int = 4096  # an operator's call
     read: int = 65_536  # one read from a socket
 
     # Counts.
@@ -58,6 +59,8 @@
     backoff_ms: float = 20.0  # the first wait before a reconnect, doubled up to the most
     backoff_most_ms: float = 1000.0
     lost_run_ms: float = 30_000.0  # a run that ended for its caller and was never heard of again
+    control_read_ms: float = 800.0  # for an operator's call to come whole and its answer to be taken: 1 s is told
+    control_rest_ms: float = 40.0  # an older connection without a whole call goes for a new one
     sweep_ms: float = 250.0  # between two looks for idle connections
     purge_ms: float = 1000.0  # between two looks for keys and runs that are past
     notice_late_ms: float = 500.0  # a busy node may hear of the notice to leave so late
@@ -81,6 +84,10 @@
     def vault_connections(self) -> int:
         return self.sockets // 16
 
+    @property
+    def control_connections(self) -> int:
+        return max(4, self.sockets // 32)
+
     @property
     def app_connections(self) -> int:
         return self.sockets // 8
--- a/flintshift/core/listing.py
+++ b/flintshift/core/listing.py
@@ -20,21 +20,22 @@
 class Listing:
     def __init__(self, lists: Sequence[Listed], limits: Limits) -> None:
         self.limits = limits
-        self.lists = [(listed, Mailbox[bool](limits.list_box)) for listed in lists]
+        self.lists = [(listed, Mailbox[tuple[bool, bool]](limits.list_box)) for listed in lists]
 
-    def say(self, serving: bool) -> None:
+    def say(self, serving: bool, last: bool = False) -> None:
+        """From now on say this, again and again; the last word is said until it was taken once."""
         for _, box in self.lists:
-            if not box.offer(serving):  # only the newest word counts: the oldest makes room for it
+            if not box.offer((serving, last)):  # only the newest word counts: the oldest makes room for it
                 box.take_now()
-                box.offer(serving)
+                box.offer((serving, last))
 
     async def run(self) -> None:
         async with anyio.create_task_group() as tasks:
             for listed, box in self.lists:
                 tasks.start_soon(self._keep, listed, box)
 
-    async def _keep(self, listed: Listed, box: Mailbox[bool]) -> None:
-        serving = await box.take()
+    async def _keep(self, listed: Listed, box: Mailbox[tuple[bool, bool]]) -> None:
+        serving, last = await box.take()
         while True:
             began = anyio.current_time()  # an answer that is late or never comes must not delay the next
             taken = await listed.report(serving)
@@ -42,5 +43,5 @@
                 wait_s = max(0.0, began + self.limits.report_every_ms / 1000 - anyio.current_time())
             else:
                 wait_s = self.limits.report_again_ms / 1000
-            with anyio.move_on_after(None if taken and not serving else wait_s):
-                serving = await box.take()
+            with anyio.move_on_after(None if taken and last else wait_s):
+                serving, last = await box.take()
--- a/flintshift/core/ports.py
+++ b/flintshift/core/ports.py
@@ -51,10 +51,11 @@
 
 @dataclass(slots=True)
 class Posture:
-    """What the fronts tell callers between answers; written by the decision planner alone."""
+    """What the fronts tell callers between answers; written by the decision planner, but for one word."""
 
     up: bool = False  # work can be run
     leaving: bool = False
+    out: bool = False  # of service: health checks are bad, all else is as always; the control door writes this one
     good: bool = True  # the answer to health checks
     from_store: bool = False  # and whether it comes from here alone
     free_value: float | None = None
--- a/flintshift/lifecycle/config.py
+++ b/flintshift/lifecycle/config.py
@@ -23,6 +23,7 @@
 class Config:
     name: str
     listen: Address
+    control: Address | None  # where operators call; None: not at all
     pool: Address
     naming: Address
     vault: Address
@@ -46,7 +47,7 @@
         told = json.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
         raise ConfigError(f"{path}: {' '.join(str(error).split())}") from error
-    return made(told, path, operators(operators_file))
+    return made(told, path, operators(operators_file), env.get("LB_CONTROL"))
 
 
 def embedded(operators_file: Path | None = None) -> Config:
@@ -55,18 +56,21 @@
     return made(configuration(), "the embedded default", operators(operators_file))
 
 
-def made(told: Any, path: str, operators: Operators) -> Config:
-    """A configuration of the platform's form, as JSON read it; ``path`` is for the words of faults."""
+def made(told: Any, path: str, operators: Operators, control: str | None = None) -> Config:
+    """A configuration of the platform's form, as JSON read it; ``path`` is for the words of faults, and ``control``
+    the address of the control door where the file names none."""
     try:
         pairs = flat(told["settings"])
         asked = told.get("limits", {})
         limits = Limits(memory_mb=int(asked.get("memory_mb", Limits().memory_mb)),
                         sockets=int(asked.get("sockets", Limits().sockets)), stop_ms=float(told["stop_ms"]))
         settings = settings_from(pairs)
+        door = told.get("control") or control
         if not settings.classes:
             raise ConfigError(f"{path}: the settings name no classes")
         return Config(
-            name=str(told["name"]), listen=address(told["listen"]), pool=address(told["pool"]),
+            name=str(told["name"]), listen=address(told["listen"]),
+            control=address(door) if door else None, pool=address(told["pool"]),
             naming=address(told["naming"]), vault=address(told["vault"]), seed=int(str(told["seed"]), 16),
             settings=settings, limits=replace(limits, key_bytes=limits.memory_mb * (1 << 20) // 6),
             gauge_names=[GAUGES.get(name) for name in pairs.get("familyInfo.gauges", "").split(",")],
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-from anyio.abc import Listener, SocketStream
+from anyio.abc import SocketListener
 
 from flintshift.core.attempts import Notice
 from flintshift.core.counters import Counters
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from flintshift.usage.ledger import Ledger
+    from flintshift.wire.control_front import ControlFront
 
 
 class Clock:
@@ -50,7 +51,7 @@
         self.gauges = GaugePlanner(limits, now_ms)
         self.decisions = Decisions(
             config.settings, config.seed, limits, counters, now_ms, self.gauges.wake_at,
-            lambda serving: self.listing.say(serving))
+            self._list)
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
@@ -76,6 +77,11 @@
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
         self.listing = Listing(lists, limits)
+        self.door: ControlFront | None = None
+        if config.control is not None:
+            from flintshift.wire.control_front import ControlFront
+            self.door = ControlFront(self, limits, counters, now_ms)
+            self.door.log = self.log
 
     def _keep_books(self, options: UsageOptions) -> None:
         from flintshift.lifecycle.books import UNUSABLE, Books, open_ledger
@@ -96,6 +102,7 @@
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
         with anyio.open_signal_receiver(*told) as signals:
             listeners = [await self._listen(at) for _, at in self.fronts]
+            doors = [await self._listen(self.config.control)] if self.config.control is not None else []
             async with anyio.create_task_group() as tasks:
                 for actor in self.actors:
                     tasks.start_soon(actor)
@@ -104,6 +111,9 @@
                 for (front, _), listener in zip(self.fronts, listeners, strict=True):
                     tasks.start_soon(front.serve, listener, tasks)
                     tasks.start_soon(front.sweep)
+                if self.door is not None:
+                    for door in doors:
+                        tasks.start_soon(self.door.serve, door, tasks)
                 self.log("info", "node.listening", listen=[f"{host}:{port}" for _, (host, port) in self.fronts])
                 leave = anyio.Event()
                 tasks.start_soon(self._heed, signals, leave)
@@ -145,12 +155,47 @@
         if config.naming != self.names.to:
             self.names.move(config.naming)
             if self.decisions.posture.up:
-                self.listing.say(not self.decisions.posture.leaving)
-
-    async def _listen(self, at: tuple[str, int]) -> Listener[SocketStream]:
+                self._list()
+
+    # What operators ask for at the control door.
+
+    def not_ready(self) -> str | None:
+        posture = self.decisions.posture
+        if posture.leaving:
+            return "the node leaves"
+        if posture.out:
+            return "the node is out of service"
+        return None if posture.up else "the worker pool is not linked yet"
+
+    def out_of_service(self) -> str | None:
+        return self._serve_clients(False)
+
+    def in_service(self) -> str | None:
+        return self._serve_clients(True)
+
+    def _serve_clients(self, serving: bool) -> str | None:
+        if serving and self.decisions.posture.leaving:
+            return "the node leaves"
+        if self.decisions.posture.out is serving:
+            self.decisions.posture.out = not serving
+            self.log("info", "node.in_service" if serving else "node.out_of_service", open=self._open())
+        self._list()
+        return None
+
+    def _list(self) -> None:
+        """Say where this node is listed what it does. Out of service it goes on reporting, as one that does not serve:
+        one that says nothing looks dead, and is found again late."""
+        posture = self.decisions.posture
+        if posture.up or posture.leaving:
+            self.listing.say(not (posture.leaving or posture.out), last=posture.leaving)
+
+    async def _listen(self, at: tuple[str, int]) -> SocketListener:
         host, port = at
-        return await anyio.create_tcp_listener(
+        listener = await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=self.limits.backlog, reuse_port=False)
+        one = listener.listeners[0]  # an address has one
+        assert isinstance(one, SocketListener)
+        return one
 
     async def _drain(self) -> None:
         """Answer all that was read and leave; what comes after the grace is refused, not run."""
--- /dev/null
+++ b/flintshift/wire/control_front.py
@@ -0,0 +1,143 @@
+"""The control door: a small HTTP/1.1 front for operators, one call a connection, apart from the callers' table.
+
+It is bounded on its own, so that a full table of callers shuts no operator out, and it asks nothing of the decision
+planner: a call is answered in the turn of the loop that read it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+import h11
+from anyio.abc import SocketListener, SocketStream, TaskGroup
+from anyio.lowlevel import checkpoint
+
+from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
+from flintshift.core.ports import Log, silent
+from flintshift.wire.fields import UnusableError, written
+from flintshift.wire.link import BROKEN
+
+TURNS = 3  # of the loop, from accepting a connection to reading what came with it
+
+
+class Operated(Protocol):
+    """What operators may ask of a node. Each call is idempotent and takes effect before it returns."""
+
+    def not_ready(self) -> str | None:
+        """Why this process takes no clients; None when it does."""
+        ...
+
+    def out_of_service(self) -> str | None:
+        """Health checks are bad from now on, all that arrives is answered as always; else why not."""
+        ...
+
+    def in_service(self) -> str | None:
+        """Health checks are good again, as far as the decisions go; else why not."""
+        ...
+
+
+@dataclass(eq=False)
+class Call:
+    """A connection that brings a call."""
+
+    stream: SocketStream
+    since_ms: float
+    scope: anyio.CancelScope
+
+
+class ControlFront:
+    def __init__(self, node: Operated, limits: Limits, counters: Counters, now_ms: Callable[[], float]) -> None:
+        self.limits, self.counters, self.now_ms = limits, counters, now_ms
+        self.log: Log = silent
+        self.calls: dict[Call, None] = {}  # the oldest first
+        self.table: dict[str, tuple[str, Callable[[], str | None]]] = {
+            "/control/ready": ("GET", node.not_ready),
+            "/control/out-of-service": ("POST", node.out_of_service),
+            "/control/in-service": ("POST", node.in_service),
+        }
+
+    async def serve(self, listener: SocketListener, tasks: TaskGroup) -> None:
+        """Accept one connection after the other; where there is no room, the oldest makes it."""
+        async with listener:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except OSError:  # one connection that can't be accepted must not end the door
+                    self.counters.add("control.accept_failed")
+                    await anyio.sleep(self.limits.backoff_ms / 1000)
+                    continue
+                call = Call(stream, self.now_ms(), anyio.CancelScope())
+                self.calls[call] = None
+                tasks.start_soon(self._answer, call)
+                while len(self.calls) >= self.limits.control_connections:
+                    await self._make_room()
+
+    async def _make_room(self) -> None:
+        """Close the oldest connection, but none that had no time to bring its call: newcomers wait so long."""
+        oldest = next(iter(self.calls))
+        await anyio.sleep(max(0.0, oldest.since_ms + self.limits.control_rest_ms - self.now_ms()) / 1000)
+        for _ in range(TURNS):  # in a busy node, time passes without a turn
+            await checkpoint()
+        if self.calls.pop(oldest, oldest) is None:
+            self.counters.add("control.displaced")
+            oldest.scope.cancel()
+
+    async def _answer(self, call: Call) -> None:
+        try:
+            with call.scope:
+                async with call.stream:
+                    with anyio.move_on_after(self.limits.control_read_ms / 1000):
+                        status, reason = await self._outcome(call.stream)
+                        body = f"{reason}\n".encode()
+                        self.counters.add(f"control.status_{status}")
+                        await call.stream.send(written(status, [
+                            ("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body))),
+                            ("Connection", "close")], body))
+                        return
+                    self.counters.add("control.cut")  # it said nothing, or half a call
+        except BROKEN:
+            self.counters.add("control.broken")
+        finally:
+            self.calls.pop(call, None)
+
+    async def _outcome(self, stream: SocketStream) -> tuple[int, str]:
+        conn = h11.Connection(h11.SERVER, self.limits.control_head)
+        try:
+            request = await self._request(conn, stream)
+        except UnusableError as error:
+            return error.status, error.text
+        except h11.RemoteProtocolError as error:
+            return 400, f"this is no HTTP/1.1 call: {error}"
+        path = request.target.decode("latin-1").partition("?")[0]
+        if path not in self.table:
+            return 404, f"there is no such call; there are {', '.join(self.table)}"
+        method, act = self.table[path]
+        if request.method.decode() != method:
+            return 405, f"{path} takes {method}"
+        reason = act()
+        self.log("info", "control.called", call=path, reason=reason)
+        return (200, "yes") if reason is None else (503, reason)
+
+    async def _request(self, conn: h11.Connection, stream: SocketStream) -> h11.Request:
+        """The call, once it has come whole; what its body holds is of no meaning."""
+        request, size = None, 0
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await stream.receive(self.limits.control_head))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self.limits.control_head:
+                    raise UnusableError(400, "the call is too large")
+            elif isinstance(event, h11.EndOfMessage) and request is not None:
+                return request
+            else:
+                raise UnusableError(400, "the call is cut off")
+
+
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -103,9 +103,10 @@
         self.instance = dns.name.Name((name.encode(), *self.service.labels))
         self.host = dns.name.Name((name.encode(), *self.zone.labels))
         self.fresh_until_ms = 0.0
+        self.withdrawn = False  # as far as this node was told
 
     async def report(self, serving: bool) -> bool:
-        if serving and self.now_ms() < self.fresh_until_ms:
+        if self.now_ms() < self.fresh_until_ms if serving else self.withdrawn:
             return True
         try:
             await self.resolver.exchange(self._update(serving))
@@ -113,7 +114,8 @@
             self.counters.add("dns.update_failed")
             return False
         self.counters.add("dns.published" if serving else "dns.withdrawn")
-        self.fresh_until_ms = self.now_ms() + self.limits.record_ttl_s * 500.0
+        self.fresh_until_ms = self.now_ms() + self.limits.record_ttl_s * 500.0 if serving else 0.0
+        self.withdrawn = not serving
         return True
 
     def _update(self, serving: bool) -> dns.update.UpdateMessage:
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -151,7 +151,7 @@
         if method not in ("GET", "HEAD"):
             raise UnusableError(405, "only GET is taken here")
         self.counters.add(f"{self.name}.checks")
-        good = self.posture.up and self.posture.good
+        good = self.posture.up and self.posture.good and not self.posture.out
         if good and parse_qs(query).get("all") == ["1"] and not self.posture.from_store:
             return await self.verify()
         return good
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -319,6 +319,7 @@
     settings: dict = field(default_factory=lambda: SETTINGS)
     stop_ms: float = 3000.0
     more_settings: str = ""  # of the operators' file
+    control: bool = False  # there is a control door
 
     async def __aenter__(self):
         self.pool, self.vault, self.names, self.dns = Pool(), Vault(), Names(), Dns()
@@ -329,7 +330,7 @@
         self.dns.put("app1._uwsgi._tcp.desks.example.", "SRV", f"0 0 {self.apps.port} app1.desks.example.")
         self.dns.put("app1._uwsgi._tcp.desks.example.", "TXT", '"txtvers=1"')
         self.dns.put("app1.desks.example.", "A", "127.0.0.1")
-        self.ports = dict(zip(BYTES, free_ports(2), strict=True))
+        self.ports = dict(zip((*BYTES, "control"), free_ports(3), strict=True))
         self.config, desks = self.folder / "config.json", self.folder / "flintshift.yaml"
         self.configure()
         desks.write_text("\n".join((
@@ -345,7 +346,7 @@
 
     def configure(self):
         self.config.write_text(json.dumps({
-            "name": "n3", "listen": f"127.0.0.1:{self.ports['http']}", "seed": "8c1f30d27a5be964",
+            **({"control": f"127.0.0.1:{self.ports['control']}"} if self.control else {}), "name": "n3", "listen": f"127.0.0.1:{self.ports['http']}", "seed": "8c1f30d27a5be964",
             "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.names.port}",
             "vault": f"127.0.0.1:{self.vault.port}", "stop_ms": self.stop_ms,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.settings}))
@@ -368,6 +369,13 @@
         caller.writer.close()
         return reply
 
+    async def call(self, method, path):
+        """A call at the control door: its status and its one line."""
+        caller = await self.connect("control")
+        caller.send(f"{method} {path} HTTP/1.1\r\nHost: n3\r\n\r\n".encode())
+        reply = await caller.reply()
+        return reply.status, reply.body.decode().strip()
+
     async def counters(self):
         self.process.send_signal(signal.SIGUSR1)
         return Counter(json.loads(await asyncio.wait_for(self.process.stderr.readline(), 10))["counters"])
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -56,7 +56,7 @@
         settings = api.Settings(kinds, 2, 40_000.0, 8.0, 5.0, 300.0, [], advice_allowed=True,
                                 advice_max_ms=800.0, call_share=10.0, call_window_ms=5000.0)
         self.planner = Decisions(settings, 1, Limits(**limits), Counters(), lambda: self.now,
-                                 lambda at_ms, token: None, lambda serving: None)
+                                 lambda at_ms, token: None, lambda: None)
         self.planner.workers, self.planner.below = {"pool": self.ports}, self.ports
         self.planner.handle(at.Up())
 
