--- a/tests/standins.py
+++ b/tests/standins.py
@@ -345,8 +345,9 @@
         return self
 
     def configure(self):
+        door = {"control": f"127.0.0.1:{self.ports['control']}"} if self.control else {}
         self.config.write_text(json.dumps({
-            **({"control": f"127.0.0.1:{self.ports['control']}"} if self.control else {}), "name": "n3", "listen": f"127.0.0.1:{self.ports['http']}", "seed": "8c1f30d27a5be964",
+            **door, "name": "n3", "listen": f"127.0.0.1:{self.ports['http']}", "seed": "8c1f30d27a5be964",
             "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.names.port}",
             "vault": f"127.0.0.1:{self.vault.port}", "stop_ms": self.stop_ms,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.settings}))
--- a/tests/wire/test_control_front.py
+++ b/tests/wire/test_control_front.py
@@ -126,8 +126,10 @@
     async with Rig(tmp_path) as rig:
         with pytest.raises(ConnectionRefusedError):
             await rig.connect("control")
-    text = ("import sys\nfrom flintshift.lifecycle.config import embedded\nfrom flintshift.lifecycle.node import Node\n"
-            "assert Node(embedded(), embedded).door is None\nprint('flintshift.wire.control_front' in sys.modules)")
+    text = ("import sys, anyio\nfrom flintshift.lifecycle.config import embedded\n"
+            "from flintshift.lifecycle.node import Node\n"
+            "async def made(): assert Node(embedded(), embedded).door is None\n"
+            "anyio.run(made)\nprint('flintshift.wire.control_front' in sys.modules)")
     assert subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True).stdout == b"False\n"
 
 
