Take new settings on SIGHUP as a whole or not at all: classes come and go in a running node

Design: `settings/shape.py` checks the file as JSON, with types, by a table of paths, before anything is read of it; a key that the file in use has and the new one lacks is a fault too. `core/catalogue.py` (pure) says which classes and clubs are taken: what was dropped is taken 2.5 s more (1.2 s are told), then refused, and known for its window, so that repeats of what ran get their result. One call of the decision planner swaps catalogue, fields and module; the module hears `Changed` with all classes that are open or may still come, and open work keeps the class it came with. What a running node can't change (name, listeners, limits, seed, gauges) is named in a warning. Rejected: a second module beside the first for new classes (two would share cores and the vault's share without knowing of each other); refusing dropped classes at once (callers hear of it late, and a keyed one that ran would be turned away). With the ledger on, a file that changes classes or clubs is turned down for now: its rows are numbered by them.

--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -86,8 +86,7 @@
     """Decides for one server: handle() takes an event and returns the actions, in order."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.set, self.seed = settings, seed  # no decision draws by the seed yet
-        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.seed = seed  # no decision draws by it yet
         self.now = self.born_ms = self.probe_ms = self.still_ms = self.rest_ms = self.arrived_ms = 0.0
         self.healthy, self.stuck = True, False  # what checks are told; nothing has moved for long
         self.out: list[api.Action] = []
@@ -96,30 +95,41 @@
         self.kb = [0.0, 0.0]  # what it holds: begun, not begun
         self.must_call = 0  # runs that may call and can't go on without
         self.gauges, self.run_queue = api.Gauges(0.0, 0.0), 0.0  # as last seen; smoothed
-        self.idle_ms = settings.idle_ms * min(1.0, CONNECTIONS * settings.cores / max(1, settings.callers))
         self.window = math.inf  # for each caller
         self.full = self.turned_away = False  # the memory watermark is up; load was refused this tick
         self.limit = 1.25 * settings.cores
-        self.run_ms = {kind.name: FIRST_RUN * kind.aim_ms for kind in settings.classes}
+        self.run_ms: dict[str, float] = {}
+        self.quota: dict[str, tuple[float, float, float]] = {}  # by tenant: its rate here, use and when that was
         self.failing = self.storm = 0.0  # share of runs; share of further tries read, unmarked: of refusals
-        self.call_room_ms = settings.call_share * settings.call_window_ms or math.inf  # untold: no bound
-        self.call_share = settings.call_share or math.inf
-        self.call_limit = CALL_MOST * self.call_share  # less while calls are slow, may be under 1
         self.call_ms = self.best_call_ms = self.gap_ms = 0.0  # a call lately, at best; between two arrivals
         self.calls: list[list[float]] = []  # below: start, end (or how long it may last), whether it is over
         self.past: deque[tuple[float, float]] = deque()  # those over and past their end; their sum
         self.past_ms = 0.0
         self.keys: dict[str, float] = {}  # remembered request: when its entry runs out
         self.released: set[str] = set()  # let go unrun at this very moment
-        even = QUOTA_ROOM / max(1, settings.servers)  # of a quota: what an even spread would bring here
-        self.quota = {tenant.name: (even * tenant.quota_per_s, 0.0, 0.0) for tenant in settings.tenants}
         self.given_up: dict[int, deque[float]] = {}  # by caller: ages at which it gave up
         self.leaving_ms = self.stop_ms = math.inf
         self.handlers: dict[type, Callable[..., None]] = {
             api.Started: self._started, api.Arrived: self._arrived, api.RunEnded: self._run_ended,
             api.CallerGone: self._gone, api.CallNeeded: self._call_needed, api.CallEnded: self._call_ended,
-            api.Leaving: self._leaving, api.Woken: self._woken,
+            api.Leaving: self._leaving, api.Woken: self._woken, api.Changed: self._changed,
         }
+        self._settle(settings)
+
+    def _settle(self, settings: api.Settings) -> None:
+        """Go by these settings; what was learned stays, as far as they still name it."""
+        self.set, self.kinds = settings, {kind.name: kind for kind in settings.classes}
+        self.idle_ms = settings.idle_ms * min(1.0, CONNECTIONS * settings.cores / max(1, settings.callers))
+        known = {*self.kinds, *(work.kind.name for work in self.work.values())}
+        self.run_ms = {name: run_ms for name, run_ms in self.run_ms.items() if name in known}
+        for kind in settings.classes:
+            self.run_ms.setdefault(kind.name, FIRST_RUN * kind.aim_ms)
+        self.call_room_ms = settings.call_share * settings.call_window_ms or math.inf  # untold: no bound
+        self.call_share = settings.call_share or math.inf
+        self.call_limit = CALL_MOST * self.call_share  # less while calls are slow, may be under 1
+        even = QUOTA_ROOM / max(1, settings.servers)  # of a quota: what an even spread would bring here
+        self.quota = {tenant.name: (even * tenant.quota_per_s, *self.quota.get(tenant.name, (0.0, 0.0, 0.0))[1:])
+                      for tenant in settings.tenants}
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         if now_ms > self.now:
@@ -193,6 +203,12 @@
             self.idle_ms = idle_ms
             self.out.append(api.CloseIdle(idle_ms))
 
+    def _changed(self, event: api.Changed) -> None:
+        idle_ms, call_limit = self.idle_ms, self.call_limit
+        self._settle(event.settings)
+        self.idle_ms = min(idle_ms, self.idle_ms)
+        self.call_limit = min(call_limit, self.call_limit)  # it rises again as calls go well
+
     def _leaving(self, event: api.Leaving) -> None:
         self.leaving_ms, self.stop_ms = self.now, self.now + event.stops_in_ms
 
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from flintshift.interface import Gauges, Outcome
+from flintshift.interface import Gauges, Outcome, RequestClass
 
 NEVER_RAN = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.MOOT})  # what proves that
 
@@ -39,8 +39,9 @@
     body: bytes
     tenant: str | None = None
     again: bool = False
-    unique: str | None = None  # in keyed classes: the same for all tries
+    unique: str | None = None  # in keyed classes, and there alone: the same for all tries
     subject: int | None = None
+    kind: RequestClass | None = None  # as the settings held it when the request was taken
     workers: str = "pool"  # where it is run
     head: bytes = b""  # what goes before the body there, as it came
     tell: Callable[[Answer], None] = lambda answer: None
@@ -138,4 +139,9 @@
     """Work can be run from now on."""
 
 
-Report = Submitted | Departed | RunOver | CallWanted | ReplyUnsure | CallOver | Notice | Tick | Up
+@dataclass(slots=True)
+class Changed:
+    """The catalogue is not what it was."""
+
+
+Report = Submitted | Departed | RunOver | CallWanted | ReplyUnsure | CallOver | Notice | Tick | Up | Changed
--- /dev/null
+++ b/flintshift/core/catalogue.py
@@ -0,0 +1,78 @@
+"""The catalogue: which classes and clubs are taken now, and those dropped lately, under one set of settings.
+
+A configuration may add and drop classes while requests are open. What is added is taken from then on. What is dropped
+may still come for a while, from callers that hear of it late, and is taken as before; after that it is refused, but a
+repeat of what has run gets its result for the whole of its window. Then its name is unknown.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from flintshift.core.limits import Limits
+from flintshift.interface import RequestClass, Settings
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    kind: RequestClass
+    at_ms: float
+    known_until_ms: float
+
+
+class Catalogue:
+    def __init__(self, settings: Settings, limits: Limits) -> None:
+        self.settings, self.limits = settings, limits
+        self.kinds = {kind.name: kind for kind in settings.classes}
+        self.clubs = {tenant.name for tenant in settings.tenants}
+        self.dropped: dict[str, Dropped] = {}
+        self.dropped_clubs: dict[str, float] = {}  # until when they are known
+
+    def find(self, class_name: str) -> RequestClass | None:
+        """The class, also one dropped whose repeats may still come."""
+        kind = self.kinds.get(class_name)
+        if kind is None and class_name in self.dropped:
+            return self.dropped[class_name].kind
+        return kind
+
+    def takes(self, class_name: str, now_ms: float) -> bool:
+        """New work of this class is taken."""
+        late = self.dropped.get(class_name)
+        return class_name in self.kinds or (late is not None and now_ms < late.at_ms + self.limits.dropped_ms)
+
+    def knows_club(self, club: str | None) -> bool:
+        return not self.clubs or club in self.clubs or club in self.dropped_clubs
+
+    def change(self, settings: Settings, now_ms: float) -> str | None:
+        """Take new settings as a whole; else why not. What says how the process began stays as it was."""
+        dropped = self._known(now_ms) | {
+            name: Dropped(kind, now_ms, now_ms + self.limits.dropped_ms + self.limits.key_late_ms
+                          + max(kind.repeat_window_ms, kind.deadline_ms + self.limits.lost_run_ms))
+            for name, kind in self.kinds.items()}
+        for kind in settings.classes:
+            dropped.pop(kind.name, None)
+        if len(dropped) > self.limits.dropped_classes:
+            return f"{len(dropped)} classes would be dropped within their windows; {self.limits.dropped_classes} may be"
+        clubs = {tenant.name for tenant in settings.tenants}
+        lately = {club: until for club, until in self.dropped_clubs.items() if until > now_ms}
+        lately |= dict.fromkeys(self.clubs, now_ms + self.limits.dropped_ms)
+        self.dropped_clubs = {club: until for club, until in lately.items() if club not in clubs}
+        self.settings = replace(settings, cold=self.settings.cold, cold_from=self.settings.cold_from,
+                                cold_ms=self.settings.cold_ms)
+        self.kinds, self.clubs, self.dropped = {kind.name: kind for kind in settings.classes}, clubs, dropped
+        return None
+
+    def purge(self, now_ms: float) -> bool:
+        """Forget what was dropped long enough ago; True when something was."""
+        before = len(self.dropped)
+        self.dropped = self._known(now_ms)
+        self.dropped_clubs = {club: until for club, until in self.dropped_clubs.items() if until > now_ms}
+        return len(self.dropped) < before
+
+    def _known(self, now_ms: float) -> dict[str, Dropped]:
+        return {name: late for name, late in self.dropped.items() if late.known_until_ms > now_ms}
+
+    @property
+    def decided(self) -> Settings:
+        """What the decisions are made by: the settings, with the classes that may still be open or come."""
+        return replace(self.settings, classes=[*self.settings.classes, *(late.kind for late in self.dropped.values())])
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -17,6 +17,7 @@
 from flintshift.control import Controller
 from flintshift.core import attempts as at
 from flintshift.core.attempts import NEVER_RAN, Answer, Attempt, Verdict
+from flintshift.core.catalogue import Catalogue
 from flintshift.core.counters import Counters
 from flintshift.core.keys import KeyTable, fingerprint
 from flintshift.core.limits import Limits
@@ -26,23 +27,19 @@
 
 
 class Decisions:
-    def __init__(self, settings: api.Settings, seed: int, limits: Limits, counters: Counters,
+    def __init__(self, catalogue: Catalogue, seed: int, limits: Limits, counters: Counters,
                  now_ms: Callable[[], float], wake_at: Callable[[float, str], None],
                  list_: Callable[[], None]) -> None:
-        self.settings, self.limits, self.counters = settings, limits, counters
+        self.catalogue, self.limits, self.counters = catalogue, limits, counters
         self.now_ms, self.wake_at, self.list = now_ms, wake_at, list_
-        # The grace counts from when the notice was given, not from when it was heard.
-        grace_ms = max(0.0, settings.drain_grace_ms - limits.notice_late_ms)
-        self.controller = Controller(replace(settings, drain_grace_ms=grace_ms), seed)
+        settings = self._settings()
+        self.controller = Controller(settings, seed)
         self.mailbox: Mailbox[at.Report] = Mailbox(limits.mailbox)
         self.posture = Posture(wait_ms=settings.advice_max_ms * settings.advice_allowed)
         self.workers: Mapping[str, Workers] = {}
         self.below: Below
         self.requests: dict[str, Attempt] = {}
         self.keys = KeyTable(limits)
-        self.keyed = {kind.name for kind in settings.classes if kind.effect is Effect.KEYED}
-        self.once = {kind.name for kind in settings.classes if kind.effect is not Effect.SAFE}
-        self.skippable = {kind.name for kind in settings.classes if kind.skip_worth}
         self.books: Books | None = None
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
@@ -53,16 +50,32 @@
     def submit(self, attempt: Attempt) -> None:
         """Take a request that was read. A full mailbox refuses it here and now: it never ran. Guards a
         repeat, whose first try may have run, against a refusal: it has the spare room, or fails."""
-        repeat = attempt.class_name in self.keyed and self.keys.find(attempt) is not None
+        repeat = attempt.unique is not None and self.keys.find(attempt) is not None
         spare = 0 if repeat else self.limits.mailbox_spare
         if self.books is not None and self.books.refusing and not repeat:
             self.counters.add("refused.not_bookable")
             self._settle(attempt, self._refusal())
             return
+        if not repeat and not self.catalogue.takes(attempt.class_name, self.now_ms()):
+            self.counters.add("refused.class_dropped")
+            self._settle(attempt, self._refusal())
+            return
         if not self.posture.up or not self.mailbox.offer(at.Submitted(attempt), spare):
             self.counters.add("full.mailbox" if self.posture.up else "full.not_up")
             self._settle(attempt, Answer(Verdict.FAILED) if repeat else self._refusal())
 
+    def change(self, settings: api.Settings) -> str | None:
+        """Go on under new settings from this very turn on; else why not. What is open ends under those it came with."""
+        fault = self.catalogue.change(settings, self.now_ms())
+        if fault is None:
+            self.handle(at.Changed())
+        return fault
+
+    def _settings(self) -> api.Settings:
+        # The grace counts from when the notice was given, not from when it was heard.
+        settings = self.catalogue.decided
+        return replace(settings, drain_grace_ms=max(0.0, settings.drain_grace_ms - self.limits.notice_late_ms))
+
     async def report(self, report: at.Report) -> None:
         await self.mailbox.put(report)
 
@@ -105,6 +118,10 @@
                 self.posture.up = True
                 self.list()
                 return api.Started()
+            case at.Changed():
+                settings = self._settings()
+                self.posture.wait_ms = settings.advice_max_ms * settings.advice_allowed
+                return api.Changed(settings)
             case at.Notice(stops_in_ms):
                 self.posture.leaving = True
                 self.list()
@@ -128,7 +145,7 @@
                 # poorer if the reply was lost. Elsewhere the reply can't be repeated: it might meet the next
                 # call of the run.
                 self.counters.add("replies_unsure")
-                if attempt.class_name in self.skippable and attempt.call_no == no and not attempt.over:
+                if attempt.kind is not None and attempt.kind.skip_worth and attempt.call_no == no and not attempt.over:
                     self._workers(attempt).go_on(attempt.id, no)
                     attempt.poorer = True
                 return None
@@ -146,13 +163,14 @@
     def _submitted(self, attempt: Attempt) -> api.Event | None:
         self.counters.add("read")
         now = self.now_ms()
-        entry = self.keys.find(attempt) if attempt.class_name in self.keyed else None
+        attempt.kind = self.catalogue.find(attempt.class_name)
+        entry = self.keys.find(attempt) if attempt.unique is not None else None
         # An id is new with every try: answers could not be told apart. And the key of a request must never
         # get its result to another one.
         if attempt.id in self.requests or (entry is not None and entry.print != fingerprint(attempt)):
             self._settle(attempt, Answer(Verdict.CONFLICT))
             return None
-        if entry is None and attempt.class_name in self.keyed and self.keys.full():
+        if entry is None and attempt.unique is not None and self.keys.full():
             self.counters.add("refused.keys_full")
             self._settle(attempt, self._refusal())
             return None
@@ -226,7 +244,8 @@
                 attempt.calls += 1
                 self.counters.add("called")
                 if not self.below.ask(
-                        attempt.id, limit_ms, attempt.payload, attempt.class_name in self.once):
+                        attempt.id, limit_ms, attempt.payload,
+                        attempt.kind is not None and attempt.kind.effect is not Effect.SAFE):
                     self.counters.add("dropped.call")
                     self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
             case api.SkipCall():
@@ -235,7 +254,7 @@
                 if not self._workers(attempt).go_on(attempt.id, attempt.call_no):
                     self.counters.add("dropped.pass")
             case api.Keep(_, for_ms):
-                if attempt.class_name in self.keyed:  # reads are kept only where answers may be shared
+                if attempt.unique is not None:  # reads are kept only where answers may be shared
                     self.keys.keep(attempt, self.now_ms() + for_ms)
             case api.Forget():
                 self._free(attempt)
@@ -282,6 +301,8 @@
                 self.counters.add("lost_runs")
                 self.pending.append(at.RunOver(attempt.id, Outcome.STOPPED))
         self.keys.purge(now, iter(self.requests))
+        if self.catalogue.purge(now):
+            self.pending.append(at.Changed())
 
     @property
     def open(self) -> int:
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -30,6 +30,7 @@
     list_box: int = 4  # words waiting for a list
     backlog: int = 1024
     strays: int = 8  # replies to nothing that was asked, before a call's own
+    dropped_classes: int = 64  # that a new configuration left out, and whose repeats may still come
     keys: int = 6000  # remembered keys
     key_bytes: int = 32 << 20  # their results
 
@@ -38,6 +39,7 @@
     oldest_ms: float = 86_400_000.0  # an older arrival time is no arrival time
     key_margin_ms: float = 250.0  # keys live longer than told: the rule's times are 50 ms longer on sockets
     key_late_ms: float = 5000.0  # a repeat may be read so much later than it came
+    dropped_ms: float = 2500.0  # a class that was left out is taken so much longer: callers hear of it 1.2 s late
     read_ms: float = 2000.0  # for a connection's first request, and for the rest of a later one once begun
     silent_ms: float = 250.0  # a connection that said nothing for so long may go for a new one
     rested_ms: float = 500.0  # and so may one that is idle after an answer
--- a/flintshift/interface.py
+++ b/flintshift/interface.py
@@ -166,7 +166,15 @@
     gauges: Gauges
 
 
-Event = Started | Arrived | RunEnded | CallerGone | CallNeeded | CallEnded | Leaving | Woken
+@dataclass(slots=True)
+class Changed:
+    """New settings hold from now on. They name all classes that are open or may still come; what is open ends under
+    those that it arrived with."""
+
+    settings: Settings
+
+
+Event = Started | Arrived | RunEnded | CallerGone | CallNeeded | CallEnded | Leaving | Woken | Changed
 
 
 # Actions: what a controller answers.
--- a/flintshift/lifecycle/config.py
+++ b/flintshift/lifecycle/config.py
@@ -12,6 +12,7 @@
 from flintshift.core.limits import Limits
 from flintshift.settings.options import Address, Operators
 from flintshift.settings.platform import GAUGES, FormError, flat, settings_from
+from flintshift.settings.shape import fault
 from flintshift.wire.link import address
 
 
@@ -32,6 +33,7 @@
     gauge_names: list[str | None]
     limits: Limits
     operators: Operators
+    told: dict[str, Any]  # the file, as JSON read it
 
 
 def load(env: Mapping[str, str], operators_file: Path | None = None) -> Config:
@@ -45,7 +47,7 @@
         raise ConfigError("LB_CONFIG names no configuration file")
     try:
         told = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {' '.join(str(error).split())}") from error
     return made(told, path, operators(operators_file), env.get("LB_CONTROL"))
 
@@ -60,21 +62,22 @@
     """A configuration of the platform's form, as JSON read it; ``path`` is for the words of faults, and ``control``
     the address of the control door where the file names none."""
     try:
+        wrong = fault(told)
+        if wrong is not None:
+            raise ConfigError(f"{path}: {wrong}")
         pairs = flat(told["settings"])
         asked = told.get("limits", {})
         limits = Limits(memory_mb=int(asked.get("memory_mb", Limits().memory_mb)),
                         sockets=int(asked.get("sockets", Limits().sockets)), stop_ms=float(told["stop_ms"]))
         settings = settings_from(pairs)
         door = told.get("control") or control
-        if not settings.classes:
-            raise ConfigError(f"{path}: the settings name no classes")
         return Config(
             name=str(told["name"]), listen=address(told["listen"]),
             control=address(door) if door else None, pool=address(told["pool"]),
             naming=address(told["naming"]), vault=address(told["vault"]), seed=int(str(told["seed"]), 16),
             settings=settings, limits=replace(limits, key_bytes=limits.memory_mb * (1 << 20) // 6),
             gauge_names=[GAUGES.get(name) for name in pairs.get("familyInfo.gauges", "").split(",")],
-            operators=operators,
+            operators=operators, told=told,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]} is missing") from error
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -7,12 +7,14 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import SocketListener
 
 from flintshift.core.attempts import Notice
+from flintshift.core.catalogue import Catalogue
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
 from flintshift.core.gauges import GaugePlanner
@@ -20,6 +22,7 @@
 from flintshift.core.ports import Log, silent
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.settings.options import UsageOptions
+from flintshift.settings.shape import lost
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
@@ -32,6 +35,10 @@
     from flintshift.wire.control_front import ControlFront
 
 
+STANDING = ("name", "listen", "control", "seed", "limits", "gauge_names", "operators")
+"""Of a configuration: what a running node can't change. A new one that differs in it is taken without it."""
+
+
 class Clock:
     """Unix milliseconds that never go back, however the system's clock is set."""
 
@@ -49,15 +56,16 @@
         self.now_ms, self.counters = Clock(), Counters()
         limits, counters, now_ms = self.limits, self.counters, self.now_ms
         self.gauges = GaugePlanner(limits, now_ms)
+        self.catalogue = Catalogue(config.settings, limits)
         self.decisions = Decisions(
-            config.settings, config.seed, limits, counters, now_ms, self.gauges.wake_at,
+            self.catalogue, config.seed, limits, counters, now_ms, self.gauges.wake_at,
             self._list)
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
         self.names = NameService(config.naming, config.name, limits, counters)
         lists: list[Listed] = [self.names]
-        fields = Fields(config.settings, limits, now_ms)
+        fields = Fields(self.catalogue, limits, now_ms)
         self.fronts: list[tuple[Front, tuple[str, int]]] = [(
             HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections,
                       self.pool.verify), config.listen)]
@@ -138,17 +146,17 @@
                     leave.set()
 
     def _reload(self) -> None:
-        """Move to the addresses of the configuration as it stands now; all else goes on as it was."""
+        """Take the configuration as it stands now, the whole of it or nothing; what is open goes on as it was."""
         try:
             config = self.reread()
+            self._change(config)
         except ConfigError as error:
-            with contextlib.suppress(OSError):
-                print(f"flintshift: the configuration stays: {error}", file=sys.stderr, flush=True)
+            self._warn(f"the configuration stays: {error}")
             self.log("error", "node.configuration_stays", cause=str(error))
             self.counters.add("reload.unreadable")
             return
         self.counters.add("reload.taken")
-        self.log("info", "node.configuration_taken")
+        self.log("info", "node.configuration_taken", classes=sorted(self.catalogue.kinds))
         if config.pool != self.pool.to:
             self.pool.move(config.pool)
         self.vault.move(config.vault)
@@ -157,6 +165,37 @@
             if self.decisions.posture.up:
                 self._list()
 
+    def _change(self, config: Config) -> None:
+        """Go by other settings.
+
+        Raises:
+            ConfigError: they can't be taken, and nothing of them was.
+        """
+        missing = lost(config.told, self.config.told)
+        if missing is not None:
+            raise ConfigError(missing)
+        if self.ledger is not None and self._booked(config) != self._booked(self.config):
+            raise ConfigError("settings.classes and settings.tenants: the ledger of use is on, and takes others at a "
+                              "start alone")
+        wrong = self.decisions.change(config.settings)
+        if wrong is not None:
+            raise ConfigError(wrong)
+        for name in STANDING:
+            if getattr(config, name) != getattr(self.config, name):
+                text = f"{name} stays as it was at the start: it can't change while the node runs"
+                self._warn(text)
+                self.log("warning", "node.setting_stays", setting=name)
+        self.config = replace(config, **{name: getattr(self.config, name) for name in STANDING})
+
+    @staticmethod
+    def _booked(config: Config) -> tuple[list[str], list[str]]:
+        return ([kind.name for kind in config.settings.classes], [club.name for club in config.settings.tenants])
+
+    @staticmethod
+    def _warn(text: str) -> None:
+        with contextlib.suppress(OSError):  # a full disk under the log must not end the node
+            print(f"flintshift: {text}", file=sys.stderr, flush=True)
+
     # What operators ask for at the control door.
 
     def not_ready(self) -> str | None:
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -8,9 +8,10 @@
 from http import HTTPStatus
 
 from flintshift.core.attempts import Answer, Attempt, Verdict
+from flintshift.core.catalogue import Catalogue
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Posture
-from flintshift.interface import Effect, Settings
+from flintshift.interface import Effect
 
 HEX16 = re.compile(r"[0-9a-fA-F]{16}")
 TOKEN = re.compile(r"[!-~]{1,64}")
@@ -27,14 +28,12 @@
 class Fields:
     """Makes an attempt of the fields that the decisions need."""
 
-    def __init__(self, settings: Settings, limits: Limits, now_ms: Callable[[], float]) -> None:
-        self.limits, self.now_ms = limits, now_ms
-        self.keyed = {kind.name: kind.effect is Effect.KEYED for kind in settings.classes}
-        self.tenants = {tenant.name for tenant in settings.tenants}
+    def __init__(self, catalogue: Catalogue, limits: Limits, now_ms: Callable[[], float]) -> None:
+        self.catalogue, self.limits, self.now_ms = catalogue, limits, now_ms
 
     def class_of(self, method: str, target: str) -> str:
         path = target.partition("?")[0].split("/")
-        if len(path) != 3 or path[0] or path[1] != "call" or path[2] not in self.keyed:
+        if len(path) != 3 or path[0] or path[1] != "call" or self.catalogue.find(path[2]) is None:
             raise UnusableError(404, "no such class")
         if method != "POST":
             raise UnusableError(405, "only POST is taken here")
@@ -60,7 +59,8 @@
 
         if len(body) > self.limits.body:
             raise UnusableError(413, "the body is too large")
-        now, item = self.now_ms(), get("X-Item")
+        now, item, kind = self.now_ms(), get("X-Item"), self.catalogue.find(class_name)
+        keyed = kind is not None and kind.effect is Effect.KEYED
         number("X-Precedence", 0, 1)  # no decision uses it, but one that is no rank is a fault of the caller
         return Attempt(
             id=text("X-Job-Id", HEX16),
@@ -71,13 +71,13 @@
             body=body,
             tenant=self._tenant(get("X-Team")),
             again=get("X-Again") is not None and text("X-Again", re.compile("[01]")) == "1",
-            unique=text("X-Unique", TOKEN) if self.keyed[class_name] else None,
+            unique=text("X-Unique", TOKEN) if keyed else None,
             subject=int(text("X-Item", HEX16), 16) if item is not None else None,
             tell=tell,
         )
 
     def _tenant(self, team: str | None) -> str | None:
-        if self.tenants and team not in self.tenants:
+        if not self.catalogue.knows_club(team):
             raise UnusableError(400, "X-Team is missing" if team is None else "X-Team is impossible")
         return team
 
--- /dev/null
+++ b/tests/test_changes.py
@@ -0,0 +1,142 @@
+"""New settings in a running node: classes come and go under load, and a file that can't be used changes nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import signal
+
+import pytest
+from standins import BYTES, SETTINGS, Rig, job
+
+from flintshift import interface as api
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def rig(tmp_path):
+    async with Rig(tmp_path) as rig:
+        rig.pool.plan = dict.fromkeys(("race-results", "submit-time", "submit-time-next"), 0)
+        yield rig
+
+
+def named(*names):
+    """Settings with these classes; each has the form of the one that its name begins with."""
+    settings = copy.deepcopy(SETTINGS)
+    forms = {kind["name"]: kind for kind in settings["classes"]}
+    settings["classes"] = [{**forms[name.removesuffix("-next")], "name": name} for name in names]
+    settings["familyInfo"] |= {"callsByClass": [True] * len(names), "classSkipWorth": [0.0] * len(names)}
+    return settings
+
+
+async def reload(rig, settings, taken=True, twice=False):
+    rig.settings = settings
+    before = await rig.counters()
+    rig.configure()
+    for _ in range(1 + twice):
+        rig.process.send_signal(signal.SIGHUP)
+    name = "reload.taken" if taken else "reload.unreadable"
+    while (await rig.counters())[name] == before[name]:
+        pass
+
+
+async def test_a_class_that_is_added_is_taken_and_one_that_is_dropped_ends_cleanly(rig):
+    assert (await rig.ask("http", "submit-time-next", fields=job())).status == 404
+    rig.pool.plan.pop("submit-time")
+    held, fields = await rig.connect("http"), job(**{"X-Unique": "k1"})
+    held.send(BYTES["http"]("submit-time", b"1", fields))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn")
+    await reload(rig, named("race-results", "submit-time-next"))
+    for front in BYTES:
+        assert (await rig.ask(front, "submit-time-next", fields=job())).status == 200
+    rig.pool.finish(fields["X-Job-Id"])  # what is open goes on
+    first = await held.reply()
+    assert first.status == 200
+    rig.pool.plan["submit-time"] = 0
+    assert (await rig.ask("http", fields=job(**{"X-Unique": "k2"}))).status == 200  # callers hear of it late
+    await asyncio.sleep(2.6)
+    refused = await rig.ask("http", fields=job(**{"X-Unique": "k3"}))
+    assert refused.status == 429 and int(refused.headers["x-wait-ms"]) > 0
+    again = await rig.ask("http", body=b"1", fields=job(**{"X-Unique": "k1", "X-Again": "1"}))
+    assert (again.status, again.body) == (200, first.body)  # its window is not over
+    await reload(rig, named("race-results", "submit-time"))  # and added again
+    assert (await rig.ask("http", fields=job(**{"X-Unique": "k3"}))).status == 200
+    again = await rig.ask("http", body=b"1", fields=job(**{"X-Unique": "k1", "X-Again": "1"}))
+    assert (again.status, again.body) == (200, first.body)
+    assert len([run for run in rig.pool.spawned() if run["route"] == "submit-time"]) == 3
+
+
+@pytest.mark.parametrize("spoil", [
+    lambda text: "", lambda text: text[:-40], lambda text: "[]", lambda text: "null",
+    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": -5', 1),
+    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": NaN', 1),
+    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": "1500"', 1),
+    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": true', 1),
+    lambda text: text.replace('"idleMs": 30000.0, ', "", 1),
+    lambda text: json.dumps({key: value for key, value in json.loads(text).items() if key != "settings"}),
+])
+async def test_a_file_that_cannot_be_used_moves_no_address_and_changes_no_class(rig, spoil):
+    rig.settings = named("race-results", "submit-time-next")
+    rig.configure()
+    text = rig.config.read_text().replace(f":{rig.pool.port}", ":9").replace(f":{rig.vault.port}", ":9")
+    assert spoil(text) != text
+    rig.config.write_text(spoil(text))
+    rig.process.send_signal(signal.SIGHUP)
+    line = await asyncio.wait_for(rig.process.stderr.readline(), 10)
+    assert line.startswith(b"flintshift: the configuration stays: ")
+    for front in BYTES:
+        assert (await rig.ask(front)).status == 200
+        assert (await rig.ask(front, "submit-time-next", fields=job())).status == 404
+    counters = await rig.counters()
+    assert counters["reload.unreadable"] == 1 and counters["pool.links_lost"] == 0
+
+
+async def test_changes_twice_at_once_and_while_the_node_leaves_end_nothing(rig):
+    rig.pool.plan = {}
+    callers = [await rig.connect("http") for _ in range(4)]
+    for caller in callers[:2]:
+        caller.send(BYTES["http"]("race-results", b"", job("race-results")))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 2)
+    await reload(rig, named("race-results", "submit-time-next"), twice=True)
+    await rig.leave()
+    await reload(rig, named("race-results"))
+    for run in rig.pool.spawned():
+        rig.pool.finish(run["rid"])
+    for caller in callers[:2]:
+        assert (await caller.reply()).status == 200
+    assert await asyncio.wait_for(rig.process.wait(), 10) == 0
+
+
+async def test_what_cannot_change_in_a_running_node_is_named_and_the_rest_is_taken(rig):
+    rig.settings = named("race-results", "submit-time-next")
+    rig.configure()
+    rig.config.write_text(rig.config.read_text().replace('"memory_mb": 192', '"memory_mb": 64'))
+    rig.process.send_signal(signal.SIGHUP)
+    line = await asyncio.wait_for(rig.process.stderr.readline(), 10)
+    assert line.startswith(b"flintshift: limits stays as it was at the start")
+    assert (await rig.ask("http", "submit-time-next", fields=job())).status == 200
+
+
+def test_the_module_goes_on_by_new_settings_and_open_work_by_those_it_came_with(make):
+    server = make(cores=8)
+    kept, _ = server.arrive("look")
+    faster = api.RequestClass("look", 300.0, 390.0, 1.0, api.Effect.SAFE)
+    new = api.RequestClass("glance", 500.0, 900.0, 1.0, api.Effect.SAFE)
+    old = server.control.set
+    server.step(api.Changed(api.Settings([faster, new], 8, 10_000.0, 4.0, 5.0, 500.0, [api.Tenant("t", 5.0)])))
+    added, actions = server.arrive("glance", tenant="t")
+    assert api.Run(added) in actions
+    fast, _ = server.arrive("look")
+    failed = [action.request for action in server.tick(400.0) if isinstance(action, api.Fail)]
+    assert failed == [fast] and kept not in failed  # 300 ms against 3 s
+    assert server.control.run_ms.keys() == {"look", "glance"}  # and of `buy`, of which nothing is open, nothing is kept
+    server.step(api.Changed(old))
+    assert server.control.run_ms.keys() == {"look", "buy", "pay", "list", "glance"}
+    server.ends(added)  # a run whose class was dropped meanwhile
