--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -229,8 +229,14 @@
         return 1 - (1 - self.set.cold_from) * max(0.0, 1 - risen)
 
     def _crowd(self) -> float:
-        """The survivable crowd, smaller while the server is cold."""
-        return self.set.cores * (1 + (self.set.fall_multiple - 1) * self._speed())
+        """The part of the survivable crowd that is this process's, smaller while the server is cold."""
+        return self.set.crowd_share * self.set.cores * (1 + (self.set.fall_multiple - 1) * self._speed())
+
+    def used(self) -> tuple[float, float, float]:
+        """What its work takes now: a part of the whole crowd, memory in KB, and the time of calls in the window."""
+        begun = self._count(Stage.RUNNING, Stage.LINED, Stage.CALLING)
+        crowd = begun * self.set.crowd_share / max(1e-9, self._crowd())
+        return crowd, self._memory_kb(), self._call_room()[1]
 
     def _crowd_room(self) -> float:
         """How many more may join the cores: calls under way can all return at once, those in line go on only
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -144,4 +144,20 @@
     """The catalogue is not what it was."""
 
 
-Report = Submitted | Departed | RunOver | CallWanted | ReplyUnsure | CallOver | Notice | Tick | Up | Changed
+@dataclass(slots=True)
+class Told:
+    """A word of, or about, another process of this node."""
+
+    word: Any
+
+
+@dataclass(slots=True)
+class Agreed:
+    """Whether an attempt may run under its key; None: that can't be known, as it may have run elsewhere."""
+
+    request: str
+    granted: bool | None
+
+
+Report = (Submitted | Departed | RunOver | CallWanted | ReplyUnsure | CallOver | Notice | Tick | Up | Changed | Told
+          | Agreed)
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -9,7 +9,7 @@
 import itertools
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from anyio.lowlevel import checkpoint
 
@@ -22,16 +22,29 @@
 from flintshift.core.keys import KeyTable, fingerprint
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
-from flintshift.core.ports import Below, Books, Posture, Workers
+from flintshift.core.ports import Below, Books, Claims, Posture, Workers
 from flintshift.interface import Effect, Outcome
 
 
+@dataclass(frozen=True, slots=True)
+class Part:
+    """The parts of the node's limits that are this process's."""
+
+    crowd: float = 1.0
+    memory: float = 1.0
+    calls: float = 1.0
+
+
+WHOLE = Part()
+
+
 class Decisions:
     def __init__(self, catalogue: Catalogue, seed: int, limits: Limits, counters: Counters,
                  now_ms: Callable[[], float], wake_at: Callable[[float, str], None],
                  list_: Callable[[], None]) -> None:
         self.catalogue, self.limits, self.counters = catalogue, limits, counters
         self.now_ms, self.wake_at, self.list = now_ms, wake_at, list_
+        self.part = WHOLE
         settings = self._settings()
         self.controller = Controller(settings, seed)
         self.mailbox: Mailbox[at.Report] = Mailbox(limits.mailbox)
@@ -41,6 +54,8 @@
         self.requests: dict[str, Attempt] = {}
         self.keys = KeyTable(limits)
         self.books: Books | None = None
+        self.claims: Claims | None = None
+        self.awaiting: dict[str, Attempt] = {}  # the other process's word on their keys
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
         self.purged_ms = 0.0
@@ -71,9 +86,25 @@
             self.handle(at.Changed())
         return fault
 
+    def keep_to(self, part: Part) -> None:
+        """Use no more of the node's limits than this from now on: another process has the rest."""
+        if part != self.part:
+            self.part = part
+            self.pending.append(at.Changed())
+
+    def used(self) -> Part:
+        """The parts of the node's limits that this process uses now."""
+        settings = self.catalogue.decided
+        crowd, memory_kb, calls_ms = self.controller.used()
+        calls = settings.call_share * settings.call_window_ms
+        return Part(crowd, memory_kb / settings.memory_kb, calls_ms / calls if calls else 0.0)
+
     def _settings(self) -> api.Settings:
         # The grace counts from when the notice was given, not from when it was heard.
-        settings = self.catalogue.decided
+        settings, part = self.catalogue.decided, self.part
+        if part != WHOLE:
+            settings = replace(settings, crowd_share=part.crowd, memory_kb=settings.memory_kb * max(part.memory, 1e-3),
+                               call_share=settings.call_share * part.calls)
         return replace(settings, drain_grace_ms=max(0.0, settings.drain_grace_ms - self.limits.notice_late_ms))
 
     async def report(self, report: at.Report) -> None:
@@ -111,6 +142,8 @@
                 return self._submitted(new)
             case at.Tick(token, gauges):
                 self._purge()
+                if self.claims is not None:
+                    self.claims.tick()
                 return api.Woken(token, gauges)
             case at.Up():
                 if self.posture.up:  # the link came back: the controller goes on
@@ -118,6 +151,20 @@
                 self.posture.up = True
                 self.list()
                 return api.Started()
+            case at.Told(word):
+                if self.claims is not None:
+                    self.claims.heard(word)
+                return None
+            case at.Agreed(request, granted):
+                self._agreed(request, granted)
+                return None
+            case at.Departed(request) if request in self.awaiting:
+                gone = self.awaiting.pop(request)
+                gone.gone, gone.over_ms = True, self.now_ms()
+                self.counters.add("departed")
+                if self.claims is not None:
+                    self.claims.departed(request)
+                return None
             case at.Changed():
                 settings = self._settings()
                 self.posture.wait_ms = settings.advice_max_ms * settings.advice_allowed
@@ -162,18 +209,46 @@
 
     def _submitted(self, attempt: Attempt) -> api.Event | None:
         self.counters.add("read")
+        return self._taken(attempt, agreed=False)
+
+    def _agreed(self, request: str, granted: bool | None) -> None:
+        """The other process's word on a key has come, or can't come any more."""
+        attempt = self.awaiting.pop(request, None)
+        if attempt is None:
+            return
+        if granted is None:
+            self.counters.add("claims.unanswered")
+            self._settle(attempt, Answer(Verdict.FAILED))  # it may have run: a refusal would be wrong
+            return
+        event = self._taken(attempt, granted)
+        if event is not None:
+            self._decide(event)
+        if granted and self.claims is not None and self.keys.owned(attempt) is None:
+            self.claims.freed(attempt)  # it was turned away
+
+    def _taken(self, attempt: Attempt, agreed: bool) -> api.Event | None:
         now = self.now_ms()
         attempt.kind = self.catalogue.find(attempt.class_name)
         entry = self.keys.find(attempt) if attempt.unique is not None else None
         # An id is new with every try: answers could not be told apart. And the key of a request must never
         # get its result to another one.
-        if attempt.id in self.requests or (entry is not None and entry.print != fingerprint(attempt)):
+        known = attempt.id in self.requests or attempt.id in self.awaiting
+        if known or (entry is not None and entry.print != fingerprint(attempt)):
             self._settle(attempt, Answer(Verdict.CONFLICT))
             return None
         if entry is None and attempt.unique is not None and self.keys.full():
             self.counters.add("refused.keys_full")
             self._settle(attempt, self._refusal())
             return None
+        if entry is None and attempt.unique is not None and self.claims is not None and not agreed:
+            if self.claims.unsure(attempt):
+                self.counters.add("claims.unsure")
+                self._settle(attempt, Answer(Verdict.FAILED))
+                return None
+            if self.claims.needed:
+                self.awaiting[attempt.id] = attempt
+                self.claims.ask(attempt)
+                return None
         self.requests[attempt.id] = attempt
         return api.Arrived(
             attempt.id, attempt.class_name, attempt.held_kb, now - attempt.door_ms, attempt.caller,
@@ -194,6 +269,8 @@
         elif entry is not None and attempt.ran:
             for follower in self.keys.end(entry, report.outcome, report.result):
                 self.pending.append(at.RunOver(follower, report.outcome, 0.0, report.result))
+            if self.claims is not None:
+                self.claims.over(attempt)
         if report.outcome is Outcome.OK:
             self._settle(attempt, Answer(Verdict.SERVED, report.result))
         elif report.outcome in NEVER_RAN:
@@ -256,6 +333,8 @@
             case api.Keep(_, for_ms):
                 if attempt.unique is not None:  # reads are kept only where answers may be shared
                     self.keys.keep(attempt, self.now_ms() + for_ms)
+                    if self.claims is not None:
+                        self.claims.kept(attempt)
             case api.Forget():
                 self._free(attempt)
             case api.AnswerFromOriginal():
@@ -276,9 +355,11 @@
 
     def _free(self, attempt: Attempt) -> None:
         """It never ran, so its key is free; those that waited for it never ran either."""
-        if not attempt.ran:
+        if not attempt.ran and self.keys.owned(attempt) is not None:
             for follower in self.keys.forget(attempt):
                 self.pending.append(at.RunOver(follower, Outcome.REJECTED))
+            if self.claims is not None:
+                self.claims.freed(attempt)
 
     def _settle(self, attempt: Attempt, answer: Answer) -> None:
         if attempt.settle(answer, self.now_ms()) and attempt.answer is not None:
@@ -307,4 +388,4 @@
     @property
     def open(self) -> int:
         """Requests read and not over."""
-        return sum(not attempt.over for attempt in self.requests.values()) + len(self.mailbox)
+        return sum(not attempt.over for attempt in self.requests.values()) + len(self.awaiting) + len(self.mailbox)
--- a/flintshift/core/keys.py
+++ b/flintshift/core/keys.py
@@ -19,6 +19,7 @@
     outcome: Outcome | None = None  # of its run, once over
     result: bytes = b""
     followers: list[str] = field(default_factory=list)  # attempts that wait for that run
+    other: bool = False  # the owner is an attempt of another process of this node
 
 
 def fingerprint(attempt: Attempt) -> bytes:
@@ -74,6 +75,41 @@
         self._drop((attempt.class_name, attempt.unique or ""))
         return entry.followers
 
+    # What another process of this node tells, while there are two.
+
+    def adopt(self, key: tuple[str, str], entry: Entry) -> list[str]:
+        """Hold what the other process holds; returns attempts that waited under an entry that this replaces."""
+        before = self.entries.get(key)
+        if before is not None:
+            self._drop(key)
+            if before.owner == entry.owner:
+                entry.followers, before.followers = before.followers, []
+        self.entries[key] = entry
+        self.booked += self.limits.result if entry.outcome is None else len(entry.result)
+        return before.followers if before is not None else []
+
+    def others(self, key: tuple[str, str], owner: str) -> Entry | None:
+        entry = self.entries.get(key)
+        return entry if entry is not None and entry.other and entry.owner == owner else None
+
+    def free(self, key: tuple[str, str], owner: str) -> list[str]:
+        """The other's attempt never ran: drop its entry and return the attempts that waited for it."""
+        entry = self.others(key, owner)
+        if entry is None:
+            return []
+        self._drop(key)
+        return entry.followers
+
+    def lose(self) -> list[str]:
+        """The other process has ended. How its runs ended that were not over is known by nobody: they have failed,
+        and are never run again. Returns the attempts that waited for them."""
+        waiting: list[str] = []
+        for entry in self.entries.values():
+            if entry.other and entry.outcome is None:
+                waiting += self.end(entry, Outcome.ERROR, b"")
+            entry.other = False
+        return waiting
+
     def _drop(self, key: tuple[str, str]) -> None:
         entry = self.entries.pop(key)
         self.booked -= self.limits.result if entry.outcome is None else len(entry.result)
@@ -82,5 +118,6 @@
         """Drop entries whose window has passed, but none whose owner is still open."""
         live, past = set(open_), now_ms - self.limits.key_late_ms
         for key in [key for key, entry in self.entries.items()
-                    if entry.live_until_ms < past and entry.owner not in live]:
+                    if entry.live_until_ms < past and entry.owner not in live
+                    and not (entry.other and entry.outcome is None)]:
             self._drop(key)
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -46,6 +46,10 @@
     last_read_ms: float = 20.0  # for the same, while the node stops
     linger_ms: float = 500.0  # for what still comes after a connection's last answer
     write_ms: float = 5000.0  # for an answer to be taken
+    welcome_ms: float = 5000.0  # for the process that serves to welcome its successor: 6 s are told for the start
+    claim_ms: float = 1000.0  # for the other process of an upgrade to answer a claim on a key
+    shed_ms: float = 100.0  # between two words of a predecessor on what it uses
+    bind_again_ms: float = 100.0  # between two tries to listen while a process that leaves holds the address
     poll_ms: float = 25.0  # for gauges to come before a tick goes on without
     gauge_stale_ms: float = 500.0  # older gauges are none
     unsure_ms: float = 100.0  # what was sent to the pool so long before a break may be lost: 50 ms are told
--- a/flintshift/core/listing.py
+++ b/flintshift/core/listing.py
@@ -20,10 +20,10 @@
 class Listing:
     def __init__(self, lists: Sequence[Listed], limits: Limits) -> None:
         self.limits = limits
-        self.lists = [(listed, Mailbox[tuple[bool, bool]](limits.list_box)) for listed in lists]
+        self.lists = [(listed, Mailbox[tuple[bool | None, bool]](limits.list_box)) for listed in lists]
 
-    def say(self, serving: bool, last: bool = False) -> None:
-        """From now on say this, again and again; the last word is said until it was taken once."""
+    def say(self, serving: bool | None, last: bool = False) -> None:
+        """From now on say this, again and again; None: nothing. The last word is said until it was taken once."""
         for _, box in self.lists:
             if not box.offer((serving, last)):  # only the newest word counts: the oldest makes room for it
                 box.take_now()
@@ -34,9 +34,12 @@
             for listed, box in self.lists:
                 tasks.start_soon(self._keep, listed, box)
 
-    async def _keep(self, listed: Listed, box: Mailbox[tuple[bool, bool]]) -> None:
+    async def _keep(self, listed: Listed, box: Mailbox[tuple[bool | None, bool]]) -> None:
         serving, last = await box.take()
         while True:
+            if serving is None:
+                serving, last = await box.take()
+                continue
             began = anyio.current_time()  # an answer that is late or never comes must not delay the next
             taken = await listed.report(serving)
             if taken:
--- a/flintshift/core/ports.py
+++ b/flintshift/core/ports.py
@@ -39,6 +39,21 @@
     def ran_on(self, attempt: Attempt, took_ms: float) -> None: ...  # a run ended after the final answer
 
 
+class Claims(Protocol):
+    """Another process of this node, without whose word no keyed run begins. It is told what becomes of keys here."""
+
+    @property
+    def needed(self) -> bool: ...
+    def unsure(self, attempt: Attempt) -> bool: ...  # it may have run where nobody can be asked any more
+    def ask(self, attempt: Attempt) -> None: ...  # answered by the report `Agreed`
+    def departed(self, request: str) -> None: ...  # nobody waits for that answer
+    def kept(self, attempt: Attempt) -> None: ...
+    def over(self, attempt: Attempt) -> None: ...  # its run has ended, and the table holds how
+    def freed(self, attempt: Attempt) -> None: ...  # it never ran, and the table holds nothing of it
+    def heard(self, word: Any) -> None: ...
+    def tick(self) -> None: ...
+
+
 class Log(Protocol):
     """Writes a structured event; ``level`` is debug, info, warning or error."""
 
--- /dev/null
+++ b/flintshift/handover/link.py
@@ -0,0 +1,179 @@
+"""The Unix socket in ``$TMPDIR`` over which a successor finds the process that serves: path, frames, and the watch on
+the other's life. No rule stands here.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import hashlib
+import os
+import socket
+import struct
+import tempfile
+from collections.abc import Awaitable, Callable, Iterator
+from pathlib import Path
+
+import anyio
+from anyio.abc import UNIXSocketStream
+
+from flintshift.core.limits import Limits
+from flintshift.core.mailbox import Mailbox
+from flintshift.handover.codec import FrameError, Unpacker, packed
+from flintshift.handover.vocabulary import VERSION, Copied, Hello, Known, Welcome, Word
+
+BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
+CREDENTIALS = struct.Struct("3i")
+SOCKETS_MOST = 4
+
+
+class UpgradeError(OSError):
+    """This process can't take over; the text says why."""
+
+
+def meeting_path(name: str, listen: tuple[str, int]) -> Path:
+    """Where the processes of this node meet; the name is short, as a path of a socket may be."""
+    mark = hashlib.blake2b(f"{name}\n{listen[0]}:{listen[1]}".encode(), digest_size=6).hexdigest()
+    return Path(tempfile.gettempdir()) / f"flintshift-{mark}"
+
+
+@contextlib.contextmanager
+def _short(path: Path) -> Iterator[str]:
+    """A name for the path that fits a socket's address however deep the folder lies."""
+    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{path.name}" if len(str(path)) > 100 else str(path)
+    finally:
+        os.close(folder)
+
+
+def _watch(raw: socket.socket) -> int | None:
+    """A descriptor that becomes readable at the other process's end; None where the system gives none."""
+    pid, uid, _ = CREDENTIALS.unpack(raw.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size))
+    if uid not in (os.getuid(), 0):
+        raise UpgradeError(f"the process at the meeting path is of user {uid}, not of this one")
+    with contextlib.suppress(OSError, ValueError):
+        return os.pidfd_open(pid)
+    return None
+
+
+class Link:
+    """One meeting of two processes."""
+
+    def __init__(self, stream: UNIXSocketStream, limits: Limits) -> None:
+        self.stream, self.limits = stream, limits
+        self.outbox: Mailbox[Word] = Mailbox(limits.outbox)
+        self.copy: Iterator[Known] | None = None
+        self.unpacker, self.early = Unpacker(), list[Word]()
+        self.watched = _watch(stream.extra(anyio.abc.SocketAttribute.raw_socket))
+        self.sockets: list[socket.socket] = []  # that go with the welcome
+        self.broken, self.over = False, anyio.Event()  # nothing is read any more
+
+    def send(self, word: Word) -> None:
+        """Without waiting; an outbox that is full says that the other does not read."""
+        if not self.broken and not self.outbox.offer(word):
+            self.break_off()
+
+    def send_copy(self, entries: Iterator[Known]) -> None:
+        self.copy = entries
+        self.outbox.offer(Copied())  # wakes the writer, which tells the entries first
+
+    def break_off(self) -> None:
+        self.broken = True
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        with contextlib.suppress(OSError):
+            raw.shutdown(socket.SHUT_RDWR)
+
+    async def run(self, heard: Callable[[Word], Awaitable[None]], gone: Callable[[], Awaitable[None]],
+                  ended: Callable[[str], Awaitable[None]]) -> None:
+        """Until the other process has ended, which is told last; the link itself may end before."""
+        cause = ""
+        try:
+            async with self.stream, anyio.create_task_group() as tasks:
+                tasks.start_soon(self._write)
+                try:
+                    for word in self.early:
+                        await heard(word)
+                    while True:
+                        for word in self.unpacker.feed(await self.stream.receive(self.limits.read)):
+                            await heard(word)
+                except (FrameError, *BROKEN) as error:
+                    self.broken, cause = True, f"{type(error).__name__} {error}".strip()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.broken = True
+        self.over.set()
+        await ended(cause)
+        if self.watched is not None:
+            try:
+                await anyio.wait_readable(self.watched)
+            finally:
+                os.close(self.watched)
+        await gone()
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                word = await self.outbox.take()
+                if isinstance(word, Welcome):
+                    await self.stream.send_fds(packed(word), [one.fileno() for one in self.sockets])
+                    continue
+                if isinstance(word, Copied):
+                    batch = bytearray()
+                    for entry in self.copy or ():
+                        batch += packed(entry)
+                        if len(batch) >= self.limits.read:
+                            await self.stream.send(bytes(batch))
+                            batch.clear()
+                    await self.stream.send(bytes(batch) + packed(word))
+                    continue
+                batch = bytearray(packed(word))
+                while len(batch) < self.limits.read and self.outbox.items and not isinstance(
+                        self.outbox.items[0], Copied | Welcome):
+                    batch += packed(self.outbox.items[0])
+                    self.outbox.take_now()
+                await self.stream.send(bytes(batch))
+        except BROKEN:
+            self.break_off()
+
+
+async def join(path: Path, limits: Limits) -> Link | None:
+    """Meet the process that serves: a link whose first word is its welcome; None where there is no such process.
+
+    Raises:
+        UpgradeError: there is one, and it does not hand over.
+    """
+    try:
+        with _short(path) as name:
+            stream = await anyio.connect_unix(name)
+    except (OSError, RuntimeError):  # no such path, or one of a process that has ended
+        return None
+    link = Link(stream, limits)
+    try:
+        with anyio.fail_after(limits.welcome_ms / 1000):
+            await stream.send(packed(Hello(VERSION)))
+            while not link.early:
+                data, found = await stream.receive_fds(limits.read, SOCKETS_MOST)
+                link.sockets += [socket.socket(fileno=one) for one in found]
+                link.early += link.unpacker.feed(data)
+    except TimeoutError as error:
+        raise UpgradeError(f"the process that serves took the call and said nothing for {limits.welcome_ms:g} ms; "
+                           "it lives, so its address can't be shared") from error
+    except (FrameError, *BROKEN) as error:
+        raise UpgradeError("the process that serves ended the call: it hands over already, or it leaves") from error
+    return link
+
+
+async def open_path(path: Path) -> socket.socket:
+    """The meeting path, listening. What a process that ended has left there goes."""
+    raw = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    raw.setblocking(False)
+    try:
+        path.unlink(missing_ok=True)
+        with _short(path) as name:
+            raw.bind(name)
+        os.chmod(path, 0o600)
+        raw.listen(8)
+    except BaseException:
+        raw.close()
+        raise
+    return raw
--- /dev/null
+++ b/flintshift/handover/phases.py
@@ -0,0 +1,158 @@
+"""The phases of an upgrade as a machine without I/O: who takes the clients, and which part of the limits is whose."""
+
+from __future__ import annotations
+
+import math
+
+from flintshift.handover.vocabulary import (
+    VERSION,
+    Action,
+    Copied,
+    Event,
+    GiveUpStart,
+    Hello,
+    Keep,
+    LeaveClients,
+    LinkEnded,
+    Load,
+    LosePeer,
+    OpenPath,
+    PeerGone,
+    Phase,
+    PoolUp,
+    Ready,
+    Send,
+    SendCopy,
+    Serve,
+    Service,
+    TakeClients,
+    Used,
+    Welcome,
+    Yours,
+)
+
+FIRST, LEAST = 0.5, 0.2  # of each limit, kept by a predecessor for what its open connections bring: at first, at last
+CALLS_SUM = 0.95  # of the vault's share, by both: the rest is for the told figure's rounding
+WHOLE = Load(1.0, 1.0, 1.0, 0)
+
+
+class WordError(Exception):
+    """The other process said what does not fit the phase."""
+
+
+class Phases:
+    """One process's side. It starts alone, or asks the process that serves."""
+
+    def __init__(self, asks: bool, outlast_ms: float) -> None:
+        """``outlast_ms``: for so long after its end, calls and runs of the other process may still count."""
+        self.phase = Phase.ASKING if asks else Phase.ALONE
+        self.outlast_ms, self.whole_at_ms = outlast_ms, math.inf
+        self.up = False  # the own worker pool
+        self.out = False  # of service; handed on
+        self.kept = WHOLE  # the predecessor's parts, at either side
+        self.used = WHOLE  # what this process used when it was last asked
+        self.connections = 0  # the most that it held since a successor takes the clients
+
+    @property
+    def takes_clients(self) -> bool:
+        return self.up and self.phase in (Phase.ALONE, Phase.GIVING, Phase.SERVING)
+
+    @property
+    def agreeing(self) -> bool:
+        """A keyed run begins on the other's word alone."""
+        return self.phase in (Phase.SHEDDING, Phase.SERVING)
+
+    @property
+    def senior(self) -> bool:
+        """Of two claims at once, this process's wins."""
+        return self.phase is Phase.SHEDDING
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """
+        Raises:
+            WordError: the other must not be listened to any more.
+        """
+        phase = self.phase
+        match event:
+            case Hello(version) if phase is Phase.ALONE:
+                if version != VERSION:
+                    raise WordError(f"the successor speaks version {version} of the handover, this process {VERSION}")
+                self.phase = Phase.GIVING
+                return [Send(Welcome(VERSION, self.out)), SendCopy()]
+            case Service(out):
+                self.out = out
+                return [Serve(out)]
+            case Welcome(version, out) if phase is Phase.ASKING:
+                if version != VERSION:
+                    raise WordError(f"the predecessor speaks version {version} of the handover, this process {VERSION}")
+                self.phase, self.out = Phase.COPYING, out
+                return []
+            case Copied() if phase is Phase.COPYING:
+                self.phase = Phase.COPIED
+                return self._ready()
+            case PoolUp():
+                self.up = True
+                return self._ready() if phase is Phase.COPIED else (
+                    [TakeClients()] if phase is Phase.ALONE else [])
+            case Ready() if phase is Phase.GIVING:
+                self.phase, self.kept, self.connections = Phase.SHEDDING, WHOLE, 0
+                return [LeaveClients(), *self._shed(self.used), Send(Yours())]
+            case Yours() if phase is Phase.WAITING:
+                self.phase = Phase.SERVING
+                return [self._rest(), Serve(self.out), TakeClients()]
+            case Load() if phase in (Phase.WAITING, Phase.SERVING):
+                self.kept = event
+                return [self._rest()] if phase is Phase.SERVING else []
+            case Used(load) if phase is Phase.SHEDDING:
+                return self._shed(load)
+            case Used(load):
+                self.used = load
+                if now_ms < self.whole_at_ms:
+                    return []
+                self.whole_at_ms = math.inf
+                return [Keep(1.0, 1.0, 1.0)]
+            case LinkEnded(cause):
+                if phase is Phase.GIVING:  # a successor that did not get all takes no clients
+                    return self._alone(now_ms)
+                if phase in (Phase.ALONE, Phase.SHEDDING, Phase.SERVING):
+                    return []  # till the other has ended, no key is claimed, and clients stay where they are
+                return [GiveUpStart(f"the link to the process that serves ended ({cause})")]
+            case PeerGone():
+                return self._alone(now_ms)
+            case _:
+                raise WordError(f"{type(event).__name__} does not fit the phase {phase.value}")
+
+    def _ready(self) -> list[Action]:
+        if not self.up:
+            return []
+        self.phase = Phase.WAITING
+        return [Send(Ready())]
+
+    def _shed(self, used: Load) -> list[Action]:
+        """Keep what is used, and never more than before: so the sum of both never passes the whole. What is given
+        up is given up here before the other hears of it."""
+        kept = self.kept
+        self.connections = max(self.connections, used.connections)
+        least = max(LEAST, FIRST * used.connections / self.connections) if used.connections else 0.0
+        self.kept = Load(min(kept.crowd, max(used.crowd, least)), min(kept.memory, max(used.memory, least)),
+                         min(kept.calls, max(used.calls, least)), used.connections)
+        return [Keep(self.kept.crowd, self.kept.memory, self.kept.calls), Send(self.kept)]
+
+    def _rest(self) -> Keep:
+        """The successor's parts: what its predecessor does not keep."""
+        kept = self.kept
+        return Keep(1.0 - kept.crowd, 1.0 - kept.memory, max(0.0, CALLS_SUM - kept.calls), kept.connections)
+
+    def _alone(self, now_ms: float) -> list[Action]:
+        before, self.phase = self.phase, Phase.ALONE
+        if before is Phase.ALONE:
+            return []
+        self.whole_at_ms = now_ms + self.outlast_ms
+        was_successor = before not in (Phase.GIVING, Phase.SHEDDING)
+        partial = was_successor and before is not Phase.SERVING
+        actions: list[Action] = [LosePeer(partial)]
+        if was_successor:
+            actions.append(OpenPath())
+        if self.up and before in (Phase.WAITING, Phase.COPIED, Phase.COPYING, Phase.ASKING, Phase.SHEDDING):
+            actions.append(TakeClients())
+        return actions
--- /dev/null
+++ b/flintshift/handover/vocabulary.py
@@ -0,0 +1,222 @@
+"""The words that the two processes exchange, and what their phase machine is told and answers.
+
+A key is scoped by its class. Times are Unix milliseconds: both processes read one clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+VERSION = 1
+
+Key = tuple[str, str]  # the class and the caller's word
+
+
+class Phase(Enum):
+    ALONE = "alone"
+    GIVING = "giving"  # a successor copies the keys
+    SHEDDING = "shedding"  # the successor takes the clients
+    ASKING = "asking"
+    COPYING = "copying"
+    COPIED = "copied"  # the own worker pool is not up yet
+    WAITING = "waiting"  # for the predecessor to stop accepting
+    SERVING = "serving"  # beside a predecessor that sheds
+
+
+# Words on the link.
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Welcome:
+    """With the listening sockets, in the order of the fronts."""
+
+    version: int
+    out: bool  # of service
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """An entry of the key table."""
+
+    key: Key
+    owner: str
+    live_until_ms: float
+    print: bytes
+    outcome: str | None  # of its run; None: it is not over
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Copied:
+    """All entries have been told."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """The successor can take the clients."""
+
+
+@dataclass(frozen=True, slots=True)
+class Yours:
+    """The predecessor accepts no more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claimed:
+    """May this attempt run under this key?"""
+
+    key: Key
+    owner: str
+    door_ms: float  # when it came to the machine
+    live_until_ms: float
+    print: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Whether it may; if not, what holds the key was told before."""
+
+    key: Key
+    owner: str
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """A run that was claimed is over."""
+
+    key: Key
+    owner: str
+    live_until_ms: float
+    outcome: str
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Freed:
+    """What was claimed never ran."""
+
+    key: Key
+    owner: str
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """The parts of the node's limits that the predecessor keeps, from 0 to 1, and its open connections."""
+
+    crowd: float
+    memory: float
+    calls: float
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """An operator's word came to the older's door."""
+
+    out: bool
+
+
+Word = (Hello | Welcome | Known | Copied | Ready | Yours | Claimed | Answered | Over | Freed | Load | Service)
+
+
+# What the phase machine is told, beside words.
+
+
+@dataclass(frozen=True, slots=True)
+class PoolUp:
+    """This process's worker pool is up."""
+
+
+@dataclass(frozen=True, slots=True)
+class PeerGone:
+    """The other process has ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkEnded:
+    """The link broke; the other process may live."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class Used:
+    """What this process uses now; told again and again."""
+
+    load: Load
+
+
+Event = Word | PoolUp | PeerGone | LinkEnded | Used
+
+
+# What it answers.
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    word: Word
+
+
+@dataclass(frozen=True, slots=True)
+class SendCopy:
+    """Send every live entry of the key table, then `Copied`."""
+
+
+@dataclass(frozen=True, slots=True)
+class TakeClients:
+    """Accept, report to the name service, be ready."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveClients:
+    """Accept no more, say nothing to the name service, close connections with their next answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """The parts of the node's limits that are this process's, and how many connections the other holds."""
+
+    crowd: float
+    memory: float
+    calls: float
+    others: int = 0
+
+    @property
+    def whole(self) -> bool:
+        return self.crowd >= 1.0 and self.memory >= 1.0 and self.calls >= 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class LosePeer:
+    """The other is gone: its unended runs are lost. ``partial``: keys may be unknown here."""
+
+    partial: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Be in or out of service, as the operators last said."""
+
+    out: bool
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUpStart:
+    """This process can't take over, and has taken no client yet: it ends."""
+
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class OpenPath:
+    """A successor may come from now on."""
+
+
+Action = Send | SendCopy | TakeClients | LeaveClients | Keep | LosePeer | Serve | GiveUpStart | OpenPath
--- a/flintshift/interface.py
+++ b/flintshift/interface.py
@@ -97,6 +97,7 @@
     advice_max_ms: float = 0.0
     over_share_worth: float = 1.0
     worth_by_work: bool = False
+    crowd_share: float = 1.0  # the part of the survivable crowd that this process may run: another has the rest
 
 
 @dataclass(slots=True)
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-from anyio.abc import SocketListener
+from anyio.abc import Listener, SocketListener, SocketStream
 
 from flintshift.core.attempts import Notice
 from flintshift.core.catalogue import Catalogue
@@ -23,6 +23,7 @@
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.settings.options import UsageOptions
 from flintshift.settings.shape import lost
+from flintshift.wire.acceptor import Acceptor
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
@@ -31,6 +32,7 @@
 from flintshift.wire.vault import VaultLink
 
 if TYPE_CHECKING:
+    from flintshift.lifecycle.upgrade import Upgrade
     from flintshift.usage.ledger import Ledger
     from flintshift.wire.control_front import ControlFront
 
@@ -59,7 +61,7 @@
         self.catalogue = Catalogue(config.settings, limits)
         self.decisions = Decisions(
             self.catalogue, config.seed, limits, counters, now_ms, self.gauges.wake_at,
-            self._list)
+            self._moved)
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
@@ -86,10 +88,18 @@
             front.log = self.log if requests_too else None
         self.listing = Listing(lists, limits)
         self.door: ControlFront | None = None
+        self.upgrade: Upgrade | None = None
+        self.leave = anyio.Event()
+        self.failed: OSError | None = None  # why it ends before it served
         if config.control is not None:
+            from flintshift.lifecycle.upgrade import Upgrade
             from flintshift.wire.control_front import ControlFront
             self.door = ControlFront(self, limits, counters, now_ms)
             self.door.log = self.log
+            self.upgrade = Upgrade(self)
+            self.decisions.claims = self.upgrade
+            for front, _ in self.fronts:
+                front.leave()  # until it is known that this process takes the clients
 
     def _keep_books(self, options: UsageOptions) -> None:
         from flintshift.lifecycle.books import UNUSABLE, Books, open_ledger
@@ -109,9 +119,11 @@
     async def run(self) -> None:
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
         with anyio.open_signal_receiver(*told) as signals:
-            listeners = [await self._listen(at) for _, at in self.fronts]
+            listeners: list[Listener[SocketStream] | Acceptor] = await self._listeners()
             doors = [await self._listen(self.config.control)] if self.config.control is not None else []
             async with anyio.create_task_group() as tasks:
+                if self.upgrade is not None:
+                    self.actors.append(self.upgrade.run)
                 for actor in self.actors:
                     tasks.start_soon(actor)
                 tasks.start_soon(self.gauges.run, self.pool, self.decisions.report)
@@ -123,14 +135,18 @@
                     for door in doors:
                         tasks.start_soon(self.door.serve, door, tasks)
                 self.log("info", "node.listening", listen=[f"{host}:{port}" for _, (host, port) in self.fronts])
-                leave = anyio.Event()
-                tasks.start_soon(self._heed, signals, leave)
-                await leave.wait()
+                tasks.start_soon(self._heed, signals, self.leave)
+                await self.leave.wait()
                 self.log("info", "node.leaving", stop_ms=self.limits.stop_ms)
-                await self._drain()
+                if self.failed is None:
+                    await self._drain()
+                if self.upgrade is not None:
+                    await self.upgrade.close()
                 tasks.cancel_scope.cancel()
             if self.ledger is not None:
                 await self.ledger.close()
+            if self.failed is not None:
+                raise self.failed
             self.log("info", "node.left", open=self._open())
             # Nothing is left to move: a word of a new configuration must not end the process at its exit.
             signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
@@ -163,7 +179,7 @@
         if config.naming != self.names.to:
             self.names.move(config.naming)
             if self.decisions.posture.up:
-                self._list()
+                self.tell_lists()
 
     def _change(self, config: Config) -> None:
         """Go by other settings.
@@ -202,6 +218,8 @@
         posture = self.decisions.posture
         if posture.leaving:
             return "the node leaves"
+        if self.upgrade is not None and posture.up and not self.upgrade.phases.takes_clients:
+            return "another process of this node takes the clients"
         if posture.out:
             return "the node is out of service"
         return None if posture.up else "the worker pool is not linked yet"
@@ -218,16 +236,49 @@
         if self.decisions.posture.out is serving:
             self.decisions.posture.out = not serving
             self.log("info", "node.in_service" if serving else "node.out_of_service", open=self._open())
-        self._list()
+        self.tell_lists()
+        if self.upgrade is not None:
+            self.upgrade.serve(not serving)
         return None
 
-    def _list(self) -> None:
+    def _moved(self) -> None:
+        """The pool is up for the first time, or the notice to leave has come."""
+        if self.upgrade is not None and self.decisions.posture.up and not self.upgrade.phases.up:
+            self.upgrade.pool_is_up()
+        self.tell_lists()
+
+    def tell_lists(self) -> None:
         """Say where this node is listed what it does. Out of service it goes on reporting, as one that does not serve:
         one that says nothing looks dead, and is found again late."""
         posture = self.decisions.posture
+        if self.upgrade is not None and not self.upgrade.phases.takes_clients:
+            return  # the other process tells
         if posture.up or posture.leaving:
             self.listing.say(not (posture.leaving or posture.out), last=posture.leaving)
 
+    def give_up(self, error: OSError) -> None:
+        """End at once: this process has taken no client."""
+        self.failed = error
+        self.leave.set()
+
+    def take_clients(self) -> None:
+        """This process accepts from now on, and tells where it is listed."""
+        for front, _ in self.fronts:
+            front.take()
+        self.tell_lists()
+
+    def leave_clients(self) -> None:
+        """Another process of this node accepts from now on; what is open here goes on to its next answer."""
+        for front, _ in self.fronts:
+            front.leave()
+        self.listing.say(None)
+
+    async def _listeners(self) -> list[Listener[SocketStream] | Acceptor]:
+        if self.upgrade is None:
+            return [await self._listen(at) for _, at in self.fronts]
+        await self.upgrade.begin()
+        return [Acceptor(raw) for raw in self.upgrade.sockets]
+
     async def _listen(self, at: tuple[str, int]) -> SocketListener:
         host, port = at
         listener = await anyio.create_tcp_listener(
@@ -240,10 +291,16 @@
         """Answer all that was read and leave; what comes after the grace is refused, not run."""
         notice = self.now_ms()
         stop = notice + self.limits.stop_ms - self.limits.stop_margin_ms
-        grace = notice + self.config.settings.drain_grace_ms
         await self.decisions.report(Notice(stop - notice))
-        while self.now_ms() < stop and (self.now_ms() < grace or self._open()):
-            await anyio.sleep(self.limits.drain_step_ms / 1000)
+        if self.upgrade is not None and self.upgrade.shedding:
+            # A successor serves: this process stays for what is still open with it, as no connection is cut on which a
+            # request may be on its way.
+            while self.now_ms() < stop and (self._open() or any(front.connections for front, _ in self.fronts)):
+                await anyio.sleep(self.limits.drain_step_ms / 1000)
+        else:
+            grace = notice + self.config.settings.drain_grace_ms
+            while self.now_ms() < stop and (self.now_ms() < grace or self._open()):
+                await anyio.sleep(self.limits.drain_step_ms / 1000)
         for front, _ in self.fronts:
             front.finish()
         with anyio.move_on_after(self.limits.stop_margin_ms / 2000):
--- /dev/null
+++ b/flintshift/lifecycle/upgrade.py
@@ -0,0 +1,348 @@
+"""The wiring of an upgrade: what the phase machine and the agreement on keys answer is done here, by turns of the
+decision planner. Imported only where a control address is set.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.abc import SocketListener, UNIXSocketStream
+
+from flintshift.core import attempts as at
+from flintshift.core.attempts import Attempt
+from flintshift.core.decisions import Part
+from flintshift.core.keys import Entry, fingerprint
+from flintshift.handover.claims import Adopt, Agreement, GiveUp, GoOn, Say, Step
+from flintshift.handover.link import Link, UpgradeError, join, meeting_path, open_path
+from flintshift.handover.phases import Phases, WordError
+from flintshift.handover.vocabulary import (
+    Action,
+    Answered,
+    Claimed,
+    Event,
+    Freed,
+    GiveUpStart,
+    Keep,
+    Key,
+    Known,
+    LeaveClients,
+    LinkEnded,
+    Load,
+    LosePeer,
+    OpenPath,
+    Over,
+    PeerGone,
+    Phase,
+    PoolUp,
+    Send,
+    SendCopy,
+    Serve,
+    Service,
+    TakeClients,
+    Used,
+    Word,
+)
+from flintshift.interface import Outcome
+
+if TYPE_CHECKING:
+    from flintshift.lifecycle.node import Node
+
+
+class Upgrade:
+    """Both sides of the handover, as the decision planner's port (``core.ports.Claims``)."""
+
+    def __init__(self, node: Node) -> None:
+        self.node, self.limits, self.log = node, node.limits, node.log
+        self.decisions, self.keys, self.now_ms = node.decisions, node.decisions.keys, node.now_ms
+        self.path = meeting_path(node.config.name, node.config.listen)
+        self.link: Link | None = None
+        self.phases = Phases(False, 0.0)
+        self.agreement = Agreement()
+        self.unsure_until_ms = 0.0
+        self.used_ms = 0.0
+        self.opened = anyio.Event()  # a successor may come
+        self.sockets: list[socket.socket] = []  # where callers connect, in the order of the fronts
+
+    # Start.
+
+    async def begin(self) -> None:
+        """Meet the process that serves, or bind the addresses as the first one.
+
+        Raises:
+            UpgradeError, OSError: neither can be done.
+        """
+        settings = self.node.config.settings
+        outlast_ms = settings.call_window_ms + settings.linger_ms
+        until = anyio.current_time() + self.limits.welcome_ms / 1000
+        while not self.sockets:
+            self.link = await join(self.path, self.limits)
+            if self.link is not None:
+                self.phases = Phases(True, outlast_ms)
+                self.sockets = self.link.sockets
+                if len(self.sockets) != len(self.node.fronts):
+                    raise UpgradeError(f"the process that serves has {len(self.sockets)} fronts, this one "
+                                       f"{len(self.node.fronts)}: change them at a restart")
+                break
+            self.phases = Phases(False, outlast_ms)
+            try:
+                self.sockets = [bound(at_, self.limits.backlog) for _, at_ in self.node.fronts]
+            except OSError as error:  # held by one that leaves: it gives no word any more
+                if error.errno != errno.EADDRINUSE or anyio.current_time() > until:
+                    raise
+                await anyio.sleep(self.limits.bind_again_ms / 1000)
+        if self.phases.phase is Phase.ALONE:
+            self.opened.set()
+            for front, _ in self.node.fronts:
+                front.take()
+        self.log("info", "upgrade.began", phase=self.phases.phase.value, path=str(self.path))
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as links:
+            if self.link is not None:
+                links.start_soon(self._meet, self.link)
+            await self.opened.wait()
+            raw = await open_path(self.path)
+            try:
+                async with await SocketListener.from_socket(raw) as listener:
+                    while True:
+                        stream = await listener.accept()
+                        assert isinstance(stream, UNIXSocketStream)
+                        if self.phases.phase is not Phase.ALONE or self.node.decisions.posture.leaving:
+                            await stream.aclose()  # one successor at a time, and none of one that leaves
+                            continue
+                        try:
+                            self.link = Link(stream, self.limits)
+                        except (UpgradeError, OSError):
+                            await stream.aclose()
+                            continue
+                        self.link.sockets = self.sockets
+                        links.start_soon(self._meet, self.link)
+            finally:
+                self.path.unlink(missing_ok=True)
+
+    async def close(self) -> None:
+        """This process ends: the other hears it now and not in the middle of a read."""
+        if self.link is not None:
+            self.link.break_off()
+            with anyio.move_on_after(self.limits.last_read_ms / 1000):
+                await self.link.over.wait()
+
+    async def _meet(self, link: Link) -> None:
+        async def heard(word: Word) -> None:
+            await self.decisions.report(at.Told((link, word)))
+
+        async def gone() -> None:
+            await self.decisions.report(at.Told((link, PeerGone())))
+
+        async def ended(cause: str) -> None:
+            self.log("info", "upgrade.link_ended", phase=self.phases.phase.value, cause=cause)
+            await self.decisions.report(at.Told((link, LinkEnded(cause))))
+
+        await link.run(heard, gone, ended)
+
+    # The planner's port. All of it happens in a turn of the planner.
+
+    def heard(self, told: tuple[Link | None, Event]) -> None:
+        link, word = told
+        if link is not None and link is not self.link:
+            return  # of a meeting that is over
+        match word:
+            case Claimed():
+                entry = self._held(word)
+                self._do(self.agreement.claimed(word, self.phases.senior, entry))
+            case Answered():
+                self._do(self.agreement.answered(word))
+            case Known():
+                self._adopt(word)
+            case Over(key, owner, live_until_ms, outcome, result):
+                held = self.keys.others(key, owner)
+                if held is not None:
+                    held.live_until_ms = max(held.live_until_ms, live_until_ms)
+                    for follower in self.keys.end(held, Outcome(outcome), result):
+                        self._end(follower, Outcome(outcome), result)
+            case Freed(key, owner):
+                for follower in self.keys.free(key, owner):
+                    self._end(follower, Outcome.REJECTED)
+            case _:
+                self._step(word)
+
+    @property
+    def shedding(self) -> bool:
+        """A successor takes the clients."""
+        return self.phases.phase is Phase.SHEDDING
+
+    @property
+    def needed(self) -> bool:
+        return self.phases.agreeing
+
+    def unsure(self, attempt: Attempt) -> bool:
+        return attempt.again and self.now_ms() < self.unsure_until_ms
+
+    def ask(self, attempt: Attempt) -> None:
+        window = attempt.kind.repeat_window_ms if attempt.kind is not None else 0.0
+        now = self.now_ms()
+        until = now + self.limits.claim_ms + window + self.limits.key_margin_ms
+        self._do(self.agreement.ask(now, self._key(attempt), attempt.id, attempt.door_ms, until, fingerprint(attempt)))
+
+    def departed(self, request: str) -> None:
+        self.agreement.departed(request)
+
+    def kept(self, attempt: Attempt) -> None:
+        if self.phases.phase is Phase.GIVING:  # later it was claimed
+            entry = self.keys.owned(attempt)
+            if entry is not None:
+                self._send(known(self._key(attempt), entry))
+
+    def over(self, attempt: Attempt) -> None:
+        entry = self.keys.owned(attempt)
+        if entry is not None and entry.outcome is not None and self.phases.phase is not Phase.ALONE:
+            self._send(Over(self._key(attempt), attempt.id, entry.live_until_ms, entry.outcome.value, entry.result))
+
+    def freed(self, attempt: Attempt) -> None:
+        if self.phases.phase is not Phase.ALONE:
+            self._send(Freed(self._key(attempt), attempt.id))
+
+    def tick(self) -> None:
+        now = self.now_ms()
+        self._do(self.agreement.expire(now - self.limits.claim_ms))
+        if now >= self.used_ms + self.limits.shed_ms:
+            self.used_ms = now
+            used = self.decisions.used()
+            connections = sum(len(front.connections) for front, _ in self.node.fronts)
+            self._step(Used(Load(used.crowd, used.memory, used.calls, connections)))
+
+    # What the node tells.
+
+    def pool_is_up(self) -> None:
+        self._step(PoolUp())
+
+    def serve(self, out: bool) -> None:
+        """An operator's word at this process's door."""
+        self.phases.out = out
+        if self.phases.phase in (Phase.GIVING, Phase.SHEDDING):
+            self._send(Service(out))
+
+    # What is answered.
+
+    def _step(self, event: Event) -> None:
+        before = self.phases.phase
+        try:
+            actions = self.phases.handle(self.now_ms(), event)
+        except WordError as error:
+            self.log("error", "upgrade.word_refused", cause=str(error))
+            if self.link is not None:
+                self.link.break_off()
+            return
+        for action in actions:
+            self._act(action)
+        if self.phases.phase is not before:
+            self.node.counters.add(f"upgrade.{self.phases.phase.value}")
+            self.log("info", "upgrade.phase", before=before.value, phase=self.phases.phase.value)
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Send(word):
+                self._send(word)
+            case SendCopy():
+                if self.link is not None:
+                    self.link.send_copy(self._copy())
+            case TakeClients():
+                self.node.take_clients()
+            case LeaveClients():
+                self.node.leave_clients()
+            case Keep(crowd, memory, calls, others):
+                self.decisions.keep_to(Part(crowd, memory, calls))
+                for front, _ in self.node.fronts:
+                    front.others = others
+            case LosePeer(partial):
+                self._lose(partial)
+            case Serve(out):
+                self.node.decisions.posture.out = out
+                self.node.tell_lists()
+            case GiveUpStart(cause):
+                self.node.give_up(UpgradeError(cause))
+            case OpenPath():
+                self.opened.set()
+
+    def _lose(self, partial: bool) -> None:
+        self.link = None
+        for follower in self.keys.lose():
+            self._end(follower, Outcome.ERROR)
+        if partial:
+            kinds = self.decisions.catalogue.settings.classes
+            window = max((kind.repeat_window_ms for kind in kinds), default=0.0)
+            self.unsure_until_ms = self.now_ms() + window + self.limits.key_late_ms
+        for front, _ in self.node.fronts:
+            front.others = 0
+        self._do(self.agreement.alone())
+
+    def _do(self, steps: list[Step]) -> None:
+        for step in steps:
+            match step:
+                case Say(word):
+                    self._send(word)
+                case GoOn(request, granted):
+                    self.decisions.pending.append(at.Agreed(request, granted))
+                case GiveUp(request):
+                    self.decisions.pending.append(at.Agreed(request, None))
+                case Adopt(entry):
+                    self._adopt(entry)
+
+    def _send(self, word: Word) -> None:
+        if self.link is not None:
+            self.link.send(word)
+
+    def _end(self, request: str, outcome: Outcome, result: bytes = b"") -> None:
+        self.decisions.pending.append(at.RunOver(request, outcome, 0.0, result))
+
+    @staticmethod
+    def _key(attempt: Attempt) -> Key:
+        return attempt.class_name, attempt.unique or ""
+
+    def _held(self, word: Claimed) -> Known | None:
+        """What this process itself holds under a key that the other claims."""
+        entry = self.keys.entries.get(word.key)
+        if entry is None or entry.other or word.door_ms > entry.live_until_ms:
+            return None
+        return known(word.key, entry)
+
+    def _adopt(self, word: Known) -> None:
+        mine = self.keys.entries.get(word.key)
+        if mine is not None and not mine.other and mine.outcome is None and mine.live_until_ms >= self.now_ms():
+            return  # it runs here: what the other tells is older
+        entry = Entry(word.owner, word.live_until_ms, word.print, Outcome(word.outcome) if word.outcome else None,
+                      word.result, other=True)
+        for follower in self.keys.adopt(word.key, entry):
+            self._end(follower, Outcome.ERROR)
+
+    def _copy(self) -> Iterator[Known]:
+        for key in list(self.keys.entries):
+            entry = self.keys.entries.get(key)
+            if entry is not None and not entry.other:
+                yield known(key, entry)
+
+
+def known(key: Key, entry: Entry) -> Known:
+    return Known(key, entry.owner, entry.live_until_ms, entry.print,
+                 entry.outcome.value if entry.outcome is not None else None, entry.result)
+
+
+def bound(at_: tuple[str, int], backlog: int) -> socket.socket:
+    """A listening socket at this address."""
+    host, port = at_
+    raw = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        raw.bind((host, port))
+        raw.listen(backlog)
+        raw.setblocking(False)
+    except BaseException:
+        raw.close()
+        raise
+    return raw
+
+
--- /dev/null
+++ b/flintshift/wire/acceptor.py
@@ -0,0 +1,49 @@
+"""A listener whose accepting can be stopped and taken up again without losing a connection.
+
+anyio's own drops what was accepted in the turn in which it is cancelled. Here a cancellation can only meet the wait
+for readiness: the queue stays in the socket, for this process later or for another that holds the socket too.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import SocketStream, TaskGroup
+
+BATCH = 64  # accepted in one turn
+
+
+class Acceptor:
+    def __init__(self, raw: socket.socket) -> None:
+        self.raw = raw
+
+    async def serve(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> None:
+        """Until cancelled.
+
+        Raises:
+            OSError: a connection can't be accepted, for want of descriptors, say.
+        """
+        while True:
+            await anyio.wait_readable(self.raw)
+            for _ in range(BATCH):
+                try:
+                    accepted, _ = self.raw.accept()
+                except (BlockingIOError, ConnectionAbortedError):
+                    break  # another process that holds the socket took it, or its caller went
+                accepted.setblocking(False)
+                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                tasks.start_soon(self._handle, handler, accepted)
+
+    @staticmethod
+    async def _handle(handler: Callable[[SocketStream], Awaitable[None]], accepted: socket.socket) -> None:
+        try:
+            stream = await SocketStream.from_socket(accepted)
+        except (OSError, ValueError):  # its caller went meanwhile
+            accepted.close()
+            return
+        await handler(stream)
+
+    async def aclose(self) -> None:
+        self.raw.close()
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -16,6 +16,7 @@
 from flintshift.core.decisions import Decisions
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Books, Log, Posture
+from flintshift.wire.acceptor import Acceptor
 from flintshift.wire.fields import Fields, UnusableError
 from flintshift.wire.link import BROKEN
 
@@ -40,6 +41,7 @@
         self.stream, self.since_ms = stream, now_ms  # since when it is open or without a request
         self.busy = False  # a request is begun or open
         self.spoke = False  # it has brought a request before
+        self.ending = False  # it was told that it is closed
         self.scope = anyio.CancelScope()  # of all that is done for it
         self.writing_ms = math.inf  # since when an answer is written
         self.reading: anyio.CancelScope | None = None  # set while it waits for bytes
@@ -64,7 +66,10 @@
         self.books: Books | None = None
         self.log: Log | None = None  # of requests; None: not at this level
         self.accepting = anyio.CancelScope()
+        self.taking: anyio.Event | None = None  # not set: another process of this node accepts
+        self.others = 0  # connections that it holds
         self.closing = False  # all that is open gets its answer and is closed
+        self.last = False  # each answer is the last on its connection
 
     @property
     def posture(self) -> Posture:
@@ -74,21 +79,36 @@
     def busy(self) -> int:
         return sum(connection.busy for connection in self.connections)
 
-    async def serve(self, listener: Listener[SocketStream], tasks: TaskGroup) -> None:
+    async def serve(self, listener: Listener[SocketStream] | Acceptor, tasks: TaskGroup) -> None:
         """Accept until told to finish; the connections live on in the task group given."""
-        with self.accepting:
-            while True:
-                try:
-                    await listener.serve(self._accepted, tasks)
-                except OSError:  # one connection that can't be accepted must not end the node
-                    self.counters.add(f"{self.name}.accept_failed")
-                    await anyio.sleep(self.limits.backoff_ms / 1000)
+        while not self.closing:
+            if self.taking is not None:
+                await self.taking.wait()
+            self.accepting = anyio.CancelScope()
+            with self.accepting:
+                while not self.closing:
+                    try:
+                        await listener.serve(self._accepted, tasks)
+                    except OSError:  # one connection that can't be accepted must not end the node
+                        self.counters.add(f"{self.name}.accept_failed")
+                        await anyio.sleep(self.limits.backoff_ms / 1000)
         await listener.aclose()
 
+    def leave(self) -> None:
+        """Accept no more until `take`, and end connections with their next answer."""
+        self.taking, self.last = anyio.Event(), True
+        self.accepting.cancel()
+
+    def take(self) -> None:
+        self.last = False
+        if self.taking is not None:
+            self.taking.set()
+            self.taking = None
+
     async def _accepted(self, stream: SocketStream) -> None:
         connection = Connection(stream, self.now_ms())
         async with stream:
-            most, count = self.most, len(self.connections)
+            most, count = self.most, len(self.connections) + self.others
             # Past an eighth more, those that were displaced are not closed fast enough: newcomers must wait.
             if count >= most and (count > most + most // 8 or not self._make_room()):
                 self.counters.add(f"{self.name}.connections_refused")
@@ -246,6 +266,7 @@
     def finish(self) -> None:
         """The node stops: what is half read is answered, what is idle is closed."""
         self.closing = True
+        self.take()
         self.accepting.cancel()
         for connection in self.connections:
             connection.stop_reading()
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -38,7 +38,7 @@
                 self.counters.add("http.status_400")
                 text = json.dumps({"error": str(error)}).encode()
                 await self._say(connection, False, 413 if error.error_status_hint == 413 else 400, text)
-            if not keep or self.closing:
+            if connection.ending:
                 return
             early = b"".join((conn.trailing_data[0], *more))
             self.answered(connection)
@@ -99,12 +99,17 @@
         attempt = self.fields.attempt(class_name, body, get, exchange.tell)
         answer = await self.exchange(connection, attempt, exchange, more)
         if answer is not None:
-            said = headers_of(answer, answer.body, self.posture, self.closing or not keep)
+            said = headers_of(answer, answer.body, self.posture, self._ending(connection, keep))
             await self.deliver(connection, attempt, answer,
                                written(status_of(answer, self.posture), said, answer.body))
         return answer is not None
 
     async def _say(self, connection: Connection, keep: bool, status: int, body: bytes,
                    answer: Answer | None = None) -> None:
-        headers = headers_of(answer, body, self.posture, self.closing or not keep)
+        headers = headers_of(answer, body, self.posture, self._ending(connection, keep))
         await self.write(connection, written(status, headers, body))
+
+    def _ending(self, connection: Connection, keep: bool) -> bool:
+        """This answer is the connection's last. Once it was written without that word, another may be on its way."""
+        connection.ending = self.closing or self.last or not keep
+        return connection.ending
--- /dev/null
+++ b/tests/handover/site.py
@@ -0,0 +1,119 @@
+"""Two processes of one node among their stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import json
+import os
+import signal
+import sys
+from collections import Counter
+from pathlib import Path
+
+from standins import BYTES, ROOT, SETTINGS, Caller, Names, Pool, Vault, free_ports, job
+
+
+class Process:
+    """One of them, with a pool and a control address of its own."""
+
+    def __init__(self, site, number):
+        self.site, self.number, self.pool = site, number, Pool()
+        self.pool.plan = dict.fromkeys(("race-results", "submit-time"), 0)
+        self.config = site.folder / f"config{number}.json"
+
+    async def start(self, ready=True, settings=None):
+        await self.pool.start()
+        self.control = free_ports(1)[0]
+        self.config.write_text(json.dumps({
+            "name": "n3", "listen": f"127.0.0.1:{self.site.port}", "control": f"127.0.0.1:{self.control}",
+            "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.site.names.port}",
+            "vault": f"127.0.0.1:{self.site.vault.port}", "stop_ms": 3000.0, "seed": "8c1f",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings or self.site.settings}))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "flintshift", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.site.folder)})
+        if ready:
+            await self.until_ready()
+        return self
+
+    async def until_ready(self, within=10):
+        async with asyncio.timeout(within):
+            while (await self.call())[0] != 200:
+                await asyncio.sleep(0.01)
+
+    async def call(self, method="GET", path="/control/ready"):
+        try:
+            caller = Caller(*await asyncio.open_connection("127.0.0.1", self.control))
+        except ConnectionRefusedError:
+            return 0, "refused"
+        caller.send(f"{method} {path} HTTP/1.1\r\nHost: n3\r\n\r\n".encode())
+        reply = await caller.reply()
+        caller.writer.close()
+        return reply.status, reply.body.decode().strip()
+
+    async def counters(self):
+        self.process.send_signal(signal.SIGUSR1)
+        while True:
+            line = await asyncio.wait_for(self.process.stderr.readline(), 10)
+            with contextlib.suppress(ValueError):
+                return Counter(json.loads(line)["counters"])
+
+    async def until(self, name, least=1):
+        while (await self.counters())[name] < least:
+            pass
+
+    async def leave(self):
+        self.process.send_signal(signal.SIGTERM)
+        return await self.ended()
+
+    async def ended(self):
+        return await asyncio.wait_for(self.process.wait(), 10)
+
+    def kill(self):
+        self.process.kill()
+
+
+class Site:
+    def __init__(self, folder: Path):
+        self.folder, self.settings = folder, copy.deepcopy(SETTINGS)
+        self.settings["familyInfo"]["nCores"] = 8  # so that one run without an end is no sign of a sick machine
+        self.vault, self.names, self.processes = Vault(), Names(), []
+
+    async def __aenter__(self):
+        await self.vault.start()
+        await self.names.start()
+        self.port = free_ports(1)[0]
+        return self
+
+    async def __aexit__(self, *_):
+        for one in self.processes:
+            if one.process.returncode is None:
+                one.kill()
+                await one.process.wait()
+            await one.pool.stop()
+        await self.vault.stop()
+        await self.names.stop()
+
+    async def start(self, **more):
+        one = Process(self, len(self.processes))
+        self.processes.append(one)
+        return await one.start(**more)
+
+    async def connect(self, spoken=True):
+        """A caller's connection, which has brought a request already: so it is accepted, and may rest."""
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+        if spoken:
+            caller.send(BYTES["http"]("", b"", {}, method="GET", path="/ping"))
+            assert (await caller.reply()).status == 200
+        return caller
+
+    def runs(self):
+        return [run["rid"] for one in self.processes for run in one.pool.spawned()]
+
+
+def submit(caller, unique, body=b"12:01.5", class_name="submit-time", **changes):
+    fields = job(class_name, **({"X-Unique": unique} if unique else {}), **changes)
+    caller.send(BYTES["http"](class_name, body, fields))
+    return fields["X-Job-Id"]
--- /dev/null
+++ b/tests/handover/test_upgrade.py
@@ -0,0 +1,249 @@
+"""A new version under load: two real processes, one address, one table of keys."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+
+import pytest
+from handover.site import Site, submit
+from standins import BYTES
+
+from flintshift.handover.link import meeting_path
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def site(tmp_path):
+    async with Site(tmp_path) as site:
+        yield site
+
+
+async def test_the_successor_takes_the_clients_and_the_older_leaves_with_nothing_cut(site):
+    old = await site.start()
+    rested = [await site.connect() for _ in range(3)]
+    old.pool.plan = {}
+    open_ = await site.connect()
+    rid = submit(open_, "k1")
+    await old.pool.log.until(lambda entry: entry["t"] == "spawn")
+    new = await site.start()
+    assert (await old.call())[1] == "another process of this node takes the clients"
+    fresh = await site.connect()
+    submit(fresh, "k2")
+    assert (await fresh.reply()).status == 200 and len(new.pool.spawned()) == 1
+    old.pool.plan = {"submit-time": 0}
+    submit(rested[0], "k3")  # what is open with the older is answered by it, and told to come to the new one
+    reply = await rested[0].reply()
+    assert reply.status == 200 and reply.headers["connection"] == "close" and len(old.pool.spawned()) == 2
+    old.process.send_signal(signal.SIGTERM)
+    submit(rested[1], "k4")
+    assert (await rested[1].reply()).status == 200
+    old.pool.finish(rid)
+    assert (await open_.reply()).status == 200
+    for caller in rested:
+        caller.writer.close()
+    assert await old.ended() == 0 and new.process.returncode is None
+    assert ("/ns/hosts/n3", "no") not in site.names.log.entries  # nothing was withdrawn
+    again = await site.connect()
+    submit(again, "k5")
+    assert (await again.reply()).status == 200
+
+
+async def test_a_write_is_run_once_whichever_process_its_tries_reach(site):
+    old = await site.start()
+    rested = [await site.connect() for _ in range(6)]
+    first = await site.connect()
+    submit(first, "done-before")
+    result = (await first.reply()).body
+    old.pool.plan = {}
+    running = await site.connect()
+    rid = submit(running, "runs-at-the-older")
+    await old.pool.log.until(lambda entry: entry["rid"] == rid if "rid" in entry else False)
+    new = await site.start()
+    fresh = [await site.connect() for _ in range(6)]
+    submit(fresh[0], "done-before", **{"X-Again": "1"})
+    assert (await fresh[0].reply()).body == result
+    submit(fresh[1], "runs-at-the-older", **{"X-Again": "1"})  # it waits for the run of the other
+    await new.until("repeats", 2)
+    old.pool.finish(rid)
+    assert (await fresh[1].reply()).body == (await running.reply()).body == f"result of {rid}\n".encode()
+    new.pool.plan = {}
+    rid = submit(fresh[2], "runs-at-the-new")
+    await new.pool.log.until(lambda entry: entry.get("rid") == rid)
+    submit(rested[0], "runs-at-the-new", **{"X-Again": "1"})
+    await old.until("repeats")
+    new.pool.finish(rid)
+    assert (await fresh[2].reply()).body == (await rested[0].reply()).body == f"result of {rid}\n".encode()
+    old.pool.plan = new.pool.plan = {"submit-time": 0}
+    for number, (mine, theirs) in enumerate(zip(rested[1:], fresh[3:], strict=False)):  # in the same millisecond
+        submit(mine, f"both-{number}")
+        submit(theirs, f"both-{number}", **{"X-Again": "1"})
+        replies = [await mine.reply(), await theirs.reply()]
+        assert [reply.status for reply in replies] == [200, 200] and replies[0].body == replies[1].body
+    submit(rested[4], "runs-at-the-new", body=b"another")
+    assert (await rested[4].reply()).status == 409
+    assert len(site.runs()) == len(set(site.runs())) == 6
+
+
+@pytest.mark.parametrize("ended", [True, False])
+async def test_what_the_older_ran_is_known_after_its_death(site, ended):
+    old = await site.start()
+    rested = await site.connect()
+    new = await site.start()
+    old.pool.plan = {"submit-time": 0} if ended else {}
+    rid = submit(rested, "k1")
+    if ended:
+        body = (await rested.reply()).body
+    else:
+        await old.pool.log.until(lambda entry: entry.get("rid") == rid)
+    old.kill()
+    await old.ended()
+    fresh = await site.connect()
+    submit(fresh, "k1", **{"X-Again": "1"})
+    reply = await fresh.reply()
+    assert (reply.status, reply.body) == ((200, body) if ended else (500, b""))  # never run again, never refused
+    submit(fresh, "k2")
+    assert (await fresh.reply()).status == 200
+    assert site.runs().count(rid) == 1 and len(new.pool.spawned()) == 1
+
+
+@pytest.mark.parametrize("ready", [True, False])
+async def test_the_older_serves_on_when_the_new_one_dies(site, ready):
+    old = await site.start()
+    rested = await site.connect()
+    new = await site.start(ready=ready)
+    if ready:
+        new.pool.plan = {}
+        fresh = await site.connect()
+        rid = submit(fresh, "k1")
+        await new.pool.log.until(lambda entry: entry.get("rid") == rid)
+    else:
+        await new.pool.stop()
+        await old.until("upgrade.giving")
+    new.kill()
+    await new.ended()
+    await old.until_ready()
+    if ready:
+        submit(rested, "k1", **{"X-Again": "1"})
+        assert (await rested.reply()).status == 500
+    for number in range(3):
+        caller = await site.connect()
+        submit(caller, f"then-{number}")
+        assert (await caller.reply()).status == 200
+    assert len(old.pool.spawned()) == 3
+    await site.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"), 2)
+    third = await site.start()  # and can be replaced once more
+    assert await old.leave() == 0
+    caller = await site.connect()
+    submit(caller, "then-0", **{"X-Again": "1"})
+    assert (await caller.reply()).status == 200 and not third.pool.spawned()
+
+
+async def test_connections_that_wait_in_the_queue_at_the_handover_are_served(site):
+    old = await site.start()
+    old.process.send_signal(signal.SIGSTOP)  # nothing is accepted
+    waiting = [await site.connect(spoken=False) for _ in range(50)]
+    for number, caller in enumerate(waiting):
+        submit(caller, f"k{number}")
+    starting = asyncio.ensure_future(site.start())
+    await asyncio.sleep(0.3)
+    old.process.send_signal(signal.SIGCONT)
+    new = await starting
+    told = [(await caller.reply()).status for caller in waiting]  # all, and what is turned away for load at once
+    assert set(told) <= {200, 429} and len(site.runs()) == told.count(200) > 10 and new.process.returncode is None
+
+
+async def test_a_claim_that_is_not_answered_is_failed_not_run_and_not_refused(site):
+    old = await site.start()
+    new = await site.start()
+    fresh = await site.connect()
+    old.process.send_signal(signal.SIGSTOP)
+    submit(fresh, "k1")
+    reply = await fresh.reply()
+    assert reply.status == 500 and not site.runs()
+    old.process.send_signal(signal.SIGCONT)
+    for _ in range(50):  # the word that comes late frees the key
+        submit(fresh, "k1", **{"X-Again": "1"})
+        if (await fresh.reply()).status == 200:
+            break
+    assert len(site.runs()) == 1
+    assert (await new.counters())["claims.unanswered"] >= 1
+
+
+async def test_a_stale_path_stops_no_start_and_a_live_one_that_says_nothing_does(site, tmp_path, monkeypatch):
+    monkeypatch.setattr("tempfile.tempdir", str(tmp_path))
+    path = meeting_path("n3", ("127.0.0.1", site.port))
+    stale = socket.socket(socket.AF_UNIX)
+    stale.bind(str(path))
+    stale.close()
+    first = await site.start()
+    assert await first.leave() == 0
+    mute = socket.socket(socket.AF_UNIX)
+    path.unlink(missing_ok=True)
+    mute.bind(str(path))
+    mute.listen()
+    second = await site.start(ready=False)
+    assert await second.ended() == 1
+    assert b"it lives, so its address can't be shared" in await second.process.stderr.read()
+    mute.close()
+
+
+async def test_a_drained_node_stays_drained_over_an_upgrade(site):
+    old = await site.start()
+    assert (await old.call("POST", "/control/out-of-service"))[0] == 200
+    new = await site.start(ready=False)
+    await new.pool.log.until(lambda entry: entry["t"] == "bind")
+    async with asyncio.timeout(10):
+        while (await new.call())[1] != "the node is out of service":
+            await asyncio.sleep(0.01)
+    caller = await site.connect(spoken=False)
+    caller.send(BYTES["http"]("", b"", {}, method="GET", path="/ping"))
+    assert (await caller.reply()).status == 503
+    assert (await old.call("POST", "/control/in-service"))[0] == 200  # at the older's door: it is passed on
+    await new.until_ready()
+
+
+async def test_twenty_upgrades_in_a_row_lose_nothing_at_the_door_and_run_nothing_twice(site):
+    current = await site.start()
+    ends, counts = [], {"answered": 0, "door": 0}
+    keys = {}
+
+    async def traffic(name):
+        caller = await site.connect()
+        number = 0
+        while not ends:
+            number += 1
+            unique = f"{name}-{number // 2}"  # each comes twice
+            rid = submit(caller, unique, **{"X-Again": str(number % 2)})
+            try:
+                reply = await caller.reply()
+            except (asyncio.IncompleteReadError, ConnectionError):
+                counts["door"] += 1
+                caller = await site.connect()
+                continue
+            counts["answered"] += 1
+            assert reply.status in (200, 429, 503), reply
+            keys.setdefault(unique, []).append((reply.status, reply.body, rid))
+            if reply.headers.get("connection") == "close":
+                caller.writer.close()
+                caller = await site.connect()
+
+    callers = [asyncio.ensure_future(traffic(f"c{number}")) for number in range(8)]
+    for _ in range(20):
+        following = await site.start()
+        assert await current.leave() == 0
+        current = following
+    ends.append(True)
+    await asyncio.gather(*callers)
+    assert counts["door"] == 0 and counts["answered"] > 400
+    assert len(site.runs()) == len(set(site.runs()))
+    for tries in keys.values():
+        assert len({body for status, body, _ in tries if status == 200}) <= 1
+    assert len({body for tries in keys.values() for status, body, _ in tries if status == 200}) == len(site.runs())
