--- a/flintshift/handover/link.py
+++ b/flintshift/handover/link.py
@@ -137,7 +137,8 @@
 
 
 async def join(path: Path, limits: Limits) -> Link | None:
-    """Meet the process that serves: a link whose first word is its welcome; None where there is no such process.
+    """Meet the process that serves: a link whose first word is its welcome; None where there is no such process, or
+    one that leaves or hands over to another.
 
     Raises:
         UpgradeError: there is one, and it does not hand over.
@@ -158,8 +159,11 @@
     except TimeoutError as error:
         raise UpgradeError(f"the process that serves took the call and said nothing for {limits.welcome_ms:g} ms; "
                            "it lives, so its address can't be shared") from error
-    except (FrameError, *BROKEN) as error:
-        raise UpgradeError("the process that serves ended the call: it hands over already, or it leaves") from error
+    except BROKEN:
+        await stream.aclose()
+        return None
+    except FrameError as error:
+        raise UpgradeError(f"the process that serves speaks no handover: {error}") from error
     return link
 
 
--- a/flintshift/handover/phases.py
+++ b/flintshift/handover/phases.py
@@ -32,6 +32,7 @@
 )
 
 FIRST, LEAST = 0.5, 0.2  # of each limit, kept by a predecessor for what its open connections bring: at first, at last
+CUT_MS = 500.0  # from the end of the link to the word that its process has ended
 CALLS_SUM = 0.95  # of the vault's share, by both: the rest is for the told figure's rounding
 WHOLE = Load(1.0, 1.0, 1.0, 0)
 
@@ -45,6 +46,7 @@
 
     def __init__(self, asks: bool, outlast_ms: float) -> None:
         """``outlast_ms``: for so long after its end, calls and runs of the other process may still count."""
+        self.cut: tuple[float, str] | None = None  # the link broke before this process took clients: when, and how
         self.phase = Phase.ASKING if asks else Phase.ALONE
         self.outlast_ms, self.whole_at_ms = outlast_ms, math.inf
         self.up = False  # the own worker pool
@@ -107,6 +109,8 @@
                 return self._shed(load)
             case Used(load):
                 self.used = load
+                if self.cut is not None and now_ms >= self.cut[0] + CUT_MS:
+                    return [GiveUpStart(f"the link to the process that serves ended ({self.cut[1]}), and it lives")]
                 if now_ms < self.whole_at_ms:
                     return []
                 self.whole_at_ms = math.inf
@@ -116,7 +120,8 @@
                     return self._alone(now_ms)
                 if phase in (Phase.ALONE, Phase.SHEDDING, Phase.SERVING):
                     return []  # till the other has ended, no key is claimed, and clients stay where they are
-                return [GiveUpStart(f"the link to the process that serves ended ({cause})")]
+                self.cut = now_ms, cause  # if it has ended, that is told soon
+                return []
             case PeerGone():
                 return self._alone(now_ms)
             case _:
@@ -147,7 +152,7 @@
         before, self.phase = self.phase, Phase.ALONE
         if before is Phase.ALONE:
             return []
-        self.whole_at_ms = now_ms + self.outlast_ms
+        self.whole_at_ms, self.cut = now_ms + self.outlast_ms, None
         was_successor = before not in (Phase.GIVING, Phase.SHEDDING)
         partial = was_successor and before is not Phase.SERVING
         actions: list[Action] = [LosePeer(partial)]
--- /dev/null
+++ b/flintshift/handover/shared_keys.py
@@ -0,0 +1,129 @@
+"""The key table of one node in two processes, without I/O: what each word changes in it and what is said in return.
+
+Both tables hold every run that began, before it began: a run's claim is agreed first, and what began before the
+successor took clients is told to it in order. So whichever process is left knows what must not run again.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from flintshift.core.attempts import Attempt
+from flintshift.core.keys import Entry, KeyTable, fingerprint
+from flintshift.core.limits import Limits
+from flintshift.handover.claims import Adopt, Agreement, GiveUp, GoOn, Say
+from flintshift.handover.vocabulary import Answered, Claimed, Freed, Key, Known, Over, Word
+from flintshift.interface import Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """An attempt that waited for another's run: how that ended."""
+
+    request: str
+    outcome: Outcome
+    result: bytes = b""
+
+
+Step = Say | GoOn | GiveUp | End
+
+
+class SharedKeys:
+    def __init__(self, keys: KeyTable, limits: Limits) -> None:
+        self.keys, self.limits = keys, limits
+        self.agreement = Agreement()
+        self.unsure_until_ms = self.lost_ms = 0.0
+        self.marked = True  # callers mark further tries
+
+    def unsure(self, now_ms: float, attempt: Attempt) -> bool:
+        """It may have run in a process that died before it had told all: nobody can be asked. What came after the
+        death, and is not marked as a further try, can't have."""
+        if now_ms >= self.unsure_until_ms:
+            return False
+        return attempt.again or not self.marked or attempt.door_ms <= self.lost_ms + self.limits.key_margin_ms
+
+    # What happens here.
+
+    def ask(self, now_ms: float, attempt: Attempt) -> list[Step]:
+        window = attempt.kind.repeat_window_ms if attempt.kind is not None else 0.0
+        until = now_ms + self.limits.claim_ms + window + self.limits.key_margin_ms
+        return self._done(self.agreement.ask(now_ms, key_of(attempt), attempt.id, attempt.door_ms, until,
+                                             fingerprint(attempt)))
+
+    def told_entry(self, attempt: Attempt) -> list[Step]:
+        """This process began a run that it needed not claim."""
+        entry = self.keys.owned(attempt)
+        return [] if entry is None else [Say(known(key_of(attempt), entry))]
+
+    def told_end(self, attempt: Attempt) -> list[Step]:
+        entry = self.keys.owned(attempt)
+        if entry is None or entry.outcome is None:
+            return []
+        return [Say(Over(key_of(attempt), attempt.id, entry.live_until_ms, entry.outcome.value, entry.result))]
+
+    def expire(self, now_ms: float) -> list[Step]:
+        return self._done(self.agreement.expire(now_ms - self.limits.claim_ms))
+
+    def copy(self) -> Iterator[Known]:
+        """All that this process holds, in pieces; what changes meanwhile is told beside it."""
+        for key in list(self.keys.entries):
+            entry = self.keys.entries.get(key)
+            if entry is not None and not entry.other:
+                yield known(key, entry)
+
+    # What the other says.
+
+    def heard(self, now_ms: float, word: Word, senior: bool) -> list[Step]:
+        match word:
+            case Claimed(key):
+                entry = self.keys.entries.get(key)
+                held = entry is not None and not entry.other and word.door_ms <= entry.live_until_ms
+                return self._done(self.agreement.claimed(word, senior, known(key, entry) if held and entry else None))
+            case Answered():
+                return self._done(self.agreement.answered(word))
+            case Known():
+                return self._adopt(now_ms, word)
+            case Over(key, owner, live_until_ms, outcome, result):
+                entry = self.keys.others(key, owner)
+                if entry is None:
+                    return []
+                entry.live_until_ms = max(entry.live_until_ms, live_until_ms)
+                return [End(follower, Outcome(outcome), result)
+                        for follower in self.keys.end(entry, Outcome(outcome), result)]
+            case Freed(key, owner):
+                return [End(follower, Outcome.REJECTED) for follower in self.keys.free(key, owner)]
+        return []
+
+    def alone(self, now_ms: float, partial: bool, window_ms: float, marked: bool) -> list[Step]:
+        """The other has ended. ``partial``: it had not told all, so for a window keys may be unknown here."""
+        if partial:
+            self.unsure_until_ms = now_ms + window_ms + self.limits.key_late_ms
+            self.lost_ms, self.marked = now_ms, marked
+        lost: list[Step] = [End(follower, Outcome.ERROR) for follower in self.keys.lose()]
+        return lost + self._done(self.agreement.alone())
+
+    def _done(self, steps: list[Say | GoOn | GiveUp | Adopt]) -> list[Step]:
+        """Adopt what is to be adopted; the rest is the driver's to do, in the same order."""
+        done: list[Step] = []
+        for step in steps:
+            done += self._adopt(math.inf, step.entry) if isinstance(step, Adopt) else [step]
+        return done
+
+    def _adopt(self, now_ms: float, word: Known) -> list[Step]:
+        mine = self.keys.entries.get(word.key)
+        if mine is not None and not mine.other and mine.outcome is None and mine.live_until_ms >= now_ms:
+            return []  # it runs here: what the other tells is older
+        entry = Entry(word.owner, word.live_until_ms, word.print, Outcome(word.outcome) if word.outcome else None,
+                      word.result, other=True)
+        return [End(follower, Outcome.ERROR) for follower in self.keys.adopt(word.key, entry)]
+
+
+def key_of(attempt: Attempt) -> Key:
+    return attempt.class_name, attempt.unique or ""
+
+
+def known(key: Key, entry: Entry) -> Known:
+    return Known(key, entry.owner, entry.live_until_ms, entry.print,
+                 entry.outcome.value if entry.outcome is not None else None, entry.result)
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -6,7 +6,6 @@
 
 import errno
 import socket
-from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,10 +14,10 @@
 from flintshift.core import attempts as at
 from flintshift.core.attempts import Attempt
 from flintshift.core.decisions import Part
-from flintshift.core.keys import Entry, fingerprint
-from flintshift.handover.claims import Adopt, Agreement, GiveUp, GoOn, Say, Step
+from flintshift.handover.claims import GiveUp, GoOn, Say
 from flintshift.handover.link import Link, UpgradeError, join, meeting_path, open_path
 from flintshift.handover.phases import Phases, WordError
+from flintshift.handover.shared_keys import End, SharedKeys, Step, key_of
 from flintshift.handover.vocabulary import (
     Action,
     Answered,
@@ -27,7 +26,6 @@
     Freed,
     GiveUpStart,
     Keep,
-    Key,
     Known,
     LeaveClients,
     LinkEnded,
@@ -46,7 +44,6 @@
     Used,
     Word,
 )
-from flintshift.interface import Outcome
 
 if TYPE_CHECKING:
     from flintshift.lifecycle.node import Node
@@ -57,12 +54,11 @@
 
     def __init__(self, node: Node) -> None:
         self.node, self.limits, self.log = node, node.limits, node.log
-        self.decisions, self.keys, self.now_ms = node.decisions, node.decisions.keys, node.now_ms
+        self.decisions, self.now_ms = node.decisions, node.now_ms
+        self.shared = SharedKeys(node.decisions.keys, node.limits)
         self.path = meeting_path(node.config.name, node.config.listen)
         self.link: Link | None = None
         self.phases = Phases(False, 0.0)
-        self.agreement = Agreement()
-        self.unsure_until_ms = 0.0
         self.used_ms = 0.0
         self.opened = anyio.Event()  # a successor may come
         self.sockets: list[socket.socket] = []  # where callers connect, in the order of the fronts
@@ -150,25 +146,10 @@
         link, word = told
         if link is not None and link is not self.link:
             return  # of a meeting that is over
-        match word:
-            case Claimed():
-                entry = self._held(word)
-                self._do(self.agreement.claimed(word, self.phases.senior, entry))
-            case Answered():
-                self._do(self.agreement.answered(word))
-            case Known():
-                self._adopt(word)
-            case Over(key, owner, live_until_ms, outcome, result):
-                held = self.keys.others(key, owner)
-                if held is not None:
-                    held.live_until_ms = max(held.live_until_ms, live_until_ms)
-                    for follower in self.keys.end(held, Outcome(outcome), result):
-                        self._end(follower, Outcome(outcome), result)
-            case Freed(key, owner):
-                for follower in self.keys.free(key, owner):
-                    self._end(follower, Outcome.REJECTED)
-            case _:
-                self._step(word)
+        if isinstance(word, Claimed | Answered | Known | Over | Freed):
+            self._do(self.shared.heard(self.now_ms(), word, self.phases.senior))
+        else:
+            self._step(word)
 
     @property
     def shedding(self) -> bool:
@@ -180,35 +161,29 @@
         return self.phases.agreeing
 
     def unsure(self, attempt: Attempt) -> bool:
-        return attempt.again and self.now_ms() < self.unsure_until_ms
+        return self.shared.unsure(self.now_ms(), attempt)
 
     def ask(self, attempt: Attempt) -> None:
-        window = attempt.kind.repeat_window_ms if attempt.kind is not None else 0.0
-        now = self.now_ms()
-        until = now + self.limits.claim_ms + window + self.limits.key_margin_ms
-        self._do(self.agreement.ask(now, self._key(attempt), attempt.id, attempt.door_ms, until, fingerprint(attempt)))
+        self._do(self.shared.ask(self.now_ms(), attempt))
 
     def departed(self, request: str) -> None:
-        self.agreement.departed(request)
+        self.shared.agreement.departed(request)
 
     def kept(self, attempt: Attempt) -> None:
         if self.phases.phase is Phase.GIVING:  # later it was claimed
-            entry = self.keys.owned(attempt)
-            if entry is not None:
-                self._send(known(self._key(attempt), entry))
+            self._do(self.shared.told_entry(attempt))
 
     def over(self, attempt: Attempt) -> None:
-        entry = self.keys.owned(attempt)
-        if entry is not None and entry.outcome is not None and self.phases.phase is not Phase.ALONE:
-            self._send(Over(self._key(attempt), attempt.id, entry.live_until_ms, entry.outcome.value, entry.result))
+        if self.phases.phase is not Phase.ALONE:
+            self._do(self.shared.told_end(attempt))
 
     def freed(self, attempt: Attempt) -> None:
         if self.phases.phase is not Phase.ALONE:
-            self._send(Freed(self._key(attempt), attempt.id))
+            self._send(Freed(key_of(attempt), attempt.id))
 
     def tick(self) -> None:
         now = self.now_ms()
-        self._do(self.agreement.expire(now - self.limits.claim_ms))
+        self._do(self.shared.expire(now))
         if now >= self.used_ms + self.limits.shed_ms:
             self.used_ms = now
             used = self.decisions.used()
@@ -249,7 +224,7 @@
                 self._send(word)
             case SendCopy():
                 if self.link is not None:
-                    self.link.send_copy(self._copy())
+                    self.link.send_copy(self.shared.copy())
             case TakeClients():
                 self.node.take_clients()
             case LeaveClients():
@@ -270,15 +245,11 @@
 
     def _lose(self, partial: bool) -> None:
         self.link = None
-        for follower in self.keys.lose():
-            self._end(follower, Outcome.ERROR)
-        if partial:
-            kinds = self.decisions.catalogue.settings.classes
-            window = max((kind.repeat_window_ms for kind in kinds), default=0.0)
-            self.unsure_until_ms = self.now_ms() + window + self.limits.key_late_ms
+        settings = self.decisions.catalogue.decided
+        window = max((kind.repeat_window_ms for kind in settings.classes), default=0.0)
         for front, _ in self.node.fronts:
             front.others = 0
-        self._do(self.agreement.alone())
+        self._do(self.shared.alone(self.now_ms(), partial, window, settings.marks_repeats))
 
     def _do(self, steps: list[Step]) -> None:
         for step in steps:
@@ -289,47 +260,13 @@
                     self.decisions.pending.append(at.Agreed(request, granted))
                 case GiveUp(request):
                     self.decisions.pending.append(at.Agreed(request, None))
-                case Adopt(entry):
-                    self._adopt(entry)
+                case End(request, outcome, result):
+                    self.decisions.pending.append(at.RunOver(request, outcome, 0.0, result))
 
     def _send(self, word: Word) -> None:
         if self.link is not None:
             self.link.send(word)
 
-    def _end(self, request: str, outcome: Outcome, result: bytes = b"") -> None:
-        self.decisions.pending.append(at.RunOver(request, outcome, 0.0, result))
-
-    @staticmethod
-    def _key(attempt: Attempt) -> Key:
-        return attempt.class_name, attempt.unique or ""
-
-    def _held(self, word: Claimed) -> Known | None:
-        """What this process itself holds under a key that the other claims."""
-        entry = self.keys.entries.get(word.key)
-        if entry is None or entry.other or word.door_ms > entry.live_until_ms:
-            return None
-        return known(word.key, entry)
-
-    def _adopt(self, word: Known) -> None:
-        mine = self.keys.entries.get(word.key)
-        if mine is not None and not mine.other and mine.outcome is None and mine.live_until_ms >= self.now_ms():
-            return  # it runs here: what the other tells is older
-        entry = Entry(word.owner, word.live_until_ms, word.print, Outcome(word.outcome) if word.outcome else None,
-                      word.result, other=True)
-        for follower in self.keys.adopt(word.key, entry):
-            self._end(follower, Outcome.ERROR)
-
-    def _copy(self) -> Iterator[Known]:
-        for key in list(self.keys.entries):
-            entry = self.keys.entries.get(key)
-            if entry is not None and not entry.other:
-                yield known(key, entry)
-
-
-def known(key: Key, entry: Entry) -> Known:
-    return Known(key, entry.owner, entry.live_until_ms, entry.print,
-                 entry.outcome.value if entry.outcome is not None else None, entry.result)
-
 
 def bound(at_: tuple[str, int], backlog: int) -> socket.socket:
     """A listening socket at this address."""
