--- a/flintshift/cli/main.py
+++ b/flintshift/cli/main.py
@@ -10,6 +10,7 @@
 
 import click
 
+from flintshift.cli.control import control
 from flintshift.cli.usage import usage
 from flintshift.lifecycle.config import embedded, load
 
@@ -91,4 +92,5 @@
     sys.exit(0 if told["counted"] == told["booked"] and not told["in_doubt"] else 3)
 
 
+main.add_command(control)
 main.add_command(usage)
