--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -49,7 +49,8 @@
 def test_help_names_the_commands_and_the_exit_codes():
     told = run("--help")
     assert told.exit_code == 0
-    assert all(word in told.output for word in ("run", "check", "demo", "control", "usage", "Exit codes:", "3  done, and"))
+    assert all(word in told.output for word in ("run", "check", "demo", "control", "usage", "Exit codes:",
+                                                "3  done, and"))
     for command in (["run"], ["check"], ["demo"], ["usage", "show"], ["usage", "correct"], ["usage", "export"],
                     ["usage", "reconcile"],
                     ["control", "ready"], ["control", "out-of-service"], ["control", "in-service"]):
