Answer at the control door beside hundreds of half calls: accept and displace by batches

Seen: a measurement of the door at full load (benchmarks/control_latency.py) told 3.5 s at the median and 4.4 s at most beside 200 connections that send half a call and come back, where 1 s is due; without them 11 ms and 90 ms. Cause: wire/control_front.py accepted one connection at a time, which takes three turns of the loop, and waited three turns more for each that it displaced; a turn at full load lasts about 11 ms, so a queue of 200 took seconds. Ruled out: the planner's mailbox (not asked), the callers' table (not shared), the loop's turns themselves (3 of them are 33 ms). Change: as many are accepted in a turn as there is room for, and all that stayed 40 ms make room at once. Also: a claim on a key is given up short of its attempt's due time, not only after 1 s; the meeting path is found without the module for temporary files (1 MB less); request_cost has nodes with a control door and several nodes a setting.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -4,8 +4,9 @@
 
 The node runs as a process of its own; the pool and the other stand-ins run in this one and callers in several more,
 so their cost does not count: CPU is what the system accounts to the node (utime and stime in /proc/PID/stat). All
-nodes stand all the time and get short bursts of load in turns. Ratios are the medians of the rounds' ratios to ``off``
-of the same round, so that a machine whose speed drifts changes them little.
+nodes stand all the time and get short bursts of load in turns, several nodes of each setting, since one process differs
+from another of the same setting by several percent. Ratios are the medians of the rounds' ratios to ``off`` of the same
+round, so that a machine whose speed drifts changes them little.
 ``--base`` checks out an earlier version of this repository beside it and has it take turns too (HTTP alone).
 """
 
@@ -67,6 +68,7 @@
     return 0.0
 
 
+CONTROL = "control"  # the variant with a control door, and so with the handover
 Run = tuple[str, str, str | None, Path]  # front, variant, operators' file, where the program stands
 
 
@@ -85,24 +87,28 @@
             "p50_ms": delays[len(delays) // 2], "p99_ms": delays[len(delays) * 99 // 100], "rss_mb": resident_mb(pid)}
 
 
-async def measure(runs: list[Run], folder: Path, rounds: int, requests: int,
+async def measure(runs: list[Run], folder: Path, rounds: int, nodes: int, requests: int,
                   callers: int) -> dict[tuple[str, str], list[dict[str, float]]]:
     found: dict[tuple[str, str], list[dict[str, float]]] = {run[:2]: [] for run in runs}
     async with AsyncExitStack() as stack:
         executor = stack.enter_context(ProcessPoolExecutor(WORKERS))
-        rigs = []
-        for number, (front, _, settings, root) in enumerate(runs):
-            rigs.append(await stack.enter_async_context(Rig(
-                folder / f"{number}", settings, uwsgi=front == "uwsgi", root=root, pool=Pool(cores=64),
-                platform=PLATFORM)))
+        rigs: list[list[Rig]] = []
+        for number, (front, variant, settings, root) in enumerate(runs):
+            rigs.append([await stack.enter_async_context(Rig(
+                folder / f"{number}-{node}", settings, uwsgi=front == "uwsgi", root=root, pool=Pool(cores=64),
+                platform=PLATFORM, control=variant == CONTROL)) for node in range(nodes)])
         for round_ in range(rounds + 1):  # the first is not counted
             order = list(range(len(runs)))
-            for place in order[round_ % len(order):] + order[:round_ % len(order)]:
-                front, variant, _, _ = runs[place]
-                told = await burst(rigs[place], front, requests // (1 if front == "http" else 3), callers, executor,
-                                   round_ * 10)
+            parts: dict[int, list[dict[str, float]]] = {place: [] for place in order}
+            for node in range(nodes):
+                for place in order[round_ % len(order):] + order[:round_ % len(order)]:
+                    front = runs[place][0]
+                    parts[place].append(await burst(rigs[place][node], front, requests // (1 if front == "http" else 3),
+                                                    callers, executor, round_ * 10))
+            for place, told in parts.items():
                 if round_:
-                    found[front, variant].append(told)
+                    found[runs[place][:2]].append({name: statistics.mean(one[name] for one in told)
+                                                   for name in told[0]})
             print(f"round {round_} of {rounds}", file=sys.stderr, flush=True)
     return found
 
@@ -110,23 +116,29 @@
 async def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--base", metavar="REV", help="an earlier version of this repository to take turns with")
+    parser.add_argument("--control", action="store_true", help="also a node with a control door")
+    parser.add_argument("--variants", default=",".join(VARIANTS), help="of the ledger; `off` is always there")
     parser.add_argument("--fronts", default="http,uwsgi", help="default: %(default)s")
     parser.add_argument("--requests", type=int, default=1800, help="a burst; a third of that over uwsgi")
-    parser.add_argument("--rounds", type=int, default=20)
+    parser.add_argument("--rounds", type=int, default=10)
+    parser.add_argument("--nodes", type=int, default=3, help="of each setting; a round's figure is their mean")
     parser.add_argument("--callers", type=int, default=8, help="in each of the caller processes")
     parser.add_argument("--out", type=Path, help="write the result here as JSON")
     given = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="flintshift-bench-") as name:
         folder = Path(name)
         runs: list[Run] = [(front, variant, settings, ROOT)
-                           for front in given.fronts.split(",") for variant, settings in VARIANTS.items()]
+                           for front in given.fronts.split(",") for variant, settings in VARIANTS.items()
+                           if variant == "off" or variant in given.variants.split(",")]
+        if given.control:
+            runs.insert(1, (given.fronts.split(",")[0], CONTROL, None, ROOT))
         if given.base:
             base = folder / "base"
             base.mkdir()
             tree = subprocess.run(["git", "archive", given.base], cwd=ROOT, capture_output=True, check=True).stdout
             subprocess.run(["tar", "-x", "-C", str(base)], input=tree, check=True)
             runs.insert(0, ("http", f"off at {given.base[:12]}", None, base))
-        found = await measure(runs, folder, given.rounds, given.requests, given.callers)
+        found = await measure(runs, folder, given.rounds, given.nodes, given.requests, given.callers)
     table = []
     print(f"{'front':<7}{'ledger':<22}{'CPU us':>8}{'to off':>8}{'per s':>8}{'to off':>8}{'p50 ms':>8}{'p99 ms':>8}"
           f"{'RSS MB':>8}")
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -48,6 +48,7 @@
     write_ms: float = 5000.0  # for an answer to be taken
     welcome_ms: float = 5000.0  # for the process that serves to welcome its successor: 6 s are told for the start
     claim_ms: float = 1000.0  # for the other process of an upgrade to answer a claim on a key
+    claim_spare_ms: float = 150.0  # before its due time, an attempt waits for that no longer
     shed_ms: float = 100.0  # between two words of a predecessor on what it uses
     bind_again_ms: float = 100.0  # between two tries to listen while a process that leaves holds the address
     poll_ms: float = 25.0  # for gauges to come before a tick goes on without
--- a/flintshift/handover/claims.py
+++ b/flintshift/handover/claims.py
@@ -16,10 +16,9 @@
     """A claim of this process that is not answered yet."""
 
     owner: str
-    since_ms: float
     live_until_ms: float
     print: bytes
-    waiting: list[str] = field(default_factory=list)  # attempts that wait for the word
+    waiting: dict[str, float] = field(default_factory=dict)  # attempts that wait for the word, and until when
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,15 +55,14 @@
     def __init__(self) -> None:
         self.pending: dict[Key, Pending] = {}
 
-    def ask(self, now_ms: float, key: Key, request: str, door_ms: float, live_until_ms: float,
-            print_: bytes) -> list[Step]:
-        """An attempt wants to run under a key that this process's table does not hold."""
-        known = self.pending.get(key)
+    def ask(self, claim: Claimed, until_ms: float) -> list[Step]:
+        """An attempt wants to run under a key that this process's table does not hold; it waits until then."""
+        known = self.pending.get(claim.key)
         if known is not None:
-            known.waiting.append(request)
+            known.waiting[claim.owner] = until_ms
             return []
-        self.pending[key] = Pending(request, now_ms, live_until_ms, print_, [request])
-        return [Say(Claimed(key, request, door_ms, live_until_ms, print_))]
+        self.pending[claim.key] = Pending(claim.owner, claim.live_until_ms, claim.print, {claim.owner: until_ms})
+        return [Say(claim)]
 
     def claimed(self, word: Claimed, senior: bool, held: Known | None) -> list[Step]:
         """The other wants to run; ``held``: what this process itself holds under the key, live when the other's
@@ -91,16 +89,16 @@
 
     def departed(self, request: str) -> None:
         for mine in self.pending.values():
-            if request in mine.waiting:
-                mine.waiting.remove(request)
+            mine.waiting.pop(request, None)
 
-    def expire(self, before_ms: float) -> list[Step]:
-        """Give up what waits since then; the claim itself stays, so that a word that comes late frees it."""
+    def expire(self, now_ms: float) -> list[Step]:
+        """Give up what has waited long enough; the claim itself stays, so that a word that comes late frees it."""
         given: list[Step] = []
         for mine in self.pending.values():
-            if mine.since_ms <= before_ms and mine.waiting:
-                given += [GiveUp(request) for request in mine.waiting]
-                mine.waiting.clear()
+            past = [request for request, until_ms in mine.waiting.items() if until_ms <= now_ms]
+            for request in past:
+                del mine.waiting[request]
+                given.append(GiveUp(request))
         return given
 
     def alone(self) -> list[Step]:
--- a/flintshift/handover/link.py
+++ b/flintshift/handover/link.py
@@ -9,7 +9,6 @@
 import os
 import socket
 import struct
-import tempfile
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 
@@ -33,7 +32,7 @@
 def meeting_path(name: str, listen: tuple[str, int]) -> Path:
     """Where the processes of this node meet; the name is short, as a path of a socket may be."""
     mark = hashlib.blake2b(f"{name}\n{listen[0]}:{listen[1]}".encode(), digest_size=6).hexdigest()
-    return Path(tempfile.gettempdir()) / f"flintshift-{mark}"
+    return Path(os.environ.get("TMPDIR") or "/tmp") / f"flintshift-{mark}"
 
 
 @contextlib.contextmanager
--- a/flintshift/handover/shared_keys.py
+++ b/flintshift/handover/shared_keys.py
@@ -47,10 +47,13 @@
     # What happens here.
 
     def ask(self, now_ms: float, attempt: Attempt) -> list[Step]:
-        window = attempt.kind.repeat_window_ms if attempt.kind is not None else 0.0
-        until = now_ms + self.limits.claim_ms + window + self.limits.key_margin_ms
-        return self._done(self.agreement.ask(now_ms, key_of(attempt), attempt.id, attempt.door_ms, until,
-                                             fingerprint(attempt)))
+        kind, limits = attempt.kind, self.limits
+        window, deadline = (kind.repeat_window_ms, kind.deadline_ms) if kind is not None else (0.0, math.inf)
+        claim = Claimed(key_of(attempt), attempt.id, attempt.door_ms,
+                        now_ms + limits.claim_ms + window + limits.key_margin_ms, fingerprint(attempt))
+        # Its answer has a due time too: it is given up a few ticks before.
+        until = min(now_ms + limits.claim_ms, attempt.door_ms + deadline - limits.claim_spare_ms)
+        return self._done(self.agreement.ask(claim, until))
 
     def told_entry(self, attempt: Attempt) -> list[Step]:
         """This process began a run that it needed not claim."""
@@ -64,7 +67,7 @@
         return [Say(Over(key_of(attempt), attempt.id, entry.live_until_ms, entry.outcome.value, entry.result))]
 
     def expire(self, now_ms: float) -> list[Step]:
-        return self._done(self.agreement.expire(now_ms - self.limits.claim_ms))
+        return self._done(self.agreement.expire(now_ms))
 
     def copy(self) -> Iterator[Known]:
         """All that this process holds, in pieces; what changes meanwhile is told beside it."""
--- a/flintshift/lab/rig.py
+++ b/flintshift/lab/rig.py
@@ -28,8 +28,9 @@
     folder that the program is imported from, ``python`` the interpreter."""
 
     def __init__(self, folder: Path, settings: str | None = None, uwsgi: bool = False, pool: Pool | None = None,
-                 root: Path | None = None, platform: dict[str, Any] | None = None) -> None:
+                 root: Path | None = None, platform: dict[str, Any] | None = None, control: bool = False) -> None:
         self.folder, self.settings, self.uwsgi, self.root, self.platform = folder, settings, uwsgi, root, platform
+        self.control = control  # there is a control door, at ports["control"]
         self.pool, self.vault, self.names, self.apps = pool or Pool(), Vault(), Names(), Apps()
         self.process: asyncio.subprocess.Process | None = None
 
@@ -47,12 +48,14 @@
 
     def command(self) -> list[str]:
         """What starts the node, with its files written."""
-        http, desks = free_ports(2)
-        self.ports = {"http": http, "uwsgi": desks}
+        http, desks, door = free_ports(3)
+        self.ports = {"http": http, "uwsgi": desks, "control": door}
         self.folder.mkdir(parents=True, exist_ok=True)
         config = configuration("n1", {"listen": http, "pool": self.pool.port, "naming": self.names.port,
                                       "vault": self.vault.port})
         config["settings"] |= self.platform or {}
+        if self.control:
+            config["control"] = f"127.0.0.1:{door}"
         (self.folder / "config.json").write_text(json.dumps(config))
         command = [sys.executable, "-m", "flintshift"]
         if self.settings is not None or self.uwsgi:
@@ -70,7 +73,7 @@
         self.dns.browsed.clear()
         process = self.process = await asyncio.create_subprocess_exec(
             *self.command(), cwd=self.root or Path.cwd(), stderr=stderr,
-            env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")})
+            env={**os.environ, "LB_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder)})
         serving = asyncio.ensure_future(self.names.serving.wait())
         gone = asyncio.ensure_future(process.wait())
         try:
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -23,7 +23,7 @@
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.settings.options import UsageOptions
 from flintshift.settings.shape import lost
-from flintshift.wire.acceptor import Acceptor
+from flintshift.wire.acceptor import Acceptor, listening
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
@@ -120,7 +120,7 @@
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
         with anyio.open_signal_receiver(*told) as signals:
             listeners: list[Listener[SocketStream] | Acceptor] = await self._listeners()
-            doors = [await self._listen(self.config.control)] if self.config.control is not None else []
+            doors = [listening(self.config.control, self.limits.backlog)] if self.config.control is not None else []
             async with anyio.create_task_group() as tasks:
                 if self.upgrade is not None:
                     self.actors.append(self.upgrade.run)
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -44,6 +44,7 @@
     Used,
     Word,
 )
+from flintshift.wire.acceptor import listening
 
 if TYPE_CHECKING:
     from flintshift.lifecycle.node import Node
@@ -85,7 +86,7 @@
                 break
             self.phases = Phases(False, outlast_ms)
             try:
-                self.sockets = [bound(at_, self.limits.backlog) for _, at_ in self.node.fronts]
+                self.sockets = [listening(at_, self.limits.backlog) for _, at_ in self.node.fronts]
             except OSError as error:  # held by one that leaves: it gives no word any more
                 if error.errno != errno.EADDRINUSE or anyio.current_time() > until:
                     raise
@@ -266,20 +267,3 @@
     def _send(self, word: Word) -> None:
         if self.link is not None:
             self.link.send(word)
-
-
-def bound(at_: tuple[str, int], backlog: int) -> socket.socket:
-    """A listening socket at this address."""
-    host, port = at_
-    raw = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        raw.bind((host, port))
-        raw.listen(backlog)
-        raw.setblocking(False)
-    except BaseException:
-        raw.close()
-        raise
-    return raw
-
-
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -47,3 +47,20 @@
 
     async def aclose(self) -> None:
         self.raw.close()
+
+
+def listening(at: tuple[str, int], backlog: int) -> socket.socket:
+    """A listening socket at this address."""
+    host, port = at
+    raw = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        raw.bind((host, port))
+        raw.listen(backlog)
+        raw.setblocking(False)
+    except BaseException:
+        raw.close()
+        raise
+    return raw
+
+
--- a/flintshift/wire/control_front.py
+++ b/flintshift/wire/control_front.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
 import h11
-from anyio.abc import SocketListener, SocketStream, TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 from anyio.lowlevel import checkpoint
 
 from flintshift.core.counters import Counters
@@ -44,7 +45,7 @@
 class Call:
     """A connection that brings a call."""
 
-    stream: SocketStream
+    raw: socket.socket
     since_ms: float
     scope: anyio.CancelScope
 
@@ -60,46 +61,56 @@
             "/control/in-service": ("POST", node.in_service),
         }
 
-    async def serve(self, listener: SocketListener, tasks: TaskGroup) -> None:
-        """Accept one connection after the other; where there is no room, the oldest makes it."""
-        async with listener:
+    async def serve(self, raw: socket.socket, tasks: TaskGroup) -> None:
+        """Accept as many in a turn as there is room for; where there is none, those that have stayed make it.
+
+        In a busy node a turn of the loop is long: a wait for each connection would add up to seconds for a queue."""
+        with raw:
             while True:
-                try:
-                    stream = await listener.accept()
-                except OSError:  # one connection that can't be accepted must not end the door
-                    self.counters.add("control.accept_failed")
-                    await anyio.sleep(self.limits.backoff_ms / 1000)
-                    continue
-                call = Call(stream, self.now_ms(), anyio.CancelScope())
-                self.calls[call] = None
-                tasks.start_soon(self._answer, call)
-                while len(self.calls) >= self.limits.control_connections:
+                await anyio.wait_readable(raw)
+                while len(self.calls) < self.limits.control_connections:
+                    try:
+                        accepted, _ = raw.accept()
+                    except (BlockingIOError, ConnectionAbortedError):
+                        break
+                    except OSError:  # one connection that can't be accepted must not end the door
+                        self.counters.add("control.accept_failed")
+                        await anyio.sleep(self.limits.backoff_ms / 1000)
+                        break
+                    accepted.setblocking(False)
+                    call = Call(accepted, self.now_ms(), anyio.CancelScope())
+                    self.calls[call] = None
+                    tasks.start_soon(self._answer, call)
+                else:
                     await self._make_room()
 
     async def _make_room(self) -> None:
-        """Close the oldest connection, but none that had no time to bring its call: newcomers wait so long."""
-        oldest = next(iter(self.calls))
-        await anyio.sleep(max(0.0, oldest.since_ms + self.limits.control_rest_ms - self.now_ms()) / 1000)
+        """Close what has brought no whole call, but none that had no time to: newcomers wait so long."""
+        stayed = list(self.calls)
+        await anyio.sleep(max(0.0, stayed[0].since_ms + self.limits.control_rest_ms - self.now_ms()) / 1000)
         for _ in range(TURNS):  # in a busy node, time passes without a turn
             await checkpoint()
-        if self.calls.pop(oldest, oldest) is None:
-            self.counters.add("control.displaced")
-            oldest.scope.cancel()
+        before = self.now_ms() - self.limits.control_rest_ms
+        for call in stayed:
+            if call in self.calls and call.since_ms <= before:
+                del self.calls[call]
+                self.counters.add("control.displaced")
+                call.scope.cancel()
 
     async def _answer(self, call: Call) -> None:
         try:
             with call.scope:
-                async with call.stream:
+                async with await SocketStream.from_socket(call.raw) as stream:
                     with anyio.move_on_after(self.limits.control_read_ms / 1000):
-                        status, reason = await self._outcome(call.stream)
+                        status, reason = await self._outcome(stream)
                         body = f"{reason}\n".encode()
                         self.counters.add(f"control.status_{status}")
-                        await call.stream.send(written(status, [
+                        await stream.send(written(status, [
                             ("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body))),
                             ("Connection", "close")], body))
                         return
                     self.counters.add("control.cut")  # it said nothing, or half a call
-        except BROKEN:
+        except (*BROKEN, ValueError):  # ValueError: it went before it was looked at
             self.counters.add("control.broken")
         finally:
             self.calls.pop(call, None)
