--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -99,7 +99,7 @@
         self.full = self.turned_away = False  # the memory watermark is up; load was refused this tick
         self.limit = 1.25 * settings.cores
         self.run_ms: dict[str, float] = {}
-        self.quota: dict[str, tuple[float, float, float]] = {}  # by tenant: its rate here, use and when that was
+        self.quota: dict[str, tuple[float, float, float]] = {}  # by tenant: its rate here, use, and when
         self.failing = self.storm = 0.0  # share of runs; share of further tries read, unmarked: of refusals
         self.call_ms = self.best_call_ms = self.gap_ms = 0.0  # a call lately, at best; between two arrivals
         self.calls: list[list[float]] = []  # below: start, end (or how long it may last), whether it is over
@@ -128,7 +128,8 @@
         self.call_share = settings.call_share or math.inf
         self.call_limit = CALL_MOST * self.call_share  # less while calls are slow, may be under 1
         even = QUOTA_ROOM / max(1, settings.servers)  # of a quota: what an even spread would bring here
-        self.quota = {tenant.name: (even * tenant.quota_per_s, *self.quota.get(tenant.name, (0.0, 0.0, 0.0))[1:])
+        known_use = {name: (used, then) for name, (_, used, then) in self.quota.items()}
+        self.quota = {tenant.name: (even * tenant.quota_per_s, *known_use.get(tenant.name, (0.0, 0.0)))
                       for tenant in settings.tenants}
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
