--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -234,7 +234,7 @@
         return self.set.crowd_share * self.set.cores * (1 + (self.set.fall_multiple - 1) * self._speed())
 
     def used(self) -> tuple[float, float, float]:
-        """What its work takes now: a part of the whole crowd, memory in KB, and the time of calls in the window."""
+        """What its work takes now: a part of the crowd, memory in KB, time of calls in the window."""
         begun = self._count(Stage.RUNNING, Stage.LINED, Stage.CALLING)
         crowd = begun * self.set.crowd_share / max(1e-9, self._crowd())
         return crowd, self._memory_kb(), self._call_room()[1]
