--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -55,8 +55,6 @@
     gauge_stale_ms: float = 500.0  # older gauges are none
     unsure_ms: float = 100.0  # what was sent to the pool so long before a break may be lost: 50 ms are told
     verify_ms: float = 2000.0
-    silent_step_ms: float = 100.0  # between two looks whether the pool says anything
-    silent_steps: int = 5  # without a word since it was asked: as long as gauges are believed
     call_grace_ms: float = 25.0  # past a call's limit, before the node itself gives it up
     vault_fresh_ms: float = 250.0  # a connection idle for longer is not called on: the vault may close it
     vault_wary_ms: float = 30_000.0  # for so long after one broke, writes are called on new ones alone
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -39,8 +39,6 @@
         self.outbox: Mailbox[bytes] = Mailbox(limits.outbox)
         self.read_no = 0  # the last notice that was read
         self.bound = self.linked = False  # now, and ever
-        self.unheard = 0  # looks at the link in a row that found nothing new, though something was asked
-        self.asked = False  # since the last word
         self.marks = itertools.count(1)
         self.waiting: dict[str, Callable[[dict[str, Any]], None]] = {}  # by mark: who asked
         self.again: tuple[str, Callable[[], Awaitable[None]]] | None = None  # at that mark: makes good
@@ -105,7 +103,6 @@
 
         if not self.bound or not self.outbox.offer(line(t=command, mark=mark)):
             return None
-        self.asked = True
         self.waiting[mark] = answered
         try:
             await done.wait()
@@ -154,13 +151,11 @@
             while True:
                 try:
                     message = json.loads(await reader.receive_until(b"\n", self.limits.line))
-                    self.asked, self.unheard = False, 0
                     kind = message["t"]
                     if kind == "bound" and not over.is_set():
                         backoff.reset()
                         await self._rebound(stream)
                         tasks.start_soon(self._write, stream, over)
-                        tasks.start_soon(self._watch, over)
                     elif kind != "bound":
                         await self._read(kind, message)
                 except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
@@ -193,17 +188,6 @@
         self.bound = self.linked = True
         await self.report(Up())
 
-    async def _watch(self, over: anyio.Event) -> None:
-        """Guards against a link that stays open and brings nothing more: what was told on it is told again on a new
-        one. It goes by looks, not by time, so that a pause of this process is not taken for the pool's silence."""
-        self.asked, self.unheard = False, 0
-        while not over.is_set():
-            await anyio.sleep(self.limits.silent_step_ms / 1000)
-            self.unheard += self.asked
-            if self.unheard > self.limits.silent_steps:
-                self.counters.add("pool.silent")
-                raise TimeoutError("the pool is silent")
-
     async def _write(self, stream: SocketStream, over: anyio.Event) -> None:
         while not over.is_set():
             # A batch under a break may have arrived: it is not sent again but for what `begun` holds.
