--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,9 @@
-"""Small helpers: settings of an invented server and a controller with its clock."""
+"""Fixtures: settings of an invented server and a controller with its clock, and the program among its stand-ins."""
 
 from __future__ import annotations
 
 import pytest
+from standins import Rig
 
 from flintshift import interface as api
 from flintshift.control import Controller
@@ -65,3 +66,14 @@
 @pytest.fixture
 def make():
     return Server
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def rig(tmp_path):
+    async with Rig(tmp_path) as rig:
+        yield rig
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -15,11 +15,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture
 async def site(tmp_path):
     async with Site(tmp_path) as site:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -8,7 +8,7 @@
 import signal
 
 import pytest
-from standins import BYTES, SETTINGS, Rig, job
+from standins import BYTES, SETTINGS, job
 
 from flintshift import interface as api
 
@@ -16,15 +16,9 @@
 
 
 @pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
-@pytest.fixture
-async def rig(tmp_path):
-    async with Rig(tmp_path) as rig:
-        rig.pool.plan = dict.fromkeys(("race-results", "submit-time", "submit-time-next"), 0)
-        yield rig
+def rig(rig):
+    rig.pool.plan = dict.fromkeys(("race-results", "submit-time", "submit-time-next"), 0)
+    return rig
 
 
 def named(*names):
--- a/tests/test_ledger_node.py
+++ b/tests/test_ledger_node.py
@@ -34,11 +34,6 @@
           "log: {{enabled: true}}\n")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 async def ask(rig, class_name="standings", club="sur-pacers", rid="00000000000000aa", **more):
     reader, writer = await asyncio.open_connection("127.0.0.1", rig.ports["http"])
     writer.write(http_request(class_name, b"12:01.5", fields_of(rid, club, class_name, 1) | more))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,7 @@
 
 import anyio
 import pytest
-from standins import BYTES, ROOT, SETTINGS, Caller, Log, Names, Rig, Vault, http_bytes, job
+from standins import BYTES, ROOT, SETTINGS, Caller, Log, Names, Vault, http_bytes, job
 
 from flintshift.__main__ import main
 from flintshift.core.counters import Counters
@@ -33,17 +33,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
-@pytest.fixture
-async def rig(tmp_path):
-    async with Rig(tmp_path) as rig:
-        yield rig
-
-
 def finishing(rig):
     rig.pool.plan = dict.fromkeys(("race-results", "submit-time"), 0)
 
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -40,11 +40,6 @@
 HOUR = 3_600_000.0
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def document(number, node="n1"):
     return pb.UsageDocument(schema=1, node=node, life=b"l" * 16, epoch=1, number=number, period_ms=number * 1000,
                             length_ms=1000, rows=[documents.row(("a", "look", "http", "served"), [number] * 7)])
--- a/tests/wire/test_control_front.py
+++ b/tests/wire/test_control_front.py
@@ -15,11 +15,6 @@
 OUT, IN, READY = ("POST", "/control/out-of-service"), ("POST", "/control/in-service"), ("GET", "/control/ready")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture
 async def rig(tmp_path):
     async with Rig(tmp_path, control=True) as rig:
--- a/tests/wire/test_pieces.py
+++ b/tests/wire/test_pieces.py
@@ -8,24 +8,13 @@
 import time
 
 import pytest
-from standins import BYTES, Rig, job
+from standins import BYTES, job
 
 pytestmark = pytest.mark.anyio
 DUE_S = 1.5 + 0.13  # the classes' deadline, with the slack that sockets get
 CALL = ("blocked", {"b64": base64.b64encode(b"what is asked").decode()})
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
-@pytest.fixture
-async def rig(tmp_path):
-    async with Rig(tmp_path) as rig:
-        yield rig
-
-
 async def in_pieces(writer, data):
     for place in range(len(data)):
         writer.write(data[place:place + 1])
