Bound the upgrade's tables and waits, check its words by type, and say what was told last

`Left` is the last word of a process that ends in good order. Addresses are read in one place (settings/units.py), where three stood.

--- a/flintshift/cli/control.py
+++ b/flintshift/cli/control.py
@@ -9,6 +9,8 @@
 
 import click
 
+from flintshift.settings import units
+
 WITHIN_S = 2.0  # a node answers within 1 s
 
 
@@ -24,10 +26,11 @@
             raise click.UsageError(f"{path}: {error}") from error
     if not found:
         raise click.UsageError("name the control address by --at HOST:PORT, LB_CONTROL or LB_CONFIG")
-    host, _, port = str(found).rpartition(":")
-    if not host or not port.isdecimal():
-        raise click.UsageError(f"not host:port: {found!r}")
-    return str(found)
+    try:
+        host, port = units.address(str(found))
+    except ValueError as error:
+        raise click.UsageError(str(error)) from error
+    return f"{host}:{port}" if ":" not in host else f"[{host}]:{port}"
 
 
 def call(at: str | None, method: str, name: str) -> None:
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -55,7 +55,7 @@
         self.keys = KeyTable(limits)
         self.books: Books | None = None
         self.claims: Claims | None = None
-        self.awaiting: dict[str, Attempt] = {}  # the other process's word on their keys
+        self.awaiting: dict[str, Attempt] = {}  # the other process's word on their keys; one a connection at most
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
         self.purged_ms = 0.0
@@ -236,6 +236,10 @@
         if known or (entry is not None and entry.print != fingerprint(attempt)):
             self._settle(attempt, Answer(Verdict.CONFLICT))
             return None
+        if attempt.kind is None:  # dropped for good while it waited here
+            self.counters.add("refused.class_dropped")
+            self._settle(attempt, self._refusal())
+            return None
         if entry is None and attempt.unique is not None and self.keys.full():
             self.counters.add("refused.keys_full")
             self._settle(attempt, self._refusal())
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -31,6 +31,7 @@
     backlog: int = 1024
     strays: int = 8  # replies to nothing that was asked, before a call's own
     dropped_classes: int = 64  # that a new configuration left out, and whose repeats may still come
+    claims: int = 1024  # on keys, that the other process of an upgrade has not answered
     keys: int = 6000  # remembered keys
     key_bytes: int = 32 << 20  # their results
 
@@ -49,6 +50,7 @@
     welcome_ms: float = 5000.0  # for the process that serves to welcome its successor: 6 s are told for the start
     claim_ms: float = 1000.0  # for the other process of an upgrade to answer a claim on a key
     claim_spare_ms: float = 150.0  # before its due time, an attempt waits for that no longer
+    left_ms: float = 100.0  # for the last words to the other process
     shed_ms: float = 100.0  # between two words of a predecessor on what it uses
     bind_again_ms: float = 100.0  # between two tries to listen while a process that leaves holds the address
     poll_ms: float = 25.0  # for gauges to come before a tick goes on without
--- a/flintshift/handover/claims.py
+++ b/flintshift/handover/claims.py
@@ -52,7 +52,9 @@
 
 
 class Agreement:
-    def __init__(self) -> None:
+    def __init__(self, most: int) -> None:
+        """``most``: claims under way at once; what comes past that is given up, for its key may be the other's."""
+        self.most = most
         self.pending: dict[Key, Pending] = {}
 
     def ask(self, claim: Claimed, until_ms: float) -> list[Step]:
@@ -61,6 +63,8 @@
         if known is not None:
             known.waiting[claim.owner] = until_ms
             return []
+        if len(self.pending) >= self.most:
+            return [GiveUp(claim.owner)]
         self.pending[claim.key] = Pending(claim.owner, claim.live_until_ms, claim.print, {claim.owner: until_ms})
         return [Say(claim)]
 
@@ -71,8 +75,8 @@
             return [Say(held), Say(Answered(word.key, word.owner, False))]
         mine = self.pending.get(word.key)
         if mine is not None and senior:
-            mine_ = Known(word.key, mine.owner, mine.live_until_ms, mine.print, None, b"")
-            return [Say(mine_), Say(Answered(word.key, word.owner, False))]
+            claimed = Known(word.key, mine.owner, mine.live_until_ms, mine.print, None, b"")
+            return [Say(claimed), Say(Answered(word.key, word.owner, False))]
         entry = Known(word.key, word.owner, word.live_until_ms, word.print, None, b"")
         return [Adopt(entry), Say(Answered(word.key, word.owner, True))]
 
--- a/flintshift/handover/phases.py
+++ b/flintshift/handover/phases.py
@@ -13,10 +13,12 @@
     Hello,
     Keep,
     LeaveClients,
+    Left,
     LinkEnded,
     Load,
     LosePeer,
     OpenPath,
+    Operator,
     PeerGone,
     Phase,
     PoolUp,
@@ -51,6 +53,7 @@
         self.outlast_ms, self.whole_at_ms = outlast_ms, math.inf
         self.up = False  # the own worker pool
         self.out = False  # of service; handed on
+        self.left = False  # the predecessor has told all
         self.kept = WHOLE  # the predecessor's parts, at either side
         self.used = WHOLE  # what this process used when it was last asked
         self.connections = 0  # the most that it held since a successor takes the clients
@@ -64,6 +67,21 @@
         """A keyed run begins on the other's word alone."""
         return self.phase in (Phase.SHEDDING, Phase.SERVING)
 
+    @property
+    def welcomes(self) -> bool:
+        """A successor may come: one at a time."""
+        return self.phase is Phase.ALONE
+
+    @property
+    def tells_entries(self) -> bool:
+        """The other copies the keys, so it hears of each new one; later each is claimed."""
+        return self.phase is Phase.GIVING
+
+    @property
+    def tells_ends(self) -> bool:
+        """The other holds keys whose runs may end here."""
+        return self.phase is not Phase.ALONE
+
     @property
     def senior(self) -> bool:
         """Of two claims at once, this process's wins."""
@@ -77,16 +95,20 @@
         phase = self.phase
         match event:
             case Hello(version) if phase is Phase.ALONE:
-                if version != VERSION:
-                    raise WordError(f"the successor speaks version {version} of the handover, this process {VERSION}")
+                if version != VERSION:  # the successor reads it, says so and ends
+                    return [Send(Welcome(VERSION, self.out))]
                 self.phase = Phase.GIVING
                 return [Send(Welcome(VERSION, self.out)), SendCopy()]
             case Service(out):
                 self.out = out
                 return [Serve(out)]
+            case Operator(out):
+                self.out = out
+                return [Send(Service(out))] if phase in (Phase.GIVING, Phase.SHEDDING) else []
             case Welcome(version, out) if phase is Phase.ASKING:
                 if version != VERSION:
-                    raise WordError(f"the predecessor speaks version {version} of the handover, this process {VERSION}")
+                    return [GiveUpStart(f"the process that serves speaks version {version} of the handover, this one "
+                                        f"{VERSION}: drain it, stop it, then start this one")]
                 self.phase, self.out = Phase.COPYING, out
                 return []
             case Copied() if phase is Phase.COPYING:
@@ -122,6 +144,9 @@
                     return []  # till the other has ended, no key is claimed, and clients stay where they are
                 self.cut = now_ms, cause  # if it has ended, that is told soon
                 return []
+            case Left():
+                self.left = phase not in (Phase.ASKING, Phase.COPYING)
+                return []
             case PeerGone():
                 return self._alone(now_ms)
             case _:
@@ -154,7 +179,7 @@
             return []
         self.whole_at_ms, self.cut = now_ms + self.outlast_ms, None
         was_successor = before not in (Phase.GIVING, Phase.SHEDDING)
-        partial = was_successor and before is not Phase.SERVING
+        partial = was_successor and before is not Phase.SERVING and not self.left
         actions: list[Action] = [LosePeer(partial)]
         if was_successor:
             actions.append(OpenPath())
--- a/flintshift/handover/shared_keys.py
+++ b/flintshift/handover/shared_keys.py
@@ -33,7 +33,7 @@
 class SharedKeys:
     def __init__(self, keys: KeyTable, limits: Limits) -> None:
         self.keys, self.limits = keys, limits
-        self.agreement = Agreement()
+        self.agreement = Agreement(limits.claims)
         self.unsure_until_ms = self.lost_ms = 0.0
         self.marked = True  # callers mark further tries
 
@@ -64,7 +64,7 @@
         entry = self.keys.owned(attempt)
         if entry is None or entry.outcome is None:
             return []
-        return [Say(Over(key_of(attempt), attempt.id, entry.live_until_ms, entry.outcome.value, entry.result))]
+        return [Say(Over(key_of(attempt), attempt.id, entry.live_until_ms, entry.outcome, entry.result))]
 
     def expire(self, now_ms: float) -> list[Step]:
         return self._done(self.agreement.expire(now_ms))
@@ -93,8 +93,7 @@
                 if entry is None:
                     return []
                 entry.live_until_ms = max(entry.live_until_ms, live_until_ms)
-                return [End(follower, Outcome(outcome), result)
-                        for follower in self.keys.end(entry, Outcome(outcome), result)]
+                return [End(follower, outcome, result) for follower in self.keys.end(entry, outcome, result)]
             case Freed(key, owner):
                 return [End(follower, Outcome.REJECTED) for follower in self.keys.free(key, owner)]
         return []
@@ -118,8 +117,7 @@
         mine = self.keys.entries.get(word.key)
         if mine is not None and not mine.other and mine.outcome is None and mine.live_until_ms >= now_ms:
             return []  # it runs here: what the other tells is older
-        entry = Entry(word.owner, word.live_until_ms, word.print, Outcome(word.outcome) if word.outcome else None,
-                      word.result, other=True)
+        entry = Entry(word.owner, word.live_until_ms, word.print, word.outcome, word.result, other=True)
         return [End(follower, Outcome.ERROR) for follower in self.keys.adopt(word.key, entry)]
 
 
@@ -128,5 +126,4 @@
 
 
 def known(key: Key, entry: Entry) -> Known:
-    return Known(key, entry.owner, entry.live_until_ms, entry.print,
-                 entry.outcome.value if entry.outcome is not None else None, entry.result)
+    return Known(key, entry.owner, entry.live_until_ms, entry.print, entry.outcome, entry.result)
--- a/flintshift/handover/vocabulary.py
+++ b/flintshift/handover/vocabulary.py
@@ -8,6 +8,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
+from flintshift.interface import Outcome
+
 VERSION = 1
 
 Key = tuple[str, str]  # the class and the caller's word
@@ -24,51 +28,48 @@
     SERVING = "serving"  # beside a predecessor that sheds
 
 
-# Words on the link.
+# Words on the link. A reader takes nothing that is not of these types.
 
 
-@dataclass(frozen=True, slots=True)
-class Hello:
+class _Word(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    pass
+
+
+class Hello(_Word, frozen=True):
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class Welcome:
+class Welcome(_Word, frozen=True):
     """With the listening sockets, in the order of the fronts."""
 
     version: int
     out: bool  # of service
 
 
-@dataclass(frozen=True, slots=True)
-class Known:
+class Known(_Word, frozen=True):
     """An entry of the key table."""
 
     key: Key
     owner: str
     live_until_ms: float
     print: bytes
-    outcome: str | None  # of its run; None: it is not over
+    outcome: Outcome | None  # of its run; None: it is not over
     result: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Copied:
+class Copied(_Word, frozen=True):
     """All entries have been told."""
 
 
-@dataclass(frozen=True, slots=True)
-class Ready:
+class Ready(_Word, frozen=True):
     """The successor can take the clients."""
 
 
-@dataclass(frozen=True, slots=True)
-class Yours:
+class Yours(_Word, frozen=True):
     """The predecessor accepts no more."""
 
 
-@dataclass(frozen=True, slots=True)
-class Claimed:
+class Claimed(_Word, frozen=True):
     """May this attempt run under this key?"""
 
     key: Key
@@ -78,8 +79,7 @@
     print: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(_Word, frozen=True):
     """Whether it may; if not, what holds the key was told before."""
 
     key: Key
@@ -87,27 +87,24 @@
     granted: bool
 
 
-@dataclass(frozen=True, slots=True)
-class Over:
+class Over(_Word, frozen=True):
     """A run that was claimed is over."""
 
     key: Key
     owner: str
     live_until_ms: float
-    outcome: str
+    outcome: Outcome
     result: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Freed:
+class Freed(_Word, frozen=True):
     """What was claimed never ran."""
 
     key: Key
     owner: str
 
 
-@dataclass(frozen=True, slots=True)
-class Load:
+class Load(_Word, frozen=True):
     """The parts of the node's limits that the predecessor keeps, from 0 to 1, and its open connections."""
 
     crowd: float
@@ -116,14 +113,17 @@
     connections: int
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(_Word, frozen=True):
     """An operator's word came to the older's door."""
 
     out: bool
 
 
-Word = (Hello | Welcome | Known | Copied | Ready | Yours | Claimed | Answered | Over | Freed | Load | Service)
+class Left(_Word, frozen=True):
+    """This process ends in good order: all that it ran has been told."""
+
+
+Word = (Left | Hello | Welcome | Known | Copied | Ready | Yours | Claimed | Answered | Over | Freed | Load | Service)
 
 
 # What the phase machine is told, beside words.
@@ -146,6 +146,13 @@
     cause: str
 
 
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """An operator's word at this process's door."""
+
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Used:
     """What this process uses now; told again and again."""
@@ -153,7 +160,7 @@
     load: Load
 
 
-Event = Word | PoolUp | PeerGone | LinkEnded | Used
+Event = Word | PoolUp | PeerGone | LinkEnded | Operator | Used
 
 
 # What it answers.
--- a/flintshift/lifecycle/config.py
+++ b/flintshift/lifecycle/config.py
@@ -13,7 +13,7 @@
 from flintshift.settings.options import Address, Operators
 from flintshift.settings.platform import GAUGES, FormError, flat, settings_from
 from flintshift.settings.shape import fault
-from flintshift.wire.link import address
+from flintshift.settings.units import address
 
 
 class ConfigError(Exception):
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -167,7 +167,7 @@
             config = self.reread()
             self._change(config)
         except ConfigError as error:
-            self._warn(f"the configuration stays: {error}")
+            self.warn(f"the configuration stays: {error}")
             self.log("error", "node.configuration_stays", cause=str(error))
             self.counters.add("reload.unreadable")
             return
@@ -199,7 +199,7 @@
         for name in STANDING:
             if getattr(config, name) != getattr(self.config, name):
                 text = f"{name} stays as it was at the start: it can't change while the node runs"
-                self._warn(text)
+                self.warn(text)
                 self.log("warning", "node.setting_stays", setting=name)
         self.config = replace(config, **{name: getattr(self.config, name) for name in STANDING})
 
@@ -208,7 +208,7 @@
         return ([kind.name for kind in config.settings.classes], [club.name for club in config.settings.tenants])
 
     @staticmethod
-    def _warn(text: str) -> None:
+    def warn(text: str) -> None:
         with contextlib.suppress(OSError):  # a full disk under the log must not end the node
             print(f"flintshift: {text}", file=sys.stderr, flush=True)
 
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -9,13 +9,12 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from anyio.abc import SocketListener, UNIXSocketStream
+from anyio.abc import SocketListener, TaskGroup, UNIXSocketStream
 
 from flintshift.core import attempts as at
 from flintshift.core.attempts import Attempt
 from flintshift.core.decisions import Part
 from flintshift.handover.claims import GiveUp, GoOn, Say
-from flintshift.handover.link import Link, UpgradeError, join, meeting_path, open_path
 from flintshift.handover.phases import Phases, WordError
 from flintshift.handover.shared_keys import End, SharedKeys, Step, key_of
 from flintshift.handover.vocabulary import (
@@ -32,6 +31,7 @@
     Load,
     LosePeer,
     OpenPath,
+    Operator,
     Over,
     PeerGone,
     Phase,
@@ -39,12 +39,13 @@
     Send,
     SendCopy,
     Serve,
-    Service,
     TakeClients,
     Used,
     Word,
 )
 from flintshift.wire.acceptor import listening
+from flintshift.wire.handover import Link, UpgradeError, join, meeting_path, open_path
+from flintshift.wire.link import BROKEN
 
 if TYPE_CHECKING:
     from flintshift.lifecycle.node import Node
@@ -61,6 +62,7 @@
         self.link: Link | None = None
         self.phases = Phases(False, 0.0)
         self.used_ms = 0.0
+        self.meeting = anyio.CancelScope()
         self.opened = anyio.Event()  # a successor may come
         self.sockets: list[socket.socket] = []  # where callers connect, in the order of the fronts
 
@@ -102,31 +104,45 @@
             if self.link is not None:
                 links.start_soon(self._meet, self.link)
             await self.opened.wait()
-            raw = await open_path(self.path)
+            try:
+                raw = open_path(self.path)
+            except OSError as error:  # it serves all the same, and can't be relieved
+                self.node.counters.add("upgrade.no_path")
+                self.node.warn(f"no successor can take over: {self.path}: {error}")
+                return
             try:
                 async with await SocketListener.from_socket(raw) as listener:
                     while True:
-                        stream = await listener.accept()
-                        assert isinstance(stream, UNIXSocketStream)
-                        if self.phases.phase is not Phase.ALONE or self.node.decisions.posture.leaving:
-                            await stream.aclose()  # one successor at a time, and none of one that leaves
-                            continue
-                        try:
-                            self.link = Link(stream, self.limits)
-                        except (UpgradeError, OSError):
-                            await stream.aclose()
-                            continue
-                        self.link.sockets = self.sockets
-                        links.start_soon(self._meet, self.link)
+                        await self._welcome(listener, links)
             finally:
                 self.path.unlink(missing_ok=True)
 
+    async def _welcome(self, listener: SocketListener, links: TaskGroup) -> None:
+        try:
+            stream = await listener.accept()
+        except OSError:  # for want of descriptors, say: that must not end the node
+            self.node.counters.add("upgrade.accept_failed")
+            await anyio.sleep(self.limits.backoff_ms / 1000)
+            return
+        assert isinstance(stream, UNIXSocketStream)
+        if not self.phases.welcomes or self.decisions.posture.leaving:
+            await stream.aclose()
+            return
+        try:
+            link = Link(stream, self.limits)
+        except BROKEN:
+            self.node.counters.add("upgrade.not_watched")
+            await stream.aclose()
+            return
+        # One that came and never said what it wants makes room: there is no more than one meeting at a time.
+        self.meeting.cancel()
+        self.link, link.sockets = link, self.sockets
+        links.start_soon(self._meet, link)
+
     async def close(self) -> None:
-        """This process ends: the other hears it now and not in the middle of a read."""
+        """This process ends in good order."""
         if self.link is not None:
-            self.link.break_off()
-            with anyio.move_on_after(self.limits.last_read_ms / 1000):
-                await self.link.over.wait()
+            await self.link.close()
 
     async def _meet(self, link: Link) -> None:
         async def heard(word: Word) -> None:
@@ -139,7 +155,8 @@
             self.log("info", "upgrade.link_ended", phase=self.phases.phase.value, cause=cause)
             await self.decisions.report(at.Told((link, LinkEnded(cause))))
 
-        await link.run(heard, gone, ended)
+        with anyio.CancelScope() as self.meeting:
+            await link.run(heard, gone, ended)
 
     # The planner's port. All of it happens in a turn of the planner.
 
@@ -171,15 +188,15 @@
         self.shared.agreement.departed(request)
 
     def kept(self, attempt: Attempt) -> None:
-        if self.phases.phase is Phase.GIVING:  # later it was claimed
+        if self.phases.tells_entries:
             self._do(self.shared.told_entry(attempt))
 
     def over(self, attempt: Attempt) -> None:
-        if self.phases.phase is not Phase.ALONE:
+        if self.phases.tells_ends:
             self._do(self.shared.told_end(attempt))
 
     def freed(self, attempt: Attempt) -> None:
-        if self.phases.phase is not Phase.ALONE:
+        if self.phases.tells_ends:
             self._send(Freed(key_of(attempt), attempt.id))
 
     def tick(self) -> None:
@@ -198,9 +215,7 @@
 
     def serve(self, out: bool) -> None:
         """An operator's word at this process's door."""
-        self.phases.out = out
-        if self.phases.phase in (Phase.GIVING, Phase.SHEDDING):
-            self._send(Service(out))
+        self._step(Operator(out))
 
     # What is answered.
 
--- a/flintshift/settings/shape.py
+++ b/flintshift/settings/shape.py
@@ -10,6 +10,8 @@
 from math import isfinite
 from typing import Any
 
+from flintshift.settings.units import address
+
 Check = Callable[[Any], str | None]
 
 
@@ -48,9 +50,11 @@
 
 
 def _address(value: Any) -> str | None:
-    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    fits = host and port.isdecimal() and port.isascii() and 0 < int(port) < 65_536
-    return None if fits else f"{_shown(value)} is not host:port"
+    try:
+        address(value if isinstance(value, str) else "")
+    except ValueError:
+        return f"{_shown(value)} is not host:port"
+    return None
 
 
 def _hex(value: Any) -> str | None:
--- a/flintshift/settings/units.py
+++ b/flintshift/settings/units.py
@@ -48,6 +48,17 @@
     return found
 
 
+def address(text: str) -> tuple[str, int]:
+    """
+    >>> address("10.0.0.4:5050")
+    ('10.0.0.4', 5050)
+    """
+    host, found, port = text.rpartition(":")
+    if not found or not host or not port.isdecimal() or not port.isascii() or not 0 < int(port) < 65_536:
+        raise ValueError(f"not host:port: {text!r}")
+    return host.strip("[]"), int(port)
+
+
 def loopback(value: object) -> tuple[str, int]:
     """An address on this machine.
 
@@ -57,16 +68,14 @@
     wanted = "expected host:port with a loopback host, such as 127.0.0.1:3031"
     if not isinstance(value, str):
         raise ValueError(wanted)
-    host, found, port = value.rpartition(":")
-    if not found or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError(wanted)
     try:
-        known = ipaddress.ip_address(host.strip("[]"))
+        host, port = address(value)
+        known = ipaddress.ip_address(host)
     except ValueError:
         raise ValueError(wanted) from None
     if not known.is_loopback:
         raise ValueError(f"{host} is no loopback address")
-    return str(known), int(port)
+    return str(known), port
 
 
 def written_ms(ms: float) -> str:
--- a/flintshift/wire/control_front.py
+++ b/flintshift/wire/control_front.py
@@ -98,9 +98,11 @@
                 call.scope.cancel()
 
     async def _answer(self, call: Call) -> None:
+        stream = None
         try:
             with call.scope:
-                async with await SocketStream.from_socket(call.raw) as stream:
+                stream = await SocketStream.from_socket(call.raw)
+                async with stream:
                     with anyio.move_on_after(self.limits.control_read_ms / 1000):
                         status, reason = await self._outcome(stream)
                         body = f"{reason}\n".encode()
@@ -114,6 +116,8 @@
             self.counters.add("control.broken")
         finally:
             self.calls.pop(call, None)
+            if stream is None:
+                call.raw.close()
 
     async def _outcome(self, stream: SocketStream) -> tuple[int, str]:
         conn = h11.Connection(h11.SERVER, self.limits.control_head)
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -106,7 +106,7 @@
         self.withdrawn = False  # as far as this node was told
 
     async def report(self, serving: bool) -> bool:
-        if self.now_ms() < self.fresh_until_ms if serving else self.withdrawn:
+        if (self.now_ms() < self.fresh_until_ms) if serving else self.withdrawn:
             return True
         try:
             await self.resolver.exchange(self._update(serving))
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -66,7 +66,7 @@
         self.books: Books | None = None
         self.log: Log | None = None  # of requests; None: not at this level
         self.accepting = anyio.CancelScope()
-        self.taking: anyio.Event | None = None  # not set: another process of this node accepts
+        self.taking: anyio.Event | None = None  # there is one while another process of this node accepts
         self.others = 0  # connections that it holds
         self.closing = False  # all that is open gets its answer and is closed
         self.last = False  # each answer is the last on its connection
@@ -82,7 +82,7 @@
     async def serve(self, listener: Listener[SocketStream] | Acceptor, tasks: TaskGroup) -> None:
         """Accept until told to finish; the connections live on in the task group given."""
         while not self.closing:
-            if self.taking is not None:
+            while self.taking is not None:
                 await self.taking.wait()
             self.accepting = anyio.CancelScope()
             with self.accepting:
@@ -96,7 +96,7 @@
 
     def leave(self) -> None:
         """Accept no more until `take`, and end connections with their next answer."""
-        self.taking, self.last = anyio.Event(), True
+        self.taking, self.last = self.taking or anyio.Event(), True
         self.accepting.cancel()
 
     def take(self) -> None:
--- a/flintshift/handover/link.py
+++ b/flintshift/wire/handover.py
@@ -17,10 +17,10 @@
 
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
-from flintshift.handover.codec import FrameError, Unpacker, packed
-from flintshift.handover.vocabulary import VERSION, Copied, Hello, Known, Welcome, Word
+from flintshift.handover.vocabulary import VERSION, Copied, Hello, Known, Left, Welcome, Word
+from flintshift.wire.handover_words import FrameError, Unpacker, packed
+from flintshift.wire.link import BROKEN
 
-BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
 CREDENTIALS = struct.Struct("3i")
 SOCKETS_MOST = 4
 
@@ -45,14 +45,19 @@
         os.close(folder)
 
 
-def _watch(raw: socket.socket) -> int | None:
-    """A descriptor that becomes readable at the other process's end; None where the system gives none."""
+def _watch(raw: socket.socket) -> int:
+    """A descriptor that becomes readable at the other process's end.
+
+    Raises:
+        UpgradeError: there is none: a link that breaks could not be told from a death, and a key might run twice.
+    """
     pid, uid, _ = CREDENTIALS.unpack(raw.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size))
     if uid not in (os.getuid(), 0):
         raise UpgradeError(f"the process at the meeting path is of user {uid}, not of this one")
-    with contextlib.suppress(OSError, ValueError):
+    try:
         return os.pidfd_open(pid)
-    return None
+    except (OSError, ValueError) as error:
+        raise UpgradeError(f"the end of process {pid} at the meeting path can't be watched: {error}") from error
 
 
 class Link:
@@ -66,6 +71,7 @@
         self.watched = _watch(stream.extra(anyio.abc.SocketAttribute.raw_socket))
         self.sockets: list[socket.socket] = []  # that go with the welcome
         self.broken, self.over = False, anyio.Event()  # nothing is read any more
+        self.left = anyio.Event()  # the last word has gone
 
     def send(self, word: Word) -> None:
         """Without waiting; an outbox that is full says that the other does not read."""
@@ -76,6 +82,15 @@
         self.copy = entries
         self.outbox.offer(Copied())  # wakes the writer, which tells the entries first
 
+    async def close(self) -> None:
+        """Say what is left to say, then end the link: the other hears it now and not in the middle of a read."""
+        self.send(Left())
+        with anyio.move_on_after(self.limits.left_ms / 1000):
+            await self.left.wait()
+        self.break_off()
+        with anyio.move_on_after(self.limits.last_read_ms / 1000):
+            await self.over.wait()
+
     def break_off(self) -> None:
         self.broken = True
         raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
@@ -85,6 +100,17 @@
     async def run(self, heard: Callable[[Word], Awaitable[None]], gone: Callable[[], Awaitable[None]],
                   ended: Callable[[str], Awaitable[None]]) -> None:
         """Until the other process has ended, which is told last; the link itself may end before."""
+        try:
+            cause = await self._talk(heard)
+            self.over.set()
+            await ended(cause)
+            await anyio.wait_readable(self.watched)
+        finally:
+            os.close(self.watched)
+        await gone()
+
+    async def _talk(self, heard: Callable[[Word], Awaitable[None]]) -> str:
+        """Read until the link ends; returns why it did."""
         cause = ""
         try:
             async with self.stream, anyio.create_task_group() as tasks:
@@ -100,14 +126,7 @@
                 tasks.cancel_scope.cancel()
         finally:
             self.broken = True
-        self.over.set()
-        await ended(cause)
-        if self.watched is not None:
-            try:
-                await anyio.wait_readable(self.watched)
-            finally:
-                os.close(self.watched)
-        await gone()
+        return cause
 
     async def _write(self) -> None:
         try:
@@ -116,6 +135,10 @@
                 if isinstance(word, Welcome):
                     await self.stream.send_fds(packed(word), [one.fileno() for one in self.sockets])
                     continue
+                if isinstance(word, Left):
+                    await self.stream.send(packed(word))
+                    self.left.set()
+                    return
                 if isinstance(word, Copied):
                     batch = bytearray()
                     for entry in self.copy or ():
@@ -127,7 +150,7 @@
                     continue
                 batch = bytearray(packed(word))
                 while len(batch) < self.limits.read and self.outbox.items and not isinstance(
-                        self.outbox.items[0], Copied | Welcome):
+                        self.outbox.items[0], Copied | Welcome | Left):
                     batch += packed(self.outbox.items[0])
                     self.outbox.take_now()
                 await self.stream.send(bytes(batch))
@@ -143,8 +166,10 @@
         UpgradeError: there is one, and it does not hand over.
     """
     try:
-        with _short(path) as name:
+        with anyio.fail_after(limits.welcome_ms / 1000), _short(path) as name:
             stream = await anyio.connect_unix(name)
+    except TimeoutError as error:
+        raise mute(limits) from error
     except (OSError, RuntimeError):  # no such path, or one of a process that has ended
         return None
     link = Link(stream, limits)
@@ -156,8 +181,7 @@
                 link.sockets += [socket.socket(fileno=one) for one in found]
                 link.early += link.unpacker.feed(data)
     except TimeoutError as error:
-        raise UpgradeError(f"the process that serves took the call and said nothing for {limits.welcome_ms:g} ms; "
-                           "it lives, so its address can't be shared") from error
+        raise mute(limits) from error
     except BROKEN:
         await stream.aclose()
         return None
@@ -166,8 +190,17 @@
     return link
 
 
-async def open_path(path: Path) -> socket.socket:
-    """The meeting path, listening. What a process that ended has left there goes."""
+def mute(limits: Limits) -> UpgradeError:
+    return UpgradeError(f"the process that serves took the call and said nothing for {limits.welcome_ms:g} ms; "
+                        "it lives, so its address can't be shared: look at it, and end it if it hangs")
+
+
+def open_path(path: Path) -> socket.socket:
+    """The meeting path, listening. What a process that ended has left there goes.
+
+    Raises:
+        OSError: the folder does not take it.
+    """
     raw = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     raw.setblocking(False)
     try:
--- a/flintshift/wire/link.py
+++ b/flintshift/wire/link.py
@@ -15,13 +15,6 @@
     """A peer sent what its protocol does not know."""
 
 
-def address(text: str) -> tuple[str, int]:
-    host, found, port = text.rpartition(":")
-    if not found or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
-        raise ValueError(f"not host:port: {text!r}")
-    return host.strip("[]"), int(port)
-
-
 async def connect(to: tuple[str, int], limits: Limits) -> SocketStream:
     with anyio.fail_after(limits.connect_ms / 1000):
         return await anyio.connect_tcp(*to)
--- a/tests/handover/site.py
+++ b/tests/handover/site.py
@@ -23,17 +23,17 @@
         self.pool.plan = dict.fromkeys(("race-results", "submit-time"), 0)
         self.config = site.folder / f"config{number}.json"
 
-    async def start(self, ready=True, settings=None):
+    async def start(self, ready=True, tmpdir=None):
         await self.pool.start()
         self.control = free_ports(1)[0]
         self.config.write_text(json.dumps({
             "name": "n3", "listen": f"127.0.0.1:{self.site.port}", "control": f"127.0.0.1:{self.control}",
             "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.site.names.port}",
             "vault": f"127.0.0.1:{self.site.vault.port}", "stop_ms": 3000.0, "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings or self.site.settings}))
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.site.settings}))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "flintshift", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.site.folder)})
+            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(tmpdir or self.site.folder)})
         if ready:
             await self.until_ready()
         return self
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -10,7 +10,7 @@
 from handover.site import Site, submit
 from standins import BYTES
 
-from flintshift.handover.link import meeting_path
+from flintshift.wire.handover import meeting_path
 
 pytestmark = pytest.mark.anyio
 
@@ -190,6 +190,33 @@
     mute.close()
 
 
+async def test_a_folder_that_takes_no_path_costs_the_upgrade_and_not_the_service(site):
+    node = await site.start(tmpdir="/proc")
+    caller = await site.connect()
+    submit(caller, "k1")
+    assert (await caller.reply()).status == 200
+    assert b"no successor can take over: /proc/flintshift-" in await node.process.stderr.readline()
+    assert (await node.counters())["upgrade.no_path"] == 1
+
+
+async def test_an_older_process_that_drains_before_its_successor_is_up_leaves_the_node_to_it(site):
+    old = await site.start()
+    caller = await site.connect()
+    submit(caller, "k1")
+    result = (await caller.reply()).body
+    new = await site.start(ready=False)
+    await new.pool.stop()
+    await old.until("upgrade.giving")
+    assert await old.leave() == 0
+    waiting = await site.connect(spoken=False)  # in the queue of the socket that both held
+    submit(waiting, "k2")
+    await new.pool.start()
+    assert (await waiting.reply()).status == 200
+    submit(waiting, "k1", **{"X-Again": "1"})  # it has told all before it left
+    assert (await waiting.reply()).body == result
+    assert len(old.pool.spawned()) == len(new.pool.spawned()) == 1
+
+
 async def test_a_drained_node_stays_drained_over_an_upgrade(site):
     old = await site.start()
     assert (await old.call("POST", "/control/out-of-service"))[0] == 200
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from flintshift import benchlink
@@ -16,9 +18,9 @@
 from flintshift.core.mailbox import Mailbox
 from flintshift.interface import Outcome
 from flintshift.settings.platform import flat
+from flintshift.settings.units import address
 from flintshift.wire import uwsgi
 from flintshift.wire.fields import UnusableError
-from flintshift.wire.link import address
 from flintshift.wire.words import OUTCOMES
 
 
@@ -97,6 +99,19 @@
     assert node.spawned() == ["early"] and node.verdicts("late") == [Verdict.REFUSED]
 
 
+def test_a_class_that_was_dropped_for_good_while_its_request_waited_is_refused_and_ends_nothing():
+    node = Planner()
+    late = Attempt("late", "pay", node.now, 10.0, 1, b"", unique="k",
+                   tell=lambda answer: node.told["late"].append(answer))
+    node.told["late"] = []
+    settings = node.planner.catalogue.settings
+    assert node.planner.change(replace(settings, classes=settings.classes[:1])) is None
+    node.now += 60_000.0
+    node.planner.handle(at.Tick("tick"))
+    node.planner.handle(at.Submitted(late))
+    assert node.verdicts("late") == [Verdict.REFUSED]
+
+
 def test_what_has_run_is_never_turned_away():
     told = []
     attempt = Attempt("a", "pay", 0.0, 1.0, 1, b"", ran=True, tell=told.append)
