Test that the control door holds no more than its table

Cause: a door without a bound passed the tests. Change: the flood of half calls must displace at least 100 of 200. Measured: fails with the bound taken out, passes with it.

--- a/tests/wire/test_control_front.py
+++ b/tests/wire/test_control_front.py
@@ -105,6 +105,7 @@
         assert time.monotonic() - began < 1
     for caller in halves:
         await asyncio.wait_for(caller.ended(), 2)
+    assert (await rig.counters())["control.displaced"] >= 100  # no more than 32 are held at once
     assert (await pings(rig))[0] == 200  # half a call has no effect
 
 
