Let classes and clubs change while the ledger of use is on

Need: new settings on SIGHUP were turned down with the ledger on, as its rows are numbered by the lists of a start. Change: a record `Listed` (kind 13) tells the lists from then on; it is written before all that is numbered by them. Claims on their way, late ends and tickets go over by name. Lists only grow in a life, to 10,000 pairs of club and class. Rejected: an `Opened` in the middle of a life (all on its way would be in doubt); names in each claim (48 bytes a request would double). Measured: the property test adds clubs and classes in any order beside deaths, marks and late ends; a node books a club and a class that came by SIGHUP under load to the unit.

--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -23,6 +23,9 @@
 WORDS = {Verdict.SERVED: SERVED, Verdict.REFUSED: REFUSED, Verdict.FAILED: FAILED, Verdict.CONFLICT: FAILED}
 
 
+ROWS_MOST = 10_000  # clubs times classes, of a life of the node
+
+
 def nobody(answer: Answer) -> None:
     """Whom a settled attempt tells."""
 
@@ -32,13 +35,38 @@
 
     def __init__(self, ledger: Ledger, settings: api.Settings) -> None:
         self.ledger = ledger
-        clubs = [tenant.name for tenant in settings.tenants]
+        self.lists = [tenant.name for tenant in settings.tenants], [kind.name for kind in settings.classes]
+        self._number()
+
+    def _number(self) -> None:
+        clubs, classes = self.lists
         self.bases = {  # the number of a row's first outcome
-            (club, kind.name, front): row_number(place, class_, len(settings.classes), number, 0)
+            (club, class_name, front): row_number(place, class_, len(classes), number, 0)
             for place, club in enumerate((*clubs, None))
-            for class_, kind in enumerate(settings.classes)
+            for class_, class_name in enumerate(classes)
             for number, front in enumerate(FRONTS)}
 
+    def _with(self, settings: api.Settings) -> tuple[list[str], list[str]]:
+        """The lists with what the settings add. What they drop stays: its requests may be open, or come again."""
+        clubs, classes = self.lists
+        return ([*clubs, *(club.name for club in settings.tenants if club.name not in clubs)],
+                [*classes, *(kind.name for kind in settings.classes if kind.name not in classes)])
+
+    def too_many(self, settings: api.Settings) -> str | None:
+        """Why these settings can't be booked in this life."""
+        clubs, classes = self._with(settings)
+        rows = (len(clubs) + 1) * len(classes)
+        return None if rows <= ROWS_MOST else (
+            f"the ledger of use would have rows for {len(clubs)} clubs and {len(classes)} classes, with those of "
+            f"earlier settings: {rows} pairs, and {ROWS_MOST} may be; a restart forgets the earlier ones")
+
+    def change(self, settings: api.Settings) -> None:
+        lists = self._with(settings)
+        if lists != self.lists:
+            self.lists = lists
+            self._number()
+            self.ledger.list_as(*lists)
+
     @property
     def refusing(self) -> bool:
         return self.ledger.refusing
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -32,6 +32,7 @@
 from flintshift.wire.vault import VaultLink
 
 if TYPE_CHECKING:
+    from flintshift.lifecycle.books import Books
     from flintshift.lifecycle.upgrade import Upgrade
     from flintshift.usage.ledger import Ledger
     from flintshift.wire.control_front import ControlFront
@@ -82,6 +83,7 @@
             from flintshift.lifecycle.logs import open_log
             self.log, requests_too = open_log(config.operators.log, config.name)
         self.ledger: Ledger | None = None
+        self.books: Books | None = None
         if config.operators.usage is not None:
             self._keep_books(config.operators.usage)
         for front, _ in self.fronts:
@@ -107,7 +109,7 @@
             self.ledger = open_ledger(self.config.name, self.config.settings, options, self.log)
         except UNUSABLE as error:
             raise ConfigError(f"the ledger of use can't be opened: {error}") from error
-        books = Books(self.ledger, self.config.settings)
+        books = self.books = Books(self.ledger, self.config.settings)
         self.decisions.books = books
         for front, _ in self.fronts:
             front.books = books
@@ -190,12 +192,12 @@
         missing = lost(config.told, self.config.told)
         if missing is not None:
             raise ConfigError(missing)
-        if self.ledger is not None and self._booked(config) != self._booked(self.config):
-            raise ConfigError("settings.classes and settings.tenants: the ledger of use is on, and takes others at a "
-                              "start alone")
-        wrong = self.decisions.change(config.settings)
+        wrong = self.books.too_many(config.settings) if self.books is not None else None
+        wrong = wrong or self.decisions.change(config.settings)
         if wrong is not None:
             raise ConfigError(wrong)
+        if self.books is not None:
+            self.books.change(config.settings)
         for name in STANDING:
             if getattr(config, name) != getattr(self.config, name):
                 text = f"{name} stays as it was at the start: it can't change while the node runs"
@@ -203,10 +205,6 @@
                 self.log("warning", "node.setting_stays", setting=name)
         self.config = replace(config, **{name: getattr(self.config, name) for name in STANDING})
 
-    @staticmethod
-    def _booked(config: Config) -> tuple[list[str], list[str]]:
-        return ([kind.name for kind in config.settings.classes], [club.name for club in config.settings.tenants])
-
     @staticmethod
     def warn(text: str) -> None:
         with contextlib.suppress(OSError):  # a full disk under the log must not end the node
--- a/flintshift/usage/book.py
+++ b/flintshift/usage/book.py
@@ -35,11 +35,13 @@
     Forgotten,
     Gap,
     Late,
+    Listed,
     Marked,
     Opened,
     Published,
     Stepped,
     Turned,
+    renumbered,
 )
 
 
@@ -174,6 +176,8 @@
                 self._late(entry)
             case Opened():
                 self._opened(epoch, entry)
+            case Listed():
+                self._listed(entry)
             case Turned():
                 self._turned(sequence, entry)
             case Closed():
@@ -259,6 +263,14 @@
         self.rows.clear()
         self._note(lambda period: period.lives, (epoch, opened.at_ms, well))
 
+    def _listed(self, listed: Listed) -> None:
+        state = self.state
+        before, after = (state.clubs, state.classes), (listed.clubs, listed.classes)
+        for found in state.waiting.values():
+            found.claim = msgspec.structs.replace(found.claim, row=renumbered(found.claim.row, before, after))
+        state.clubs, state.classes = listed.clubs, listed.classes
+        self.rows.clear()
+
     def _turned(self, sequence: int, turned: Turned) -> None:
         state = self.state
         new = Period(turned.period, turned.length, sequence, sequence)
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -20,6 +20,7 @@
 from typing import Any, Protocol
 
 import anyio
+from msgspec import structs
 
 from flintshift.storage import snapshot
 from flintshift.storage.commit import (
@@ -47,7 +48,7 @@
 from flintshift.usage.folder import LedgerFolder, retire
 from flintshift.usage.keeper import Keeper
 from flintshift.usage.periods import LedgerClock
-from flintshift.usage.records import Claim, Ended, Entry, Late, Marked, pack
+from flintshift.usage.records import Claim, Ended, Entry, Late, Listed, Marked, pack, renumbered
 from flintshift.usage.vocabulary import (
     Append,
     ClockMoved,
@@ -75,13 +76,16 @@
     def __call__(self, level: str, event: str, **fields: Any) -> None: ...
 
 
+Lists = tuple[list[str], list[str]]  # clubs and classes, by which rows are numbered
+
+
 class Ticket:
     """A claim and what became of it."""
 
-    __slots__ = ("marked", "period", "row", "sequence")
+    __slots__ = ("lists", "marked", "period", "row", "sequence")
 
-    def __init__(self, row: int) -> None:
-        self.row, self.sequence, self.period, self.marked = row, 0, 0, False
+    def __init__(self, row: int, lists: Lists) -> None:
+        self.row, self.lists, self.sequence, self.period, self.marked = row, lists, 0, 0, False
 
 
 class Ledger:
@@ -99,6 +103,8 @@
         self.delivered: list[Ticket] = []  # not marked yet
         self.undelivered: list[Ticket] = []
         self.late: list[Late] = []
+        self.lists: Lists = (folder.book.state.clubs, folder.book.state.classes)
+        self.listed: Listed | None = None  # not written yet
         self.held: deque[tuple[int, Callable[[], object]]] = deque()  # answers that wait for the sync of a sequence
         self.marking = False  # a flush of marks is due
         self.due = False  # a flush is due in this turn of the loop
@@ -122,7 +128,7 @@
     def claim(self, id_: bytes, row: int, flags: int, run_us: int, calls: int, bytes_in: int, bytes_out: int,
               deliver: Callable[[], object] | None) -> Ticket:
         """Book a final answer, and deliver it once that is written."""
-        ticket = Ticket(row)
+        ticket = Ticket(row, self.lists)
         self.claims.append((ticket, Claim(id_, row, flags, run_us, calls, bytes_in, bytes_out), deliver))
         if not self.due:
             self._flush_soon()
@@ -138,7 +144,8 @@
                 asyncio.get_running_loop().call_later(MARK_S, self._flush_marks)
 
     def add_late(self, ticket: Ticket, run_us: int, calls: int) -> None:
-        self.late.append(Late(ticket.period or self.book.state.current or 0, ticket.row, run_us, calls))
+        row = ticket.row if ticket.lists is self.lists else renumbered(ticket.row, ticket.lists, self.lists)
+        self.late.append(Late(ticket.period or self.book.state.current or 0, row, run_us, calls))
         if not self.due:
             self._flush_soon()
 
@@ -151,6 +158,17 @@
         if not self.due and (self.delivered or self.undelivered):
             self._flush()
 
+    def list_as(self, clubs: list[str], classes: list[str]) -> None:
+        """Number rows by these lists from now on. What is booked and not written yet goes over to them; tickets that
+        are out are known by the lists of their claim."""
+        before, self.lists = self.lists, (clubs, classes)
+        self.claims = [(ticket, structs.replace(claim, row=renumbered(claim.row, before, self.lists)), deliver)
+                       for ticket, claim, deliver in self.claims]
+        self.late = [structs.replace(late, row=renumbered(late.row, before, self.lists)) for late in self.late]
+        self.listed = Listed(clubs, classes)
+        if not self.due:
+            self._flush_soon()
+
     # Writing.
 
     def _flush(self) -> None:
@@ -166,6 +184,9 @@
         late, self.late = self.late, []
         sequence, period = self.folder.log.following, self.book.state.current or 0
         entries: list[Entry] = []
+        if self.listed is not None:  # before all that is numbered by it
+            entries.append(self.listed)
+            sequence, self.listed = sequence + 1, None
         for ticket, claim, _ in claims:
             ticket.sequence, ticket.period = sequence, period
             sequence += 1
--- a/flintshift/usage/records.py
+++ b/flintshift/usage/records.py
@@ -116,11 +116,18 @@
     before: int
 
 
-Entry = (Opened | Turned | Claim | Marked | Late | Closed | Corrected | Published | Gap | Stepped | Ended
+class Listed(msgspec.Struct, array_like=True, frozen=True):
+    """From here on rows are numbered by these lists, which hold all that the ones before held."""
+
+    clubs: list[str]
+    classes: list[str]
+
+
+Entry = (Listed | Opened | Turned | Claim | Marked | Late | Closed | Corrected | Published | Gap | Stepped | Ended
          | Forgotten)
 KINDS: dict[int, type[Any]] = {
     1: Opened, 2: Turned, 3: Claim, 4: Marked, 5: Late, 6: Closed, 7: Corrected, 8: Published, 9: Gap,
-    10: Stepped, 11: Ended, 12: Forgotten,
+    10: Stepped, 11: Ended, 12: Forgotten, 13: Listed,
 }
 SNAPSHOT_KIND = 32  # of the frame that a snapshot is
 NUMBERS = {kind: number for number, kind in KINDS.items()}
@@ -150,3 +157,16 @@
 
 def row_number(club: int, class_: int, classes: int, front: int, outcome: int) -> int:
     return ((club * classes + class_) * len(FRONTS) + front) * len(OUTCOMES) + outcome
+
+
+def renumbered(row: int, before: tuple[list[str], list[str]], after: tuple[list[str], list[str]]) -> int:
+    """The number of a row by other lists of clubs and classes, which hold the ones that it was numbered by.
+
+    >>> renumbered(row_number(1, 0, 1, 0, 2), (["a"], ["look"]), (["b", "a"], ["pay", "look"]))  # of no club there
+    52
+    """
+    number, outcome = divmod(row, len(OUTCOMES))
+    number, front = divmod(number, len(FRONTS))
+    club, class_ = divmod(number, len(before[1]))
+    place = after[0].index(before[0][club]) if club < len(before[0]) else len(after[0])
+    return row_number(place, after[1].index(before[1][class_]), len(after[1]), front, outcome)
--- a/tests/test_ledger_node.py
+++ b/tests/test_ledger_node.py
@@ -196,8 +196,18 @@
         tasks = [asyncio.create_task(Caller(rig.ports[front], front, number, [*CLUBS], tally, number, 0.002).run(stop))
                  for number in range(6) for front in ("http", "uwsgi")]
         await asyncio.sleep(0.7)
+        config = json.loads((tmp_path / "config.json").read_text())  # a club and a class come, another order too
+        settings, info = config["settings"], config["settings"]["familyInfo"]
+        settings["tenants"].insert(0, {"name": "late-comers", "quotaPerS": 60.0})
+        settings["classes"].insert(0, {**settings["classes"][0], "name": "finals"})
+        info["callsByClass"], info["classSkipWorth"] = [False] * 5, [0.0] * 5
+        (tmp_path / "config.json").write_text(json.dumps(config))
         rig.process.send_signal(1)  # SIGHUP
-        await asyncio.sleep(0.7)
+        late = Caller(rig.ports["http"], "http", 99, ["late-comers"], tally, 99, 0.002)
+        late.classes = ("finals",)
+        await asyncio.sleep(0.2)
+        tasks.append(asyncio.create_task(late.run(stop)))
+        await asyncio.sleep(0.5)
         stop.set()
         await asyncio.gather(*tasks)
         assert await rig.leave() == 0
@@ -205,4 +215,4 @@
     for (club, *_), count in tally.answers.items():
         counted[club] += count
     booked, doubt = booked_in(tmp_path / "usage")
-    assert booked == counted and doubt == 0 and sum(counted.values()) > 100
+    assert booked == counted and doubt == 0 and sum(counted.values()) > 100 and booked["late-comers"] > 5
--- a/tests/usage/test_book.py
+++ b/tests/usage/test_book.py
@@ -24,6 +24,7 @@
     Claim,
     Ended,
     Late,
+    Listed,
     Marked,
     Opened,
     pack,
@@ -61,9 +62,16 @@
 
     def open(self, period_ms=1000):
         self.epoch += 1
+        self.lists = CLUBS, CLASSES
         self.write(Opened("n1", b"l" * 16, period_ms, CLUBS, CLASSES, self.now))
         self.tell(Tick())
 
+    def row(self, club, class_, front, outcome):
+        """The number of a row, as the lists of now count it; club 2 is none that is listed."""
+        clubs, classes = self.lists
+        place = clubs.index(CLUBS[club]) if club < 2 else len(clubs)
+        return row_number(place, classes.index(CLASSES[class_]), len(classes), front, outcome)
+
     def replayed(self):
         book = Book(BOUNDS)
         for sequence, epoch, (kind, payload) in self.records:
@@ -102,7 +110,7 @@
     @rule(club=st.integers(0, 2), class_=st.integers(0, 1), front=st.integers(0, 1),
           outcome=st.integers(0, 3), flags=st.integers(0, 3), run=st.integers(0, 9), size=st.integers(0, 9))
     def claim(self, club, class_, front, outcome, flags, run, size):
-        row = row_number(club, class_, len(CLASSES), front, outcome)
+        row = self.desk.row(club, class_, front, outcome)
         sequence = self.desk.write(Claim(b"i" * 8, row, flags, run, 1, size, 2))
         names = [*CLUBS, "(other)"][club], CLASSES[class_], ("http", "uwsgi")[front], OUTCOMES[outcome]
         amounts = (1, flags & 1, flags >> 1, run, 1, size, 2)
@@ -111,7 +119,7 @@
 
     @rule(club=st.integers(0, 2))
     def gone_at_once(self, club):
-        row = row_number(club, 0, len(CLASSES), 0, GONE)
+        row = self.desk.row(club, 0, 0, GONE)
         self.desk.write(Claim(b"g" * 8, row, FINAL, 0, 0, 1, 0))
         self.add(([*CLUBS, "(other)"][club], "look", "http", "gone"), (1, 0, 0, 0, 0, 1, 0))
 
@@ -140,10 +148,20 @@
 
     @rule(club=st.integers(0, 2), run=st.integers(1, 5), back=st.integers(0, 3))
     def late(self, club, run, back):
-        row = row_number(club, 1, len(CLASSES), 1, 0)
+        row = self.desk.row(club, 1, 1, 0)
         self.desk.write(Late((self.desk.book.state.current or 0) - 1000 * back, row, run, 0))
         self.model[([*CLUBS, "(other)"][club], "pay", "uwsgi", "served"), 3] += run
 
+    @rule(clubs=st.booleans(), first=st.booleans())
+    def listed(self, clubs, first):
+        """New settings add a club or a class, and may list what was there in another order."""
+        lists = [list(names) for names in self.desk.lists]
+        grown = lists[not clubs]
+        if len(grown) < 5:
+            grown.insert(0 if first else len(grown), f"new{len(grown)}")
+            self.desk.lists = tuple(lists)
+            self.desk.write(Listed(*lists))
+
     @rule(by=st.sampled_from([0, 1, 50, 99, 100, 101, 900, 1000, 2500, 40_000_000, -1, -700, -5000]))
     def time_passes(self, by):
         self.desk.now += by
@@ -338,7 +356,7 @@
 def test_records_keep_their_kinds_and_forms():
     assert {number: kind.__name__ for number, kind in KINDS.items()} == dict(enumerate((
         "Opened", "Turned", "Claim", "Marked", "Late", "Closed", "Corrected", "Published", "Gap", "Stepped", "Ended",
-        "Forgotten"), 1))
+        "Forgotten", "Listed"), 1))
     assert pack(Claim(b"12345678", 5, 3, 1000, 1, 7, 20)) == (
         3, b"\x97\xc4\x0812345678\x05\x03\xcd\x03\xe8\x01\x07\x14")
     with pytest.raises(ValueError, match="records of kind 99 are not known"):
