--- a/tests/handover/site.py
+++ b/tests/handover/site.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import copy
 import json
 import os
@@ -12,7 +11,7 @@
 from collections import Counter
 from pathlib import Path
 
-from standins import BYTES, ROOT, SETTINGS, Caller, Names, Pool, Vault, free_ports, job
+from standins import BYTES, ROOT, SETTINGS, Caller, Names, Pool, Vault, control_call, free_ports, job, platform_file
 
 
 class Process:
@@ -26,11 +25,8 @@
     async def start(self, ready=True, tmpdir=None):
         await self.pool.start()
         self.control = free_ports(1)[0]
-        self.config.write_text(json.dumps({
-            "name": "n3", "listen": f"127.0.0.1:{self.site.port}", "control": f"127.0.0.1:{self.control}",
-            "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.site.names.port}",
-            "vault": f"127.0.0.1:{self.site.vault.port}", "stop_ms": 3000.0, "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.site.settings}))
+        self.config.write_text(platform_file(
+            self.site.port, self.pool, self.site.vault, self.site.names, self.site.settings, control=self.control))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "flintshift", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
             env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(tmpdir or self.site.folder)})
@@ -45,20 +41,15 @@
 
     async def call(self, method="GET", path="/control/ready"):
         try:
-            caller = Caller(*await asyncio.open_connection("127.0.0.1", self.control))
+            return await control_call(self.control, method, path)
         except ConnectionRefusedError:
             return 0, "refused"
-        caller.send(f"{method} {path} HTTP/1.1\r\nHost: n3\r\n\r\n".encode())
-        reply = await caller.reply()
-        caller.writer.close()
-        return reply.status, reply.body.decode().strip()
 
     async def counters(self):
         self.process.send_signal(signal.SIGUSR1)
-        while True:
-            line = await asyncio.wait_for(self.process.stderr.readline(), 10)
-            with contextlib.suppress(ValueError):
-                return Counter(json.loads(line)["counters"])
+        while (line := await asyncio.wait_for(self.process.stderr.readline(), 10))[:1] != b"{":
+            pass
+        return Counter(json.loads(line)["counters"])
 
     async def until(self, name, least=1):
         while (await self.counters())[name] < least:
@@ -109,6 +100,10 @@
             assert (await caller.reply()).status == 200
         return caller
 
+    async def ask(self, unique, **more):
+        """A request on a connection of its own."""
+        return await ask(await self.connect(), unique, **more)
+
     def runs(self):
         return [run["rid"] for one in self.processes for run in one.pool.spawned()]
 
@@ -117,3 +112,8 @@
     fields = job(class_name, **({"X-Unique": unique} if unique else {}), **changes)
     caller.send(BYTES["http"](class_name, body, fields))
     return fields["X-Job-Id"]
+
+
+async def ask(caller, unique, **more):
+    submit(caller, unique, **more)
+    return await caller.reply()
--- a/tests/handover/test_model.py
+++ b/tests/handover/test_model.py
@@ -13,20 +13,10 @@
 from flintshift.core.attempts import Attempt
 from flintshift.core.keys import KeyTable
 from flintshift.core.limits import Limits
+from flintshift.handover import vocabulary as say
 from flintshift.handover.claims import GiveUp, GoOn, Say
 from flintshift.handover.phases import Phases
-from flintshift.handover.shared_keys import End, SharedKeys
-from flintshift.handover.vocabulary import (
-    Hello,
-    LeaveClients,
-    LosePeer,
-    PeerGone,
-    Phase,
-    PoolUp,
-    Send,
-    SendCopy,
-    TakeClients,
-)
+from flintshift.handover.shared_keys import End, SharedKeys, key_of
 from flintshift.interface import Effect, Outcome, RequestClass
 
 LIMITS, KIND = Limits(), RequestClass("pay", 500.0, 900.0, 1.0, Effect.KEYED, repeat_window_ms=1e6)
@@ -64,28 +54,23 @@
         if attempt.id in self.refuses:
             self.end(attempt.id, Outcome.REJECTED)
             if agreed:
-                self.do([Say(self.freed(attempt))])
+                self.do([Say(say.Freed(key_of(attempt), attempt.id))])
             return
         self.keys.keep(attempt, self.now + 1e6)
-        if self.phases.phase is Phase.GIVING:
+        if self.phases.tells_entries:
             self.do(self.shared.told_entry(attempt))
         self.ran.append(attempt.id)
         self.everywhere.append(attempt.id)
         assert len(self.everywhere) == 1, f"run twice: {self.everywhere}"
         self.running.add(attempt.id)
 
-    @staticmethod
-    def freed(attempt):
-        from flintshift.handover.vocabulary import Freed
-        return Freed((attempt.class_name, attempt.unique), attempt.id)
-
     def finish(self, request):
         self.running.discard(request)
         attempt = self.attempts[request]
         entry = self.keys.owned(attempt)
         for follower in self.keys.end(entry, Outcome.OK, b"r"):
             self.end(follower, Outcome.OK)
-        if self.phases.phase is not Phase.ALONE:
+        if self.phases.tells_ends:
             self.do(self.shared.told_end(attempt))
         self.told.setdefault(request, "served")
 
@@ -106,20 +91,19 @@
                     self.end(request, outcome)
 
     def hear(self, word):
-        if type(word).__name__ in ("Claimed", "Answered", "Known", "Over", "Freed"):
+        if isinstance(word, say.Claimed | say.Answered | say.Known | say.Over | say.Freed):
             return self.do(self.shared.heard(self.now, word, self.phases.senior))
         for action in self.phases.handle(self.now, word):
             match action:
-                case Send(said):
+                case say.Send(said):
                     self.out.append(said)
-                case SendCopy():
-                    from flintshift.handover.vocabulary import Copied
-                    self.out.extend([*self.shared.copy(), Copied()])
-                case TakeClients():
+                case say.SendCopy():
+                    self.out.extend([*self.shared.copy(), say.Copied()])
+                case say.TakeClients():
                     self.clients = True
-                case LeaveClients():
+                case say.LeaveClients():
                     self.clients = False
-                case LosePeer(partial):
+                case say.LosePeer(partial):
                     self.do(self.shared.alone(self.now, partial, 1e6, True))
 
 
@@ -169,7 +153,7 @@
                 side.hear(other.out.popleft())
             case "gone":
                 self.notified = True
-                side.hear(PeerGone())
+                side.hear(say.PeerGone())
             case "finish":
                 side.finish(more[0])
             case "try":
@@ -205,9 +189,9 @@
 def explore(tries, refuses=(), **more):
     """All reachable states; returns how many there are."""
     first = World(tries, refuses, **more)
-    first.sides[1].out.append(Hello(1))
+    first.sides[1].out.append(say.Hello(1))
     for side in first.sides:
-        side.hear(PoolUp())
+        side.hear(say.PoolUp())
     seen, stack, ends = {first.state()}, [first], 0
     while stack:
         world = stack.pop()
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -7,7 +7,7 @@
 import socket
 
 import pytest
-from handover.site import Site, submit
+from handover.site import Site, ask, submit
 from standins import BYTES
 
 from flintshift.wire.handover import meeting_path
@@ -31,15 +31,12 @@
     new = await site.start()
     assert (await old.call())[1] == "another process of this node takes the clients"
     fresh = await site.connect()
-    submit(fresh, "k2")
-    assert (await fresh.reply()).status == 200 and len(new.pool.spawned()) == 1
+    assert (await ask(fresh, "k2")).status == 200 and len(new.pool.spawned()) == 1
     old.pool.plan = {"submit-time": 0}
-    submit(rested[0], "k3")  # what is open with the older is answered by it, and told to come to the new one
-    reply = await rested[0].reply()
+    reply = await ask(rested[0], "k3")  # what is open with the older is answered by it, and told to come to the new one
     assert reply.status == 200 and reply.headers["connection"] == "close" and len(old.pool.spawned()) == 2
     old.process.send_signal(signal.SIGTERM)
-    submit(rested[1], "k4")
-    assert (await rested[1].reply()).status == 200
+    assert (await ask(rested[1], "k4")).status == 200
     old.pool.finish(rid)
     assert (await open_.reply()).status == 200
     for caller in rested:
@@ -47,24 +44,21 @@
     assert await old.ended() == 0 and new.process.returncode is None
     assert ("/ns/hosts/n3", "no") not in site.names.log.entries  # nothing was withdrawn
     again = await site.connect()
-    submit(again, "k5")
-    assert (await again.reply()).status == 200
+    assert (await ask(again, "k5")).status == 200
 
 
 async def test_a_write_is_run_once_whichever_process_its_tries_reach(site):
     old = await site.start()
     rested = [await site.connect() for _ in range(6)]
     first = await site.connect()
-    submit(first, "done-before")
-    result = (await first.reply()).body
+    result = (await ask(first, "done-before")).body
     old.pool.plan = {}
     running = await site.connect()
     rid = submit(running, "runs-at-the-older")
     await old.pool.log.until(lambda entry: entry["rid"] == rid if "rid" in entry else False)
     new = await site.start()
     fresh = [await site.connect() for _ in range(6)]
-    submit(fresh[0], "done-before", **{"X-Again": "1"})
-    assert (await fresh[0].reply()).body == result
+    assert (await ask(fresh[0], "done-before", **{"X-Again": "1"})).body == result
     submit(fresh[1], "runs-at-the-older", **{"X-Again": "1"})  # it waits for the run of the other
     await new.until("repeats", 2)
     old.pool.finish(rid)
@@ -82,8 +76,7 @@
         submit(theirs, f"both-{number}", **{"X-Again": "1"})
         replies = [await mine.reply(), await theirs.reply()]
         assert [reply.status for reply in replies] == [200, 200] and replies[0].body == replies[1].body
-    submit(rested[4], "runs-at-the-new", body=b"another")
-    assert (await rested[4].reply()).status == 409
+    assert (await ask(rested[4], "runs-at-the-new", body=b"another")).status == 409
     assert len(site.runs()) == len(set(site.runs())) == 6
 
 
@@ -101,11 +94,9 @@
     old.kill()
     await old.ended()
     fresh = await site.connect()
-    submit(fresh, "k1", **{"X-Again": "1"})
-    reply = await fresh.reply()
+    reply = await ask(fresh, "k1", **{"X-Again": "1"})
     assert (reply.status, reply.body) == ((200, body) if ended else (500, b""))  # never run again, never refused
-    submit(fresh, "k2")
-    assert (await fresh.reply()).status == 200
+    assert (await ask(fresh, "k2")).status == 200
     assert site.runs().count(rid) == 1 and len(new.pool.spawned()) == 1
 
 
@@ -137,8 +128,7 @@
     third = await site.start()  # and can be replaced once more
     assert await old.leave() == 0
     caller = await site.connect()
-    submit(caller, "then-0", **{"X-Again": "1"})
-    assert (await caller.reply()).status == 200 and not third.pool.spawned()
+    assert (await ask(caller, "then-0", **{"X-Again": "1"})).status == 200 and not third.pool.spawned()
 
 
 async def test_connections_that_wait_in_the_queue_at_the_handover_are_served(site):
@@ -160,8 +150,7 @@
     new = await site.start()
     fresh = await site.connect()
     old.process.send_signal(signal.SIGSTOP)
-    submit(fresh, "k1")
-    reply = await fresh.reply()
+    reply = await ask(fresh, "k1")
     assert reply.status == 500 and not site.runs()
     old.process.send_signal(signal.SIGCONT)
     for _ in range(50):  # the word that comes late frees the key
@@ -193,8 +182,7 @@
 async def test_a_folder_that_takes_no_path_costs_the_upgrade_and_not_the_service(site):
     node = await site.start(tmpdir="/proc")
     caller = await site.connect()
-    submit(caller, "k1")
-    assert (await caller.reply()).status == 200
+    assert (await ask(caller, "k1")).status == 200
     assert b"no successor can take over: /proc/flintshift-" in await node.process.stderr.readline()
     assert (await node.counters())["upgrade.no_path"] == 1
 
@@ -202,8 +190,7 @@
 async def test_an_older_process_that_drains_before_its_successor_is_up_leaves_the_node_to_it(site):
     old = await site.start()
     caller = await site.connect()
-    submit(caller, "k1")
-    result = (await caller.reply()).body
+    result = (await ask(caller, "k1")).body
     new = await site.start(ready=False)
     await new.pool.stop()
     await old.until("upgrade.giving")
@@ -212,8 +199,7 @@
     submit(waiting, "k2")
     await new.pool.start()
     assert (await waiting.reply()).status == 200
-    submit(waiting, "k1", **{"X-Again": "1"})  # it has told all before it left
-    assert (await waiting.reply()).body == result
+    assert (await ask(waiting, "k1", **{"X-Again": "1"})).body == result  # it has told all before it left
     assert len(old.pool.spawned()) == len(new.pool.spawned()) == 1
 
 
--- a/tests/handover/test_words.py
+++ b/tests/handover/test_words.py
@@ -4,28 +4,15 @@
 
 import pytest
 
+from flintshift.handover import vocabulary as say
 from flintshift.handover.claims import Agreement, GiveUp, Say
 from flintshift.handover.phases import Phases, WordError
-from flintshift.handover.vocabulary import (
-    VERSION,
-    Claimed,
-    Copied,
-    GiveUpStart,
-    Hello,
-    Known,
-    Load,
-    Phase,
-    Ready,
-    Send,
-    Welcome,
-    Yours,
-)
 from flintshift.interface import Outcome
 from flintshift.wire.handover_words import FrameError, Unpacker, packed
 
-WORDS = [Hello(1), Known(("pay", "k"), "r1", 9e12, b"\x00\xff", Outcome.OK, bytes(range(256))),
-         Known(("pay", "k"), "r1", 9e12, b"", None, b""), Claimed(("pay", "ü"), "r2", 1.0, 2.0, b"p"), Copied(),
-         Load(0.5, 0.25, 0.0, 7)]
+WORDS = [say.Hello(1), say.Known(("pay", "k"), "r1", 9e12, b"\x00\xff", Outcome.OK, bytes(range(256))),
+         say.Known(("pay", "k"), "r1", 9e12, b"", None, b""), say.Claimed(("pay", "ü"), "r2", 1.0, 2.0, b"p"),
+         say.Copied(), say.Load(0.5, 0.25, 0.0, 7)]
 
 
 @pytest.mark.parametrize("size", [1, 3, 7, 64, 100_000])
@@ -45,28 +32,28 @@
 
 
 @pytest.mark.parametrize(("phase", "word"), [
-    (Phase.ALONE, Yours()), (Phase.ALONE, Ready()), (Phase.GIVING, Yours()), (Phase.SERVING, Hello(VERSION)),
-    (Phase.ASKING, Copied()), (Phase.SHEDDING, Load(0.0, 0.0, 0.0, 0)), (Phase.COPYING, Yours()),
+    ("alone", say.Yours()), ("alone", say.Ready()), ("giving", say.Yours()), ("serving", say.Hello(say.VERSION)),
+    ("asking", say.Copied()), ("shedding", say.Load(0.0, 0.0, 0.0, 0)), ("copying", say.Yours()),
 ])
 def test_a_word_out_of_its_phase_changes_nothing_and_ends_the_link(phase, word):
     phases = Phases(False, 0.0)
-    phases.phase = phase
+    phases.phase = say.Phase(phase)
     with pytest.raises(WordError):
         phases.handle(0.0, word)
-    assert phases.phase is phase
+    assert phases.phase.value == phase
 
 
 def test_another_version_is_told_by_both_sides_and_the_older_serves_on():
     older, younger = Phases(False, 0.0), Phases(True, 0.0)
-    answer, = older.handle(0.0, Hello(VERSION + 1))
-    assert isinstance(answer, Send) and isinstance(answer.word, Welcome) and older.phase is Phase.ALONE
-    end, = younger.handle(0.0, Welcome(VERSION + 1, False))
-    assert isinstance(end, GiveUpStart) and f"version {VERSION + 1}" in end.cause
+    answer, = older.handle(0.0, say.Hello(say.VERSION + 1))
+    assert isinstance(answer, say.Send) and isinstance(answer.word, say.Welcome) and older.phase is say.Phase.ALONE
+    end, = younger.handle(0.0, say.Welcome(say.VERSION + 1, False))
+    assert isinstance(end, say.GiveUpStart) and f"version {say.VERSION + 1}" in end.cause
 
 
 def test_claims_that_are_never_answered_are_bounded_and_past_that_an_attempt_is_given_up_at_once():
     agreement = Agreement(2)
-    claims = [Claimed(("pay", f"k{number}"), f"r{number}", 0.0, 1e6, b"") for number in range(3)]
+    claims = [say.Claimed(("pay", f"k{number}"), f"r{number}", 0.0, 1e6, b"") for number in range(3)]
     assert [agreement.ask(claim, 1000.0) for claim in claims] == [
         [Say(claims[0])], [Say(claims[1])], [GiveUp("r2")]]
     assert agreement.expire(1000.0) == [GiveUp("r0"), GiveUp("r1")] and len(agreement.pending) == 2
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -311,6 +311,22 @@
             return True
 
 
+async def control_call(port, method, path):
+    """A call at a control door: its status and its one line."""
+    caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+    caller.send(f"{method} {path} HTTP/1.1\r\nHost: n3\r\n\r\n".encode())
+    reply = await caller.reply()
+    caller.writer.close()
+    return reply.status, reply.body.decode().strip()
+
+
+def platform_file(http, pool, vault, names, settings, control=None, stop_ms=3000.0):
+    at = {"listen": http, "control": control, "pool": pool.port, "vault": vault.port, "naming": names.port}
+    return json.dumps({
+        **{name: f"127.0.0.1:{port}" for name, port in at.items() if port}, "name": "n3", "seed": "8c1f30d27a5be964",
+        "stop_ms": stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings})
+
+
 @dataclass
 class Rig:
     """The program among its stand-ins."""
@@ -345,12 +361,8 @@
         return self
 
     def configure(self):
-        door = {"control": f"127.0.0.1:{self.ports['control']}"} if self.control else {}
-        self.config.write_text(json.dumps({
-            **door, "name": "n3", "listen": f"127.0.0.1:{self.ports['http']}", "seed": "8c1f30d27a5be964",
-            "pool": f"127.0.0.1:{self.pool.port}", "naming": f"127.0.0.1:{self.names.port}",
-            "vault": f"127.0.0.1:{self.vault.port}", "stop_ms": self.stop_ms,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": self.settings}))
+        self.config.write_text(platform_file(self.ports["http"], self.pool, self.vault, self.names, self.settings,
+                                             self.ports["control"] if self.control else None, self.stop_ms))
 
     async def __aexit__(self, *_):
         if self.process.returncode is None:
@@ -371,11 +383,7 @@
         return reply
 
     async def call(self, method, path):
-        """A call at the control door: its status and its one line."""
-        caller = await self.connect("control")
-        caller.send(f"{method} {path} HTTP/1.1\r\nHost: n3\r\n\r\n".encode())
-        reply = await caller.reply()
-        return reply.status, reply.body.decode().strip()
+        return await control_call(self.ports["control"], method, path)
 
     async def counters(self):
         self.process.send_signal(signal.SIGUSR1)
