--- a/flintshift/lab/peers.py
+++ b/flintshift/lab/peers.py
@@ -153,13 +153,19 @@
 
 
 class Apps(Peer):
-    """A uwsgi app server that answers at once."""
+    """A uwsgi app server that answers at once; ``spawned`` counts runs by id."""
+
+    def __init__(self, port: int = 0) -> None:
+        super().__init__(port)
+        self.spawned: Counter[str] = Counter()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         size = uwsgi.block_size(await reader.readexactly(4), 65536)
         variables = uwsgi.unpack(await reader.readexactly(size))
         await reader.readexactly(int(variables["CONTENT_LENGTH"]))
-        result = f"result of {variables['HTTP_X_JOB_ID']}\n".encode()
+        rid = variables["HTTP_X_JOB_ID"]
+        self.spawned[rid] += 1
+        result = f"result of {rid}\n".encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(result), result))
         await writer.drain()
 
