--- a/flintshift/handover/vocabulary.py
+++ b/flintshift/handover/vocabulary.py
@@ -204,10 +204,6 @@
     calls: float
     others: int = 0
 
-    @property
-    def whole(self) -> bool:
-        return self.crowd >= 1.0 and self.memory >= 1.0 and self.calls >= 1.0
-
 
 @dataclass(frozen=True, slots=True)
 class LosePeer:
