Keep the time of the ledger's wait itself: uvloop gives no timer for under 0.5 ms

Seen: the last run of all tests failed in the killed node, which had ended with 1. Its standard error, kept in 48 kill runs: 'Handle' object has no attribute 'when', in two lives of 48 as the end of the node, in a third in a callback, so claims were not flushed. Cause: ledger.py, _wake_at: loop.call_at within half a millisecond is call_soon on uvloop, and its handle knows no time. Ruled out: addresses in use (no such line), the disk. Change: the time stands in the ledger.

--- a/flintshift/storage/snapshot.py
+++ b/flintshift/storage/snapshot.py
@@ -36,6 +36,13 @@
     return True
 
 
+def unfinished(names: list[str], name: str, by: int) -> list[str]:
+    """Of the names in a folder, what writers of a lower number ``by`` left of the file ``name``."""
+    ends = [(one, one.removeprefix(f"{name}.").removesuffix(UNFINISHED)) for one in names
+            if one.startswith(f"{name}.") and one.endswith(UNFINISHED)]
+    return [one for one, writer in ends if writer.isdecimal() and int(writer) < by]
+
+
 def _written(files: Files, path: Path, data: bytes, durable: bool, by: str = "") -> Path:
     made = path.with_name(f"{path.name}{by}{UNFINISHED}")
     if made.name in files.names(path.parent):
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -111,7 +111,8 @@
         self.backlog: list[tuple[int, bytes]] | None = None  # what came after the snapshot that closes a gap
         self.operation: Operation | None = None  # the disk's next
         self.changed_disk = anyio.Event()  # there is one, or one has ended
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.Handle | None = None
+        self.wakes_ms = math.inf  # when it is due
         self.snapshot_due: tuple[int, bytes] | None = None  # of the segment that was begun last
         self.turn_ms = 0  # the end of the period of now
         self.steps: list[int] = []  # of the clock, not told yet
@@ -260,13 +261,14 @@
             held.popleft()[1]()
 
     def _wake_at(self, at_ms: float) -> None:
-        loop = asyncio.get_running_loop()
-        when = loop.time() + max(0.0, at_ms - self.steady_ms()) / 1000
         if self.timer is not None:
-            if self.timer.when() <= when:
+            if self.wakes_ms <= at_ms:
                 return
             self.timer.cancel()
-        self.timer = loop.call_at(when, self._woken)
+        # The time is kept here: what uvloop gives for under 0.5 ms is no timer, and knows none.
+        self.wakes_ms = at_ms
+        delay = max(0.0, at_ms - self.steady_ms()) / 1000
+        self.timer = asyncio.get_running_loop().call_later(delay, self._woken)
 
     def _woken(self) -> None:
         self.timer = None
--- a/tests/handover/site.py
+++ b/tests/handover/site.py
@@ -11,7 +11,9 @@
 from collections import Counter
 from pathlib import Path
 
-from standins import BYTES, ROOT, SETTINGS, Caller, Names, Pool, Vault, control_call, free_ports, job, platform_file
+from standins import BYTES, ROOT, SETTINGS, Caller, Names, Pool, Vault, control_call, job, platform_file
+
+from flintshift.lab.rig import free_ports
 
 
 class Process:
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -234,6 +234,16 @@
     assert files.read(Path("/out/n")) == b"data" and files.names(Path("/out")) == ["n"]
 
 
+def test_what_a_killed_exporter_left_half_written_is_removed_by_the_next_delivery():
+    files = SimFiles()
+    for left in ("n.1.new", "n.3.new", "m.1.new", "n.x.new"):
+        files.make_folder(Path("/out"))
+        files.create(Path("/out") / left).append(b"da")
+    assert FolderSink(files, Path("/out")).put("n", b"data", 2) == Delivered("folder", "n")
+    # Another document's stays for its own delivery, and a later exporter's is not touched.
+    assert files.names(Path("/out")) == ["m.1.new", "n", "n.3.new", "n.x.new"]
+
+
 @pytest.mark.anyio
 async def test_a_document_that_was_damaged_is_never_delivered(tmp_path):
     made = folder_with(tmp_path / "u", 2)
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 import pytest
+import uvloop
 from storage.sim_files import SimFiles, StoppedError
 
 from flintshift.proto import usage_pb2 as pb
@@ -448,3 +449,18 @@
     files, life = asyncio.run(work())
     assert verify(files, life) == {1, 2}
     assert [step.by_ms for found in out_documents(files).values() for step in found.steps] == [7000]
+
+
+def test_a_wait_that_is_due_now_is_woken_on_the_loop_that_the_node_runs_on():
+    """uvloop gives no timer for less than half a millisecond, and a second wait is told while it stands."""
+    async def play():
+        life = Life(SimFiles(), BEGIN, sync_ms=0.2)
+        woken = []
+        life.ledger._do = woken.append
+        for at_ms in (life.at_ms + 0.2, life.at_ms, life.at_ms + 0.1, life.at_ms + 5000):
+            life.ledger._wake_at(at_ms)
+        await asyncio.sleep(0.05)
+        assert len(woken) == 1 and life.ledger.timer is None
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(play())
