Rank what waits by club and caller: fair queues at the door, off as shipped

Design: door/shares.py is start-time fair queuing in two levels, pure; the decisions ask it for a request's rank when they choose (interface.Rank), and still hold, start and refuse.

--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -26,6 +26,7 @@
 CROWD = 0.7  # share of the survivable crowd that may run
 QUEUE_WANTED = (1.15, 1.5)  # per core: below, the concurrency limit rises; above, it falls
 LIMIT_STEP = 0.03  # per core and tick
+RANK_STEP_MS = 50.0  # ranks in one step count as equal: there, the dearest goes first
 AIM_SHARE = 0.8  # share of the aim that waiting and running may take
 FIRST_RUN, LEARN = 0.15, 0.1  # share of the aim that a run is taken to last at first; weight of a sample
 RUN_FADES = 0.97  # a tick with free cores, for what is thought of a class of which nothing runs
@@ -68,7 +69,7 @@
     repeat: bool  # marked as a further try
     caller: int
     must_call: bool  # it may call and can't go on without
-    order: tuple[float, float]  # among what is held: the dearest first, then by aim
+    order: tuple[float, float, float]  # among what is held: by fair rank, then the dearest first, then by aim
     stage: Stage = Stage.HELD
     answered: bool = False
     level: int = FULL
@@ -85,8 +86,8 @@
 class Controller:
     """Decides for one server: handle() takes an event and returns the actions, in order."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.seed = seed  # no decision draws by it yet
+    def __init__(self, settings: api.Settings, seed: int, rank: api.Rank | None = None) -> None:
+        self.seed, self.rank = seed, rank  # no decision draws by the seed yet
         self.now = self.born_ms = self.probe_ms = self.still_ms = self.rest_ms = self.arrived_ms = 0.0
         self.healthy, self.stuck = True, False  # what checks are told; nothing has moved for long
         self.out: list[api.Action] = []
@@ -302,7 +303,7 @@
         value = self._value(kind, event.tenant)
         work = Work(event.request, kind, event.held_kb, reached, min(aim, due), due, value,
                     event.marked_repeat, event.caller, kind.calls and not kind.skip_worth,
-                    (-value, min(aim, due)))
+                    (0.0, -value, min(aim, due)))
         self.work[work.id] = work
         self._book(work, 1)
         if event.repeat_of and event.repeat_of not in self.released:
@@ -350,6 +351,9 @@
         if not self.counts[Stage.HELD.value]:
             return
         held = [work for work in self.work.values() if work.stage is Stage.HELD]
+        if self.rank is not None:
+            for work in held:
+                work.order = self.rank(work.id) // RANK_STEP_MS, *work.order[1:]
         held.sort(key=BY_VALUE)
         trouble, on_cores, memory, ahead = self._trouble(), self._count(Stage.RUNNING), self._memory_kb(), 0.0
         limit = min(self.limit, on_cores + math.floor(self._crowd_room()))
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -22,7 +22,7 @@
 from flintshift.core.keys import KeyTable, fingerprint
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
-from flintshift.core.ports import Below, Books, Claims, Posture, Workers
+from flintshift.core.ports import Below, Books, Claims, Posture, Ranks, Workers
 from flintshift.interface import Effect, Outcome
 
 
@@ -55,6 +55,7 @@
         self.keys = KeyTable(limits)
         self.books: Books | None = None
         self.claims: Claims | None = None
+        self.ranks: Ranks | None = None
         self.awaiting: dict[str, Attempt] = {}  # the other process's word on their keys; one a connection at most
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
@@ -92,6 +93,9 @@
             self.part = part
             self.pending.append(at.Changed())
 
+    def rank_by(self, ranks: Ranks) -> None:
+        self.ranks, self.controller.rank = ranks, ranks.rank_ms
+
     def used(self) -> Part:
         """The parts of the node's limits that this process uses now."""
         settings = self.catalogue.decided
@@ -129,6 +133,8 @@
             for attempt in self.closing:
                 if attempt.over and not attempt.running:
                     self.requests.pop(attempt.id, None)
+                    if self.ranks is not None:
+                        self.ranks.left(attempt.id)
             self.closing.clear()
 
     def _decide(self, event: api.Event) -> None:
@@ -256,6 +262,8 @@
                 self.claims.ask(attempt)
                 return None
         self.requests[attempt.id] = attempt
+        if self.ranks is not None:
+            self.ranks.arrived(attempt)
         return api.Arrived(
             attempt.id, attempt.class_name, attempt.held_kb, now - attempt.door_ms, attempt.caller,
             attempt.tenant, entry.owner if entry else None, attempt.again, None, attempt.subject)
@@ -263,6 +271,8 @@
     def _run_over(self, attempt: Attempt, report: at.RunOver) -> api.Event:
         attempt.running = False
         attempt.run_ms += report.took_ms
+        if self.ranks is not None:
+            self.ranks.ended(attempt.id, report.took_ms)
         if attempt.over and self.books is not None:
             self.books.ran_on(attempt, report.took_ms)
         if attempt.calling:
@@ -310,6 +320,8 @@
                     return
                 attempt.ran = attempt.running = True
                 self.counters.add("run")
+                if self.ranks is not None:
+                    self.ranks.began(attempt.id)
                 if not self._workers(attempt).spawn(attempt):
                     self.counters.add("dropped.spawn")
                     self.pending.append(at.RunOver(attempt.id, Outcome.REJECTED))
@@ -352,6 +364,8 @@
         entry = self.keys.find(attempt)
         self.counters.add("repeats")
         attempt.kept = True
+        if self.ranks is not None:
+            self.ranks.left(attempt.id)
         if entry is None:
             self.pending.append(at.RunOver(attempt.id, Outcome.ERROR))
         elif entry.outcome is not None:
--- a/flintshift/core/ports.py
+++ b/flintshift/core/ports.py
@@ -54,6 +54,16 @@
     def tick(self) -> None: ...
 
 
+class Ranks(Protocol):
+    """Who says where a request stands in a fair order by club and caller, and is told what becomes of it."""
+
+    def rank_ms(self, request: str) -> float: ...
+    def arrived(self, attempt: Attempt) -> None: ...  # it is on its way to the decisions
+    def began(self, request: str) -> None: ...
+    def left(self, request: str) -> None: ...  # without a run
+    def ended(self, request: str, took_ms: float) -> None: ...
+
+
 class Log(Protocol):
     """Writes a structured event; ``level`` is debug, info, warning or error."""
 
--- /dev/null
+++ b/flintshift/door/shares.py
@@ -0,0 +1,219 @@
+"""The door's heart: start-time fair queuing by club and, within a club, by caller, as a measure of who is next.
+
+Start-time fair queuing (P. Goyal, H. Vin, H. Cheng, "Start-time Fair Queuing", SIGCOMM 1996) gives each request a start
+tag: where its lane's work would begin if each lane had its share of the cores. Served in the order of tags, two lanes
+that always wait differ in served cost by weight by no more than one request of each. Here the decisions choose what
+runs, so:
+
+- A lane is charged when a run begins, by what its class took lately, and put right by what it did take. What was turned
+  away charges nothing: a club that floods is behind by what it was served, never by what it asked for.
+- The virtual time is the least charge of the clubs that wait; where none waits it forgets: unused share is not saved.
+- Within a club, callers are lanes of equal weight, and what waits is in the order of their tags: one caller's flood
+  stands behind its club's other callers. A request's rank is its place in that order, from its club's charge on, as it
+  is when it is asked for: a club gains no place in the order by whom in it the place is given to.
+
+Memory is fixed, whatever arrives: clubs are those that are named, and one for all others. A club knows ``lanes``
+callers by number; one with nothing waiting and no charge past the club's virtual time carries no information and gives
+its place up. Callers past that share ``buckets`` lanes by a keyed hash whose key is drawn anew, so that numbers chosen
+to meet in one bucket with another's do not meet for long. Error: a caller in a bucket is charged for those it shares
+it with, at most until the key changes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from operator import attrgetter
+
+from flintshift.door.vocabulary import Arrived, Began, Ended, Event, Left, Weighed
+
+LEARN = 0.1  # the weight of a sample in what a class is taken to cost
+FIRST_MS = 20.0  # what a class of which nothing is known is taken to cost
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    lanes: int = 64  # callers of a club that are known by number
+    buckets: int = 64  # lanes of a club for all others
+    open: int = 4096  # requests followed; past that one is ranked last in its club, and charged nothing
+    classes: int = 256
+    rekey_ms: float = 10_000.0
+
+
+@dataclass(slots=True, eq=False)
+class Lane:
+    """A caller, or those of one bucket."""
+
+    charged: float = 0.0
+    waiting: int = 0
+    waiting_ms: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Club:
+    weight: float  # of a core's time: cost by weight is time at its share
+    charged: float
+    virtual: float = 0.0  # of its callers
+    lanes: dict[int, Lane] = field(default_factory=dict)
+    buckets: dict[int, Lane] = field(default_factory=dict)
+    waiting: dict[Entry, None] = field(default_factory=dict)  # in the order of coming
+    ordered: bool = True  # their places are as they stand
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    club: Club
+    lane: Lane
+    class_name: str
+    cost: float
+    floor: float  # virtual times when it came: no charge is older
+    lane_floor: float
+    tag: float  # among its club's callers
+    place: float = 0.0  # what stands before it in its club, in time at the club's share
+    began: bool = False
+
+
+class Shares:
+    def __init__(self, weights: Mapping[str, float], cores: int, first_ms: Mapping[str, float], key: bytes,
+                 bounds: Bounds | None = None) -> None:
+        """``first_ms``: what a class is taken to cost before one of it has run; ``key``: random, kept to itself."""
+        self.bounds = bounds or Bounds()
+        self.key, self.keyed_ms = key, 0.0
+        self.cost_ms = dict(first_ms)
+        self.virtual = 0.0
+        self.clubs: dict[str | None, Club] = {}
+        self.open: dict[str, Entry] = {}
+        self.backlogged: dict[Club, None] = {}  # of which something waits
+        self.weights: dict[str, float] = {}
+        self._weigh(weights, cores)
+
+    def handle(self, now_ms: float, event: Event) -> None:
+        match event:
+            case Arrived():
+                self._arrived(now_ms, event)
+            case Began(request):
+                entry = self.open.get(request)
+                if entry is not None and not entry.began:
+                    self._began(entry)
+            case Ended(request, took_ms):
+                entry = self.open.pop(request, None)
+                if entry is not None:
+                    self._ended(entry, took_ms)
+            case Left(request):
+                entry = self.open.get(request)
+                if entry is not None and not entry.began:  # what runs on is charged until it ends
+                    del self.open[request]
+                    self._waits_no_more(entry)
+            case Weighed(weights, cores):
+                self._weigh(dict(weights), cores)
+
+    def rank_ms(self, request: str) -> float:
+        """Where it stands now: the least is next in a fair order. Past all that waits where it is not followed."""
+        entry = self.open.get(request)
+        if entry is None:
+            return max((self._last(club) for club in self.backlogged), default=self.virtual)
+        club = entry.club
+        if not club.ordered:
+            self._order(club)
+        return max(self.virtual, club.charged) + entry.place
+
+    def _last(self, club: Club) -> float:
+        return max(self.virtual, club.charged) + sum(entry.cost for entry in club.waiting) / club.weight
+
+    def _order(self, club: Club) -> None:
+        club.ordered, place = True, 0.0
+        for entry in sorted(club.waiting, key=attrgetter("tag")):
+            entry.place = place
+            place += entry.cost / club.weight
+
+    def _weigh(self, weights: Mapping[str, float], cores: int) -> None:
+        """Charges stay: they are past. What waits keeps its rank, also of a club that is not named any more."""
+        whole = sum(weights.values())
+        self.weights = {club: weight / whole * cores for club, weight in weights.items()}
+        self.least = min(self.weights.values(), default=float(cores))
+        self.clubs = {name: club for name, club in self.clubs.items() if name is None or name in self.weights}
+        for name, club in self.clubs.items():
+            club.weight = self.weights.get(name or "", self.least)
+
+    def _arrived(self, now_ms: float, event: Arrived) -> None:
+        if len(self.open) >= self.bounds.open or event.request in self.open:
+            return
+        if now_ms >= self.keyed_ms + self.bounds.rekey_ms:
+            self._rekey(now_ms)
+        club = self._club(event.club)
+        lane = self._lane(club, event.caller)
+        entry = self.open[event.request] = Entry(
+            club, lane, event.class_name, self.cost_ms.get(event.class_name, FIRST_MS), self.virtual, club.virtual,
+            max(club.virtual, lane.charged) + lane.waiting_ms)
+        lane.waiting += 1
+        lane.waiting_ms += entry.cost
+        club.waiting[entry] = None
+        club.ordered = False
+        self.backlogged[club] = None
+
+    def _club(self, name: str | None) -> Club:
+        key = name if name in self.weights else None  # clubs of no weight are one
+        club = self.clubs.get(key)
+        if club is None:
+            club = self.clubs[key] = Club(self.weights.get(key or "", self.least), self.virtual)
+        return club
+
+    def _lane(self, club: Club, caller: int) -> Lane:
+        lane = club.lanes.get(caller)
+        if lane is not None:
+            return lane
+        if len(club.lanes) >= self.bounds.lanes:
+            # One that has nothing waiting and no charge past the virtual time is as a new one.
+            club.lanes = {number: known for number, known in club.lanes.items()
+                          if known.waiting or known.charged > club.virtual}
+        if len(club.lanes) < self.bounds.lanes:
+            return club.lanes.setdefault(caller, Lane())
+        mark = blake2b(caller.to_bytes(16, "big", signed=True), digest_size=4, key=self.key).digest()
+        return club.buckets.setdefault(int.from_bytes(mark, "big") % self.bounds.buckets, Lane())
+
+    def _rekey(self, now_ms: float) -> None:
+        """Requests that are open keep the lane that they came by; new ones begin without another's charges."""
+        self.keyed_ms = now_ms
+        self.key = blake2b(self.key, digest_size=16, person=b"door-rekey").digest()
+        for club in self.clubs.values():
+            club.buckets = {}
+
+    def _began(self, entry: Entry) -> None:
+        club, lane = entry.club, entry.lane
+        entry.began = True
+        start = max(lane.charged, entry.lane_floor)
+        lane.charged = start + entry.cost
+        club.virtual = max(club.virtual, start)
+        club.charged = max(club.charged, entry.floor) + entry.cost / club.weight
+        self._waits_no_more(entry)
+
+    def _waits_no_more(self, entry: Entry) -> None:
+        club, lane = entry.club, entry.lane
+        lane.waiting -= 1
+        lane.waiting_ms = lane.waiting_ms - entry.cost if lane.waiting else 0.0  # no rounding is carried on
+        del club.waiting[entry]
+        club.ordered = False
+        if not club.waiting:
+            del self.backlogged[club]
+        if self.backlogged:
+            self.virtual = max(self.virtual, min(one.charged for one in self.backlogged))
+        else:
+            self.virtual = max(self.virtual, club.charged)
+
+    def _ended(self, entry: Entry, took_ms: float) -> None:
+        if not entry.began:  # another's run answered it
+            self._waits_no_more(entry)
+            return
+        more = took_ms - entry.cost
+        entry.lane.charged += more
+        entry.club.charged += more / entry.club.weight
+        known = self.cost_ms.get(entry.class_name)
+        if known is not None or len(self.cost_ms) < self.bounds.classes:
+            self.cost_ms[entry.class_name] = took_ms if known is None else known + LEARN * (took_ms - known)
+
+    @property
+    def places(self) -> int:
+        """The entries of all its tables: bounded, whatever comes."""
+        return len(self.open) + len(self.cost_ms) + sum(
+            1 + len(club.lanes) + len(club.buckets) for club in self.clubs.values())
--- /dev/null
+++ b/flintshift/door/vocabulary.py
@@ -0,0 +1,49 @@
+"""What the door is told. Times and costs are milliseconds; a cost is time on a core."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    """A request is on its way to the decisions."""
+
+    request: str
+    club: str | None
+    caller: int
+    class_name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    """Its run has begun."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """It is over and never ran: it was turned away, its caller went, or another's result answered it."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """Its run has ended after so long on a core."""
+
+    request: str
+    took_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Weighed:
+    """From now on the clubs have these weights, above 0, and the node so many cores. Clubs that are not named share the
+    least weight of those that are, as one."""
+
+    weights: tuple[tuple[str, float], ...]
+    cores: int
+
+
+Event = Arrived | Began | Left | Ended | Weighed
--- a/flintshift/interface.py
+++ b/flintshift/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -110,6 +111,11 @@
     connections: float | None = None
 
 
+Rank = Callable[[str], float]
+"""Where a request that is held stands now in a fair order by club and caller: the least is next, in milliseconds at its
+share. A controller may be given one, which changes nothing and depends on what was told before alone."""
+
+
 # Events: what a controller is told.
 
 
--- a/flintshift/lab/peers.py
+++ b/flintshift/lab/peers.py
@@ -100,13 +100,17 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _work(self, rid: str, took_ms: float) -> None:
+        await self.work(took_ms)
+        self._finish(rid, took_ms)
+
+    async def work(self, took_ms: float) -> None:
+        """Keep one of the cores busy for so long, once there is one."""
         self.wanting += 1
         try:
             async with self.cores:
                 await asyncio.sleep(took_ms / 1000)
         finally:
             self.wanting -= 1
-        self._finish(rid, took_ms)
 
     def _finish(self, rid: str, took_ms: float) -> None:
         result = base64.b64encode(f"result of {rid}\n".encode()).decode()
@@ -153,11 +157,14 @@
 
 
 class Apps(Peer):
-    """A uwsgi app server that answers at once; ``spawned`` counts runs by id."""
+    """A uwsgi app server; ``spawned`` counts runs by id. It answers at once, or, on the cores of a worker pool that it
+    stands beside, after ``took_ms``."""
 
     def __init__(self, port: int = 0) -> None:
         super().__init__(port)
         self.spawned: Counter[str] = Counter()
+        self.beside: Pool | None = None
+        self.took_ms = 0.0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         size = uwsgi.block_size(await reader.readexactly(4), 65536)
@@ -165,6 +172,8 @@
         await reader.readexactly(int(variables["CONTENT_LENGTH"]))
         rid = variables["HTTP_X_JOB_ID"]
         self.spawned[rid] += 1
+        if self.beside is not None:
+            await self.beside.work(self.took_ms)
         result = f"result of {rid}\n".encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(result), result))
         await writer.drain()
--- /dev/null
+++ b/flintshift/lifecycle/fair_door.py
@@ -0,0 +1,46 @@
+"""The fair queues at the node's side: what the decision planner asks and tells the door's heart. Imported only where
+the door is on.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+from flintshift import interface as api
+from flintshift.core.attempts import Attempt
+from flintshift.door.shares import Shares
+from flintshift.door.vocabulary import Arrived, Began, Ended, Left, Weighed
+
+FIRST = 0.15  # of a class's aim that its runs are taken to last at first, as the decisions take it
+
+
+def _weights(settings: api.Settings) -> dict[str, float]:
+    return {tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s > 0}
+
+
+class FairDoor:
+    """The decision planner's port (``core.ports.Ranks``); clubs weigh as their quotas."""
+
+    def __init__(self, settings: api.Settings, now_ms: Callable[[], float]) -> None:
+        self.now_ms = now_ms
+        first_ms = {kind.name: FIRST * kind.aim_ms for kind in settings.classes}
+        self.shares = Shares(_weights(settings), settings.cores, first_ms, os.urandom(16))
+
+    def change(self, settings: api.Settings) -> None:
+        self.shares.handle(self.now_ms(), Weighed(tuple(_weights(settings).items()), settings.cores))
+
+    def rank_ms(self, request: str) -> float:
+        return self.shares.rank_ms(request)
+
+    def arrived(self, attempt: Attempt) -> None:
+        self.shares.handle(self.now_ms(), Arrived(attempt.id, attempt.tenant, attempt.caller, attempt.class_name))
+
+    def began(self, request: str) -> None:
+        self.shares.handle(self.now_ms(), Began(request))
+
+    def left(self, request: str) -> None:
+        self.shares.handle(self.now_ms(), Left(request))
+
+    def ended(self, request: str, took_ms: float) -> None:
+        self.shares.handle(self.now_ms(), Ended(request, took_ms))
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from flintshift.lifecycle.books import Books
+    from flintshift.lifecycle.fair_door import FairDoor
     from flintshift.lifecycle.upgrade import Upgrade
     from flintshift.usage.ledger import Ledger
     from flintshift.wire.control_front import ControlFront
@@ -86,6 +87,11 @@
         self.books: Books | None = None
         if config.operators.usage is not None:
             self._keep_books(config.operators.usage)
+        self.fair: FairDoor | None = None
+        if config.operators.door is not None:
+            from flintshift.lifecycle.fair_door import FairDoor
+            self.fair = FairDoor(config.settings, now_ms)
+            self.decisions.rank_by(self.fair)
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
         self.listing = Listing(lists, limits)
@@ -198,6 +204,8 @@
             raise ConfigError(wrong)
         if self.books is not None:
             self.books.change(config.settings)
+        if self.fair is not None:
+            self.fair.change(config.settings)
         for name in STANDING:
             if getattr(config, name) != getattr(self.config, name):
                 text = f"{name} stays as it was at the start: it can't change while the node runs"
--- a/flintshift/settings/operators.py
+++ b/flintshift/settings/operators.py
@@ -18,6 +18,7 @@
 
 from flintshift.settings import units
 from flintshift.settings.options import (
+    DoorOptions,
     ExportOptions,
     HttpSinkOptions,
     LogOptions,
@@ -133,6 +134,10 @@
     export: ExportPart | None = None
 
 
+class DoorPart(Part):
+    enabled: bool = False
+
+
 SYNC_MS = {"power-cut": 5.0, "process-death": 50.0, "none": 50.0}
 SYNC_HELD_MS = 100.0  # the most where answers wait for it: they have due times
 
@@ -141,6 +146,7 @@
     uwsgi: UwsgiPart = UwsgiPart()
     log: LogPart = LogPart()
     usage: UsagePart = UsagePart()
+    door: DoorPart = DoorPart()
 
 
 def read(path: Path) -> Operators:
@@ -265,6 +271,7 @@
             SYNC_MS[usage.durability] if usage.sync is None else usage.sync,
             usage.on_disk_failure, usage.segment, int(usage.retention),
             _export(usage.export, base)) if usage.enabled else None,
+        door=DoorOptions() if told.door.enabled else None,
     )
 
 
--- a/flintshift/settings/options.py
+++ b/flintshift/settings/options.py
@@ -56,8 +56,14 @@
     export: ExportOptions | None
 
 
+@dataclass(frozen=True, slots=True)
+class DoorOptions:
+    """Fair queues by club and caller; it has no settings yet but being on."""
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     uwsgi: UwsgiOptions | None = None
     log: LogOptions | None = None
     usage: UsageOptions | None = None
+    door: DoorOptions | None = None
--- /dev/null
+++ b/tests/door/test_fair_door.py
@@ -0,0 +1,99 @@
+"""The fair queues in the program: wired where the operators' file says so, and not even imported elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from flintshift import interface as api
+from flintshift.core.attempts import Attempt, RunOver, Submitted, Up
+from flintshift.core.catalogue import Catalogue
+from flintshift.core.counters import Counters
+from flintshift.core.decisions import Decisions
+from flintshift.core.limits import Limits
+from flintshift.lab.callers import fields_of, http_request, reply
+from flintshift.lab.peers import Pool
+from flintshift.lab.rig import Rig
+from flintshift.lifecycle.fair_door import FairDoor
+
+pytestmark = pytest.mark.anyio
+
+
+async def ask(rig, number, club):
+    reader, writer = await asyncio.open_connection("127.0.0.1", rig.ports["http"])
+    writer.write(http_request("standings", b"1", fields_of(f"{number:016x}", club, "standings", number)))
+    status, *_ = await reply(reader)
+    writer.close()
+    return status
+
+
+async def test_a_node_with_the_door_on_serves_and_takes_new_weights(tmp_path):
+    pool = Pool(cores=2, took_ms={"standings": 10.0})
+    async with Rig(tmp_path, "door: {enabled: true}\nlog: {enabled: true}\n", pool=pool) as rig:
+        answers = await asyncio.gather(*(ask(rig, number, "sur-pacers") for number in range(1, 9)))
+        assert answers == [200] * 8
+        told = json.loads(rig.config.read_text())
+        told["settings"]["tenants"].append({"name": "new-club", "quotaPerS": 400.0})
+        rig.config.write_text(json.dumps(told))
+        rig.process.send_signal(signal.SIGHUP)
+        async with asyncio.timeout(5):
+            while await ask(rig, 20, "new-club") != 200:  # until it is taken, a club that is not known
+                pass
+        assert await rig.leave() == 0
+
+
+def test_without_it_the_door_is_not_imported():
+    text = ("import sys\nfrom flintshift.lifecycle.config import embedded\nfrom flintshift.lifecycle.node import Node\n"
+            "import anyio\nasync def made(): assert Node(embedded(), embedded).fair is None\nanyio.run(made)\n"
+            "print([name for name in sys.modules if 'door' in name and name.startswith('flintshift')])")
+    assert subprocess.run([sys.executable, "-c", text], capture_output=True).stdout == b"[]\n"
+
+
+class Site:
+    """The decision planner with the door, a worker pool that keeps what it is given, and a clock of its own."""
+
+    def __init__(self, fair):
+        kind = api.RequestClass("look", 1000.0, 3000.0, 1.0, api.Effect.SAFE)
+        self.settings = api.Settings([kind], 2, 1e6, 4.0, 5.0, 500.0, [api.Tenant("a", 10.0), api.Tenant("b", 10.0)])
+        self.now, self.runs, self.answers, self.number = 1000.0, [], {}, 0
+        self.decisions = Decisions(Catalogue(self.settings, Limits()), 1, Limits(), Counters(), lambda: self.now,
+                                   lambda at_ms, token: None, lambda: None)
+        self.decisions.workers = {"pool": self}
+        self.decisions.posture.up = True
+        self.fair = FairDoor(self.settings, lambda: self.now) if fair else None
+        if self.fair is not None:
+            self.decisions.rank_by(self.fair)
+        self.decisions.handle(Up())
+
+    def spawn(self, attempt):
+        self.runs.append(attempt)
+        return True
+
+    def arrive(self, club, caller=1):
+        self.number += 1
+        rid = f"{self.number:016x}"
+        attempt = Attempt(id=rid, class_name="look", body=b"", door_ms=self.now, caller=caller, tenant=club,
+                          held_kb=1.0, tell=lambda answer: self.answers.setdefault(rid, answer))
+        self.decisions.handle(Submitted(attempt))
+        return attempt
+
+
+@pytest.mark.parametrize("fair", [True, False])
+def test_a_club_that_floods_the_decisions_does_not_take_the_other_clubs_place(fair):
+    site = Site(fair)
+    for _ in range(40):
+        site.arrive("a")
+    other = [site.arrive("b") for _ in range(4)]
+    begun = len(site.runs)
+    for ended in range(begun + 8):
+        site.now += 20.0
+        site.decisions.handle(RunOver(site.runs[ended].id, api.Outcome.OK, 100.0))
+    served = sum(one in site.runs[:begun + 8] for one in other)
+    assert served == (3 if fair else 0)  # by turns; without it the oldest go first, which is the flood
+    if fair:
+        assert len(site.fair.shares.open) == site.decisions.open
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -794,3 +794,21 @@
     again = server.call_ends(request, Outcome.INTERRUPTED)
     assert any(isinstance(action, api.Call) for action in again)
     assert api.SkipCall(request) in server.call_ends(request, Outcome.INTERRUPTED)
+
+
+def test_what_is_held_goes_by_its_fair_rank_first_and_within_a_step_by_worth(make):
+    server = make()
+    ranks = {}
+    server.control.rank = lambda request: ranks.get(request, 500.0)
+    running = server.fill()
+    early, _ = server.arrive()
+    ranks[early] = 60.0
+    late, _ = server.arrive()
+    dear, _ = server.arrive("buy")  # worth five times as much, and behind by less than a step
+    ranks[late], ranks[dear] = 0.0, 49.0
+    started = []
+    for request in running:
+        started += [action.request for action in server.ends(request) if isinstance(action, api.Run)]
+        if len(started) >= 3:
+            break
+    assert started[:3] == [dear, late, early]
