Promise a time to come back, and keep room for it: a calendar of slots for each club

Design: a calendar of 50 ms slots a club, sums and hashed marks in fixed memory; who comes at its time goes to the front of its club. Off as shipped.

--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -326,6 +326,8 @@
                     self.counters.add("dropped.spawn")
                     self.pending.append(at.RunOver(attempt.id, Outcome.REJECTED))
             case api.Refuse(_, stay_away_ms, not_elsewhere):
+                if self.ranks is not None and self.posture.wait_ms and not self.posture.leaving:
+                    stay_away_ms = self.ranks.come_back_ms(attempt.id, self.posture.wait_ms)
                 self._settle(attempt, Answer(Verdict.REFUSED, b"", stay_away_ms, not_elsewhere))
                 self.closing.append(attempt)
             case api.Fail():
--- a/flintshift/door/promises.py
+++ b/flintshift/door/promises.py
@@ -1,10 +1,11 @@
 """Times to come back that are kept: a calendar of slots for each club, in fixed memory.
 
-Whoever is turned away is told when its club will have worked off what stands before it, at its share, and a place is set
-aside then. The calendar holds sums and marks, not callers: a slot knows how much of it is given away and, by a keyed hash
-of the caller's number, how many of its places each mark has. Who comes at its time is known by its mark and goes to the
-front of its club; who comes before gains nothing. Two callers of one mark in one slot are taken for each other: each of
-them still has a place.
+Whoever is turned away is told when the other clubs will have caught up with its own, and a place is set aside then.
+The calendar is of slots, each with a bounded number of places: it knows how much of a slot is given away and, by 32
+bits of a keyed hash of the caller's number, to whom. Who comes at its time goes to the front of its club; who comes
+before gains nothing, and where further tries are marked, a first one takes no place of its caller's. Of those who
+come without a promise, one in 2**32 for each place that is kept then is taken for another. (Marks of six bits were
+tried: newcomers took most places before their time.)
 """
 
 from __future__ import annotations
@@ -20,12 +21,13 @@
 class CalendarBounds:
     slot_ms: float = 50.0
     slots: int = 256  # ahead of now: no time further off is promised
-    marks: int = 64  # of a slot
+    places: int = 64  # of a slot
 
 
 @dataclass(slots=True)
 class Slot:
     given_ms: float = 0.0
+    places: int = 0  # given away
     marks: dict[int, int] = field(default_factory=dict)
 
 
@@ -41,19 +43,19 @@
                 draw: float) -> float | None:
         """Set a place aside; returns the wait, or None where there is no room within ``most_ms``.
 
-        ``cost_ms`` and ``from_ms`` are times at the club's share: what it will take, and what stands before it. ``draw``
-        from 0 to 1 spreads the callers of one slot, so that they do not come together.
+        ``cost_ms`` and ``from_ms`` are times at the club's share: what it will take, and what stands before it.
+        ``draw`` from 0 to 1 spreads the callers of one slot, so that they do not come together.
         """
         self._pass(now_ms)
         slot_ms, room = self.bounds.slot_ms, PART * self.bounds.slot_ms
         last = min(int((now_ms + most_ms) / slot_ms) - 1, self.now + self.bounds.slots)
         for number in range(max(self.now + 1, int((now_ms + from_ms) / slot_ms) + 1), last + 1):
             slot = self.slots.get(number)
-            given = slot.given_ms if slot is not None else 0.0
-            if given and given + cost_ms > room:  # a request dearer than a slot has one for itself
-                continue
+            if slot is not None and (slot.given_ms + cost_ms > room or slot.places >= self.bounds.places):
+                continue  # a request dearer than a slot has one for itself
             slot = self.slots.setdefault(number, Slot())
             slot.given_ms += cost_ms
+            slot.places += 1
             mark = self._mark(caller)
             slot.marks[mark] = slot.marks.get(mark, 0) + 1
             return (number + draw) * slot_ms - now_ms
@@ -79,7 +81,7 @@
 
     def _mark(self, caller: int) -> int:
         data = blake2b(caller.to_bytes(16, "big", signed=True), digest_size=4, key=self.key).digest()
-        return int.from_bytes(data, "big") % self.bounds.marks
+        return int.from_bytes(data, "big")
 
     @property
     def places(self) -> int:
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -26,9 +26,21 @@
 from hashlib import blake2b
 from operator import attrgetter
 
-from flintshift.door.vocabulary import Arrived, Began, Ended, Event, Left, Weighed
+from flintshift.door.promises import Calendar, CalendarBounds
+from flintshift.door.vocabulary import (
+    Action,
+    Arrived,
+    Began,
+    ComeBack,
+    Ended,
+    Event,
+    Left,
+    TurnedAway,
+    Weighed,
+)
 
 LEARN = 0.1  # the weight of a sample in what a class is taken to cost
+FRONT = -1.0  # the tag of who comes at the time that it was told: before all others of its club
 FIRST_MS = 20.0  # what a class of which nothing is known is taken to cost
 
 
@@ -39,6 +51,7 @@
     open: int = 4096  # requests followed; past that one is ranked last in its club, and charged nothing
     classes: int = 256
     rekey_ms: float = 10_000.0
+    calendar: CalendarBounds = field(default_factory=CalendarBounds)
 
 
 @dataclass(slots=True, eq=False)
@@ -54,6 +67,7 @@
 class Club:
     weight: float  # of a core's time: cost by weight is time at its share
     charged: float
+    calendar: Calendar
     virtual: float = 0.0  # of its callers
     lanes: dict[int, Lane] = field(default_factory=dict)
     buckets: dict[int, Lane] = field(default_factory=dict)
@@ -65,6 +79,7 @@
 class Entry:
     club: Club
     lane: Lane
+    caller: int
     class_name: str
     cost: float
     floor: float  # virtual times when it came: no charge is older
@@ -88,7 +103,7 @@
         self.weights: dict[str, float] = {}
         self._weigh(weights, cores)
 
-    def handle(self, now_ms: float, event: Event) -> None:
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
         match event:
             case Arrived():
                 self._arrived(now_ms, event)
@@ -105,8 +120,24 @@
                 if entry is not None and not entry.began:  # what runs on is charged until it ends
                     del self.open[request]
                     self._waits_no_more(entry)
+            case TurnedAway(request, most_ms, draw):
+                entry = self.open.get(request)
+                if entry is None or entry.began:
+                    return [ComeBack(most_ms, False)]
+                del self.open[request]
+                self._waits_no_more(entry)
+                return [self._come_back(now_ms, entry, most_ms, draw)]
             case Weighed(weights, cores):
                 self._weigh(dict(weights), cores)
+        return []
+
+    def _come_back(self, now_ms: float, entry: Entry, most_ms: float, draw: float) -> ComeBack:
+        """When the others have caught up with its club. What waits there now does not stand before it then: who comes
+        at its time goes to the front."""
+        club = entry.club
+        wait_ms = club.calendar.promise(now_ms, entry.caller, entry.cost / club.weight,
+                                        max(0.0, club.charged - self.virtual), most_ms, draw)
+        return ComeBack(most_ms, False) if wait_ms is None else ComeBack(wait_ms, True)
 
     def rank_ms(self, request: str) -> float:
         """Where it stands now: the least is next in a fair order. Past all that waits where it is not followed."""
@@ -144,8 +175,10 @@
         club = self._club(event.club)
         lane = self._lane(club, event.caller)
         entry = self.open[event.request] = Entry(
-            club, lane, event.class_name, self.cost_ms.get(event.class_name, FIRST_MS), self.virtual, club.virtual,
-            max(club.virtual, lane.charged) + lane.waiting_ms)
+            club, lane, event.caller, event.class_name, self.cost_ms.get(event.class_name, FIRST_MS), self.virtual,
+            club.virtual, max(club.virtual, lane.charged) + lane.waiting_ms)
+        if event.again and club.calendar.keeps(now_ms, event.caller):
+            entry.tag = FRONT
         lane.waiting += 1
         lane.waiting_ms += entry.cost
         club.waiting[entry] = None
@@ -156,7 +189,8 @@
         key = name if name in self.weights else None  # clubs of no weight are one
         club = self.clubs.get(key)
         if club is None:
-            club = self.clubs[key] = Club(self.weights.get(key or "", self.least), self.virtual)
+            club = self.clubs[key] = Club(self.weights.get(key or "", self.least), self.virtual,
+                                          Calendar(self.key, self.bounds.calendar))
         return club
 
     def _lane(self, club: Club, caller: int) -> Lane:
@@ -216,4 +250,4 @@
     def places(self) -> int:
         """The entries of all its tables: bounded, whatever comes."""
         return len(self.open) + len(self.cost_ms) + sum(
-            1 + len(club.lanes) + len(club.buckets) for club in self.clubs.values())
+            1 + len(club.lanes) + len(club.buckets) + club.calendar.places for club in self.clubs.values())
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/vocabulary.py
@@ -1,4 +1,4 @@
-"""What the door is told. Times and costs are milliseconds; a cost is time on a core."""
+"""What the door is told and answers. Times and costs are milliseconds; a cost is time on a core."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
     club: str | None
     caller: int
     class_name: str
+    again: bool = False  # it may be a further try, come at the time that its caller was told
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,11 +25,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Left:
-    """It is over and never ran: it was turned away, its caller went, or another's result answered it."""
+    """It is over and never ran: its caller went, or another's result answered it."""
 
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """It was refused, and is told when to come back: answered by the time."""
+
+    request: str
+    most_ms: float  # the longest that may be told
+    draw: float  # from 0 to 1, random
+
+
+@dataclass(frozen=True, slots=True)
+class ComeBack:
+    """The time after which there is room for it; it is kept free, unless this is not promised."""
+
+    wait_ms: float
+    promised: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Ended:
     """Its run has ended after so long on a core."""
@@ -46,4 +64,5 @@
     cores: int
 
 
-Event = Arrived | Began | Left | Ended | Weighed
+Event = Arrived | Began | Left | TurnedAway | Ended | Weighed
+Action = ComeBack
--- a/flintshift/lab/callers.py
+++ b/flintshift/lab/callers.py
@@ -52,10 +52,21 @@
 
 async def reply(reader: asyncio.StreamReader) -> tuple[int, bytes, bool]:
     """Status, body, and whether the connection stays."""
-    head = await reader.readuntil(b"\r\n\r\n")
-    status, lower = int(head[9:12]), head.lower()
-    size = int(lower.split(b"content-length: ")[1].split(b"\r\n")[0])
-    return status, await reader.readexactly(size), b"connection: close" not in lower
+    status, body, head = await reply_with_head(reader)
+    return status, body, b"connection: close" not in head
+
+
+async def reply_with_head(reader: asyncio.StreamReader) -> tuple[int, bytes, bytes]:
+    """Status, body, and the head in small letters."""
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    size = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+    return int(head[9:12]), await reader.readexactly(size), head
+
+
+def wait_ms(head: bytes) -> float | None:
+    """How long a refusal asks to stay away."""
+    _, told, rest = head.partition(b"x-wait-ms: ")
+    return float(rest.split(b"\r\n")[0]) if told else None
 
 
 class Caller:
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -5,12 +5,14 @@
 from __future__ import annotations
 
 import os
+import random
 from collections.abc import Callable
 
 from flintshift import interface as api
 from flintshift.core.attempts import Attempt
+from flintshift.core.counters import Counters
 from flintshift.door.shares import Shares
-from flintshift.door.vocabulary import Arrived, Began, Ended, Left, Weighed
+from flintshift.door.vocabulary import Arrived, Began, Ended, Left, TurnedAway, Weighed
 
 FIRST = 0.15  # of a class's aim that its runs are taken to last at first, as the decisions take it
 
@@ -22,19 +24,22 @@
 class FairDoor:
     """The decision planner's port (``core.ports.Ranks``); clubs weigh as their quotas."""
 
-    def __init__(self, settings: api.Settings, now_ms: Callable[[], float]) -> None:
-        self.now_ms = now_ms
+    def __init__(self, settings: api.Settings, counters: Counters, now_ms: Callable[[], float]) -> None:
+        self.counters, self.now_ms, self.draw = counters, now_ms, random.random
+        self.marked = settings.marks_repeats  # further tries say that they are
         first_ms = {kind.name: FIRST * kind.aim_ms for kind in settings.classes}
         self.shares = Shares(_weights(settings), settings.cores, first_ms, os.urandom(16))
 
     def change(self, settings: api.Settings) -> None:
+        self.marked = settings.marks_repeats
         self.shares.handle(self.now_ms(), Weighed(tuple(_weights(settings).items()), settings.cores))
 
     def rank_ms(self, request: str) -> float:
         return self.shares.rank_ms(request)
 
     def arrived(self, attempt: Attempt) -> None:
-        self.shares.handle(self.now_ms(), Arrived(attempt.id, attempt.tenant, attempt.caller, attempt.class_name))
+        self.shares.handle(self.now_ms(), Arrived(
+            attempt.id, attempt.tenant, attempt.caller, attempt.class_name, attempt.again or not self.marked))
 
     def began(self, request: str) -> None:
         self.shares.handle(self.now_ms(), Began(request))
@@ -42,5 +47,10 @@
     def left(self, request: str) -> None:
         self.shares.handle(self.now_ms(), Left(request))
 
+    def come_back_ms(self, request: str, most_ms: float) -> float:
+        told, = self.shares.handle(self.now_ms(), TurnedAway(request, most_ms, self.draw()))
+        self.counters.add("door.promised" if told.promised else "door.not_promised")
+        return told.wait_ms
+
     def ended(self, request: str, took_ms: float) -> None:
         self.shares.handle(self.now_ms(), Ended(request, took_ms))
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -90,7 +90,7 @@
         self.fair: FairDoor | None = None
         if config.operators.door is not None:
             from flintshift.lifecycle.fair_door import FairDoor
-            self.fair = FairDoor(config.settings, now_ms)
+            self.fair = FairDoor(config.settings, counters, now_ms)
             self.decisions.rank_by(self.fair)
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
--- /dev/null
+++ b/tests/door/test_promises.py
@@ -0,0 +1,92 @@
+"""Times to come back: that there is room then, that they are spread, kept in fixed memory and given to nobody else."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flintshift.door.promises import LATE_SLOTS, PART, Calendar, CalendarBounds
+from flintshift.door.shares import Shares
+from flintshift.door.vocabulary import Arrived, Began, ComeBack, Ended, TurnedAway
+
+KEY = b"k" * 16
+
+
+@settings(max_examples=200, deadline=None)
+@given(seed=st.integers(0, 10_000), cost=st.floats(1.0, 200.0), most=st.floats(20.0, 5000.0))
+def test_a_promised_time_lies_within_its_bounds_and_its_slot_is_not_given_away_twice(seed, cost, most):
+    draw, calendar, now, told = random.Random(seed), Calendar(KEY), 0.0, {}
+    for caller in range(150):
+        now += draw.random() * 20
+        from_ms = draw.random() * 300
+        wait = calendar.promise(now, caller, cost, from_ms, most, draw.random())
+        if wait is not None:
+            assert from_ms <= wait <= most
+            told.setdefault(int((now + wait) / 50.0), []).append(cost)
+        assert calendar.places <= (most / 50 + 3 + LATE_SLOTS) * 65
+    for costs in told.values():
+        assert len(costs) == 1 or sum(costs) <= PART * 50.0 + 1e-9
+
+
+def test_who_comes_at_its_time_finds_its_place_once_and_who_comes_before_or_too_late_none():
+    calendar = Calendar(KEY)
+    wait = calendar.promise(1000.0, 7, 10.0, 120.0, 1000.0, 0.0)
+    assert wait == 150.0
+    assert not calendar.keeps(1100.0, 7) and not calendar.keeps(1160.0, 8)
+    assert calendar.keeps(1160.0, 7) and not calendar.keeps(1161.0, 7)
+    assert calendar.promise(1200.0, 7, 10.0, 0.0, 1000.0, 0.0) == 50.0
+    assert not calendar.keeps(1250.0 + 50.0 * (LATE_SLOTS + 1), 7) and calendar.places == 0
+
+
+def test_a_clock_that_is_set_back_takes_no_promise_back():
+    calendar = Calendar(KEY)
+    assert calendar.promise(10_000.0, 7, 10.0, 0.0, 1000.0, 0.0) == 50.0
+    assert not calendar.keeps(4000.0, 7) and calendar.keeps(10_050.0, 7)
+
+
+def test_memory_is_fixed_whatever_is_asked():
+    calendar = Calendar(KEY, CalendarBounds(slots=20, places=8))
+    draw = random.Random(5)
+    for number in range(30_000):
+        calendar.promise(number * 0.5, draw.getrandbits(63), 0.01, 0.0, 1e9, draw.random())
+        assert calendar.places <= (20 + 2 + LATE_SLOTS) * 9
+
+
+@pytest.mark.parametrize("heeds", [True, False])
+def test_in_a_flood_those_who_heed_their_time_are_served_then_and_those_who_do_not_gain_nothing(heeds):
+    """A server of one run at a time, 10 ms each, that turns away what is not among the next five of the order."""
+    shares = Shares({"a": 1.0, "b": 1.0}, 1, {"look": 10.0}, KEY)
+    draw, back, kept, broken, served = random.Random(1), [], 0, 0, Counter()
+    waiting: dict[str, bool] = {}  # whether it comes at its time
+    for tick in range(2000):
+        now = tick * 10.0
+        come = [("a", draw.randrange(10_000), False) for _ in range(3)] + [("b", 1, False)]
+        come += [(club, caller, True) for at, club, caller in back if at <= now]
+        back = [one for one in back if one[0] > now]
+        for number, (club, caller, returns) in enumerate(come):
+            request = f"{tick}-{number}-{club}"
+            shares.handle(now, Arrived(request, club, caller, "look", returns))
+            waiting[request] = returns
+        order = sorted(waiting, key=shares.rank_ms)
+        for request in order[5:]:
+            returns = waiting.pop(request)
+            broken += returns
+            caller, club = shares.open[request].caller, request[-1]
+            told, = shares.handle(now, TurnedAway(request, 1000.0, draw.random()))
+            assert isinstance(told, ComeBack) and told.wait_ms <= 1000.0
+            if told.promised:
+                back.append((now + (told.wait_ms if heeds else told.wait_ms / 4), club, caller))
+        shares.handle(now, Began(order[0]))
+        shares.handle(now, Ended(order[0], 10.0))
+        returns = waiting.pop(order[0])
+        kept += returns
+        served[order[0][-1]] += 1
+    assert abs(served["a"] - served["b"]) <= 2  # promises cost the other club nothing
+    if heeds:
+        assert kept >= 0.95 * (kept + broken) and kept > 300
+    else:
+        assert kept < 0.5 * (kept + broken)
