--- a/flintshift/cli/main.py
+++ b/flintshift/cli/main.py
@@ -52,7 +52,7 @@
 @click.option("--json", "as_json", is_flag=True, help="Print the faults as a JSON array.")
 def check(file: Path, as_json: bool) -> None:
     """Check an operators' FILE: every fault at once, each with file, line, column, path and what was expected."""
-    from dataclasses import asdict
+    from dataclasses import asdict, fields
 
     from flintshift.settings.operators import FaultsError, read
     try:
@@ -67,7 +67,7 @@
     if as_json:
         click.echo("[]")
     else:
-        on = [name for name in ("uwsgi", "log", "usage") if getattr(told, name) is not None]
+        on = [part.name for part in fields(told) if getattr(told, part.name) is not None]
         click.echo(f"{file}: good; on: {', '.join(on) or 'nothing'}")
 
 
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -57,6 +57,9 @@
 def test_check_names_all_faults_and_exits_with_2(tmp_path):
     good = run("check", ROOT / "deploy" / "flintshift.yaml")
     assert good.exit_code == 0 and "good; on: nothing" in good.output
+    some = tmp_path / "some.yaml"
+    some.write_text("door: {enabled: true}\nlog: {enabled: true}\n")
+    assert "good; on: log, door" in run("check", some).output
     bad = tmp_path / "bad.yaml"
     bad.write_text("log: {level: loud}\nusage:\n  period: 5\n")
     told = run("check", bad)
