Tell of a club's surge in the log as it begins, goes on and ends

Need: at three in the morning nobody could tell a surge of one club from a node that is too small. Design: windows of a second by club, counted at the door; a surge is more than 1.2 times the share and something turned away, until three windows without. Rejected: refusals alone (they tell of a small node too); a line a window (a club that comes and goes by the second would fill the log); telling from the module (it knows no weights and has no log).

--- a/flintshift/core/ports.py
+++ b/flintshift/core/ports.py
@@ -61,8 +61,9 @@
     def arrived(self, attempt: Attempt) -> None: ...  # it is on its way to the decisions
     def began(self, request: str) -> None: ...
     def left(self, request: str) -> None: ...  # without a run
-    def come_back_ms(self, request: str, most_ms: float) -> float: ...  # it is turned away: the wait that it is told
+    def come_back_ms(self, attempt: Attempt, most_ms: float) -> float: ...  # it is turned away, and told this wait
     def ended(self, request: str, took_ms: float) -> None: ...
+    def tick(self) -> None: ...
 
 
 class Log(Protocol):
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/vocabulary.py
@@ -66,3 +66,31 @@
 
 Event = Arrived | Began | Left | TurnedAway | Ended | Weighed
 Action = ComeBack
+
+
+# What is told of surges.
+
+
+@dataclass(frozen=True, slots=True)
+class SurgeBegan:
+    """A club asks for so many times its share, and so many of its requests were turned away in the last second."""
+
+    club: str | None
+    times: float
+    turned_away: int
+
+
+@dataclass(frozen=True, slots=True)
+class SurgeGoesOn:
+    club: str | None
+    since_ms: float
+    times: float  # now
+    turned_away: int  # since it began
+
+
+@dataclass(frozen=True, slots=True)
+class SurgeEnded:
+    club: str | None
+    lasted_ms: float
+    most_times: float
+    turned_away: int
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -11,8 +11,20 @@
 from flintshift import interface as api
 from flintshift.core.attempts import Attempt
 from flintshift.core.counters import Counters
-from flintshift.door.shares import Shares
-from flintshift.door.vocabulary import Arrived, Began, Ended, Left, TurnedAway, Weighed
+from flintshift.core.ports import Log, silent
+from flintshift.door.shares import FIRST_MS, Shares
+from flintshift.door.surges import Surges
+from flintshift.door.vocabulary import (
+    Arrived,
+    Began,
+    Ended,
+    Left,
+    SurgeBegan,
+    SurgeEnded,
+    SurgeGoesOn,
+    TurnedAway,
+    Weighed,
+)
 
 FIRST = 0.15  # of a class's aim that its runs are taken to last at first, as the decisions take it
 
@@ -29,10 +41,13 @@
         self.marked = settings.marks_repeats  # further tries say that they are
         first_ms = {kind.name: FIRST * kind.aim_ms for kind in settings.classes}
         self.shares = Shares(_weights(settings), settings.cores, first_ms, os.urandom(16))
+        self.surges = Surges(self.shares.weights, now_ms())
+        self.log: Log = silent
 
     def change(self, settings: api.Settings) -> None:
         self.marked = settings.marks_repeats
         self.shares.handle(self.now_ms(), Weighed(tuple(_weights(settings).items()), settings.cores))
+        self.surges.weigh(self.shares.weights)
 
     def rank_ms(self, request: str) -> float:
         return self.shares.rank_ms(request)
@@ -40,6 +55,7 @@
     def arrived(self, attempt: Attempt) -> None:
         self.shares.handle(self.now_ms(), Arrived(
             attempt.id, attempt.tenant, attempt.caller, attempt.class_name, attempt.again or not self.marked))
+        self.surges.asked(attempt.tenant, self.shares.cost_ms.get(attempt.class_name, FIRST_MS))
 
     def began(self, request: str) -> None:
         self.shares.handle(self.now_ms(), Began(request))
@@ -47,10 +63,25 @@
     def left(self, request: str) -> None:
         self.shares.handle(self.now_ms(), Left(request))
 
-    def come_back_ms(self, request: str, most_ms: float) -> float:
-        told, = self.shares.handle(self.now_ms(), TurnedAway(request, most_ms, self.draw()))
+    def come_back_ms(self, attempt: Attempt, most_ms: float) -> float:
+        self.surges.turned_away(attempt.tenant)
+        told, = self.shares.handle(self.now_ms(), TurnedAway(attempt.id, most_ms, self.draw()))
         self.counters.add("door.promised" if told.promised else "door.not_promised")
         return told.wait_ms
 
     def ended(self, request: str, took_ms: float) -> None:
         self.shares.handle(self.now_ms(), Ended(request, took_ms))
+
+    def tick(self) -> None:
+        for told in self.surges.tick(self.now_ms()):
+            match told:
+                case SurgeBegan(club, times, turned_away):
+                    self.counters.add("door.surges")
+                    self.log("warning", "door.surge_began", club=club, times_its_share=round(times, 1),
+                             turned_away=turned_away)
+                case SurgeGoesOn(club, since_ms, times, turned_away):
+                    self.log("warning", "door.surge_goes_on", club=club, since_s=round(since_ms / 1000),
+                             times_its_share=round(times, 1), turned_away=turned_away)
+                case SurgeEnded(club, lasted_ms, most, turned_away):
+                    self.log("info", "door.surge_ended", club=club, lasted_s=round(lasted_ms / 1000, 1),
+                             most_times_its_share=round(most, 1), turned_away=turned_away)
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -91,6 +91,7 @@
         if config.operators.door is not None:
             from flintshift.lifecycle.fair_door import FairDoor
             self.fair = FairDoor(config.settings, counters, now_ms)
+            self.fair.log = self.log
             self.decisions.rank_by(self.fair)
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
--- a/tests/door/test_fair_door.py
+++ b/tests/door/test_fair_door.py
@@ -32,6 +32,27 @@
     return status
 
 
+async def test_a_surge_is_told_in_the_log_with_its_club_and_what_it_was_turned_away(tmp_path):
+    pool = Pool(cores=2, took_ms={"standings": 40.0})
+    async with Rig(tmp_path, "door: {enabled: true}\nlog: {enabled: true, repeats: 0ms}\n", pool=pool) as rig:
+        rig.config.write_text(rig.config.read_text())
+        await rig.kill()
+        with (tmp_path / "stderr").open("wb") as stderr:
+            await rig.start(stderr)
+            began, number = [], 0
+            async with asyncio.timeout(20):
+                while not began:
+                    number += 200
+                    await asyncio.gather(*(ask(rig, number + one, "sur-pacers") for one in range(200)))
+                    lines = (tmp_path / "stderr").read_text().splitlines()
+                    began = [json.loads(line) for line in lines if "door.surge_began" in line]
+            assert began[0]["club"] == "sur-pacers" and began[0]["level"] == "warning"
+            assert began[0]["times_its_share"] > 1.2 and began[0]["turned_away"] > 0
+            assert await rig.leave() == 0
+    counted = json.loads((tmp_path / "stderr").read_text().splitlines()[-1])["counters"]
+    assert counted["door.surges"] >= 1 and counted["door.promised"] + counted["door.not_promised"] > 0
+
+
 async def test_a_node_with_the_door_on_serves_and_takes_new_weights(tmp_path):
     pool = Pool(cores=2, took_ms={"standings": 10.0})
     async with Rig(tmp_path, "door: {enabled: true}\nlog: {enabled: true}\n", pool=pool) as rig:
