Show how the clubs stand at a running node: flintshift door show

Need: on call, nobody could see who waits, who was served past its share and what was promised. Rejected: the control door (the platform's calls are three, and its address is the platform's); counters alone (they tell of the past, not of what waits). Off with the door.

--- /dev/null
+++ b/flintshift/cli/door.py
@@ -0,0 +1,69 @@
+"""``flintshift door``: the fair queues of a running node."""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+from pathlib import Path
+
+import click
+
+WITHIN_S = 5.0
+HEAD = "club                    cores   served s  ahead ms  waiting  waiting ms  callers  promised"
+
+
+def ask(path: Path) -> bytes:
+    """What the node tells at its socket.
+
+    Raises:
+        OSError: nobody listens there, or it says nothing.
+    """
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as raw:
+        raw.settimeout(WITHIN_S)
+        raw.connect(str(path))
+        data = b""
+        while more := raw.recv(65_536):
+            data += more
+    return data
+
+
+@click.group()
+def door() -> None:
+    """The fair queues at the door of a running node."""
+
+
+@door.command()
+@click.argument("path", type=click.Path(path_type=Path), metavar="SOCKET")
+@click.option("--json", "as_json", is_flag=True, help="Print what the node tells as JSON.")
+def show(path: Path, as_json: bool) -> None:
+    """Show how the clubs stand at the node whose operators' file names SOCKET as door.socket.
+
+    \b
+    cores       the club's share of them
+    served s    time on cores that its runs took since the start
+    ahead ms    how long, at its share, it was served past the club served least of those that wait
+    waiting     requests that wait, and their time at the club's share
+    callers     that are known by number (64 at most; all others share)
+    promised    places that are kept for callers who were told a time
+
+    \b
+    Exit codes:
+      0  done
+      1  the node can't be reached
+      2  the command line can't be used
+    """
+    try:
+        told = json.loads(ask(path))
+        clubs = told["clubs"]
+    except (OSError, ValueError, KeyError) as error:
+        click.echo(f"flintshift: {path}: {error}", err=True)
+        sys.exit(1)
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    click.echo(HEAD)
+    for one in sorted(clubs, key=lambda one: -one["waiting_ms"]):
+        click.echo(f"{one['club'] or '(others)':<22.22}{one['cores']:>7.2f}{one['served_ms'] / 1000:>11.1f}"
+                   f"{one['ahead_ms']:>10.0f}{one['waiting']:>9}{one['waiting_ms']:>12.0f}{one['callers']:>9}"
+                   f"{one['promised']:>10}")
--- a/flintshift/door/promises.py
+++ b/flintshift/door/promises.py
@@ -83,6 +83,11 @@
         data = blake2b(caller.to_bytes(16, "big", signed=True), digest_size=4, key=self.key).digest()
         return int.from_bytes(data, "big")
 
+    @property
+    def kept(self) -> int:
+        """Places that are still to be taken."""
+        return sum(sum(slot.marks.values()) for slot in self.slots.values())
+
     @property
     def places(self) -> int:
         return sum(1 + len(slot.marks) for slot in self.slots.values())
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -35,6 +35,7 @@
     Ended,
     Event,
     Left,
+    Shown,
     TurnedAway,
     Weighed,
 )
@@ -73,6 +74,7 @@
     buckets: dict[int, Lane] = field(default_factory=dict)
     waiting: dict[Entry, None] = field(default_factory=dict)  # in the order of coming
     ordered: bool = True  # their places are as they stand
+    served_ms: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -240,12 +242,18 @@
             self._waits_no_more(entry)
             return
         more = took_ms - entry.cost
+        entry.club.served_ms += took_ms
         entry.lane.charged += more
         entry.club.charged += more / entry.club.weight
         known = self.cost_ms.get(entry.class_name)
         if known is not None or len(self.cost_ms) < self.bounds.classes:
             self.cost_ms[entry.class_name] = took_ms if known is None else known + LEARN * (took_ms - known)
 
+    def shown(self) -> list[Shown]:
+        return [Shown(name, club.weight, club.served_ms, max(0.0, club.charged - self.virtual), len(club.waiting),
+                      sum(entry.cost for entry in club.waiting) / club.weight, len(club.lanes), club.calendar.kept)
+                for name, club in self.clubs.items()]
+
     @property
     def places(self) -> int:
         """The entries of all its tables: bounded, whatever comes."""
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/vocabulary.py
@@ -94,3 +94,17 @@
     lasted_ms: float
     most_times: float
     turned_away: int
+
+
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """A club as it stands now. Times are at its share, but for ``served_ms``: on cores, since the start."""
+
+    club: str | None
+    cores: float  # its share of them
+    served_ms: float
+    ahead_ms: float  # was served past the club that was served least of those that wait
+    waiting: int
+    waiting_ms: float
+    callers: int  # known by number
+    promised: int  # places that are kept
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -93,6 +93,9 @@
             self.fair = FairDoor(config.settings, counters, now_ms)
             self.fair.log = self.log
             self.decisions.rank_by(self.fair)
+            if config.operators.door.socket is not None:
+                from flintshift.lifecycle.door_socket import open_socket
+                self.actors.append(open_socket(config.operators.door.socket, self.fair, counters, self.log))
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
         self.listing = Listing(lists, limits)
--- a/flintshift/settings/operators.py
+++ b/flintshift/settings/operators.py
@@ -136,6 +136,7 @@
 
 class DoorPart(Part):
     enabled: bool = False
+    socket: Annotated[str, Field(min_length=1)] | None = None
 
 
 SYNC_MS = {"power-cut": 5.0, "process-death": 50.0, "none": 50.0}
@@ -271,7 +272,7 @@
             SYNC_MS[usage.durability] if usage.sync is None else usage.sync,
             usage.on_disk_failure, usage.segment, int(usage.retention),
             _export(usage.export, base)) if usage.enabled else None,
-        door=DoorOptions() if told.door.enabled else None,
+        door=DoorOptions(base / told.door.socket if told.door.socket else None) if told.door.enabled else None,
     )
 
 
--- a/flintshift/settings/options.py
+++ b/flintshift/settings/options.py
@@ -58,7 +58,9 @@
 
 @dataclass(frozen=True, slots=True)
 class DoorOptions:
-    """Fair queues by club and caller; it has no settings yet but being on."""
+    """Fair queues by club and caller."""
+
+    socket: Path | None  # where `flintshift door show` asks
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/door/test_fair_door.py
+++ b/tests/door/test_fair_door.py
@@ -5,12 +5,15 @@
 import asyncio
 import json
 import signal
+import socket
 import subprocess
 import sys
 
 import pytest
+from click.testing import CliRunner
 
 from flintshift import interface as api
+from flintshift.cli.main import main
 from flintshift.core.attempts import Attempt, RunOver, Submitted, Up
 from flintshift.core.catalogue import Catalogue
 from flintshift.core.counters import Counters
@@ -19,6 +22,7 @@
 from flintshift.lab.callers import fields_of, http_request, reply
 from flintshift.lab.peers import Pool
 from flintshift.lab.rig import Rig
+from flintshift.lifecycle.door_socket import bound
 from flintshift.lifecycle.fair_door import FairDoor
 
 pytestmark = pytest.mark.anyio
@@ -32,6 +36,36 @@
     return status
 
 
+async def test_door_show_tells_how_the_clubs_stand_and_its_socket_costs_the_node_nothing(tmp_path):
+    path = tmp_path / "door.sock"
+    stale = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    stale.bind(str(path))  # as a process that was killed left it
+    stale.close()
+
+    def shown(*words):
+        return CliRunner().invoke(main, ["door", "show", str(path), *words])
+    assert shown().exit_code == 1 and "refused" in shown().output
+    pool = Pool(cores=2, took_ms={"standings": 10.0})
+    async with Rig(tmp_path, "door: {enabled: true, socket: door.sock}\n", pool=pool) as rig:
+        for number in range(1, 6):
+            assert await ask(rig, number, "sur-pacers") == 200
+        idle = [socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) for _ in range(3)]
+        for one in idle:  # that never read
+            one.connect(str(path))
+        found = await asyncio.to_thread(shown, "--json")
+        row, = json.loads(found.output)["clubs"]
+        assert (row["club"], row["served_ms"], row["waiting"], row["callers"]) == ("sur-pacers", 50.0, 0, 5)
+        table = (await asyncio.to_thread(shown)).output.splitlines()
+        assert len(table) == 2 and table[1].startswith("sur-pacers")
+        for one in idle:
+            one.close()
+        with pytest.raises(OSError, match="another process listens"):
+            bound(path)
+        assert await rig.leave() == 0 and not path.exists()
+    async with Rig(tmp_path / "other", "door: {enabled: true, socket: none/door.sock}\n") as rig:
+        assert await ask(rig, 1, "sur-pacers") == 200  # a path that can't be had is told, and it serves
+
+
 async def test_a_surge_is_told_in_the_log_with_its_club_and_what_it_was_turned_away(tmp_path):
     pool = Pool(cores=2, took_ms={"standings": 40.0})
     async with Rig(tmp_path, "door: {enabled: true}\nlog: {enabled: true, repeats: 0ms}\n", pool=pool) as rig:
