--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -351,9 +351,9 @@
         if not self.counts[Stage.HELD.value]:
             return
         held = [work for work in self.work.values() if work.stage is Stage.HELD]
-        if self.rank is not None:
+        if self.rank is not None and len(held) > 1:
             for work in held:
-                work.order = self.rank(work.id) // RANK_STEP_MS, *work.order[1:]
+                work.order = self.rank(work.id) // RANK_STEP_MS, work.order[1], work.order[2]
         held.sort(key=BY_VALUE)
         trouble, on_cores, memory, ahead = self._trouble(), self._count(Stage.RUNNING), self._memory_kb(), 0.0
         limit = min(self.limit, on_cores + math.floor(self._crowd_room()))
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -232,10 +232,11 @@
         club.ordered = False
         if not club.waiting:
             del self.backlogged[club]
+        least = club.charged
         if self.backlogged:
-            self.virtual = max(self.virtual, min(one.charged for one in self.backlogged))
-        else:
-            self.virtual = max(self.virtual, club.charged)
+            least = min([one.charged for one in self.backlogged])
+        if least > self.virtual:
+            self.virtual = least
 
     def _ended(self, entry: Entry, took_ms: float) -> None:
         if not entry.began:  # another's run answered it
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/vocabulary.py
@@ -1,11 +1,14 @@
-"""What the door is told and answers. Times and costs are milliseconds; a cost is time on a core."""
+"""What the door is told and answers. Times and costs are milliseconds; a cost is time on a core.
+
+What comes with each request is not frozen: that would cost more to make than the door takes to hear it.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Arrived:
     """A request is on its way to the decisions."""
 
@@ -16,14 +19,14 @@
     again: bool = False  # it may be a further try, come at the time that its caller was told
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Began:
     """Its run has begun."""
 
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Left:
     """It is over and never ran: its caller went, or another's result answered it."""
 
@@ -47,7 +50,7 @@
     promised: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Ended:
     """Its run has ended after so long on a core."""
 
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -41,6 +41,7 @@
         self.marked = settings.marks_repeats  # further tries say that they are
         first_ms = {kind.name: FIRST * kind.aim_ms for kind in settings.classes}
         self.shares = Shares(_weights(settings), settings.cores, first_ms, os.urandom(16))
+        self.rank_ms = self.shares.rank_ms  # asked for all that is held at each choice: no call between
         self.surges = Surges(self.shares.weights, now_ms())
         self.log: Log = silent
 
@@ -49,9 +50,6 @@
         self.shares.handle(self.now_ms(), Weighed(tuple(_weights(settings).items()), settings.cores))
         self.surges.weigh(self.shares.weights)
 
-    def rank_ms(self, request: str) -> float:
-        return self.shares.rank_ms(request)
-
     def arrived(self, attempt: Attempt) -> None:
         self.shares.handle(self.now_ms(), Arrived(
             attempt.id, attempt.tenant, attempt.caller, attempt.class_name, attempt.again or not self.marked))
