Keep the sizes and times of the fair queues with all others, in Limits

Need: the architecture wants one place of sizes, counts and times; the door's stood in its own type alone. Change: the node fills the heart's bounds from Limits; no value changed.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -34,6 +34,12 @@
     claims: int = 1024  # on keys, that the other process of an upgrade has not answered
     keys: int = 6000  # remembered keys
     key_bytes: int = 32 << 20  # their results
+    door_callers: int = 64  # of a club that the fair queues know by number
+    door_buckets: int = 64  # for all its other callers
+    door_open: int = 4096  # requests that they follow
+    door_classes: int = 256  # whose cost they learn
+    door_slots: int = 256  # of a club's calendar of promised times
+    door_places: int = 64  # of a slot
 
     # Times, in milliseconds.
     clock_skew_ms: float = 5000.0  # a request may seem to come from the future by so much
@@ -70,6 +76,8 @@
     lost_run_ms: float = 30_000.0  # a run that ended for its caller and was never heard of again
     control_read_ms: float = 800.0  # for an operator's call to come whole and its answer to be taken: 1 s is told
     control_rest_ms: float = 40.0  # an older connection without a whole call goes for a new one
+    door_rekey_ms: float = 10_000.0  # between two keys of the fair queues' buckets
+    door_slot_ms: float = 50.0  # of the calendar of promised times
     sweep_ms: float = 250.0  # between two looks for idle connections
     purge_ms: float = 1000.0  # between two looks for keys and runs that are past
     notice_late_ms: float = 500.0  # a busy node may hear of the notice to leave so late
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -47,6 +47,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
+    """As ``Limits`` has them in a node."""
+
     lanes: int = 64  # callers of a club that are known by number
     buckets: int = 64  # lanes of a club for all others
     open: int = 4096  # requests followed; past that one is ranked last in its club, and charged nothing
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -11,8 +11,10 @@
 from flintshift import interface as api
 from flintshift.core.attempts import Attempt
 from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
 from flintshift.core.ports import Log, silent
-from flintshift.door.shares import FIRST_MS, Shares
+from flintshift.door.promises import CalendarBounds
+from flintshift.door.shares import FIRST_MS, Bounds, Shares
 from flintshift.door.surges import Surges
 from flintshift.door.vocabulary import (
     Arrived,
@@ -36,11 +38,15 @@
 class FairDoor:
     """The decision planner's port (``core.ports.Ranks``); clubs weigh as their quotas."""
 
-    def __init__(self, settings: api.Settings, counters: Counters, now_ms: Callable[[], float]) -> None:
+    def __init__(self, settings: api.Settings, limits: Limits, counters: Counters,
+                 now_ms: Callable[[], float]) -> None:
         self.counters, self.now_ms, self.draw = counters, now_ms, random.random
         self.marked = settings.marks_repeats  # further tries say that they are
         first_ms = {kind.name: FIRST * kind.aim_ms for kind in settings.classes}
-        self.shares = Shares(_weights(settings), settings.cores, first_ms, os.urandom(16))
+        bounds = Bounds(limits.door_callers, limits.door_buckets, limits.door_open, limits.door_classes,
+                        limits.door_rekey_ms,
+                        CalendarBounds(limits.door_slot_ms, limits.door_slots, limits.door_places))
+        self.shares = Shares(_weights(settings), settings.cores, first_ms, os.urandom(16), bounds)
         self.rank_ms = self.shares.rank_ms  # asked for all that is held at each choice: no call between
         self.surges = Surges(self.shares.weights, now_ms())
         self.log: Log = silent
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -90,7 +90,7 @@
         self.fair: FairDoor | None = None
         if config.operators.door is not None:
             from flintshift.lifecycle.fair_door import FairDoor
-            self.fair = FairDoor(config.settings, counters, now_ms)
+            self.fair = FairDoor(config.settings, limits, counters, now_ms)
             self.fair.log = self.log
             self.decisions.rank_by(self.fair)
             if config.operators.door.socket is not None:
--- a/tests/door/test_fair_door.py
+++ b/tests/door/test_fair_door.py
@@ -120,7 +120,7 @@
                                    lambda at_ms, token: None, lambda: None)
         self.decisions.workers = {"pool": self}
         self.decisions.posture.up = True
-        self.fair = FairDoor(self.settings, Counters(), lambda: self.now) if fair else None
+        self.fair = FairDoor(self.settings, Limits(), Counters(), lambda: self.now) if fair else None
         if self.fair is not None:
             self.decisions.rank_by(self.fair)
         self.decisions.handle(Up())
