Give the door's socket to a successor, and share how a Unix path is opened

Cause: read again, lifecycle/door_socket.py tried its path once, so after an upgrade no process listened there; it unlinked the path after its socket had closed, when it could be another's; its connect could wait without an end; without the log nobody heard that it had no path; and it wrote wire/handover.py's open_path again, which for its part removed a file of any kind at its path. Change: wire/unix.py opens paths for both and removes sockets alone; the door tries again each second, unlinks first, and warns on standard error with path and cause; its times stand in Limits; `door show` bounds the answer's size and time and says what to name.

--- a/flintshift/cli/door.py
+++ b/flintshift/cli/door.py
@@ -5,11 +5,15 @@
 import json
 import socket
 import sys
+import time
 from pathlib import Path
 
 import click
 
+from flintshift.wire.unix import short
+
 WITHIN_S = 5.0
+MOST = 1 << 20  # bytes: a club is told in under 200
 HEAD = "club                    cores   served s  ahead ms  waiting  waiting ms  callers  promised"
 
 
@@ -17,14 +21,16 @@
     """What the node tells at its socket.
 
     Raises:
-        OSError: nobody listens there, or it says nothing.
+        OSError: nobody listens there, it takes too long, or what listens tells too much to be a node.
     """
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as raw:
+    until, data = time.monotonic() + WITHIN_S, b""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as raw, short(path) as name:
         raw.settimeout(WITHIN_S)
-        raw.connect(str(path))
-        data = b""
+        raw.connect(name)
         while more := raw.recv(65_536):
             data += more
+            if len(data) > MOST or time.monotonic() > until:
+                raise OSError(f"what listens there does not end its answer ({len(data):,} B)")
     return data
 
 
@@ -57,7 +63,8 @@
         told = json.loads(ask(path))
         clubs = told["clubs"]
     except (OSError, ValueError, KeyError) as error:
-        click.echo(f"flintshift: {path}: {error}", err=True)
+        click.echo(f"flintshift: {path}: {error}: name the socket that `door.socket` in the file of a running node "
+                   "names, as the user that the node runs as", err=True)
         sys.exit(1)
     if as_json:
         click.echo(json.dumps(told))
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -77,6 +77,8 @@
     control_read_ms: float = 800.0  # for an operator's call to come whole and its answer to be taken: 1 s is told
     control_rest_ms: float = 40.0  # an older connection without a whole call goes for a new one
     door_rekey_ms: float = 10_000.0  # between two keys of the fair queues' buckets
+    door_show_ms: float = 2000.0  # for whoever asks how the clubs stand to take it
+    door_again_ms: float = 1000.0  # between two tries to listen for that, where another process does, or nothing can
     door_slot_ms: float = 50.0  # of the calendar of promised times
     sweep_ms: float = 250.0  # between two looks for idle connections
     purge_ms: float = 1000.0  # between two looks for keys and runs that are past
--- a/flintshift/lifecycle/door_socket.py
+++ b/flintshift/lifecycle/door_socket.py
@@ -5,75 +5,65 @@
 from __future__ import annotations
 
 import json
-import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
-from typing import Any
 
 import anyio
 from anyio.abc import SocketListener, SocketStream
 
 from flintshift.core.counters import Counters
-from flintshift.core.ports import Log
+from flintshift.core.limits import Limits
 from flintshift.lifecycle.fair_door import FairDoor
 from flintshift.wire.link import BROKEN
+from flintshift.wire.unix import listens, open_path
 
-AT_ONCE, WITHIN_S = 4, 2.0  # calls, and the time for one to be taken
 
+class DoorSocket:
+    """An actor of the node. Where the path can't be had, that is told once, the node serves without, and tries again: a
+    successor gets the path as the process before it ends."""
 
-def bound(path: Path) -> socket.socket:
-    """The socket, listening. What a process that ended has left there goes.
+    def __init__(self, path: Path, door: FairDoor, limits: Limits, counters: Counters,
+                 warn: Callable[[str], None]) -> None:
+        self.path, self.door, self.limits, self.counters, self.warn = path, door, limits, counters, warn
+        self.told = ""  # why there was no path, last
 
-    Raises:
-        OSError: the path can't be used, or a process listens there.
-    """
-    raw = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    raw.setblocking(False)
-    try:
-        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as other:
-            if other.connect_ex(str(path)) == 0:
-                raise OSError(f"{path}: another process listens there")
-        if path.is_socket():
-            path.unlink()
-        raw.bind(str(path))
-        path.chmod(0o600)
-        raw.listen(AT_ONCE)
-    except BaseException:
-        raw.close()
-        raise
-    return raw
+    async def run(self) -> None:
+        while True:
+            cause = await self._serve()
+            if cause != self.told:
+                self.counters.add("door.no_socket")
+                self.warn(f"nobody is told how the clubs stand: {self.path}: {cause}; it is tried again")
+                self.told = cause
+            await anyio.sleep(self.limits.door_again_ms / 1000)
 
-
-def open_socket(path: Path, door: FairDoor, counters: Counters, log: Log) -> Callable[[], Coroutine[Any, Any, None]]:
-    """The socket as an actor of the node. Where it can't be had, that is told, and the node serves without."""
-    async def told(stream: SocketStream) -> None:
+    async def _serve(self) -> str:
+        """Until cancelled; else why it can't."""
         try:
-            async with stream:
-                with anyio.move_on_after(WITHIN_S):
-                    clubs = [asdict(one) for one in door.shares.shown()]
-                    await stream.send(json.dumps({"clubs": clubs}).encode() + b"\n")
-        except BROKEN:
-            counters.add("door.show_broken")
+            if listens(self.path):
+                return "another process listens there"
+            raw = open_path(self.path)
+        except OSError as error:
+            return str(error)
+        async with await SocketListener.from_socket(raw) as listener:
+            try:
+                while True:
+                    await self._answer(listener)
+            finally:  # before the socket closes: after it, the path may be a successor's
+                self.path.unlink(missing_ok=True)
 
-    async def run() -> None:
+    async def _answer(self, listener: SocketListener) -> None:
         try:
-            raw = bound(path)
-        except (OSError, ValueError) as error:
-            counters.add("door.no_socket")
-            log("error", "door.no_socket", path=str(path), cause=str(error))
+            stream = await listener.accept()
+        except OSError:  # for want of descriptors, say: that must not end the node
+            self.counters.add("door.accept_failed")
+            await anyio.sleep(self.limits.backoff_ms / 1000)
             return
+        assert isinstance(stream, SocketStream)
         try:
-            async with await SocketListener.from_socket(raw) as listener:
-                while True:
-                    try:
-                        stream = await listener.accept()
-                    except OSError:  # for want of descriptors, say: that must not end the node
-                        counters.add("door.accept_failed")
-                        await anyio.sleep(0.1)
-                        continue
-                    await told(stream)
-        finally:
-            path.unlink(missing_ok=True)
-
-    return run
+            async with stream:
+                with anyio.move_on_after(self.limits.door_show_ms / 1000):
+                    clubs = [asdict(one) for one in self.door.shares.shown()]
+                    await stream.send(json.dumps({"clubs": clubs}).encode() + b"\n")
+        except BROKEN:
+            self.counters.add("door.show_broken")
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -94,8 +94,9 @@
             self.fair.log = self.log
             self.decisions.rank_by(self.fair)
             if config.operators.door.socket is not None:
-                from flintshift.lifecycle.door_socket import open_socket
-                self.actors.append(open_socket(config.operators.door.socket, self.fair, counters, self.log))
+                from flintshift.lifecycle.door_socket import DoorSocket
+                self.actors.append(DoorSocket(
+                    config.operators.door.socket, self.fair, limits, counters, self.warn).run)
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
         self.listing = Listing(lists, limits)
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -47,8 +47,9 @@
     Word,
 )
 from flintshift.wire.acceptor import listening
-from flintshift.wire.handover import Link, UpgradeError, join, meeting_path, open_path
+from flintshift.wire.handover import Link, UpgradeError, join, meeting_path
 from flintshift.wire.link import BROKEN
+from flintshift.wire.unix import open_path
 
 if TYPE_CHECKING:
     from flintshift.lifecycle.node import Node
--- a/flintshift/wire/handover.py
+++ b/flintshift/wire/handover.py
@@ -20,6 +20,7 @@
 from flintshift.handover.vocabulary import VERSION, Copied, Hello, Known, Left, Welcome, Word
 from flintshift.wire.handover_words import FrameError, Unpacker, packed
 from flintshift.wire.link import BROKEN
+from flintshift.wire.unix import short
 
 CREDENTIALS = struct.Struct("3i")
 SOCKETS_MOST = 4
@@ -35,16 +36,6 @@
     return Path(os.environ.get("TMPDIR") or "/tmp") / f"flintshift-{mark}"
 
 
-@contextlib.contextmanager
-def _short(path: Path) -> Iterator[str]:
-    """A name for the path that fits a socket's address however deep the folder lies."""
-    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
-    try:
-        yield f"/proc/self/fd/{folder}/{path.name}" if len(str(path)) > 100 else str(path)
-    finally:
-        os.close(folder)
-
-
 def _watch(raw: socket.socket) -> int:
     """A descriptor that becomes readable at the other process's end.
 
@@ -180,7 +171,7 @@
         UpgradeError: there is one, and it does not hand over.
     """
     try:
-        with anyio.fail_after(limits.welcome_ms / 1000), _short(path) as name:
+        with anyio.fail_after(limits.welcome_ms / 1000), short(path) as name:
             stream = await anyio.connect_unix(name)
     except TimeoutError as error:
         raise mute(limits) from error
@@ -207,23 +198,3 @@
 def mute(limits: Limits) -> UpgradeError:
     return UpgradeError(f"the process that serves took the call and said nothing for {limits.welcome_ms:g} ms; "
                         "it lives, so its address can't be shared: look at it, and end it if it hangs")
-
-
-def open_path(path: Path) -> socket.socket:
-    """The meeting path, listening. What a process that ended has left there goes.
-
-    Raises:
-        OSError: the folder does not take it.
-    """
-    raw = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    raw.setblocking(False)
-    try:
-        path.unlink(missing_ok=True)
-        with _short(path) as name:
-            raw.bind(name)
-        os.chmod(path, 0o600)
-        raw.listen(8)
-    except BaseException:
-        raw.close()
-        raise
-    return raw
--- a/tests/door/test_fair_door.py
+++ b/tests/door/test_fair_door.py
@@ -22,8 +22,8 @@
 from flintshift.lab.callers import fields_of, http_request, reply
 from flintshift.lab.peers import Pool
 from flintshift.lab.rig import Rig
-from flintshift.lifecycle.door_socket import bound
 from flintshift.lifecycle.fair_door import FairDoor
+from flintshift.wire.unix import short
 
 pytestmark = pytest.mark.anyio
 
@@ -36,34 +36,46 @@
     return status
 
 
-async def test_door_show_tells_how_the_clubs_stand_and_its_socket_costs_the_node_nothing(tmp_path):
-    path = tmp_path / "door.sock"
-    stale = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    stale.bind(str(path))  # as a process that was killed left it
-    stale.close()
+async def test_door_show_tells_how_the_clubs_stand_after_an_upgrade_too(tmp_path):
+    path = tmp_path / ("deep" * 20) / "door.sock"  # longer than a socket's address may be
+    path.parent.mkdir()
+    with short(path) as name:
+        socket.socket(socket.AF_UNIX, socket.SOCK_STREAM).bind(name)  # as a process that was killed left it
 
     def shown(*words):
         return CliRunner().invoke(main, ["door", "show", str(path), *words])
-    assert shown().exit_code == 1 and "refused" in shown().output
-    pool = Pool(cores=2, took_ms={"standings": 10.0})
-    async with Rig(tmp_path, "door: {enabled: true, socket: door.sock}\n", pool=pool) as rig:
+    assert shown().exit_code == 1 and "refused" in shown().output and "door.socket" in shown().output
+    file = f"door: {{enabled: true, socket: {path.parent.name}/door.sock}}\n"
+    async with Rig(tmp_path, file, pool=Pool(cores=2, took_ms={"standings": 10.0}), control=True) as rig:
         for number in range(1, 6):
             assert await ask(rig, number, "sur-pacers") == 200
-        idle = [socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) for _ in range(3)]
-        for one in idle:  # that never read
-            one.connect(str(path))
-        found = await asyncio.to_thread(shown, "--json")
-        row, = json.loads(found.output)["clubs"]
+        stay = [socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) for _ in range(3)]
+        with short(path) as name:
+            for one in stay:  # they never read
+                one.connect(name)
+        row, = json.loads((await asyncio.to_thread(shown, "--json")).output)["clubs"]
         assert (row["club"], row["served_ms"], row["waiting"], row["callers"]) == ("sur-pacers", 50.0, 0, 5)
-        table = (await asyncio.to_thread(shown)).output.splitlines()
-        assert len(table) == 2 and table[1].startswith("sur-pacers")
-        for one in idle:
-            one.close()
-        with pytest.raises(OSError, match="another process listens"):
-            bound(path)
+        assert (await asyncio.to_thread(shown)).output.splitlines()[1].startswith("sur-pacers")
+        assert await rig.relieve() == 0  # the successor finds the path taken, and gets it a second later
+        async with asyncio.timeout(5):
+            while (found := await asyncio.to_thread(shown, "--json")).exit_code:
+                pass
+        assert json.loads(found.output) == {"clubs": []}
         assert await rig.leave() == 0 and not path.exists()
-    async with Rig(tmp_path / "other", "door: {enabled: true, socket: none/door.sock}\n") as rig:
-        assert await ask(rig, 1, "sur-pacers") == 200  # a path that can't be had is told, and it serves
+
+
+@pytest.mark.parametrize(("make", "cause"), [
+    (lambda path: path.write_text("a ledger"), "Address already in use"), (lambda path: path.mkdir(), "in use"),
+    (lambda path: socket.create_server(str(path), family=socket.AF_UNIX), "another process listens there")])
+async def test_a_path_that_cannot_be_had_is_told_is_not_removed_and_costs_no_service(tmp_path, make, cause):
+    kept = make(tmp_path / "door.sock")
+    async with Rig(tmp_path, "door: {enabled: true, socket: door.sock}\n") as rig:
+        await rig.kill()
+        process = await rig.start(asyncio.subprocess.PIPE)
+        line = await asyncio.wait_for(process.stderr.readline(), 5)
+        assert cause.encode() in line and b"tried again" in line and await ask(rig, 1, "sur-pacers") == 200
+    assert (tmp_path / "door.sock").exists()
+    del kept
 
 
 async def test_a_surge_is_told_in_the_log_with_its_club_and_what_it_was_turned_away(tmp_path):
