Promise no time sooner than the decisions ask for, and bound the calendar's slots

Cause: read again, core/decisions.py put the door's wait in place of the module's, so a node that turns callers away for its own trouble or full memory, and asks for the longest wait, told them to come back in 50 ms. And a clock set back again and again made slots without a bound (door/promises.py, promise), though the node's own clock never goes back. Change: the module's wait is the least that is promised; where the calendar holds all slots that there may be, nothing is promised. Rejected: the longer of both waits (a place would be kept for a time that nobody was told).

--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -329,7 +329,7 @@
                     self.pending.append(at.RunOver(attempt.id, Outcome.REJECTED))
             case api.Refuse(_, stay_away_ms, not_elsewhere):
                 if self.ranks is not None and self.posture.wait_ms and not self.posture.leaving:
-                    stay_away_ms = self.ranks.come_back_ms(attempt, self.posture.wait_ms)
+                    stay_away_ms = self.ranks.come_back_ms(attempt, stay_away_ms, self.posture.wait_ms)
                 self._settle(attempt, Answer(Verdict.REFUSED, b"", stay_away_ms, not_elsewhere))
                 self.closing.append(attempt)
             case api.Fail():
--- a/flintshift/door/promises.py
+++ b/flintshift/door/promises.py
@@ -51,6 +51,8 @@
         last = min(int((now_ms + most_ms) / slot_ms) - 1, self.now + self.bounds.slots)
         for number in range(max(self.now + 1, int((now_ms + from_ms) / slot_ms) + 1), last + 1):
             slot = self.slots.get(number)
+            if slot is None and len(self.slots) > self.bounds.slots + LATE_SLOTS:
+                return None  # a clock that was set back: what was promised for later is still kept
             if slot is not None and (slot.given_ms + cost_ms > room or slot.places >= self.bounds.places):
                 continue  # a request dearer than a slot has one for itself
             slot = self.slots.setdefault(number, Slot())
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -124,24 +124,25 @@
                 if entry is not None and not entry.began:  # what runs on is charged until it ends
                     del self.open[request]
                     self._waits_no_more(entry)
-            case TurnedAway(request, most_ms, draw):
-                entry = self.open.get(request)
-                if entry is None or entry.began:
-                    return [ComeBack(most_ms, False)]
-                del self.open[request]
-                self._waits_no_more(entry)
-                return [self._come_back(now_ms, entry, most_ms, draw)]
+            case TurnedAway():
+                return [self._turned_away(now_ms, event)]
             case Weighed(weights, cores):
                 self._weigh(dict(weights), cores)
         return []
 
-    def _come_back(self, now_ms: float, entry: Entry, most_ms: float, draw: float) -> ComeBack:
-        """When the others have caught up with its club. What waits there now does not stand before it then: who comes
-        at its time goes to the front."""
+    def _turned_away(self, now_ms: float, event: TurnedAway) -> ComeBack:
+        """It may come when the others have caught up with its club. What waits there now does not stand before it then:
+        who comes at its time goes to the front."""
+        entry = self.open.get(event.request)
+        if entry is None or entry.began:
+            return ComeBack(event.most_ms, False)
+        del self.open[event.request]
+        self._waits_no_more(entry)
         club = entry.club
-        wait_ms = club.calendar.promise(now_ms, entry.caller, entry.cost / club.weight,
-                                        max(0.0, club.charged - self.virtual), most_ms, draw)
-        return ComeBack(most_ms, False) if wait_ms is None else ComeBack(wait_ms, True)
+        from_ms = max(event.least_ms, club.charged - self.virtual)
+        wait_ms = club.calendar.promise(now_ms, entry.caller, entry.cost / club.weight, from_ms, event.most_ms,
+                                        event.draw)
+        return ComeBack(event.most_ms, False) if wait_ms is None else ComeBack(wait_ms, True)
 
     def rank_ms(self, request: str) -> float:
         """Where it stands now: the least is next in a fair order. Past all that waits where it is not followed."""
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/vocabulary.py
@@ -38,6 +38,7 @@
     """It was refused, and is told when to come back: answered by the time."""
 
     request: str
+    least_ms: float  # that the decisions ask for: a node in trouble has no room sooner
     most_ms: float  # the longest that may be told
     draw: float  # from 0 to 1, random
 
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -67,9 +67,9 @@
     def left(self, request: str) -> None:
         self.shares.handle(self.now_ms(), Left(request))
 
-    def come_back_ms(self, attempt: Attempt, most_ms: float) -> float:
+    def come_back_ms(self, attempt: Attempt, least_ms: float, most_ms: float) -> float:
         self.surges.turned_away(attempt.tenant)
-        told, = self.shares.handle(self.now_ms(), TurnedAway(attempt.id, most_ms, self.draw()))
+        told, = self.shares.handle(self.now_ms(), TurnedAway(attempt.id, least_ms, most_ms, self.draw()))
         self.counters.add("door.promised" if told.promised else "door.not_promised")
         return told.wait_ms
 
--- a/tests/door/test_fair_door.py
+++ b/tests/door/test_fair_door.py
@@ -150,6 +150,18 @@
         return attempt
 
 
+def test_no_time_is_promised_sooner_than_the_decisions_say_that_there_is_room():
+    site = Site(fair=True)
+    site.decisions.posture.wait_ms = 1000.0
+    site.decisions.controller.set.advice_allowed, site.decisions.controller.set.advice_max_ms = True, 1000.0
+    site.decisions.controller.failing = 1.0  # each run fails: the decisions want callers elsewhere for the longest time
+    waits = [site.answers[one.id].wait_ms for one in [site.arrive("a") for _ in range(6)] if one.id in site.answers]
+    assert len(waits) >= 4 and set(waits) == {1000.0}
+    site.decisions.controller.failing = 0.0
+    waits = [site.answers[one.id].wait_ms for one in [site.arrive("a") for _ in range(60)] if one.id in site.answers]
+    assert len(waits) >= 10 and min(waits) < 200.0
+
+
 @pytest.mark.parametrize("fair", [True, False])
 def test_a_club_that_floods_the_decisions_does_not_take_the_other_clubs_place(fair):
     site = Site(fair)
--- a/tests/door/test_promises.py
+++ b/tests/door/test_promises.py
@@ -46,6 +46,10 @@
     calendar = Calendar(KEY)
     assert calendar.promise(10_000.0, 7, 10.0, 0.0, 1000.0, 0.0) == 50.0
     assert not calendar.keeps(4000.0, 7) and calendar.keeps(10_050.0, 7)
+    for clock in range(50, 0, -1):  # set back again and again, slots stay, and their number has its bound
+        for caller in range(300):
+            calendar.promise(clock * 20_000.0, caller, 40.0, 0.0, 1e9, 0.0)
+        assert len(calendar.slots) <= 256 + LATE_SLOTS + 1
 
 
 def test_memory_is_fixed_whatever_is_asked():
@@ -76,7 +80,7 @@
             returns = waiting.pop(request)
             broken += returns
             caller, club = shares.open[request].caller, request[-1]
-            told, = shares.handle(now, TurnedAway(request, 1000.0, draw.random()))
+            told, = shares.handle(now, TurnedAway(request, 0.0, 1000.0, draw.random()))
             assert isinstance(told, ComeBack) and told.wait_ms <= 1000.0
             if told.promised:
                 back.append((now + (told.wait_ms if heeds else told.wait_ms / 4), club, caller))
