Move the door's rules out of its driver: marks, first costs, a surge whose club goes

Cause: read again, lifecycle/fair_door.py decided who may take a promised place, guessed a class's first cost by a number that control.py has as FIRST_RUN, gave a class that new settings add another guess (20 ms), and let a club that they drop in the middle of a surge end with no word. Change: Weighed tells the heart weights, cores, first costs and whether further tries are marked, at the start and with new settings; costs of classes that are named no more are forgotten, so their table is bounded by the settings; Surges ends the surge of a club that goes. Rejected: events for each of the four (they change together, as one configuration).

--- a/benchmarks/door_cost.py
+++ b/benchmarks/door_cost.py
@@ -20,14 +20,15 @@
 sys.path.insert(0, str(ROOT))
 
 from flintshift.door.shares import Shares  # noqa: E402
-from flintshift.door.vocabulary import Arrived, Began, Ended  # noqa: E402
+from flintshift.door.vocabulary import Arrived, Began, Ended, Weighed  # noqa: E402
 
 CLUBS = [f"club{number}" for number in range(5)]
+WEIGHED = Weighed(dict.fromkeys(CLUBS, 1.0), 2, {"look": 20.0}, True)
 
 
 def play(callers: int, waiting: int, requests: int) -> tuple[float, int]:
     """Microseconds a request, and the places of its tables at the end."""
-    draw, shares = random.Random(1), Shares(dict.fromkeys(CLUBS, 1.0), 2, {"look": 20.0}, b"k" * 16)
+    draw, shares = random.Random(1), Shares(WEIGHED, b"k" * 16)
     asked = [(f"{number:016x}", draw.choice(CLUBS), draw.randrange(callers)) for number in range(requests)]
     queue: list[str] = []
     began = time.perf_counter()
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -37,7 +37,6 @@
     door_callers: int = 64  # of a club that the fair queues know by number
     door_buckets: int = 64  # for all its other callers
     door_open: int = 4096  # requests that they follow
-    door_classes: int = 256  # whose cost they learn
     door_slots: int = 256  # of a club's calendar of promised times
     door_places: int = 64  # of a slot
 
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -12,16 +12,15 @@
   stands behind its club's other callers. A request's rank is its place in that order, from its club's charge on, as it
   is when it is asked for: a club gains no place in the order by whom in it the place is given to.
 
-Memory is fixed, whatever arrives: clubs are those that are named, and one for all others. A club knows ``lanes``
-callers by number; one with nothing waiting and no charge past the club's virtual time carries no information and gives
-its place up. Callers past that share ``buckets`` lanes by a keyed hash whose key is drawn anew, so that numbers chosen
-to meet in one bucket with another's do not meet for long. Error: a caller in a bucket is charged for those it shares
-it with, at most until the key changes.
+Memory is fixed, whatever arrives: classes and clubs are those that are named, and one club for all others. A club
+knows ``lanes`` callers by number; one with nothing waiting and no charge past the club's virtual time carries no
+information and gives its place up. Callers past that share ``buckets`` lanes by a keyed hash whose key is drawn anew,
+so that numbers chosen to meet in one bucket with another's do not meet for long. Error: a caller in a bucket is
+charged for those it shares it with, at most until the key changes.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from operator import attrgetter
@@ -42,7 +41,7 @@
 
 LEARN = 0.1  # the weight of a sample in what a class is taken to cost
 FRONT = -1.0  # the tag of who comes at the time that it was told: before all others of its club
-FIRST_MS = 20.0  # what a class of which nothing is known is taken to cost
+FIRST_MS = 20.0  # what a class that is named no more is taken to cost
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +51,6 @@
     lanes: int = 64  # callers of a club that are known by number
     buckets: int = 64  # lanes of a club for all others
     open: int = 4096  # requests followed; past that one is ranked last in its club, and charged nothing
-    classes: int = 256
     rekey_ms: float = 10_000.0
     calendar: CalendarBounds = field(default_factory=CalendarBounds)
 
@@ -94,18 +92,16 @@
 
 
 class Shares:
-    def __init__(self, weights: Mapping[str, float], cores: int, first_ms: Mapping[str, float], key: bytes,
-                 bounds: Bounds | None = None) -> None:
-        """``first_ms``: what a class is taken to cost before one of it has run; ``key``: random, kept to itself."""
+    def __init__(self, weighed: Weighed, key: bytes, bounds: Bounds | None = None) -> None:
+        """``key``: random, kept to itself."""
         self.bounds = bounds or Bounds()
         self.key, self.keyed_ms = key, 0.0
-        self.cost_ms = dict(first_ms)
+        self.cost_ms: dict[str, float] = {}
         self.virtual = 0.0
         self.clubs: dict[str | None, Club] = {}
         self.open: dict[str, Entry] = {}
         self.backlogged: dict[Club, None] = {}  # of which something waits
-        self.weights: dict[str, float] = {}
-        self._weigh(weights, cores)
+        self._weigh(weighed)
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         match event:
@@ -126,8 +122,8 @@
                     self._waits_no_more(entry)
             case TurnedAway():
                 return [self._turned_away(now_ms, event)]
-            case Weighed(weights, cores):
-                self._weigh(dict(weights), cores)
+            case Weighed():
+                self._weigh(event)
         return []
 
     def _turned_away(self, now_ms: float, event: TurnedAway) -> ComeBack:
@@ -163,14 +159,16 @@
             entry.place = place
             place += entry.cost / club.weight
 
-    def _weigh(self, weights: Mapping[str, float], cores: int) -> None:
-        """Charges stay: they are past. What waits keeps its rank, also of a club that is not named any more."""
-        whole = sum(weights.values())
-        self.weights = {club: weight / whole * cores for club, weight in weights.items()}
-        self.least = min(self.weights.values(), default=float(cores))
+    def _weigh(self, told: Weighed) -> None:
+        """Charges and what is known of costs stay. What waits keeps its rank, also of a club that is named no more."""
+        whole = sum(told.weights.values())
+        self.weights = {club: weight / whole * told.cores for club, weight in told.weights.items()}
+        self.least = min(self.weights.values(), default=float(told.cores))
         self.clubs = {name: club for name, club in self.clubs.items() if name is None or name in self.weights}
         for name, club in self.clubs.items():
             club.weight = self.weights.get(name or "", self.least)
+        self.cost_ms = {name: self.cost_ms.get(name, first) for name, first in told.first_ms.items()}
+        self.marks = told.marks
 
     def _arrived(self, now_ms: float, event: Arrived) -> None:
         if len(self.open) >= self.bounds.open or event.request in self.open:
@@ -182,7 +180,7 @@
         entry = self.open[event.request] = Entry(
             club, lane, event.caller, event.class_name, self.cost_ms.get(event.class_name, FIRST_MS), self.virtual,
             club.virtual, max(club.virtual, lane.charged) + lane.waiting_ms)
-        if event.again and club.calendar.keeps(now_ms, event.caller):
+        if (event.again or not self.marks) and club.calendar.keeps(now_ms, event.caller):
             entry.tag = FRONT
         lane.waiting += 1
         lane.waiting_ms += entry.cost
@@ -250,8 +248,8 @@
         entry.lane.charged += more
         entry.club.charged += more / entry.club.weight
         known = self.cost_ms.get(entry.class_name)
-        if known is not None or len(self.cost_ms) < self.bounds.classes:
-            self.cost_ms[entry.class_name] = took_ms if known is None else known + LEARN * (took_ms - known)
+        if known is not None:
+            self.cost_ms[entry.class_name] = known + LEARN * (took_ms - known)
 
     def shown(self) -> list[Shown]:
         return [Shown(name, club.weight, club.served_ms, max(0.0, club.charged - self.virtual), len(club.waiting),
--- a/flintshift/door/surges.py
+++ b/flintshift/door/surges.py
@@ -38,10 +38,11 @@
         """``weights``: time on a core a millisecond, each club's share."""
         self.weights, self.counts, self.ends_ms = dict(weights), dict[str | None, Count](), now_ms + WINDOW_MS
 
-    def weigh(self, weights: Mapping[str, float]) -> None:
-        """What is no longer a club of its own is counted with the others from now on."""
+    def weigh(self, now_ms: float, weights: Mapping[str, float]) -> list[Told]:
+        """What is no longer a club of its own is counted with the others from now on, and its surge has ended."""
         self.weights = dict(weights)
-        self.counts = {name: count for name, count in self.counts.items() if name is None or name in self.weights}
+        gone = [name for name in self.counts if name is not None and name not in self.weights]
+        return [told for name in gone for told in self._over(now_ms, name, self.counts.pop(name))]
 
     def asked(self, club: str | None, cost_ms: float) -> None:
         self._count(club).asked_ms += cost_ms
@@ -74,13 +75,17 @@
         count.most = max(count.most, times)
         count.calm = 0 if count.turned_away else count.calm + 1
         if count.calm >= CALM:
-            lasted_ms, count.since_ms = now_ms - count.since_ms, None
-            return [SurgeEnded(club, lasted_ms, count.most, count.shed)]
+            return self._over(now_ms, club, count)
         if now_ms >= count.told_ms + TOLD_MS:
             count.told_ms = now_ms
             return [SurgeGoesOn(club, now_ms - count.since_ms, times, count.shed)]
         return []
 
+    @staticmethod
+    def _over(now_ms: float, club: str | None, count: Count) -> list[Told]:
+        since_ms, count.since_ms = count.since_ms, None
+        return [] if since_ms is None else [SurgeEnded(club, now_ms - since_ms, count.most, count.shed)]
+
     def _count(self, club: str | None) -> Count:
         name = club if club in self.weights else None
         count = self.counts.get(name)
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/vocabulary.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 
@@ -16,7 +17,7 @@
     club: str | None
     caller: int
     class_name: str
-    again: bool = False  # it may be a further try, come at the time that its caller was told
+    again: bool = False  # it is marked as a further try
 
 
 @dataclass(slots=True)
@@ -64,8 +65,10 @@
     """From now on the clubs have these weights, above 0, and the node so many cores. Clubs that are not named share the
     least weight of those that are, as one."""
 
-    weights: tuple[tuple[str, float], ...]
+    weights: Mapping[str, float]
     cores: int
+    first_ms: Mapping[str, float]  # what a class is taken to cost before one of it has run; others are forgotten
+    marks: bool  # further tries are marked, so no other comes at a time that was told
 
 
 Event = Arrived | Began | Left | TurnedAway | Ended | Weighed
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -9,13 +9,14 @@
 from collections.abc import Callable
 
 from flintshift import interface as api
+from flintshift.control import FIRST_RUN
 from flintshift.core.attempts import Attempt
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log, silent
 from flintshift.door.promises import CalendarBounds
 from flintshift.door.shares import FIRST_MS, Bounds, Shares
-from flintshift.door.surges import Surges
+from flintshift.door.surges import Surges, Told
 from flintshift.door.vocabulary import (
     Arrived,
     Began,
@@ -28,37 +29,34 @@
     Weighed,
 )
 
-FIRST = 0.15  # of a class's aim that its runs are taken to last at first, as the decisions take it
 
-
-def _weights(settings: api.Settings) -> dict[str, float]:
-    return {tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s > 0}
+def weighed(settings: api.Settings) -> Weighed:
+    """Clubs weigh as their quotas; a class is first taken to cost what the decisions take it to."""
+    return Weighed({tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s > 0},
+                   settings.cores, {kind.name: FIRST_RUN * kind.aim_ms for kind in settings.classes},
+                   settings.marks_repeats)
 
 
 class FairDoor:
-    """The decision planner's port (``core.ports.Ranks``); clubs weigh as their quotas."""
+    """The decision planner's port (``core.ports.Ranks``)."""
 
     def __init__(self, settings: api.Settings, limits: Limits, counters: Counters,
                  now_ms: Callable[[], float]) -> None:
         self.counters, self.now_ms, self.draw = counters, now_ms, random.random
-        self.marked = settings.marks_repeats  # further tries say that they are
-        first_ms = {kind.name: FIRST * kind.aim_ms for kind in settings.classes}
-        bounds = Bounds(limits.door_callers, limits.door_buckets, limits.door_open, limits.door_classes,
-                        limits.door_rekey_ms,
+        bounds = Bounds(limits.door_callers, limits.door_buckets, limits.door_open, limits.door_rekey_ms,
                         CalendarBounds(limits.door_slot_ms, limits.door_slots, limits.door_places))
-        self.shares = Shares(_weights(settings), settings.cores, first_ms, os.urandom(16), bounds)
+        self.shares = Shares(weighed(settings), os.urandom(16), bounds)
         self.rank_ms = self.shares.rank_ms  # asked for all that is held at each choice: no call between
         self.surges = Surges(self.shares.weights, now_ms())
         self.log: Log = silent
 
     def change(self, settings: api.Settings) -> None:
-        self.marked = settings.marks_repeats
-        self.shares.handle(self.now_ms(), Weighed(tuple(_weights(settings).items()), settings.cores))
-        self.surges.weigh(self.shares.weights)
+        self.shares.handle(self.now_ms(), weighed(settings))
+        self._tell(self.surges.weigh(self.now_ms(), self.shares.weights))
 
     def arrived(self, attempt: Attempt) -> None:
         self.shares.handle(self.now_ms(), Arrived(
-            attempt.id, attempt.tenant, attempt.caller, attempt.class_name, attempt.again or not self.marked))
+            attempt.id, attempt.tenant, attempt.caller, attempt.class_name, attempt.again))
         self.surges.asked(attempt.tenant, self.shares.cost_ms.get(attempt.class_name, FIRST_MS))
 
     def began(self, request: str) -> None:
@@ -77,7 +75,10 @@
         self.shares.handle(self.now_ms(), Ended(request, took_ms))
 
     def tick(self) -> None:
-        for told in self.surges.tick(self.now_ms()):
+        self._tell(self.surges.tick(self.now_ms()))
+
+    def _tell(self, all_told: list[Told]) -> None:
+        for told in all_told:
             match told:
                 case SurgeBegan(club, times, turned_away):
                     self.counters.add("door.surges")
--- a/tests/door/test_promises.py
+++ b/tests/door/test_promises.py
@@ -11,7 +11,7 @@
 
 from flintshift.door.promises import LATE_SLOTS, PART, Calendar, CalendarBounds
 from flintshift.door.shares import Shares
-from flintshift.door.vocabulary import Arrived, Began, ComeBack, Ended, TurnedAway
+from flintshift.door.vocabulary import Arrived, Began, ComeBack, Ended, TurnedAway, Weighed
 
 KEY = b"k" * 16
 
@@ -63,7 +63,7 @@
 @pytest.mark.parametrize("heeds", [True, False])
 def test_in_a_flood_those_who_heed_their_time_are_served_then_and_those_who_do_not_gain_nothing(heeds):
     """A server of one run at a time, 10 ms each, that turns away what is not among the next five of the order."""
-    shares = Shares({"a": 1.0, "b": 1.0}, 1, {"look": 10.0}, KEY)
+    shares = Shares(Weighed({"a": 1.0, "b": 1.0}, 1, {"look": 10.0}, True), KEY)
     draw, back, kept, broken, served = random.Random(1), [], 0, 0, Counter()
     waiting: dict[str, bool] = {}  # whether it comes at its time
     for tick in range(2000):
--- a/tests/door/test_shares.py
+++ b/tests/door/test_shares.py
@@ -19,7 +19,7 @@
     """The heart with a queue that serves the least rank first, as a fair server would."""
 
     def __init__(self, weights, cost_ms=10.0, cores=1, bounds=None):
-        self.shares = Shares(weights, cores, {"look": cost_ms, "dear": cost_ms}, KEY, bounds)
+        self.shares = Shares(Weighed(weights, cores, {"look": cost_ms, "dear": cost_ms}, True), KEY, bounds)
         self.numbers, self.waiting, self.served = itertools.count(), [], {}
 
     def arrive(self, club, caller=1, class_name="look", now_ms=0.0):
@@ -179,7 +179,8 @@
 def test_new_weights_hold_for_what_comes_and_what_waits_keeps_its_rank():
     door = Door({"a": 1.0, "b": 1.0})
     before = [door.arrive(club) for club in "abab"]
-    door.shares.handle(0.0, Weighed((("b", 3.0), ("c", 1.0)), 2))
+    door.shares.handle(0.0, Weighed({"b": 3.0, "c": 1.0}, 2, {"look": 70.0, "new": 30.0}, True))
+    assert door.shares.cost_ms == {"look": 10.0, "new": 30.0}
     for request in before[:2]:
         door.turn_away(request)
     assert set(door.shares.clubs) == {"b"} and door.shares.clubs["b"].weight == 1.5
@@ -197,7 +198,8 @@
 def test_every_interleaving_of_a_small_site_keeps_its_sums_and_starves_nobody():
     """Up to seven steps over two clubs and two callers: arrivals, starts, ends and refusals in every order."""
     def walk(steps):
-        shares, waiting, running, least = Shares({"a": 2.0, "b": 1.0}, 1, {"look": 10.0}, KEY), [], [], 0.0
+        shares = Shares(Weighed({"a": 2.0, "b": 1.0}, 1, {"look": 10.0}, True), KEY)
+        waiting, running, least = [], [], 0.0
         for number, step in enumerate(steps):
             if isinstance(step, tuple):
                 shares.handle(0.0, Arrived(f"r{number}", *step, "look"))
--- a/tests/door/test_surges.py
+++ b/tests/door/test_surges.py
@@ -72,5 +72,5 @@
     began, = clubs.second()
     assert began.club is None and began.turned_away == 1000
     clubs.second("a", times=3.0, turned_away=1)
-    clubs.surges.weigh({"b": 2.0})
-    assert set(clubs.surges.counts) == {None}
+    ended, = clubs.surges.weigh(clubs.now + 500.0, {"b": 2.0})
+    assert ended == SurgeEnded("a", 500.0, 3.0, 1) and set(clubs.surges.counts) == {None}
