--- a/flintshift/door/promises.py
+++ b/flintshift/door/promises.py
@@ -23,6 +23,11 @@
     slots: int = 256  # ahead of now: no time further off is promised
     places: int = 64  # of a slot
 
+    @property
+    def most(self) -> int:
+        """Entries that there can be: slots ahead, of now and kept for those who come late, each with its places."""
+        return (self.slots + LATE_SLOTS + 1) * (1 + self.places)
+
 
 @dataclass(slots=True)
 class Slot:
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -258,6 +258,13 @@
 
     @property
     def places(self) -> int:
-        """The entries of all its tables: bounded, whatever comes."""
+        """The entries of all its tables."""
         return len(self.open) + len(self.cost_ms) + sum(
             1 + len(club.lanes) + len(club.buckets) + club.calendar.places for club in self.clubs.values())
+
+    @property
+    def most_places(self) -> int:
+        """As many as there can be under these settings, whatever comes."""
+        bounds = self.bounds
+        club = 1 + bounds.lanes + bounds.buckets + bounds.calendar.most
+        return bounds.open + len(self.cost_ms) + (len(self.weights) + 1) * club
