--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -8,6 +8,10 @@
 - A lane is charged when a run begins, by what its class took lately, and put right by what it did take. What was turned
   away charges nothing: a club that floods is behind by what it was served, never by what it asked for.
 - The virtual time is the least charge of the clubs that wait; where none waits it forgets: unused share is not saved.
+- A further try that comes without a promise has to be paid for from a budget that first tries fill, of its caller and
+  of its club (B. Treynor Sloss and others, "Site Reliability Engineering", O'Reilly 2016, chapter 21, has it at the
+  client). One that is not paid for stands behind all others of its club, so a storm of them crowds no first try out,
+  and is promised nothing, so that nobody gathers places by coming before its time.
 - Within a club, callers are lanes of equal weight, and what waits is in the order of their tags: one caller's flood
   stands behind its club's other callers. A request's rank is its place in that order, from its club's charge on, as it
   is when it is asked for: a club gains no place in the order by whom in it the place is given to.
@@ -21,6 +25,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from operator import attrgetter
@@ -40,6 +45,9 @@
 )
 
 LEARN = 0.1  # the weight of a sample in what a class is taken to cost
+TRY_PART = 0.2  # of a further try, that a first one pays for
+TRIES_MOST = 10.0, 2.0  # further tries that a club and a caller may have saved up
+LAST = math.inf  # the tag of a further try that is not paid for: behind all others of its club
 FRONT = -1.0  # the tag of who comes at the time that it was told: before all others of its club
 FIRST_MS = 20.0  # what a class that is named no more is taken to cost
 
@@ -62,6 +70,7 @@
     charged: float = 0.0
     waiting: int = 0
     waiting_ms: float = 0.0
+    tries: float = TRIES_MOST[1]  # that its further ones may have
 
 
 @dataclass(slots=True, eq=False)
@@ -75,6 +84,7 @@
     waiting: dict[Entry, None] = field(default_factory=dict)  # in the order of coming
     ordered: bool = True  # their places are as they stand
     served_ms: float = 0.0
+    tries: float = TRIES_MOST[0]
 
 
 @dataclass(slots=True, eq=False)
@@ -136,8 +146,8 @@
         self._waits_no_more(entry)
         club = entry.club
         from_ms = max(event.least_ms, club.charged - self.virtual)
-        wait_ms = club.calendar.promise(now_ms, entry.caller, entry.cost / club.weight, from_ms, event.most_ms,
-                                        event.draw)
+        wait_ms = None if entry.tag == LAST else club.calendar.promise(
+            now_ms, entry.caller, entry.cost / club.weight, from_ms, event.most_ms, event.draw)
         return ComeBack(event.most_ms, False) if wait_ms is None else ComeBack(wait_ms, True)
 
     def rank_ms(self, request: str) -> float:
@@ -182,6 +192,11 @@
             club.virtual, max(club.virtual, lane.charged) + lane.waiting_ms)
         if (event.again or not self.marks) and club.calendar.keeps(now_ms, event.caller):
             entry.tag = FRONT
+        elif event.again and min(club.tries, lane.tries) < 1.0:
+            entry.tag = LAST
+        else:
+            paid = -1.0 if event.again else TRY_PART
+            club.tries, lane.tries = min(club.tries + paid, TRIES_MOST[0]), min(lane.tries + paid, TRIES_MOST[1])
         lane.waiting += 1
         lane.waiting_ms += entry.cost
         club.waiting[entry] = None
