--- a/flintshift/cli/door.py
+++ b/flintshift/cli/door.py
@@ -6,7 +6,9 @@
 import socket
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -14,7 +16,19 @@
 
 WITHIN_S = 5.0
 MOST = 1 << 20  # bytes: a club is told in under 200
-HEAD = "club                    cores   served s  ahead ms  waiting  waiting ms  callers  promised"
+# Heading, width, and how a club's entry is written.
+COLUMNS: tuple[tuple[str, int, Callable[[dict[str, Any]], str]], ...] = (
+    ("cores", 7, lambda one: f"{one['cores']:.2f}"),
+    ("served s", 11, lambda one: f"{one['served_ms'] / 1000:.1f}"),
+    ("ahead ms", 10, lambda one: f"{one['ahead_ms']:.0f}"),
+    ("asked", 10, lambda one: str(one["asked"])),
+    ("away", 10, lambda one: str(one["turned_away"])),
+    ("not paid", 10, lambda one: str(one["not_paid"])),
+    ("waiting", 9, lambda one: str(one["waiting"])),
+    ("waiting ms", 12, lambda one: f"{one['waiting_ms']:.0f}"),
+    ("callers", 9, lambda one: str(one["callers"])),
+    ("promised", 10, lambda one: str(one["promised"])),
+)
 
 
 def ask(path: Path) -> bytes:
@@ -49,6 +63,8 @@
     cores       the club's share of them
     served s    time on cores that its runs took since the start
     ahead ms    how long, at its share, it was served past the club served least of those that wait
+    asked       requests since the start; away, of these, were turned away; not paid are
+                further tries past the budget that first tries fill
     waiting     requests that wait, and their time at the club's share
     callers     that are known by number (64 at most; all others share)
     promised    places that are kept for callers who were told a time
@@ -62,15 +78,15 @@
     try:
         told = json.loads(ask(path))
         clubs = told["clubs"]
-    except (OSError, ValueError, KeyError) as error:
+    except (OSError, ValueError, KeyError, TypeError) as error:
         click.echo(f"flintshift: {path}: {error}: name the socket that `door.socket` in the file of a running node "
                    "names, as the user that the node runs as", err=True)
         sys.exit(1)
     if as_json:
         click.echo(json.dumps(told))
         return
-    click.echo(HEAD)
+    click.echo(f"{'club':<22}" + "".join(f"{name:>{width}}" for name, width, _ in COLUMNS))
     for one in sorted(clubs, key=lambda one: -one["waiting_ms"]):
-        click.echo(f"{one['club'] or '(others)':<22.22}{one['cores']:>7.2f}{one['served_ms'] / 1000:>11.1f}"
-                   f"{one['ahead_ms']:>10.0f}{one['waiting']:>9}{one['waiting_ms']:>12.0f}{one['callers']:>9}"
-                   f"{one['promised']:>10}")
+        click.echo(f"{one['club'] or '(others)':<22.22}" + "".join(f"{of(one):>{width}}" for _, width, of in COLUMNS))
+    click.echo(f"tables: {told['places']:,} entries of {told['most_places']:,}, at the most "
+               f"{told['bytes_at_most'] / 1024:,.0f} KiB")
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -37,8 +37,8 @@
     door_callers: int = 64  # of a club that the fair queues know by number
     door_buckets: int = 64  # for all its other callers
     door_open: int = 4096  # requests that they follow
-    door_slots: int = 256  # of a club's calendar of promised times
-    door_places: int = 64  # of a slot
+    door_slots: int = 64  # of a club's calendar of promised times
+    door_places: int = 32  # of a slot
 
     # Times, in milliseconds.
     clock_skew_ms: float = 5000.0  # a request may seem to come from the future by so much
--- a/flintshift/door/promises.py
+++ b/flintshift/door/promises.py
@@ -20,8 +20,8 @@
 @dataclass(frozen=True, slots=True)
 class CalendarBounds:
     slot_ms: float = 50.0
-    slots: int = 256  # ahead of now: no time further off is promised
-    places: int = 64  # of a slot
+    slots: int = 64  # ahead of now: no time further off is promised
+    places: int = 32  # of a slot
 
     @property
     def most(self) -> int:
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -44,6 +44,7 @@
     Weighed,
 )
 
+PLACE_BYTES = 350  # that an entry of a table takes at the most, with what it holds
 LEARN = 0.1  # the weight of a sample in what a class is taken to cost
 TRY_PART = 0.2  # of a further try, that a first one pays for
 TRIES_MOST = 10.0, 2.0  # further tries that a club and a caller may have saved up
@@ -85,6 +86,9 @@
     ordered: bool = True  # their places are as they stand
     served_ms: float = 0.0
     tries: float = TRIES_MOST[0]
+    asked: int = 0
+    turned_away: int = 0
+    not_paid: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -145,6 +149,7 @@
         del self.open[event.request]
         self._waits_no_more(entry)
         club = entry.club
+        club.turned_away += 1
         from_ms = max(event.least_ms, club.charged - self.virtual)
         wait_ms = None if entry.tag == LAST else club.calendar.promise(
             now_ms, entry.caller, entry.cost / club.weight, from_ms, event.most_ms, event.draw)
@@ -194,9 +199,11 @@
             entry.tag = FRONT
         elif event.again and min(club.tries, lane.tries) < 1.0:
             entry.tag = LAST
+            club.not_paid += 1
         else:
             paid = -1.0 if event.again else TRY_PART
             club.tries, lane.tries = min(club.tries + paid, TRIES_MOST[0]), min(lane.tries + paid, TRIES_MOST[1])
+        club.asked += 1
         lane.waiting += 1
         lane.waiting_ms += entry.cost
         club.waiting[entry] = None
@@ -268,12 +275,13 @@
 
     def shown(self) -> list[Shown]:
         return [Shown(name, club.weight, club.served_ms, max(0.0, club.charged - self.virtual), len(club.waiting),
-                      sum(entry.cost for entry in club.waiting) / club.weight, len(club.lanes), club.calendar.kept)
+                      sum(entry.cost for entry in club.waiting) / club.weight, len(club.lanes), club.calendar.kept,
+                      club.asked, club.turned_away, club.not_paid)
                 for name, club in self.clubs.items()]
 
     @property
     def places(self) -> int:
-        """The entries of all its tables."""
+        """The entries of all its tables; each takes ``PLACE_BYTES`` at the most."""
         return len(self.open) + len(self.cost_ms) + sum(
             1 + len(club.lanes) + len(club.buckets) + club.calendar.places for club in self.clubs.values())
 
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/vocabulary.py
@@ -115,3 +115,6 @@
     waiting_ms: float
     callers: int  # known by number
     promised: int  # places that are kept
+    asked: int  # requests since the start
+    turned_away: int  # of these
+    not_paid: int  # further tries that first ones did not pay for
--- a/flintshift/lifecycle/door_socket.py
+++ b/flintshift/lifecycle/door_socket.py
@@ -8,12 +8,14 @@
 from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
+from typing import Any
 
 import anyio
 from anyio.abc import SocketListener, SocketStream
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
+from flintshift.door.shares import PLACE_BYTES
 from flintshift.lifecycle.fair_door import FairDoor
 from flintshift.wire.link import BROKEN
 from flintshift.wire.unix import listens, open_path
@@ -52,6 +54,11 @@
             finally:  # before the socket closes: after it, the path may be a successor's
                 self.path.unlink(missing_ok=True)
 
+    def _shown(self) -> dict[str, Any]:
+        shares = self.door.shares
+        return {"clubs": [asdict(one) for one in shares.shown()], "places": shares.places,
+                "most_places": shares.most_places, "bytes_at_most": shares.places * PLACE_BYTES}
+
     async def _answer(self, listener: SocketListener) -> None:
         try:
             stream = await listener.accept()
@@ -63,7 +70,6 @@
         try:
             async with stream:
                 with anyio.move_on_after(self.limits.door_show_ms / 1000):
-                    clubs = [asdict(one) for one in self.door.shares.shown()]
-                    await stream.send(json.dumps({"clubs": clubs}).encode() + b"\n")
+                    await stream.send(json.dumps(self._shown()).encode() + b"\n")
         except BROKEN:
             self.counters.add("door.show_broken")
--- a/tests/door/test_shares.py
+++ b/tests/door/test_shares.py
@@ -5,6 +5,7 @@
 import itertools
 import math
 import random
+import tracemalloc
 from collections import Counter
 
 import pytest
@@ -12,7 +13,7 @@
 from hypothesis import strategies as st
 
 from flintshift.door.promises import CalendarBounds
-from flintshift.door.shares import Bounds, Shares
+from flintshift.door.shares import PLACE_BYTES, Bounds, Shares
 from flintshift.door.vocabulary import Arrived, Began, Ended, Left, TurnedAway, Weighed
 
 KEY, EVEN = b"k" * 16, {"a": 1.0, "b": 1.0}
@@ -167,6 +168,22 @@
     assert door.shares.most_places == 50 + 2 + 2 * (1 + 8 + 4 + 13 * 7)
 
 
+@pytest.mark.parametrize("clubs", [1, 5, 50])
+def test_full_tables_take_no_more_bytes_than_are_told(clubs):
+    names, draw = [f"c{number}" for number in range(clubs)], random.Random(1)
+    asked = [(f"{number:016x}", names[number % clubs], draw.getrandbits(63)) for number in range(12_000)]
+    tracemalloc.start()
+    shares = Shares(Weighed(dict.fromkeys(names, 1.0), 2, {"look": 20.0}, True), KEY)
+    for number, (request, club, caller) in enumerate(asked):
+        shares.handle(0.0, Arrived(request, club, caller, "look"))
+        if number % 3:
+            shares.handle(0.0, TurnedAway(request, 0.0, 20_000.0, 0.5))
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert shares.places > 4000 and used <= shares.places * PLACE_BYTES
+    assert sum(one.asked for one in shares.shown()) == 12_000
+
+
 def test_a_full_table_of_callers_keeps_who_waits_and_who_is_charged_and_lets_the_others_go():
     door = Door({"a": 1.0}, lanes=4, buckets=2)
     door.arrive(times=20)
