Bound the fair queues' memory in its benchmark by counted places, and measure a file that is read

Need: the benchmark of the door's cost traced memory in a second play, which slowed it and counted what is not the door's; and no figure told what an operators' file that is read and has nothing to say costs by itself. Change: memory is told as places times what a place takes at most; request_cost has a variant 'file'.

--- a/benchmarks/door_cost.py
+++ b/benchmarks/door_cost.py
@@ -13,13 +13,12 @@
 import random
 import sys
 import time
-import tracemalloc
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from flintshift.door.shares import Shares  # noqa: E402
+from flintshift.door.shares import PLACE_BYTES, Shares  # noqa: E402
 from flintshift.door.vocabulary import Arrived, Began, Ended, Weighed  # noqa: E402
 
 CLUBS = [f"club{number}" for number in range(5)]
@@ -52,11 +51,8 @@
     for waiting in (0, 10, 100):
         for callers in (5, 500, 50_000):
             us, places = min(play(callers, waiting, given.requests) for _ in range(3))
-            tracemalloc.start()
-            play(callers, waiting, given.requests // 4)
             rows.append({"waiting": waiting, "callers": callers, "us": round(us, 1), "places": places,
-                         "peak_kb": round(tracemalloc.get_traced_memory()[1] / 1024)})
-            tracemalloc.stop()
+                         "kb_at_most": round(places * PLACE_BYTES / 1024)})
             print(rows[-1])
     if given.out:
         given.out.write_text(json.dumps(rows, indent=1) + "\n")
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -35,12 +35,12 @@
 
 WORKERS = 3
 LEDGER = "usage: {{enabled: true, folder: usage, period: 10s, grace: 1s, durability: {}, sync: {}}}\n"
-DOOR = "door"
 VARIANTS = {
     "off": None,
     "process-death": LEDGER.format("process-death", "50ms"),
     "power-cut 5ms": LEDGER.format("power-cut", "5ms"),
-    DOOR: "door: {enabled: true}\n",
+    "door": "door: {enabled: true}\n",
+    "file": "log: {enabled: true, level: error}\n",  # that is read, and has nothing to say
 }
 PLATFORM = {"tenants": [{"name": club, "quotaPerS": 100_000.0} for club in CLUBS]}
 
