Run the tests beside each other on all cores, each worker at ports of its own

Change: pytest-xdist with work stealing; a worker's rigs take ports from its own part of the range, in turn and not by chance, so two never get the same port between the look and the start.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(PY) -m mypy flintshift
 
 test: $(DEPS)
-	$(PY) -m pytest -q
+	$(PY) -m pytest -q -n auto --dist worksteal
 
 run: $(DEPS)
 	exec .venv/bin/flintshift run
--- a/flintshift/lab/rig.py
+++ b/flintshift/lab/rig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import random
@@ -17,17 +18,29 @@
 from flintshift.settings.embedded import configuration
 
 PORTS = range(20_000, 32_000)  # below those that systems draw a caller's own port from: no caller takes one of these
+PART = "FLINTSHIFT_LAB_PORTS"  # as "2/8": this process takes the third of eight parts, so that eight can run beside
+
+
+def port_range() -> range:
+    part, _, parts = os.environ.get(PART, "0/1").partition("/")
+    share = len(PORTS) // int(parts)
+    return PORTS[int(part) * share:(int(part) + 1) * share]
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports to listen on that nobody holds now."""
+    """Ports to listen on that nobody holds now, none of them told before until all of the range were."""
     found: list[int] = []
-    for port in random.sample(PORTS, len(PORTS)):
+    ports = port_range()
+    for _ in range(len(ports)):
+        port = ports[next(_turn) % len(ports)]
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
             found.append(port)
         if len(found) == count:
             return found
-    raise OSError(f"{count} of the ports from {PORTS.start} to {PORTS.stop - 1} are not free")
+    raise OSError(f"{count} of the ports from {ports.start} to {ports.stop - 1} are not free")
+
+
+_turn = itertools.count(random.randrange(len(PORTS)))  # two that ask in turn never get the same
 
 
 class Rig:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import os
+
 import pytest
 from standins import Rig
 
 from flintshift import interface as api
 from flintshift.control import Controller
+from flintshift.lab.rig import PART
+
+if "PYTEST_XDIST_WORKER" in os.environ:  # workers run beside each other: each starts processes at ports of its own
+    os.environ[PART] = f"{os.environ['PYTEST_XDIST_WORKER'][2:]}/{os.environ['PYTEST_XDIST_WORKER_COUNT']}"
 
 SAFE = api.RequestClass("look", 1000.0, 3000.0, 1.0, api.Effect.SAFE)
 DEAR = api.RequestClass("buy", 1000.0, 3000.0, 5.0, api.Effect.UNSAFE, calls=True)
