--- a/flintshift/lab/faults.py
+++ b/flintshift/lab/faults.py
@@ -82,8 +82,8 @@
             passing = [asyncio.ensure_future(self._pass(held[way], come[way], sink, not way))
                        for way, sink in enumerate((further, writer))]
             await asyncio.wait(passing, return_when=asyncio.FIRST_COMPLETED)
-            for one in (*reading, *passing):
-                one.cancel()
+            for task in (*reading, *passing):
+                task.cancel()
             await asyncio.gather(*reading, *passing, return_exceptions=True)
         finally:
             self.writers -= both
