--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PROTO = flintshift/proto/usage.proto flintshift/proto/peers.proto
 
-.PHONY: build check lint test run demo proto proto-fresh clean kill-exporter kill-node bench
+.PHONY: build check lint test run demo proto proto-fresh clean kill-exporter kill-node chaos-copies bench
 build: $(DEPS)
 
 $(DEPS): requirements.txt requirements-dev.txt pyproject.toml
@@ -43,6 +43,9 @@
 kill-node: $(DEPS)
 	$(PY) benchmarks/kill_node.py --runs 50 --out benchmarks/results/kill_node.json
 
+chaos-copies: $(DEPS)
+	$(PY) benchmarks/chaos_copies.py --rounds 200 --out benchmarks/results/chaos_copies.json
+
 bench: $(DEPS)
 	mkdir -p build
 	$(PY) benchmarks/ledger_store.py --out benchmarks/results/ledger_store.json
--- /dev/null
+++ b/benchmarks/chaos_copies.py
@@ -0,0 +1,69 @@
+"""Chaos for the copies: many rounds of seeded faults, a machine lost with its disk in each; and the same with copies off.
+
+    python benchmarks/chaos_copies.py --rounds 200 --out benchmarks/results/chaos_copies.json
+
+Exit code 3 where a promise was broken. Fleets run beside each other, each with rounds and a seed of its own; a seed plays
+the same faults each time, while what callers meet in them depends on the machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import sys
+import tempfile
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from flintshift.lab.chaos_copies import rounds  # noqa: E402
+from flintshift.lab.rig import PART  # noqa: E402
+
+
+def play(part: int, parts: int, count: int, seed: int, copies: bool) -> dict[str, Any]:
+    import os
+    os.environ[PART] = f"{part}/{parts}"
+    with tempfile.TemporaryDirectory(prefix="flintshift-chaos-") as folder:
+        tally = asyncio.run(rounds(Path(folder), count, seed, copies,
+                                   said=lambda text: print(f"fleet {part}: {text}", file=sys.stderr, flush=True)))
+    return tally.told()
+
+
+def many(count: int, parallel: int, seed: int, copies: bool) -> dict[str, Any]:
+    shares = [count // parallel + (part < count % parallel) for part in range(parallel)]
+    with ProcessPoolExecutor(parallel) as fleets:
+        told = list(fleets.map(play, range(parallel), [parallel] * parallel, shares,
+                               [seed + part for part in range(parallel)], [copies] * parallel))
+    summed: dict[str, Any] = {"seeds": [seed + part for part in range(parallel)]}
+    for name in ("rounds", "keys", "runs"):
+        summed[name] = sum(one[name] for one in told)
+    for name in ("broken", "answers", "faults"):
+        summed[name] = dict(sum((Counter(one[name]) for one in told), Counter()))
+    return {**summed, "first": [text for one in told for text in one["first"]][:20]}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--rounds", type=int, default=200)
+    parser.add_argument("--parallel", type=int, default=4, help="fleets beside each other")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--off", type=int, default=4, metavar="ROUNDS", help="rounds with copies off")
+    parser.add_argument("--out", type=Path, help="write the result here too")
+    given = parser.parse_args()
+    told = {"copies": many(given.rounds, min(given.parallel, given.rounds), given.seed, True)}
+    if given.off:
+        told["off"] = many(given.off, min(given.parallel, given.off), given.seed, False)
+    text = json.dumps(told, indent=1)
+    print(text)
+    if given.out:
+        given.out.write_text(text + "\n")
+    sys.exit(3 if told["copies"]["broken"] else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/flintshift/lab/chaos_copies.py
@@ -0,0 +1,200 @@
+"""Chaos for the copies: rounds of faults by seed on a fleet under load, each with a machine that is lost with its
+disk.
+
+One round: keyed load with repeats at random members; a fault out of the table; a machine and its disk gone in the
+middle of it; the machine back, empty; then, for every key of the round, one more repeat at a member that is up.
+The judge sees only what crossed the sockets.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from flintshift.lab.faults import Fault
+from flintshift.lab.fleet import WINDOW_MS, Fleet
+from flintshift.lab.history import Ran
+
+HALLS = {"ruwi-hall": 3, "seeb-hall": 2}
+COPIES = "  copies: 3\n"
+QUIET_S = 0.3  # under load before the fault
+HURT_S = 0.9  # with it
+PAUSE_S = 0.004  # of a caller between two requests
+
+
+async def nothing(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    """The lost machine alone."""
+
+
+async def slow_link(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    one, other = draw.sample(others, 2)
+    fleet.links[one, other].there = Fault(delay_ms=200.0, jitter_ms=50.0)
+    fleet.told(f"{one} to {other}: 200 ms late")
+
+
+async def one_way_cut(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    one, other = draw.sample(others, 2)
+    fleet.links[one, other].there = Fault(lost=True)
+    fleet.told(f"{one} to {other}: nothing passes, the other way all does")
+
+
+async def cut_off(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    """A further member behind a cut: callers are still with it."""
+    one = draw.choice(others)
+    fleet.cut([one], [name for name in fleet.members if name != one])
+
+
+async def hall_cut(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    fleet.cut(fleet.hall("ruwi-hall"), fleet.hall("seeb-hall"))
+
+
+async def flapping(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    one = draw.choice(others)
+    for _ in range(4):
+        for link in fleet.between([one], [name for name in fleet.members if name != one]):
+            link.reset()
+        await asyncio.sleep(0.15)
+    fleet.told(f"links of {one} were reset four times")
+
+
+async def paused(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    one = draw.choice(others)
+    fleet.pause(one)
+    await asyncio.sleep(1.8)
+    fleet.resume(one)
+
+
+async def process_killed(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    """A second member dies, with its disk kept, and comes back."""
+    one = draw.choice(others)
+    await fleet.kill(one)
+    await asyncio.sleep(0.3)
+    await fleet.start(one)
+
+
+async def torn_frames(fleet: Fleet, draw: random.Random, others: list[str]) -> None:
+    for _ in range(6):
+        one, other = draw.sample(others, 2)
+        fleet.links[one, other].there = Fault(cut_after=draw.randrange(2000), twice=draw.random() < 0.3)
+    fleet.told("six links are cut in the middle of a frame, some after junk")
+
+
+FAULTS: dict[str, Callable[[Fleet, random.Random, list[str]], Awaitable[None]]] = {
+    one.__name__: one for one in (nothing, slow_link, one_way_cut, cut_off, hall_cut, flapping, paused,
+                                  process_killed, torn_frames)}
+
+
+@dataclass
+class Tally:
+    """What the rounds came to."""
+
+    rounds: int = 0
+    broken: Counter[str] = field(default_factory=Counter)
+    texts: list[str] = field(default_factory=list)
+    answers: Counter[str] = field(default_factory=Counter)
+    faults: Counter[str] = field(default_factory=Counter)
+    runs: int = 0
+    keys: int = 0
+    took_s: float = 0.0
+
+    def told(self) -> dict[str, Any]:
+        return {"rounds": self.rounds, "keys": self.keys, "runs": self.runs, "broken": dict(self.broken),
+                "answers": dict(self.answers), "faults": dict(self.faults), "took_s": round(self.took_s, 1),
+                "first": self.texts[:20]}
+
+
+class Load:
+    """Callers with keyed requests, of which some come a second time at another member."""
+
+    def __init__(self, fleet: Fleet, draw: random.Random, callers: int, prefix: str) -> None:
+        self.fleet, self.draw, self.callers, self.prefix = fleet, draw, callers, prefix
+        self.keys: list[str] = []
+        self.over = asyncio.Event()
+
+    async def run(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(self.callers):
+                tasks.create_task(self._caller(random.Random(self.draw.getrandbits(32))))
+
+    async def _caller(self, draw: random.Random) -> None:
+        while not self.over.is_set():
+            key = f"{self.prefix}-{len(self.keys)}"
+            self.keys.append(key)
+            names = list(self.fleet.members)
+            first = self.fleet.ask(draw.choice(names), key)
+            if draw.random() < 0.3:  # a second copy in the same moment
+                await asyncio.gather(first, self.fleet.ask(draw.choice(names), key, again=True))
+            else:
+                await first
+                if draw.random() < 0.6:
+                    await self.fleet.ask(draw.choice(names), key, again=True)
+            await asyncio.sleep(PAUSE_S)
+
+
+async def one_round(fleet: Fleet, number: int, seed: int, tally: Tally, callers: int) -> None:
+    draw = random.Random(seed * 100_003 + number)
+    fault = list(FAULTS)[number % len(FAULTS)] if number < len(FAULTS) else draw.choice(list(FAULTS))
+    lost = draw.choice(list(fleet.members))
+    others = [name for name in fleet.members if name != lost]
+    fleet.told(f"round {number}: {fault}, and {lost} is lost")
+    tally.faults[fault] += 1
+    load = Load(fleet, draw, callers, f"r{number}")
+    loading = asyncio.ensure_future(load.run())
+    await asyncio.sleep(QUIET_S)
+    hurting = asyncio.ensure_future(FAULTS[fault](fleet, draw, others))
+    await asyncio.sleep(HURT_S * draw.random())
+    await fleet.lose(lost)
+    await asyncio.sleep(HURT_S * draw.random())
+    await hurting
+    fleet.heal()
+    await fleet.start(lost)
+    await asyncio.sleep(0.5)
+    load.over.set()
+    await loading
+    tally.keys += len(load.keys)
+    await fleet.until_filled(lost)
+    ran = {event.rid for event in fleet.events if isinstance(event, Ran)}
+    # Every key that may have run, once more, wherever.
+    room = asyncio.Semaphore(16)
+
+    async def last(key: str) -> None:
+        async with room:
+            await fleet.ask(draw.choice(list(fleet.members)), key, again=True)
+    await asyncio.gather(*(last(key) for key in load.keys))
+    judged = fleet.judged()
+    tally.rounds += 1
+    tally.broken.update(judged.by_promise())
+    tally.texts += [f"seed {seed}, round {number} ({fault}, {lost} lost): {one.what} of {one.key}: {one.text}"
+                    for one in judged.broken]
+    tally.answers.update(judged.answers)
+    tally.runs += len(ran)
+    fleet.events.clear()
+    for member in fleet.members.values():
+        member.pool.spawned.clear()
+
+
+async def rounds(folder: Path, count: int, seed: int, copies: bool = True, callers: int = 8,
+                 said: Callable[[str], None] = lambda text: None, root: Path | None = None) -> Tally:
+    """Play so many rounds on one fleet. ``copies`` False: the members share nothing, to see what is lost then."""
+    tally, began = Tally(), time.monotonic()
+    async with Fleet(folder, HALLS, COPIES if copies else None, seed=seed, root=root) as fleet:
+        await fleet.until_linked()
+        for number in range(count):
+            await one_round(fleet, number, seed, tally, callers)
+            said(f"round {number + 1} of {count}: {sum(tally.broken.values())} broken, "
+                 f"{dict(tally.answers)}, {time.monotonic() - began:.0f} s")
+            if tally.texts and not copies and number >= count - 1:
+                break
+        tally.took_s = time.monotonic() - began
+        if tally.texts:
+            (folder / "story.txt").write_text("\n".join(map(str, fleet.story())))
+    return tally
+
+
+__all__ = ["FAULTS", "WINDOW_MS", "Tally", "rounds"]
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -206,6 +206,33 @@
         member.paused = False
         self.told(f"{name} resumed")
 
+    def _log_of(self, name: str) -> str:
+        """Of its present life."""
+        return self.members[name].logs[-1].read_text(errors="replace")
+
+    async def until_logged(self, name: str, *texts: str, within_s: float = 30.0) -> None:
+        """Until its log holds one of these.
+
+        Raises:
+            RuntimeError: it did not in time.
+        """
+        until = time.monotonic() + within_s
+        while not any(text in self._log_of(name) for text in texts):
+            if time.monotonic() > until:
+                raise RuntimeError(f"{name} did not log any of {texts} within {within_s} s")
+            await asyncio.sleep(0.02)
+
+    async def until_linked(self) -> None:
+        """Until every member has a link to every other."""
+        if self.copies is not None:
+            for name in self.members:
+                await self.until_logged(name, f'"reached": {len(self.members) - 1}')
+
+    async def until_filled(self, name: str) -> None:
+        """Until this member's store votes on every key."""
+        if self.copies is not None:
+            await self.until_logged(name, '"votes": true', '"copies.votes"')
+
     # Links.
 
     def between(self, one: Iterable[str], other: Iterable[str]) -> list[FaultProxy]:
