--- a/benchmarks/chaos_copies.py
+++ b/benchmarks/chaos_copies.py
@@ -1,9 +1,9 @@
-"""Chaos for the copies: many rounds of seeded faults, a machine lost with its disk in each; and the same with copies off.
+"""Chaos for the copies: many rounds of seeded faults, each with a machine lost with its disk; and with copies off.
 
     python benchmarks/chaos_copies.py --rounds 200 --out benchmarks/results/chaos_copies.json
 
-Exit code 3 where a promise was broken. Fleets run beside each other, each with rounds and a seed of its own; a seed plays
-the same faults each time, while what callers meet in them depends on the machine.
+Exit code 3 where a promise was broken. Fleets run beside each other, each with rounds and a seed of its own; a seed
+plays the same faults each time, while what callers meet in them depends on the machine.
 """
 
 from __future__ import annotations
--- a/tests/fleet/test_losses.py
+++ b/tests/fleet/test_losses.py
@@ -15,6 +15,7 @@
 
 async def test_a_machine_is_lost_with_its_disk_and_the_repeat_does_not_run_again(tmp_path):
     async with Fleet(tmp_path, HALLS, copies=COPIES) as fleet:
+        await fleet.until_linked()
         first = await fleet.ask("n1", "k1")
         assert first is not None and first.status == 200
         await fleet.lose("n1")
