--- a/flintshift/cli/copies.py
+++ b/flintshift/cli/copies.py
@@ -2,12 +2,25 @@
 
 from __future__ import annotations
 
+import json
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import click
 
+from flintshift.cli.asking import told
+
+ADVICE = "name the folder that `copies.folder` in a running member's file names, as the user that the member runs as"
+FOLDER = click.argument("folder", type=click.Path(path_type=Path, file_okay=False))
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print what is told as JSON.")
+
+
+def shown(folder: Path) -> dict[str, Any]:
+    from flintshift.copies.store import SOCKET
+    return told(folder / SOCKET, "members", ADVICE)
+
 
 @click.group()
 def copies() -> None:
@@ -23,7 +36,7 @@
 
 
 @copies.command()
-@click.argument("folder", type=click.Path(path_type=Path, file_okay=False))
+@FOLDER
 def found(folder: Path) -> None:
     """Make the empty store of a fleet that begins, at FOLDER (copies.folder in the operators' file).
 
@@ -39,3 +52,95 @@
         click.echo(f"flintshift: {error}", err=True)
         sys.exit(1)
     click.echo(f"{folder}: founded; this member votes from its first start on")
+
+
+@copies.command()
+@FOLDER
+@AS_JSON
+def status(folder: Path, as_json: bool) -> None:
+    """How the copies stand at the running member whose copies.folder is FOLDER.
+
+    \b
+    votes         on every key; else how long until it does by itself, and who has filled it
+    under-copied  keys of which another holder is out of reach now
+    may have run  writes whose runner died without an outcome: they fail, and never run again
+                  in their window. Look them up in the results ledger
+
+    Exit code 3: the member does not vote, its disk refuses, or a write may have run.
+    """
+    found = shown(folder)
+    if as_json:
+        click.echo(json.dumps(found))
+    else:
+        votes = "yes" if found["votes"] else (f"no, at the latest in {found['votes_in_ms'] / 1000:.0f} s; filled by "
+                                              f"{', '.join(found['filled_by']) or 'nobody yet'}")
+        stages = ", ".join(f"{count:,} {stage}" for stage, count in found["stages"].items())
+        for name, text in (("member", f"{found['member']} ({found['identity']}), store {found['store']}"),
+                           ("votes", votes), ("disk", found["disk"]),
+                           ("keys", f"{found['keys']:,}: {stages}; {found['bytes'] / 1024:,.0f} KiB"),
+                           ("under-copied", f"{found['under_copied']:,}"),
+                           ("under way", f"{found['proposals']:,} proposals, {found['followed']:,} keys followed"),
+                           ("may have run", f"{len(found['may_have_run'])}")):
+            click.echo(f"{name:<14}{text}")
+        for one in found["may_have_run"]:
+            click.echo(f"  {one['class']} {one['key']}, claimed by request {one['request']}")
+    sys.exit(0 if found["votes"] and found["disk"] == "takes" and not found["may_have_run"] else 3)
+
+
+@copies.command()
+@FOLDER
+@AS_JSON
+def verify(folder: Path, as_json: bool) -> None:
+    """Read the whole store at FOLDER, of a running member too, and check every record against its checksum.
+
+    Exit code 3: something is not as it was written; the file and the place are named.
+    """
+    from flintshift.copies.store import examined
+    from flintshift.storage.files import DiskFiles
+    from flintshift.storage.snapshot import DamagedError
+    from flintshift.wire.peer_words import entry_from
+    try:
+        state, records, keys = examined(DiskFiles(), folder, entry_from)
+    except OSError as error:
+        click.echo(f"flintshift: {error}", err=True)
+        sys.exit(1)
+    except DamagedError as error:
+        click.echo(json.dumps({"damage": str(error)}) if as_json else str(error), err=not as_json)
+        sys.exit(3)
+    if as_json:
+        click.echo(json.dumps({"member": state.member, "store": state.incarnation, "votes": state.votes,
+                               "records": records, "keys": keys}))
+    else:
+        click.echo(f"{folder}: whole: store {state.incarnation} of {state.member or 'nobody yet'}, {records:,} records "
+                   f"of {keys:,} keys; it {'votes' if state.votes else 'does not vote'}")
+
+
+@click.group()
+def peers() -> None:
+    """The other members of a fleet, as one of them sees them.
+
+    \b
+    Exit codes:
+      0  all are linked
+      1  the member can't be reached
+      2  the command line can't be used
+      3  a member is missing
+    """
+
+
+@peers.command("status")
+@FOLDER
+@AS_JSON
+def peers_status(folder: Path, as_json: bool) -> None:
+    """Who the others are and who lives, at the running member whose copies.folder is FOLDER."""
+    found = shown(folder)
+    if as_json:
+        click.echo(json.dumps({key: found[key] for key in ("member", "identity", "epoch", "members")}))
+    else:
+        click.echo(f"{'member':<16}{'hall':<16}{'link':<8}processes")
+        for one in found["members"]:
+            lives = "; ".join(f"{process['identity']} {process['state']}, heard {process['silent_ms'] / 1000:.1f} s ago"
+                              for process in one["processes"])
+            click.echo(f"{one['member']:<16}{one['hall']:<16}{'up' if one['linked'] else 'down':<8}"
+                       f"{lives or one['cause'] or 'never heard of'}")
+    sys.exit(0 if all(one["linked"] for one in found["members"]) else 3)
--- a/flintshift/cli/door.py
+++ b/flintshift/cli/door.py
@@ -3,19 +3,14 @@
 from __future__ import annotations
 
 import json
-import socket
-import sys
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import click
 
-from flintshift.wire.unix import short
+from flintshift.cli.asking import told
 
-WITHIN_S = 5.0
-MOST = 1 << 20  # bytes: a club is told in under 200
 # Heading, width, and how a club's entry is written.
 COLUMNS: tuple[tuple[str, int, Callable[[dict[str, Any]], str]], ...] = (
     ("cores", 7, lambda one: f"{one['cores']:.2f}"),
@@ -31,23 +26,6 @@
 )
 
 
-def ask(path: Path) -> bytes:
-    """What the node tells at its socket.
-
-    Raises:
-        OSError: nobody listens there, it takes too long, or what listens tells too much to be a node.
-    """
-    until, data = time.monotonic() + WITHIN_S, b""
-    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as raw, short(path) as name:
-        raw.settimeout(WITHIN_S)
-        raw.connect(name)
-        while more := raw.recv(65_536):
-            data += more
-            if len(data) > MOST or time.monotonic() > until:
-                raise OSError(f"what listens there does not end its answer ({len(data):,} B)")
-    return data
-
-
 @click.group()
 def door() -> None:
     """The fair queues at the door of a running node."""
@@ -75,18 +53,14 @@
       1  the node can't be reached
       2  the command line can't be used
     """
-    try:
-        told = json.loads(ask(path))
-        clubs = told["clubs"]
-    except (OSError, ValueError, KeyError, TypeError) as error:
-        click.echo(f"flintshift: {path}: {error}: name the socket that `door.socket` in the file of a running node "
-                   "names, as the user that the node runs as", err=True)
-        sys.exit(1)
+    found = told(path, "clubs", "name the socket that `door.socket` in the file of a running node names, as the user "
+                 "that the node runs as")
+    clubs = found["clubs"]
     if as_json:
-        click.echo(json.dumps(told))
+        click.echo(json.dumps(found))
         return
     click.echo(f"{'club':<22}" + "".join(f"{name:>{width}}" for name, width, _ in COLUMNS))
     for one in sorted(clubs, key=lambda one: -one["waiting_ms"]):
         click.echo(f"{one['club'] or '(others)':<22.22}" + "".join(f"{of(one):>{width}}" for _, width, of in COLUMNS))
-    click.echo(f"tables: {told['places']:,} entries of {told['most_places']:,}, at the most "
-               f"{told['bytes_at_most'] / 1024:,.0f} KiB")
+    click.echo(f"tables: {found['places']:,} entries of {found['most_places']:,}, at the most "
+               f"{found['bytes_at_most'] / 1024:,.0f} KiB")
--- a/flintshift/cli/main.py
+++ b/flintshift/cli/main.py
@@ -11,7 +11,7 @@
 import click
 
 from flintshift.cli.control import control
-from flintshift.cli.copies import copies
+from flintshift.cli.copies import copies, peers
 from flintshift.cli.door import door
 from flintshift.cli.usage import usage
 from flintshift.lifecycle.config import embedded, load
@@ -97,4 +97,5 @@
 main.add_command(control)
 main.add_command(copies)
 main.add_command(door)
+main.add_command(peers)
 main.add_command(usage)
--- a/flintshift/copies/placement.py
+++ b/flintshift/copies/placement.py
@@ -42,12 +42,19 @@
         return crc32(f"{key[0]}\n{key[1]}".encode()) % SLOTS
 
     def holders(self, key: Key) -> tuple[str, ...]:
-        slot = self.slot(key)
+        return self._of_slot(self.slot(key))
+
+    def _of_slot(self, slot: int) -> tuple[str, ...]:
         found = self.known.get(slot)
         if found is None:
             found = self.known[slot] = self._computed(slot.to_bytes(2, "big"))
         return found
 
+    def sets_of(self, member: str) -> set[tuple[str, ...]]:
+        """All sets of holders that this member is one of."""
+        every = {self._of_slot(slot) for slot in range(SLOTS)}
+        return {holders for holders in every if member in holders}
+
     def _computed(self, text: bytes) -> tuple[str, ...]:
         scores = []
         for name, seeded in self._seeded.items():
--- a/flintshift/copies/refill.py
+++ b/flintshift/copies/refill.py
@@ -97,5 +97,5 @@
             source.after, source.asked_ms = None, now_ms
         elif told.done:
             source.done = True
-            registers.filled(name)
+            registers.filled(name)  # it may vote on more keys, or on all
         return changed
--- a/flintshift/copies/registers.py
+++ b/flintshift/copies/registers.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Set
 from dataclasses import dataclass, field
 
 from msgspec import Struct
@@ -75,7 +75,7 @@
     def votes_on(self, now_ms: float, holders: tuple[str, ...]) -> bool:
         if self.full_vote or now_ms >= self.voting_from_ms:
             return True
-        return sum(name in self.filled_by for name in holders if name != self.me) >= self.placement.majority
+        return self._filled(holders)
 
     def vote(self, now_ms: float, ask: Ask) -> tuple[Vote, Entry | None]:
         holders = self.placement.holders(ask.key)
@@ -177,6 +177,17 @@
             self._drop(key)
         return len(past)
 
+    def stages(self) -> dict[str, int]:
+        """Keys by where they stand; those with a promise alone count as promised."""
+        counted = {"promised": 0, **{stage.name.lower(): 0 for stage in Stage}}
+        for register in self.table.values():
+            counted["promised" if register.value is None else register.value.stage.name.lower()] += 1
+        return counted
+
+    def under_copied(self, reached: Set[str]) -> int:
+        """Keys of which some other holder is out of reach."""
+        return sum(any(name not in reached for name in self.placement.holders(key)) for key in self.table)
+
     def _drop(self, key: Key) -> None:
         register = self.table.pop(key)
         self._unlist(key, register.value)
@@ -231,7 +242,11 @@
     def filled(self, by: str) -> bool:
         """That member has told all it knows of this one's keys; True once this store votes on every key."""
         self.filled_by.add(by)
-        if not self.full_vote and len(self.filled_by) >= len(self.placement.halls) - 1:
-            self.full_vote = True
-            return True
-        return False
+        if self.full_vote or not all(self._filled(holders) for holders in self.placement.sets_of(self.me)):
+            return False
+        self.full_vote = True
+        return True
+
+    def _filled(self, holders: tuple[str, ...]) -> bool:
+        """A majority of these has told all it knows, this member not counted."""
+        return sum(name in self.filled_by for name in holders if name != self.me) >= self.placement.majority
--- a/flintshift/copies/store.py
+++ b/flintshift/copies/store.py
@@ -25,6 +25,7 @@
 
 ENTRY_KIND, STORE_KIND = 1, 2
 STORE = "STORE"
+SOCKET = "status.sock"  # where a running member tells operators how its copies stand
 
 Packed = Callable[[Entry, float], bytes]
 Unpacked = Callable[[bytes], tuple[Entry, float]]
@@ -173,6 +174,27 @@
         self.lock.close()
 
 
+def examined(files: Files, folder: Path, unpacked: Unpacked) -> tuple[StoreState, int, int]:
+    """The store that stands in a folder, its records and the registers in them. Nothing is changed; a folder in use
+    can be looked at too.
+
+    Raises:
+        OSError, DamagedError: it can't be read, or is not as it was written; the text says where.
+    """
+    record = snapshot.opened(folder / STORE, files.read(folder / STORE), STORE_KIND)
+    state = msgspec.msgpack.decode(record.payload, type=StoreState)
+    found = segments(files, folder / "log")
+    first = found[0][0] if found else 1
+    count, keys = 0, set()
+    for one in records(files, folder / "log", first, Reach(first, 0)):
+        count += 1
+        try:
+            keys.add(unpacked(one.payload)[0].key)
+        except ValueError as error:
+            raise DamagedError(f"{folder}: record {one.sequence}: {error}") from error
+    return state, count, len(keys)
+
+
 def found_store(files: Files, folder: Path, now_ms: float, boot: str) -> None:
     """Make the empty store of a fleet that begins: it votes from the first moment.
 
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -112,7 +112,7 @@
         self.refill = None if state.votes else Refill(others)
         self.members = who.Members(self.identity, halls, who.Pace(peers.beat_ms, peers.lease_ms), now)
         self.proposals = Proposals(self.identity, self.placement, self._lives, self.draw)
-        greeting = Greeting(name, self.identity, peers.epoch, members_digest(peers))
+        greeting = self.greeting = Greeting(name, self.identity, peers.epoch, members_digest(peers))
         self.links = {member: OutLink(member, address, limits, counters, greeting, self._stores, self._answered,
                                       self._up, self._down, self.draw)
                       for member, (_, address) in peers.members.items() if member != name}
@@ -239,6 +239,27 @@
                     pending.extend(at.RunOver(one, outcome, 0.0, value.result)
                                    for one in keys.end(other, outcome, value.result))
 
+    def shown(self) -> dict[str, Any]:
+        """How the copies and the other members stand, for operators."""
+        now, registers = self._now(), self.registers
+        processes: dict[str, list[dict[str, Any]]] = {}
+        for identity, one in self.members.processes.items():
+            processes.setdefault(who.member_of(identity), []).append({
+                "identity": identity, "silent_ms": round(now - one.heard_ms),
+                "state": "dead" if one.dead else "suspected" if one.accused else "alive"})
+        return {
+            "member": self.name, "identity": self.identity, "epoch": self.greeting.epoch,
+            "store": registers.store, "votes": registers.full_vote, "disk": "refuses" if self.sick_ms else "takes",
+            "votes_in_ms": 0 if registers.full_vote else max(0, round(registers.voting_from_ms - now)),
+            "filled_by": sorted(registers.filled_by), "keys": len(registers.table), "bytes": registers.bytes,
+            "stages": registers.stages(), "under_copied": registers.under_copied(self.reached | {self.name}),
+            "proposals": len(self.proposals.under_way), "followed": len(self.proposals.followed),
+            "may_have_run": [{"class": key[0], "key": key[1], "request": owner}
+                             for key, owner in self.taken_over.items()],
+            "members": [{"member": member, "hall": self.placement.halls[member], "linked": member in self.reached,
+                         "cause": self.not_linked.get(member, ""), "processes": processes.get(member, [])}
+                        for member in self.placement.halls if member != self.name]}
+
     def _from_planner(self, event: Event) -> None:
         self.in_turn = True
         try:
@@ -443,7 +464,7 @@
         if told.done and told.counts:
             self.log("info", "copies.filled_by", name=member, keys=len(self.registers.table))
         if self.registers.full_vote:
-            self._filled("all other members have told what they know")
+            self._filled("a majority of the holders of each of its keys has told what it knows")
 
     def _filled(self, cause: str) -> None:
         self.refill = None
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -7,6 +7,8 @@
 import os
 import random
 from collections.abc import Callable
+from dataclasses import asdict
+from typing import Any
 
 from flintshift import interface as api
 from flintshift.control import FIRST_RUN
@@ -15,7 +17,7 @@
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log, silent
 from flintshift.door.promises import CalendarBounds
-from flintshift.door.shares import FIRST_MS, Bounds, Shares
+from flintshift.door.shares import FIRST_MS, PLACE_BYTES, Bounds, Shares
 from flintshift.door.surges import Surges, Told
 from flintshift.door.vocabulary import (
     Arrived,
@@ -50,6 +52,11 @@
         self.surges = Surges(self.shares.weights, now_ms())
         self.log: Log = silent
 
+    def shown(self) -> dict[str, Any]:
+        """How the clubs stand, for operators."""
+        return {"clubs": [asdict(one) for one in self.shares.shown()], "places": self.shares.places,
+                "most_places": self.shares.most_places, "bytes_at_most": self.shares.places * PLACE_BYTES}
+
     def change(self, settings: api.Settings) -> None:
         self.shares.handle(self.now_ms(), weighed(settings))
         self._tell(self.surges.weigh(self.now_ms(), self.shares.weights))
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -94,9 +94,9 @@
             self.fair.log = self.log
             self.decisions.rank_by(self.fair)
             if config.operators.door.socket is not None:
-                from flintshift.lifecycle.door_socket import DoorSocket
-                self.actors.append(DoorSocket(
-                    config.operators.door.socket, self.fair, limits, counters, self.warn).run)
+                from flintshift.lifecycle.status_socket import StatusSocket
+                self.actors.append(StatusSocket(config.operators.door.socket, "door", self.fair.shown,
+                                                "how the clubs stand", limits, counters, self.warn).run)
         if config.operators.peers is not None and config.operators.copies is not None:
             self._keep_copies(config.operators.peers, config.operators.copies)
         for front, _ in self.fronts:
@@ -132,6 +132,7 @@
             self.actors.append(open_export(self.ledger, options, self.log))
 
     def _keep_copies(self, peers: PeersOptions, options: CopiesOptions) -> None:
+        from flintshift.copies.store import SOCKET
         from flintshift.lifecycle.copying import UNUSABLE, Copying
         if self.config.name not in peers.members:
             raise ConfigError(f"this node, {self.config.name}, is none of peers.members: {', '.join(peers.members)}")
@@ -142,6 +143,9 @@
             raise ConfigError(f"the folder of copies can't be used: {error}") from error
         self.decisions.claims, self.decisions.elsewhere = copying, True
         self.actors.append(copying.run)
+        from flintshift.lifecycle.status_socket import StatusSocket
+        self.actors.append(StatusSocket(options.folder / SOCKET, "copies", copying.shown, "how the copies stand",
+                                        self.limits, self.counters, self.warn).run)
 
     async def run(self) -> None:
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
--- a/tests/fleet/test_losses.py
+++ b/tests/fleet/test_losses.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+import sys
+
 import pytest
 
 from flintshift.lab.chaos_copies import rounds
@@ -34,3 +38,34 @@
 async def test_the_same_rounds_without_copies_break_promises(tmp_path):
     tally = await rounds(tmp_path, 1, seed=11, copies=False)
     assert tally.broken["second run"] > 10
+
+
+async def test_operators_see_who_is_missing_and_what_may_have_run(tmp_path):
+    async def command(*words: str) -> tuple[int, dict]:
+        process = await asyncio.create_subprocess_exec(sys.executable, "-m", "flintshift.cli", *words, "--json",
+                                                       stdout=asyncio.subprocess.PIPE)
+        out, _ = await process.communicate()
+        return process.returncode, json.loads(out)
+
+    async with Fleet(tmp_path, HALLS, copies=COPIES) as fleet:
+        await fleet.until_linked()
+        await fleet.ask("n1", "k1")
+        folders = {name: str(member.home / "copies") for name, member in fleet.members.items()}
+        code, told = await command("peers", "status", folders["n2"])
+        assert code == 0 and {one["processes"][0]["state"] for one in told["members"]} == {"alive"}
+        code, told = await command("copies", "status", folders["n2"])
+        assert code == 0 and told["votes"] and not told["may_have_run"]
+        whole = [await command("copies", "verify", folder) for folder in folders.values()]
+        assert [code for code, _ in whole] == [0] * 5 and sum(told["keys"] for _, told in whole) == 3
+        await fleet.lose("n1")
+        await asyncio.sleep(1.6)
+        code, told = await command("peers", "status", folders["n2"])
+        assert code == 3
+        assert [one["processes"][0]["state"] for one in told["members"] if not one["linked"]] == ["dead"]
+        holder = next(name for name, (_, told) in zip(folders, whole, strict=True) if told["keys"] and name != "n1")
+        log = next((fleet.members[holder].home / "copies" / "log").iterdir())
+        data = bytearray(log.read_bytes())
+        data[50] ^= 1  # in the first record
+        log.write_bytes(data)
+        code, told = await command("copies", "verify", folders[holder])
+        assert code == 3 and log.name in told["damage"]
