Upgrade a member with copies on: the new process asks as a guest, then holds the store

Cause: a process started beside one that serves failed at the lock of the folder of copies, so a member with copies on could not be upgraded. Change: with a control door, a process that finds the folder held asks the member's own holder over its peer port as it asks the others (a guest), and opens the store once the older process has ended. Keys are agreed with the fleet alone in that time: the upgrade's own agreement on keys is left out, no third way beside the two (lifecycle/agreeing.py). Measured: n1 of five upgraded under load, repeats at n1 and n4, then n2 lost: nothing broken, no answer missing, under 5% refused or failed; the older process ends with 0.

--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -18,7 +18,7 @@
 import signal
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -81,7 +81,8 @@
 
     def __init__(self, folder: Path, halls: dict[str, int], copies: str | None = None, seed: int = 1,
                  took_ms: float = 5.0, cores: int = 4, root: Path | None = None, more: str = "",
-                 platform: dict[str, Any] | None = None, direct: bool = False) -> None:
+                 platform: dict[str, Any] | None = None, direct: bool = False, control: bool = False) -> None:
+        self.control = control  # members have a control door, and can be upgraded
         self.direct = direct  # members are linked without proxies between, for measurements
         self.folder, self.copies, self.root, self.more, self.platform = folder, copies, root, more, platform
         self.draw, self.took_ms, self.cores = random.Random(seed), {KEYED: took_ms}, cores
@@ -129,6 +130,8 @@
         told = configuration(member.name, {"listen": member.ports["http"], "pool": member.pool.port,
                                            "naming": self.names.port, "vault": self.vault.port}, self.cores)
         told["settings"] |= self.platform or {}
+        if self.control:
+            told["control"] = f"127.0.0.1:{member.ports['control']}"
         (member.home / "config.json").write_text(json.dumps(told))
         text = "log: {enabled: true, repeats: 0ms}\n" + self.more
         if self.copies is not None:
@@ -150,13 +153,23 @@
             await member.pool.stop()
             member.pool = self._pool(name)
         await member.pool.start()
-        command = self.write_files(member)
         if founding and self.copies is not None:
             found = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "flintshift.cli", "copies", "found", str(member.home / "copies"),
                 cwd=self.root or Path.cwd(), stdout=asyncio.subprocess.DEVNULL)
             if await found.wait():
                 raise RuntimeError(f"{name}: its folder of copies could not be founded")
+        await self._begin(member)
+        self.told(f"{name} started, life {member.lives}")
+        until = time.monotonic() + START_S
+        while self.names.listed.get(name) != "yes":
+            if not member.up or time.monotonic() > until:
+                raise RuntimeError(f"{name} did not serve: {member.logs[-1].read_text()[-2000:]}")
+            await asyncio.sleep(0.02)
+
+    async def _begin(self, member: Member) -> None:
+        """Start its process, on files as they are now."""
+        name, command = member.name, self.write_files(member)
         self.names.listed.pop(name, None)
         log = self.folder / "logs" / f"{name}.{member.lives}.log"
         member.logs.append(log)
@@ -164,13 +177,42 @@
             member.process = await asyncio.create_subprocess_exec(
                 *command, cwd=self.root or Path.cwd(), stderr=stderr,
                 env={**os.environ, "LB_CONFIG": str(member.home / "config.json"), "TMPDIR": str(member.home)})
-        self.told(f"{name} started, life {member.lives}")
+
+    async def upgrade(self, name: str, until_done: Awaitable[None] | None = None) -> int:
+        """A new process of this member takes over from the one that serves, as an operator does it; returns the older
+        one's exit code. The older one's pool stays until then. ``until_done`` is waited for between the two steps."""
+        member = self.members[name]
+        older, pool = member.process, member.pool
+        assert older is not None and self.control
+        member.lives += 1
+        member.ports["control"] = free_ports(1)[0]
+        member.pool = self._pool(name)
+        await member.pool.start()
+        await self._begin(member)
+        self.told(f"{name}: a new process beside the one that serves")
         until = time.monotonic() + START_S
-        while self.names.listed.get(name) != "yes":
+        while not await self._ready(member):
             if not member.up or time.monotonic() > until:
-                raise RuntimeError(f"{name} did not serve (exit code {member.process.returncode}): "
-                                   f"{log.read_text()[-2000:]}")
+                raise RuntimeError(f"{name}: the new process was not ready: {member.logs[-1].read_text()[-2000:]}")
             await asyncio.sleep(0.02)
+        if until_done is not None:
+            await until_done
+        older.send_signal(signal.SIGTERM)
+        code = await asyncio.wait_for(older.wait(), START_S)
+        await pool.stop()
+        self.told(f"{name}: the older process ended with {code}")
+        return code
+
+    @staticmethod
+    async def _ready(member: Member) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", member.ports["control"])
+        except OSError:
+            return False
+        writer.write(b"GET /control/ready HTTP/1.1\r\nHost: n1\r\n\r\n")
+        status = await reader.readline()
+        writer.close()
+        return b" 200 " in status
 
     async def _end(self, member: Member) -> None:
         assert member.process is not None
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import hashlib
 import math
 import os
@@ -92,31 +93,30 @@
     needed = True
 
     def __init__(self, name: str, peers: PeersOptions, options: CopiesOptions, decisions: Decisions, limits: Limits,
-                 counters: Counters, now_ms: Callable[[], float], log: Log, files: Files | None = None) -> None:
+                 counters: Counters, now_ms: Callable[[], float], log: Log, guest: bool,
+                 files: Files | None = None) -> None:
+        """``guest``: another process of this member may hold the copies; then this one asks it as it asks the others,
+        and holds them once that one has ended."""
         self.name, self.options, self.decisions, self.limits = name, options, decisions, limits
+        self.guest = guest
         self.counters, self.wall_ms, self.log = counters, now_ms, log
         self.identity = f"{name}#{int(time.time() * 1000):x}{os.urandom(2).hex()}"
         self.draw = random.Random()
         halls = {member: hall for member, (hall, _) in peers.members.items()}
         self.placement = Placement(halls, options.copies)
-        self.folder = CopiesFolder(files or DiskFiles(), options.folder, name, time.time() * 1000, boot_id(),
-                                   options.durability == "power-cut", entry_bytes, self._unpacked)
-        found, state, now = self.folder.found, self.folder.state, self._now()
-        self.registers = Registers(
-            name, state.incarnation, self.placement,
-            HolderBounds(options.keys, options.bytes, self._window_ms()), state.votes,
-            now + self._window_ms() if not state.votes else 0.0)
-        for entry in found.entries:
-            self.registers.take(now, entry)
+        self.files, now = files or DiskFiles(), self._now()
         others = [member for member in halls if member != name]
-        self.refill = None if state.votes else Refill(others)
+        self.refill: Refill | None = None
+        self.folder: CopiesFolder | None = None  # None: another process of this member has it
+        self.registers = Registers(name, 0, self.placement, self._bounds(), False, math.inf)
         self.members = who.Members(self.identity, halls, who.Pace(peers.beat_ms, peers.lease_ms), now)
         self.proposals = Proposals(self.identity, self.placement, self._lives, self.draw)
         greeting = self.greeting = Greeting(name, self.identity, peers.epoch, members_digest(peers))
         self.links = {member: OutLink(member, address, limits, counters, greeting, self._stores, self._answered,
                                       self._up, self._down, self.draw)
-                      for member, (_, address) in peers.members.items() if member != name}
-        self.front = PeerFront(limits, counters, greeting, others, self._stores, self._asked, self._met, self._refused)
+                      for member, (_, address) in {**peers.members, name: (halls[name], peers.listen)}.items()}
+        self.front = PeerFront(limits, counters, greeting, list(halls), self._stores, self._asked, self._met,
+                               self._refused)
         self.listen = peers.listen
         self.entries: list[Entry] = []  # not written yet
         self.votes: list[tuple[str, Vote, Key]] = []  # that leave once these are
@@ -134,9 +134,39 @@
         self.reached: set[str] = set()
         self.not_linked: dict[str, str] = {}  # why, last
         self.taken_over: dict[Key, str] = {}  # claims of dead runners, settled here: they may have run
-        log("info", "copies.opened", folder=str(options.folder), identity=self.identity, store=state.incarnation,
-            keys=len(found.entries), votes=state.votes, cause=found.why_empty)
-        self._event(Reach(name, True, state.incarnation))
+        self.others = others
+        self.holding = anyio.Event()  # this process holds the copies
+        try:
+            self._hold_copies()
+        except LockedError:
+            if not guest:
+                raise
+            log("info", "copies.guest", folder=str(options.folder), identity=self.identity,
+                cause="another process of this member holds them")
+
+    def _bounds(self) -> HolderBounds:
+        return HolderBounds(self.options.keys, self.options.bytes, self._window_ms())
+
+    def _hold_copies(self) -> None:
+        """Hold what stands in the folder.
+
+        Raises:
+            OSError, LockedError: it can't be used.
+        """
+        self.folder = CopiesFolder(self.files, self.options.folder, self.name, time.time() * 1000, boot_id(),
+                                   self.options.durability == "power-cut", entry_bytes, self._unpacked)
+        found, state, now = self.folder.found, self.folder.state, self._now()
+        before = self.registers.stores
+        self.registers = Registers(self.name, state.incarnation, self.placement, self._bounds(), state.votes,
+                                   now + self._window_ms() if not state.votes else 0.0)
+        self.registers.stores |= {member: store for member, store in before.items() if member != self.name}
+        for entry in found.entries:
+            self.registers.take(now, entry)
+        self.refill = None if state.votes else Refill(self.others)
+        self.log("info", "copies.opened", folder=str(self.options.folder), identity=self.identity,
+                 store=state.incarnation, keys=len(found.entries), votes=state.votes, cause=found.why_empty)
+        self._event(Reach(self.name, True, state.incarnation))
+        self.holding.set()
 
     @staticmethod
     def _now() -> float:
@@ -249,7 +279,8 @@
                 "state": "dead" if one.dead else "suspected" if one.accused else "alive"})
         return {
             "member": self.name, "identity": self.identity, "epoch": self.greeting.epoch,
-            "store": registers.store, "votes": registers.full_vote, "disk": "refuses" if self.sick_ms else "takes",
+            "holds": self.folder is not None, "store": registers.store, "votes": registers.full_vote,
+            "disk": "refuses" if self.sick_ms else "takes",
             "votes_in_ms": 0 if registers.full_vote else max(0, round(registers.voting_from_ms - now)),
             "filled_by": sorted(registers.filled_by), "keys": len(registers.table), "bytes": registers.bytes,
             "stages": registers.stages(), "under_copied": registers.under_copied(self.reached | {self.name}),
@@ -272,7 +303,7 @@
     def _event(self, event: Event) -> None:
         for action in self.proposals.handle(self._now(), event):
             match action:
-                case Send(to, ask) if to == self.name:
+                case Send(to, ask) if to == self.name and self.folder is not None:
                     self._hold(self.identity, ask)
                 case Send(to, ask):
                     self.links[to].send(ask, self._now(), True)
@@ -335,7 +366,7 @@
         """Either end of a link said hello."""
         if told.store > self.registers.stores.get(member, 0):
             self.registers.stores[member] = told.store
-        if told.known_store > self.registers.store:
+        if self.folder is not None and told.known_store > self.registers.store and member != self.name:
             self._outlived(member, told.known_store)
         self._members(who.Heard(told.identity))
         self.links[member].hurry()
@@ -346,7 +377,8 @@
                  cause="this disk is not the one that this member used last; it is emptied and filled again")
         self.registers = Registers(self.name, known + 1, self.placement, self.registers.bounds, False,
                                    self._now() + self._window_ms())
-        self.refill = Refill(self.links)
+        self.refill = Refill(self.others)
+        assert self.folder is not None
         self.folder.write_state(structs.replace(self.folder.state, incarnation=known + 1, votes=False))
         self._event(Reach(self.name, True, known + 1))
 
@@ -395,6 +427,7 @@
             self._let_go(votes)
 
     def _written(self, entries: list[Entry]) -> bool:
+        assert self.folder is not None
         try:
             self.folder.write(entries, time.time() * 1000)
         except (OSError, BrokenError) as error:
@@ -443,16 +476,18 @@
         self._event(Reach(member, True, told.store))
 
     def _down(self, member: str, cause: str) -> None:
+        if member == self.name and self.folder is not None:
+            return
         if member in self.reached:
             self.reached.discard(member)
             self.log("warning", "peers.link_down", name=member, cause=cause, reached=len(self.reached))
             self._event(Reach(member, False, 0))
-        elif self.not_linked.get(member) != cause:  # told once for each cause, not for each try
+        elif member != self.name and self.not_linked.get(member) != cause:  # told once for each cause, not for each try
             self.not_linked[member] = cause
             self.log("warning", "peers.not_linked", name=member, cause=cause)
 
     def _fill(self, member: str, told: Page) -> None:
-        assert self.refill is not None
+        assert self.refill is not None and self.folder is not None
         before = self.registers.store
         changed = self.refill.told(self._now(), self.registers, member, told)
         self.counters.add("copies.filled_keys", len(changed))
@@ -467,6 +502,7 @@
             self._filled("a majority of the holders of each of its keys has told what it knows")
 
     def _filled(self, cause: str) -> None:
+        assert self.folder is not None
         self.refill = None
         self.registers.full_vote = True
         self.folder.log.sync()
@@ -476,11 +512,13 @@
     # The actor.
 
     async def run(self) -> None:
-        raw = listening(self.listen, self.limits.backlog)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.front.serve, raw)
-            for link in self.links.values():
-                tasks.start_soon(link.run)
+            tasks.start_soon(self._listen)
+            for member, link in self.links.items():
+                if member != self.name:
+                    tasks.start_soon(link.run)
+            if self.folder is None:
+                tasks.start_soon(self._visit)
             tasks.start_soon(self._bring)
             if self.options.durability == "power-cut":
                 tasks.start_soon(self._sync)
@@ -491,7 +529,39 @@
             finally:
                 if self.timer is not None:
                     self.timer.cancel()
-                self.folder.close()
+                if self.folder is not None:
+                    self.folder.close()
+
+    async def _listen(self) -> None:
+        """Where the others ask, once this process holds the copies."""
+        await self.holding.wait()
+        while True:
+            try:
+                raw = listening(self.listen, self.limits.backlog)
+                break
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or not self.guest:
+                    raise
+            await anyio.sleep(self.limits.bind_again_ms / 1000)
+        await self.front.serve(raw)
+
+    async def _visit(self) -> None:
+        """Ask the process that holds the copies, until it has ended; then hold them."""
+        async with anyio.create_task_group() as visit:
+            visit.start_soon(self.links[self.name].run)
+            while self.folder is None:
+                await anyio.sleep(self.limits.bind_again_ms / 1000)
+                if self.name not in self.reached:
+                    try:
+                        self._hold_copies()
+                    except LockedError:  # it has not ended yet
+                        pass
+                    except OSError as error:
+                        self.log("error", "copies.not_taken_over", cause=str(error))
+            visit.cancel_scope.cancel()
+        self.links[self.name].wire = None
+        self.reached.discard(self.name)
+        self.log("info", "copies.taken_over", cause="the process that held them has ended")
 
     async def _bring(self) -> None:
         while True:
@@ -508,6 +578,7 @@
             votes = list(self.unsynced)
             self.unsynced.clear()
             try:
+                assert self.folder is not None
                 await anyio.to_thread.run_sync(self.folder.log.sync)
             except (OSError, BrokenError) as error:
                 self._refuses(error)
@@ -519,6 +590,8 @@
         for link in self.links.values():
             link.watch(now)
         self._members(who.Tick())
+        if self.folder is None:
+            return
         if self.sick_ms is not None:
             if now >= self.sick_ms + REOPEN_MS:
                 self._reopen(now)
@@ -543,6 +616,7 @@
                     self._refuses(error)
 
     def _reopen(self, now: float) -> None:
+        assert self.folder is not None
         self.sick_ms = now
         try:
             self.folder.reopen(self.registers.entries(now), time.time() * 1000)
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -33,6 +33,7 @@
 
 if TYPE_CHECKING:
     from flintshift.lifecycle.books import Books
+    from flintshift.lifecycle.copying import Copying
     from flintshift.lifecycle.fair_door import FairDoor
     from flintshift.lifecycle.upgrade import Upgrade
     from flintshift.usage.ledger import Ledger
@@ -97,6 +98,7 @@
                 from flintshift.lifecycle.status_socket import StatusSocket
                 self.actors.append(StatusSocket(config.operators.door.socket, "door", self.fair.shown,
                                                 "how the clubs stand", limits, counters, self.warn).run)
+        self.copying: Copying | None = None
         if config.operators.peers is not None and config.operators.copies is not None:
             self._keep_copies(config.operators.peers, config.operators.copies)
         for front, _ in self.fronts:
@@ -112,7 +114,10 @@
             self.door = ControlFront(self, limits, counters, now_ms)
             self.door.log = self.log
             self.upgrade = Upgrade(self)
-            self.decisions.claims = self.decisions.claims or self.upgrade
+            self.decisions.claims = self.upgrade
+            if self.copying is not None:
+                from flintshift.lifecycle.agreeing import Agreeing
+                self.decisions.claims = Agreeing(self.upgrade, self.copying)
             for front, _ in self.fronts:
                 front.leave()  # until it is known that this process takes the clients
 
@@ -138,9 +143,10 @@
             raise ConfigError(f"this node, {self.config.name}, is none of peers.members: {', '.join(peers.members)}")
         try:
             copying = Copying(self.config.name, peers, options, self.decisions, self.limits, self.counters,
-                              self.now_ms, self.log)
+                              self.now_ms, self.log, guest=self.config.control is not None)
         except UNUSABLE as error:
             raise ConfigError(f"the folder of copies can't be used: {error}") from error
+        self.copying = copying
         self.decisions.claims, self.decisions.elsewhere = copying, True
         self.actors.append(copying.run)
         from flintshift.lifecycle.status_socket import StatusSocket
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -68,6 +68,7 @@
         self.phases = Phases(False, 0.0, 0.0)
         self.used_ms = 0.0
         self.meeting = anyio.CancelScope()
+        self.keys_elsewhere = False  # keys are agreed with the whole fleet: nothing of them is told here
         self.opened = anyio.Event()  # a successor may come
         self.sockets: list[socket.socket] = []  # where callers connect, in the order of the fronts
 
@@ -251,7 +252,7 @@
                 self._send(word)
             case SendCopy():
                 if self.link is not None:
-                    self.link.send_copy(self.shared.copy())
+                    self.link.send_copy(iter(()) if self.keys_elsewhere else self.shared.copy())
             case TakeClients():
                 self.node.take_clients()
             case LeaveClients():
@@ -278,7 +279,8 @@
         window = max((kind.repeat_window_ms for kind in settings.classes), default=0.0)
         for front, _ in self.node.fronts:
             front.others = 0
-        self._do(self.shared.alone(self.now_ms(), partial, window, settings.marks_repeats))
+        if not self.keys_elsewhere:
+            self._do(self.shared.alone(self.now_ms(), partial, window, settings.marks_repeats))
 
     def _do(self, steps: list[Step]) -> None:
         for step in steps:
--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -180,3 +180,30 @@
     await asyncio.sleep(0.2)
     assert (await fleet.ask("n1", "k1")).status == 200
     assert (await fleet.ask("n2", "k1", again=True)).status == 200
+
+
+async def test_a_member_is_upgraded_under_load_and_its_copies_go_with_it(tmp_path):
+    async with Fleet(tmp_path, HALLS, copies=COPIES, control=True) as fleet:
+        await fleet.until_linked()
+        keys, over = [], asyncio.Event()
+
+        async def caller(number: int) -> None:
+            while not over.is_set():
+                keys.append(f"u{number}-{len(keys)}")
+                await fleet.ask("n1" if number % 2 else "n4", keys[-1])
+                await fleet.ask("n4" if number % 2 else "n1", keys[-1], again=True)
+
+        load = [asyncio.ensure_future(caller(number)) for number in range(6)]
+        await asyncio.sleep(0.5)
+        assert await fleet.upgrade("n1", asyncio.sleep(0.7)) == 0
+        await fleet.until_logged("n1", "copies.opened")
+        await asyncio.sleep(0.5)
+        over.set()
+        await asyncio.gather(*load)
+        await fleet.lose("n2")  # what the new process took over counts now
+        for key in keys:
+            await fleet.ask("n5", key, again=True)
+        told = fleet.judged()
+        assert told.broken == []
+        assert told.answers["served"] > 200 and not told.answers["none"]
+        assert told.answers["failed"] + told.answers["refused"] < len(keys) * 0.05
