--- /dev/null
+++ b/benchmarks/copies_loss.py
@@ -0,0 +1,116 @@
+"""What callers see when a member is lost: keyed writes served by tenths of a second, and how soon its death is known.
+
+    python benchmarks/copies_loss.py --rounds 5 --out benchmarks/results/copies_loss.json
+
+Five members under an even load at those that stay; one is killed with its disk. Then the same load for `--quiet` seconds
+with nothing done to the fleet, on a machine that other processes keep busy: a suspicion there is a false one.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import multiprocessing
+import sys
+import tempfile
+import time
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from flintshift.lab.fleet import Fleet  # noqa: E402
+
+HALLS = {"ruwi-hall": 3, "seeb-hall": 2}
+BIN_S = 0.1
+
+
+async def load(fleet: Fleet, names: list[str], seconds: float, callers: int, served: list[float]) -> None:
+    """Keyed writes, one every 50 ms from each caller; when each was served."""
+    until = time.monotonic() + seconds
+
+    async def one(number: int) -> None:
+        count = 0
+        while time.monotonic() < until:
+            began = time.monotonic()
+            answer = await fleet.ask(names[number % len(names)], f"{number}-{count}-{began}")
+            count += 1
+            if answer is not None and answer.status == 200:
+                served.append(time.monotonic())
+            await asyncio.sleep(max(0.0, 0.05 - (time.monotonic() - began)))
+    await asyncio.gather(*(one(number) for number in range(callers)))
+
+
+def moments(fleet: Fleet, event: str) -> list[dict[str, Any]]:
+    return [one for one in fleet.story() if one["event"] == event]
+
+
+async def loss(folder: Path, seed: int) -> dict[str, float]:
+    async with Fleet(folder, HALLS, "  copies: 3\n", seed=seed) as fleet:
+        await fleet.until_linked()
+        lost = list(fleet.members)[seed % 5]
+        names = [name for name in fleet.members if name != lost]
+        served: list[float] = []
+        loading = asyncio.ensure_future(load(fleet, names, 7.0, 12, served))
+        await asyncio.sleep(2.5)
+        at, wall = time.monotonic(), time.time()
+        await fleet.lose(lost)
+        await loading
+        from datetime import datetime
+        known = [datetime.fromisoformat(one["timestamp"]).timestamp() - wall for one in moments(fleet, "peers.died")
+                 if one["identity"].startswith(f"{lost}#")]
+    before = sum(at - 2.0 <= when < at for when in served) / 2.0
+    bins = [sum(at + step * BIN_S <= when < at + (step + 1) * BIN_S for when in served) / BIN_S for step in range(40)]
+    low = [step for step in range(38) if sum(bins[step:step + 3]) / 3 < 0.95 * before]
+    return {"before_per_s": round(before, 1), "worst_tenth": round(min(bins) / before, 3),
+            "back_after_ms": round((low[-1] + 1) * BIN_S * 1000) if low else 0,
+            "known_by_all_ms": round(max(known) * 1000), "who_know": len(known)}
+
+
+def busy(seconds: float) -> None:
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        sum(range(10_000))
+
+
+async def quiet(folder: Path, seconds: float, burners: int) -> dict[str, int]:
+    processes = [multiprocessing.Process(target=busy, args=(seconds,), daemon=True) for _ in range(burners)]
+    async with Fleet(folder, HALLS, "  copies: 3\n") as fleet:
+        await fleet.until_linked()
+        for process in processes:
+            process.start()
+        await load(fleet, list(fleet.members), seconds, 10, [])
+        for process in processes:
+            process.join()
+        return {"seconds": round(seconds), "busy_processes": burners,
+                "false_suspicions": len(moments(fleet, "peers.suspected")),
+                "false_deaths": len(moments(fleet, "peers.died"))}
+
+
+async def play(rounds: int, quiet_s: float, burners: int) -> dict[str, Any]:
+    with tempfile.TemporaryDirectory(prefix="flintshift-loss-") as name:
+        told = [await loss(Path(name) / str(seed), seed) for seed in range(rounds)]
+        found: dict[str, Any] = {"losses": told, "median": {key: median(one[key] for one in told) for key in told[0]}}
+        if quiet_s:
+            found["quiet"] = await quiet(Path(name) / "quiet", quiet_s, burners)
+    return found
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--rounds", type=int, default=5)
+    parser.add_argument("--quiet", type=float, default=600.0, help="seconds without a fault; 0: none")
+    parser.add_argument("--busy", type=int, default=8, help="processes that keep the machine busy in that time")
+    parser.add_argument("--out", type=Path, help="write the result here too")
+    given = parser.parse_args()
+    text = json.dumps(asyncio.run(play(given.rounds, given.quiet, given.busy)), indent=1)
+    print(text)
+    if given.out:
+        given.out.write_text(text + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/flintshift/copies/store.py
+++ b/flintshift/copies/store.py
@@ -162,12 +162,16 @@
         return gone
 
     def reopen(self, entries: Iterable[Entry], now_ms: float) -> None:
-        """After a refusal: a new segment with all that counts."""
+        """After a refusal: a new segment with all that counts. The one in which a write broke off goes, as it could not
+        be told from one that was damaged; a death before that leaves a store that is filled anew."""
         self.turn(now_ms)
         listed = list(entries)
         if listed:
             self.write(listed, now_ms)
         self.log.sync()
+        for start in sorted(self.lasting)[:-1]:
+            self.files.remove(self.folder / "log" / segment_name(start))
+            del self.lasting[start]
 
     def close(self) -> None:
         self.log.close()
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -14,6 +14,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import sys
@@ -283,6 +284,14 @@
         if self.copies is not None:
             await self.until_logged(name, '"votes": true', '"copies.votes"')
 
+    def refuse_disk(self, name: str, refuse: bool = True) -> None:
+        """No file of its process grows any more, as on a full disk; or they do again."""
+        member = self.members[name]
+        assert member.process is not None
+        _, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+        resource.prlimit(member.process.pid, resource.RLIMIT_FSIZE, (1 if refuse else hard, hard))
+        self.told(f"the disk of {name} {'is full' if refuse else 'takes again'}")
+
     # Links.
 
     def between(self, one: Iterable[str], other: Iterable[str]) -> list[FaultProxy]:
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -77,8 +77,13 @@
         self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = [
             self.decisions.run, self.pool.run, self.vault.run]
         if config.operators.uwsgi is not None:
-            from flintshift.lifecycle.second_front import add_second_front
-            add_second_front(self, config.operators.uwsgi, fields, lists)
+            from flintshift.lifecycle.second_front import second_front
+            second = second_front(config.name, config.operators.uwsgi, fields, self.decisions, limits, counters, now_ms,
+                                  self.pool.verify)
+            self.decisions.workers = {"pool": self.pool, "apps": second.apps}
+            lists.append(second.listed)
+            self.fronts.append((second.front, config.operators.uwsgi.listen))
+            self.actors += second.actors
         self.log: Log = silent
         requests_too = False
         if config.operators.log is not None:
--- a/flintshift/lifecycle/second_front.py
+++ b/flintshift/lifecycle/second_front.py
@@ -2,28 +2,36 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
 
+from flintshift.core.counters import Counters
+from flintshift.core.decisions import Decisions
+from flintshift.core.limits import Limits
 from flintshift.core.listing import Listed
+from flintshift.core.ports import Workers
 from flintshift.settings.options import UwsgiOptions
 from flintshift.wire.dnssd import Browser, Record, Resolver
 from flintshift.wire.fields import Fields
+from flintshift.wire.front import Front
 from flintshift.wire.uwsgi_apps import AppServers
 from flintshift.wire.uwsgi_front import UwsgiFront
 
-if TYPE_CHECKING:
-    from flintshift.lifecycle.node import Node
 
+@dataclass(frozen=True, slots=True)
+class SecondFront:
+    front: Front
+    listed: Listed  # the node's own record
+    apps: Workers  # where its requests run
+    actors: tuple[Callable[[], Coroutine[Any, Any, None]], ...]
 
-def add_second_front(node: Node, desks: UwsgiOptions, fields: Fields, lists: list[Listed]) -> None:
-    limits, counters, now_ms = node.limits, node.counters, node.now_ms
+
+def second_front(name: str, desks: UwsgiOptions, fields: Fields, decisions: Decisions, limits: Limits,
+                 counters: Counters, now_ms: Callable[[], float], verify: Callable[[], Awaitable[bool]]) -> SecondFront:
     resolver = Resolver(desks.resolver, limits)
     browser = Browser(resolver, desks.app_service, desks.domain, limits, counters)
-    apps = AppServers(browser, limits, counters, node.decisions.report, now_ms)
-    node.decisions.workers = {"pool": node.pool, "apps": apps}
-    lists.append(Record(resolver, desks.node_service, desks.domain, node.config.name, desks.listen,
-                        limits, counters, now_ms))
-    node.fronts.append((
-        UwsgiFront(fields, node.decisions, limits, counters, now_ms, limits.uwsgi_connections,
-                   node.pool.verify), desks.listen))
-    node.actors += [browser.run, apps.run]
+    apps = AppServers(browser, limits, counters, decisions.report, now_ms)
+    record = Record(resolver, desks.node_service, desks.domain, name, desks.listen, limits, counters, now_ms)
+    front = UwsgiFront(fields, decisions, limits, counters, now_ms, limits.uwsgi_connections, verify)
+    return SecondFront(front, record, apps, (browser.run, apps.run))
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -6,7 +6,8 @@
 
 import errno
 import socket
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 from anyio.abc import SocketListener, TaskGroup, UNIXSocketStream
@@ -14,7 +15,10 @@
 from flintshift import interface as api
 from flintshift.core import attempts as at
 from flintshift.core.attempts import Attempt
-from flintshift.core.decisions import Part
+from flintshift.core.counters import Counters
+from flintshift.core.decisions import Decisions, Part
+from flintshift.core.limits import Limits
+from flintshift.core.ports import Log
 from flintshift.handover.claims import GiveUp, GoOn, Say
 from flintshift.handover.phases import Phases, WordError
 from flintshift.handover.shared_keys import End, SharedKeys, Step, key_of
@@ -47,19 +51,37 @@
     Word,
 )
 from flintshift.interface import Outcome
+from flintshift.lifecycle.config import Config
 from flintshift.wire.acceptor import listening
+from flintshift.wire.front import Front
 from flintshift.wire.handover import Link, UpgradeError, join, meeting_path
 from flintshift.wire.link import BROKEN
 from flintshift.wire.unix import open_path
 
-if TYPE_CHECKING:
-    from flintshift.lifecycle.node import Node
+
+class Host(Protocol):
+    """The node, as far as its upgrade needs it."""
+
+    config: Config
+    limits: Limits
+    log: Log
+    decisions: Decisions
+    counters: Counters
+    fronts: list[tuple[Front, tuple[str, int]]]
+
+    @property
+    def now_ms(self) -> Callable[[], float]: ...
+    def take_clients(self) -> None: ...
+    def leave_clients(self) -> None: ...
+    def tell_lists(self) -> None: ...
+    def give_up(self, error: OSError) -> None: ...
+    def warn(self, text: str) -> None: ...
 
 
 class Upgrade:
     """Both sides of the handover, as the decision planner's port (``core.ports.Claims``)."""
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Host) -> None:
         self.node, self.limits, self.log = node, node.limits, node.log
         self.decisions, self.now_ms = node.decisions, node.now_ms
         self.shared = SharedKeys(node.decisions.keys, node.limits)
--- /dev/null
+++ b/tests/copies/test_words.py
@@ -0,0 +1,78 @@
+"""Placement, and the words between members as they stand on the wire."""
+
+from __future__ import annotations
+
+import pytest
+from copies.test_store import entry
+
+from flintshift.copies.placement import Placement
+from flintshift.copies.refill import FillAsk, Page
+from flintshift.copies.vocabulary import NO_BALLOT, Ask, Ended, Stage, Step, Value, Verdict, Vote
+from flintshift.interface import Outcome
+from flintshift.peers.members import Accuse, Accused
+from flintshift.proto import peers_pb2 as pb
+from flintshift.wire.peer_words import OUTCOMES, WordsError, batch_of, read_batch, words_of
+
+KEYS = [("submit-time", f"k{number}") for number in range(2000)]
+VALUE = Value(Stage.CLAIMED, "r1", "n1#1", b"\0\xff" * 8, 1234.5)
+WORDS = [
+    Ask(1, "n1#1", Step.READ, ("c", "k"), NO_BALLOT, (1, 2, 3), None, True),
+    Ask(2, "n1#1", Step.ACCEPT, ("c", "k"), (7, "n1#1"), (0, 2**63, 3), VALUE),
+    Vote(3, Verdict.OK, (0, "n2#9"), (0, "n2#9"), VALUE, (1, 2, 3)),
+    Vote(4, Verdict.STALE, NO_BALLOT, NO_BALLOT, None, (1,)),
+    Ended(("c", "k")), FillAsk(5, None), FillAsk(5, ("c", "k")),
+    Page((entry(1),), ("submit-time", "k1"), True, False, 9),
+    *(Vote(6, Verdict.OK, (1, "x"), (1, "x"), Value(Stage.FINISHED, "r", "x", b"", 1.0, outcome, b"z"), ())
+      for outcome in OUTCOMES),
+]
+
+
+@pytest.mark.parametrize("word", WORDS, ids=lambda word: type(word).__name__)
+def test_words_come_as_they_went(word):
+    data = batch_of([word]).SerializeToString()
+    assert words_of(read_batch(data), "n1", "n1#1") == [word]
+
+
+def test_an_accusation_comes_with_its_accuser_and_every_outcome_has_a_number():
+    assert words_of(batch_of([Accuse("n3#1", True)]), "n2", "n2#1") == [Accused("n2", "n3#1", True)]
+    assert set(OUTCOMES) == set(Outcome)
+
+
+@pytest.mark.parametrize("batch", [
+    pb.Batch(asks=[pb.Ask(step=9)]), pb.Batch(votes=[pb.Vote(verdict=0)]),
+    pb.Batch(votes=[pb.Vote(verdict=1, value=pb.Value(stage=1, outcome=99))]),
+    pb.Batch(asks=[pb.Ask(step=2, value=pb.Value(stage=8))])])
+def test_words_that_cannot_be_are_refused(batch):
+    with pytest.raises(WordsError):
+        words_of(batch, "n1", "n1#1")
+
+
+def test_junk_is_no_batch_and_fields_of_a_later_release_are_skipped():
+    with pytest.raises(WordsError):
+        read_batch(b"\xff" * 9)
+    later = batch_of([WORDS[1]]).SerializeToString() + b"\xfa\x07\x03abc"  # field 127
+    assert words_of(read_batch(later), "n1", "n1#1") == [WORDS[1]]
+
+
+@pytest.mark.parametrize(("halls", "copies", "least"), [
+    ({"n1": "a", "n2": "a", "n3": "a", "n4": "b", "n5": "b"}, 3, 2), ({f"n{n}": f"h{n % 3}" for n in range(9)}, 3, 3),
+    ({"n1": "a", "n2": "a"}, 3, 1), ({"n1": "a"}, 1, 1), ({f"n{n}": f"h{n % 2}" for n in range(7)}, 5, 2)])
+def test_copies_stand_on_different_members_and_in_as_many_halls_as_there_are(halls, copies, least):
+    placement = Placement(halls, copies)
+    for key in KEYS[:200]:
+        holders = placement.holders(key)
+        assert len(set(holders)) == len(holders) == min(copies, len(halls))
+        assert len({halls[name] for name in holders}) >= least
+
+
+def test_only_what_a_member_holds_moves_when_it_goes():
+    halls = {f"n{n}": f"h{n % 3}" for n in range(12)}
+    before, after = Placement(halls, 3), Placement({name: hall for name, hall in halls.items() if name != "n4"}, 3)
+    for key in KEYS:
+        held, now = set(before.holders(key)), set(after.holders(key))
+        assert now >= held - {"n4"} if "n4" in held else now == held
+
+
+def test_the_order_of_the_list_does_not_matter():
+    one, other = Placement({"a": "x", "b": "y", "c": "x"}, 2), Placement({"c": "x", "b": "y", "a": "x"}, 2)
+    assert all(one.holders(key) == other.holders(key) for key in KEYS[:100])
--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -207,3 +207,22 @@
         assert told.broken == []
         assert told.answers["served"] > 200 and not told.answers["none"]
         assert told.answers["failed"] + told.answers["refused"] < len(keys) * 0.05
+
+
+async def test_full_disks_take_votes_away_and_no_promise(fleet):
+    before = [await fleet.ask("n1", f"k{number}") for number in range(6)]
+    fleet.refuse_disk("n2")
+    one = [await fleet.ask("n3", f"a{number}") for number in range(20)]
+    assert [answer.status for answer in one].count(200) == 20  # two of three holders go on
+    fleet.refuse_disk("n4")
+    fleet.refuse_disk("n5")
+    three = [await fleet.ask("n1", f"b{number}") for number in range(20)]
+    assert {answer.status for answer in three} <= {200, 429, 500} and not all(one.status == 200 for one in three)
+    for name in ("n2", "n4", "n5"):
+        fleet.refuse_disk(name, False)
+    await asyncio.sleep(2.0)
+    for number, first in enumerate(before):
+        assert (await fleet.ask("n5", f"k{number}", again=True)).body == first.body
+    for number in range(20):
+        await fleet.ask("n4", f"a{number}", again=True)
+        await fleet.ask("n2", f"b{number}", again=True)
--- a/tests/settings/test_operators.py
+++ b/tests/settings/test_operators.py
@@ -125,3 +125,25 @@
     off = ("dns", "ruamel", "pydantic", "structlog", "msgspec", "click", "google", "httpx",
            "flintshift.usage", "flintshift.storage", "flintshift.settings.operators", "flintshift.wire.dnssd")
     assert not [name for name in listed if name in off or name.startswith(tuple(f"{part}." for part in off))]
+
+
+MEMBERS = "members: {n1: {hall: a, address: '127.0.0.1:1'}, n2: {hall: b, address: '127.0.0.1:2'}}"
+
+
+@pytest.mark.parametrize(("text", "wanted"), [
+    ("peers: {enabled: true}", "at least two members"),
+    (f"copies: {{enabled: true}}\npeers: {{{MEMBERS}}}", "peers.enabled too"),
+    (f"copies: {{enabled: true, copies: 5}}\npeers: {{enabled: true, {MEMBERS}}}", "at most the 2 members"),
+    (f"peers: {{enabled: true, {MEMBERS}, lease: 300ms}}", "at least three times peers.beat"),
+    ("peers: {enabled: true, members: {n1: {hall: a, address: '127.0.0.1:1'}, n2: {hall: b, address: '127.0.0.1:1'}}}",
+     "another member has it too"),
+    ("peers: {members: {n1: {hall: a, address: '10.0.0.1:1'}}}", "peers.members.n1.address"),
+])
+def test_faults_of_peers_and_copies_are_named(text, wanted):
+    assert any(wanted in fault for fault in faults(text))
+
+
+def test_peers_and_copies_become_options():
+    told = parse("f.yaml", f"peers: {{enabled: true, {MEMBERS}}}\ncopies: {{enabled: true, copies: 2}}", Path("/srv"))
+    assert told.peers is not None and told.peers.members["n2"] == ("b", ("127.0.0.1", 2))
+    assert told.copies is not None and told.copies.folder == Path("/srv/copies")
