--- a/benchmarks/copies_loss.py
+++ b/benchmarks/copies_loss.py
@@ -2,7 +2,7 @@
 
     python benchmarks/copies_loss.py --rounds 5 --out benchmarks/results/copies_loss.json
 
-Five members under an even load at those that stay; one is killed with its disk. Then the same load for `--quiet` seconds
+Five members under an even load at those that stay; one is killed with its disk. Then the same load for `--quiet` s
 with nothing done to the fleet, on a machine that other processes keep busy: a suspicion there is a false one.
 """
 
