Bound the processes that are remembered, and tell refused writes of an outage as one event

Need: each start of a member is a new process, so a crash loop grew a table for ten minutes without a bound; and an outage wrote a warning for each refused write, as the id of the request kept repeats from being held back. Change: at most 4,096 processes are remembered, the one heard longest ago goes; copies.no_word is told by its cause, single requests at debug. Measured: a test of 4,146 lives of one member leaves 4,096 in the table.

--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -248,7 +248,9 @@
             case NoWord(owner, may_have_run, cause):
                 self.keys.pop(owner, None)
                 self.counters.add("copies.no_word")
-                self.log("warning", "copies.no_word", request=owner, may_have_run=may_have_run, cause=cause)
+                # Without the request's id, so that a flood of them is told as one with its count.
+                self.log("warning", "copies.no_word", name=cause, may_have_run=may_have_run)
+                self.log("debug", "copies.no_word_for", request=owner, may_have_run=may_have_run, cause=cause)
                 pending.append(at.Agreed(owner, None, not may_have_run))
             case Settled(key, owner, outcome, result, ours):
                 if not ours:
--- a/flintshift/peers/members.py
+++ b/flintshift/peers/members.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, field
 
 WATCHERS = 3
+MOST = 4096  # processes that are remembered; past that, the one that was heard longest ago is not
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,7 +165,7 @@
             return []
         known = self.processes.get(identity)
         if known is None:
-            self.processes[identity] = Process(now_ms)
+            self._remember(identity, now_ms)
             return [Appeared(identity)]
         known.heard_ms = now_ms
         if not (known.accused or known.dead):
@@ -184,10 +185,17 @@
         if known is None:
             if not lapsed:
                 return []
-            known = self.processes[identity] = Process(now_ms - self.pace.lease_ms)
+            known = self._remember(identity, now_ms - self.pace.lease_ms)
         (known.accusers.add if lapsed else known.accusers.discard)(by)
         return self._judge(now_ms, identity, known)
 
+    def _remember(self, identity: str, heard_ms: float) -> Process:
+        """A member that is started again and again is a new process each time."""
+        if len(self.processes) >= MOST:
+            del self.processes[min(self.processes, key=lambda one: self.processes[one].heard_ms)]
+        known = self.processes[identity] = Process(heard_ms)
+        return known
+
     def _judge(self, now_ms: float, identity: str, known: Process) -> list[Action]:
         watchers = self.watchers[member_of(identity)]
         silent = now_ms - known.heard_ms
--- a/tests/peers/test_members.py
+++ b/tests/peers/test_members.py
@@ -4,7 +4,20 @@
 
 import pytest
 
-from flintshift.peers.members import Accuse, Accused, Beat, Died, Heard, Members, Pace, Returned, Suspected, Tick, ring
+from flintshift.peers.members import (
+    MOST,
+    Accuse,
+    Accused,
+    Beat,
+    Died,
+    Heard,
+    Members,
+    Pace,
+    Returned,
+    Suspected,
+    Tick,
+    ring,
+)
 
 HALLS = {"n1": "a", "n2": "a", "n3": "b", "n4": "b", "n5": "c"}
 PACE = Pace(beat_ms=200.0, lease_ms=1000.0, tell_ms=1000.0, forget_ms=10_000.0)
@@ -117,3 +130,10 @@
     assert heart.lives("n3#1", 1999.0) and not heart.lives("n3#1", 2000.0)
     assert not heart.lives("n1#1", 1.0)  # this member's own former process
     assert heart.lives("n1#2", 1e9)
+
+
+def test_a_member_in_a_crash_loop_fills_no_table():
+    heart = Members("n1#1", HALLS, PACE, 0.0)
+    for life in range(MOST + 50):
+        heart.handle(float(life), Heard(f"n2#{life}"))
+    assert len(heart.processes) == MOST and f"n2#{MOST + 49}" in heart.processes and "n2#0" not in heart.processes
