--- a/flintshift/wire/peer_link.py
+++ b/flintshift/wire/peer_link.py
@@ -76,9 +76,6 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own are no subclass of it
-        raw = transport.get_extra_info("socket")
-        if raw is not None:
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def data_received(self, data: bytes) -> None:
         self.data += data
