Tell operators of a dead runner's claim whoever settles it: a repeat may come before the takeover

Followed by the key: the first repeat waits, its member hears of the death and settles the claim itself in Proposals._promised (an intent Claim or Follow over a claim of a dead runner). Only the intent TakeOver told of it (Proposals._end), and by then the register was finished, so no holder took it over. With 50 ms between two looks for orphans it is a race which the repeat wins now and then.

Change: a proposal knows that what it writes settles a dead runner's claim, and tells TookOver when that is chosen, whatever led to it. A takeover that finds the key settled by another tells nothing: operators hear of it once.

Measured: the new test fails without the change ([] == ['r1']); tests/copies 60 passed.

--- a/flintshift/copies/proposals.py
+++ b/flintshift/copies/proposals.py
@@ -89,6 +89,7 @@
     given_up: bool = False  # nobody waits for its end
     behind: deque[Intent] = field(default_factory=deque)
     seen: bool = False  # a holder knows of the key
+    settles: Value | None = None  # what it proposes is the end of a claim whose runner is dead
 
 
 class Proposals:
@@ -302,6 +303,9 @@
             after = self._after(proposal.intent, stands)
         if after is None:  # there is nothing, and nothing to write
             return self._end(now_ms, key, proposal, None)
+        if stands != proposal.settles:  # what it wrote in an earlier round stays its own
+            ends = stands is not None and stands.stage is Stage.CLAIMED and after.stage is Stage.FINISHED
+            proposal.settles = after if ends and not isinstance(proposal.intent, Finish) else None
         proposal.value = after
         return self._take(now_ms, key, proposal, Step.ACCEPT)
 
@@ -382,10 +386,11 @@
             case Free(_, owner):
                 self._let_go(key, owner)
             case TakeOver():
-                if value is not None:
-                    actions.append(TookOver(key, value))
+                pass
             case Follow():
                 actions += self._looked(now_ms, key, value)
+        if value is not None and value == proposal.settles:  # whatever led to it: a repeat may come before the takeover
+            actions.append(TookOver(key, value))
         if value is not None and value.stage is not Stage.CLAIMED and key in self.followed and not isinstance(
                 proposal.intent, Follow):
             actions += self._looked(now_ms, key, value)
--- a/flintshift/lab/copies_model.py
+++ b/flintshift/lab/copies_model.py
@@ -35,6 +35,7 @@
     TakeOver,
     Tick,
     Told,
+    TookOver,
     Value,
     Vote,
     Voted,
@@ -84,6 +85,7 @@
         self.ran: dict[Key, list[str]] = {}  # owners that were granted, and not freed
         self.results: dict[Key, set[tuple[Outcome, bytes]]] = {}
         self.answers: dict[str, str] = {}  # what each try was told
+        self.took_over: list[str] = []  # owners of claims whose runner died, as operators are told of them
         self.counts: Counter[str] = Counter()
         self.stores = 0
         self.cut: set[tuple[str, str]] = set()  # ordered pairs of members that do not hear each other
@@ -243,6 +245,8 @@
                 self._result(key, Value(Stage.FINISHED, owner, "", b"p", 0.0, outcome, result))
             case Told(key, value):
                 self._result(key, value)
+            case TookOver(_, value):
+                self.took_over.append(value.owner)
 
     def _result(self, key: Key, value: Value) -> None:
         if value.stage is Stage.FINISHED and value.outcome is not None:
--- a/tests/copies/test_agreement.py
+++ b/tests/copies/test_agreement.py
@@ -221,6 +221,21 @@
     assert lost_vote(registers=NoStoreCheck).wrong != []
 
 
+def test_a_repeat_that_settles_a_dead_runner_s_claim_tells_operators_of_it():
+    world = World(HALLS, 3, 3)
+    key, holders = held_by(world, "n4")
+    world.claim("n4", key, "r1")
+    pass_on(world, lambda message: True)
+    assert world.answers["r1"] == "granted"
+    world.crash("n4", disk_lost=True)
+    world.claim(holders[0], key, "r2", True)  # before any holder looks for orphans
+    pass_on(world, lambda message: True)
+    assert world.took_over == ["r1"] and world.wrong == []
+    world.tick(1000.0)
+    pass_on(world, lambda message: True)
+    assert world.took_over == ["r1"]  # once
+
+
 class Fleets(RuleBasedStateMachine):
     """Hypothesis chooses the steps, and makes a failure short."""
 
