Copy booked use to further members: a lost machine's ledger is exported by another, once

Need: use, corrections and closed periods that were not exported went with the machine that booked them.

Change: copies/logs.py is the heart (a writer with an epoch, copies that promise and follow, takeover by the vote of a majority that lacks nothing), without I/O. usage/replica.py is a copy on the disk, a ledger's folder with a book of its own. lifecycle/use_copies.py joins both with the links and the ledger. The ledger's answers wait for a copy as they wait for a sync; documents wait until the record that made them stands at a majority. A ledger that another took over is set aside and a new one begun. Off without usage and copies both; the platform imports none of it.

--- a/flintshift/cli/usage.py
+++ b/flintshift/cli/usage.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from datetime import UTC, datetime
 from functools import wraps
 from pathlib import Path
@@ -247,14 +246,13 @@
     import anyio
 
     from flintshift.lifecycle.exports import export_run
-    from flintshift.settings.options import ExportOptions, HttpSinkOptions, UsageOptions
+    from flintshift.settings.options import ExportOptions, HttpSinkOptions
     told = options.export if options is not None else None
     if to_folder is not None or to_url is not None:
         http = HttpSinkOptions(to_url, timeout * 1000) if to_url is not None else None
         told = ExportOptions(to_folder, http, backoff * 1000, max(backoff * 1000, 300_000.0), 100_000)
     if told is None:
         raise click.UsageError("no sink: give --to-folder, --to-url, or usage.export in the operators' file")
-    where = options or UsageOptions(folder, 1, 0, "power-cut", 0.0, "serve", 1 << 24, 0, told)
     count = 0
 
     def say(level: str, event: str, **more: Any) -> None:
@@ -266,7 +264,7 @@
         elif level in ("warning", "error"):
             click.echo(f"{event}: " + " ".join(f"{name}={value}" for name, value in more.items()), err=True)
 
-    runs = export_run(replace(where, folder=folder), told, say, until_done=True)
+    runs = export_run(folder, told, say, until_done=True)
 
     async def deliver() -> None:
         with anyio.move_on_after(wait):
--- a/flintshift/copies/placement.py
+++ b/flintshift/copies/placement.py
@@ -24,6 +24,7 @@
         self.halls = dict(sorted(halls.items()))
         self.copies = min(copies, len(halls))
         self.known: dict[int, tuple[str, ...]] = {}
+        self.logs: dict[str, tuple[str, ...]] = {}
         seeds = {name: hashlib.blake2b(name.encode(), digest_size=16).digest() for name in self.halls}
         self._seeded = {name: hashlib.blake2b(digest_size=8, key=seed) for name, seed in seeds.items()}
 
@@ -50,20 +51,27 @@
             found = self.known[slot] = self._computed(slot.to_bytes(2, "big"))
         return found
 
+    def of_log(self, member: str) -> tuple[str, ...]:
+        """Who holds the logs that this member writes: itself, and others as far from it as there are."""
+        found = self.logs.get(member)
+        if found is None:
+            found = self.logs[member] = self._computed(f"log of {member}".encode(), member)
+        return found
+
     def sets_of(self, member: str) -> set[tuple[str, ...]]:
         """All sets of holders that this member is one of."""
         every = {self._of_slot(slot) for slot in range(SLOTS)}
         return {holders for holders in every if member in holders}
 
-    def _computed(self, text: bytes) -> tuple[str, ...]:
+    def _computed(self, text: bytes, first: str | None = None) -> tuple[str, ...]:
         scores = []
         for name, seeded in self._seeded.items():
             score = seeded.copy()
             score.update(text)
             scores.append((score.digest(), name))
         ranked = [name for _, name in sorted(scores, reverse=True)]
-        chosen: list[str] = []
-        used: Counter[str] = Counter()
+        chosen = [first] if first is not None else []
+        used: Counter[str] = Counter(self.halls[name] for name in chosen)
         while len(chosen) < self.copies:
             least = min(used[self.halls[name]] for name in ranked if name not in chosen)
             name = next(name for name in ranked if name not in chosen and used[self.halls[name]] == least)
--- a/flintshift/lab/billing.py
+++ b/flintshift/lab/billing.py
@@ -31,7 +31,7 @@
         self.script: list[str] = []
         self.seen: Counter[str] = Counter()  # requests by document
         self.met: Counter[str] = Counter()  # faults
-        self.epoch = 0
+        self.epochs: dict[str, int] = {}  # by ledger; a caller that names none is one
         self.conflicts = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.down = False
@@ -45,11 +45,11 @@
     def stop(self) -> None:
         self.server.close()
 
-    def take(self, name: str, data: bytes, epoch: int) -> tuple[int, bytes]:
+    def take(self, name: str, data: bytes, epoch: int, ledger: str = "") -> tuple[int, bytes]:
         """Status and answer, with the document kept."""
-        if epoch < self.epoch:
+        if epoch < self.epochs.get(ledger, 0):
             return 412, b'{"error": "a later epoch was seen"}'
-        self.epoch = epoch
+        self.epochs[ledger] = epoch
         path, digest = self.folder / name, hashlib.sha256(data).hexdigest()
         if path.exists():
             held = hashlib.sha256(path.read_bytes()).hexdigest()
@@ -90,7 +90,8 @@
             else:
                 return False
         name = request.target.decode().rsplit("/", 1)[1]
-        epoch = int(dict(request.headers).get(b"x-export-epoch", b"0"))
+        heads = dict(request.headers)
+        epoch, ledger = int(heads.get(b"x-export-epoch", b"0")), heads.get(b"x-export-ledger", b"").decode()
         self.seen[name] += 1
         fault = self._fault()
         self.met[fault] += 1
@@ -101,7 +102,7 @@
         if fault in ("500-before", "503", "429"):
             status, answer = int(fault[:3]), b"{}"
         else:
-            status, answer = self.take(name, body, epoch)
+            status, answer = self.take(name, body, epoch, ledger)
         if fault == "lost-after":
             return False
         if fault == "late":
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -19,6 +19,7 @@
 import signal
 import sys
 import time
+from collections import Counter
 from collections.abc import Awaitable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -30,6 +31,7 @@
 from flintshift.lab.peers import Names, Pool, Vault
 from flintshift.lab.rig import free_ports
 from flintshift.settings.embedded import CLUBS, configuration
+from flintshift.usage import documents
 
 KEYED = "submit-time"
 DUE_MS, WINDOW_MS = 1500.0, 8000.0  # of the embedded settings
@@ -40,6 +42,21 @@
     return time.time() * 1000
 
 
+def booking(folder: Path, period: str = "1h") -> str:
+    """The operators' part that has each member book use and export it to one billing folder."""
+    return (f"usage: {{enabled: true, folder: usage, period: {period}, grace: 0ms, "
+            f"export: {{folder: {folder / 'billed'}, backoff: 100ms}}}}\n")
+
+
+def billed(folder: Path) -> dict[str, int]:
+    """Requests by member, as the documents in the billing folder add up."""
+    counted: Counter[str] = Counter()
+    for path in sorted((folder / "billed").glob("*.usage")):
+        document = documents.read(path.read_bytes())
+        counted[document.node] += sum(row.amounts.requests for row in document.rows)
+    return {node: count for node, count in counted.items() if count}
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     status: int
@@ -284,6 +301,18 @@
         if self.copies is not None:
             await self.until_logged(name, '"votes": true', '"copies.votes"')
 
+    async def until_billed(self, count: int, within_s: float = 30.0) -> None:
+        """Until the billing folder holds so many requests.
+
+        Raises:
+            RuntimeError: it did not in time.
+        """
+        until = time.monotonic() + within_s
+        while sum(billed(self.folder).values()) < count:
+            if time.monotonic() > until:
+                raise RuntimeError(f"{billed(self.folder)} were billed within {within_s} s, and {count} were wanted")
+            await asyncio.sleep(0.05)
+
     def refuse_disk(self, name: str, refuse: bool = True) -> None:
         """No file of its process grows any more, as on a full disk; or they do again."""
         member = self.members[name]
--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -105,21 +105,22 @@
             self.ledger.add_late(attempt.ticket, int(took_ms * 1000), 0)
 
 
-def open_ledger(name: str, settings: api.Settings, options: UsageOptions, log: Log,
-                files: Files | None = None) -> Ledger:
-    """The ledger on its folder, recovered.
+def open_folder(name: str, lists: tuple[list[str], list[str]], options: UsageOptions, log: Log, files: Files,
+                copied: bool = False, above: int = 0) -> tuple[LedgerFolder, LedgerClock]:
+    """The folder, recovered, with a life begun in it. ``copied``: further members hold copies; a ledger that begins
+    then has an epoch above all of this node's earlier ones (the time in seconds, or ``above`` and one).
 
     Raises:
         OSError, LockedError, DamagedError: the folder can't be used; the text says why.
     """
-    files = files or DiskFiles()
     folder = LedgerFolder(files, options.folder)
     try:
         found, last_ms = folder.found, folder.book.state.last_ms
         now = time.time() * 1000
         clock = LedgerClock(now, time.monotonic() * 1000, last_ms)
-        folder.open(name, os.urandom(16), options.period_ms, [tenant.name for tenant in settings.tenants],
-                    [kind.name for kind in settings.classes], int(max(now, last_ms)))
+        if copied and folder.reach.epoch == 0:
+            folder.log.epoch = max(int(now / 1000), above + 1)
+        folder.open(name, os.urandom(16), options.period_ms, *lists, int(max(now, last_ms)))
     except BaseException:
         folder.close()
         raise
@@ -127,6 +128,19 @@
         log("warning", "usage.recovery", text=warning)
     log("info", "usage.opened", folder=str(options.folder), epoch=folder.log.epoch, records=found.records,
         from_snapshot=found.from_snapshot, torn_bytes=found.torn, in_doubt=found.in_doubt)
+    return folder, clock
+
+
+def open_ledger(name: str, settings: api.Settings, options: UsageOptions, log: Log,
+                files: Files | None = None, copied: bool = False) -> Ledger:
+    """The ledger on its folder, recovered.
+
+    Raises:
+        OSError, LockedError, DamagedError: the folder can't be used; the text says why.
+    """
+    folder, clock = open_folder(name, ([tenant.name for tenant in settings.tenants],
+                                       [kind.name for kind in settings.classes]), options, log, files or DiskFiles(),
+                                copied)
     sinks = []
     if options.export is not None:
         sinks = [name for name, sink in (("folder", options.export.folder), ("http", options.export.http)) if sink]
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -17,11 +17,12 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import anyio
 from msgspec import structs
 
+from flintshift.copies import logs
 from flintshift.copies.placement import Placement
 from flintshift.copies.proposals import Proposals
 from flintshift.copies.refill import FillAsk, Page, Refill, page
@@ -65,7 +66,7 @@
 from flintshift.interface import Outcome
 from flintshift.peers import members as who
 from flintshift.proto import peers_pb2 as pb
-from flintshift.settings.options import CopiesOptions, PeersOptions
+from flintshift.settings.options import CopiesOptions, PeersOptions, UsageOptions
 from flintshift.storage.files import DiskFiles, Files, LockedError
 from flintshift.storage.log import BrokenError
 from flintshift.storage.snapshot import DamagedError
@@ -73,6 +74,10 @@
 from flintshift.wire.peer_link import Greeting, OutLink, PeerFront
 from flintshift.wire.peer_words import entry_bytes, entry_from
 
+if TYPE_CHECKING:
+    from flintshift.lifecycle.use_copies import UseCopies
+    from flintshift.usage.ledger import Ledger
+
 UNUSABLE = (OSError, LockedError, DamagedError)
 SOON_MS = 5.0  # a proposal's time may be passed by so much
 TICK_MS = 50.0  # of who lives, takeovers and refills
@@ -136,6 +141,7 @@
         self.taken_over: dict[Key, str] = {}  # claims of dead runners, settled here: they may have run
         self.others = others
         self.holding = anyio.Event()  # this process holds the copies
+        self.use: UseCopies | None = None  # the ledgers of use
         try:
             self._hold_copies()
         except LockedError:
@@ -144,6 +150,19 @@
             log("info", "copies.guest", folder=str(options.folder), identity=self.identity,
                 cause="another process of this member holds them")
 
+    def copy_use(self, ledger: Ledger, options: UsageOptions) -> None:
+        """Write this ledger to further members, and hold theirs.
+
+        Raises:
+            OSError, LockedError: the folder can't be used.
+        """
+        from flintshift.lifecycle.use_copies import UseCopies
+        self.use = UseCopies(self.name, self.identity, self.placement, self.options, options, self.files, boot_id(),
+                             self._lives, self._now, lambda member, word: self.links[member].send(
+                                 word, self._now(), False), self.front.send, self.counters, self.log)
+        self.use.restore()
+        self.use.write(ledger)
+
     def _bounds(self) -> HolderBounds:
         return HolderBounds(self.options.keys, self.options.bytes, self._window_ms())
 
@@ -286,6 +305,7 @@
             "votes_in_ms": 0 if registers.full_vote else max(0, round(registers.voting_from_ms - now)),
             "filled_by": sorted(registers.filled_by), "keys": len(registers.table), "bytes": registers.bytes,
             "stages": registers.stages(), "under_copied": registers.under_copied(self.reached | {self.name}),
+            "use": self.use.shown() if self.use is not None else [],
             "proposals": len(self.proposals.under_way), "followed": len(self.proposals.followed),
             "may_have_run": [{"class": key[0], "key": key[1], "request": owner}
                              for key, owner in self.taken_over.items()],
@@ -399,6 +419,8 @@
                     self.front.send(identity, told)
                 case who.Accused():
                     self._members(word)
+                case _ if self.use is not None:
+                    self.use.asked(identity, word)
 
     def _hold(self, identity: str, ask: Ask) -> None:
         """Vote; what changes is written before the vote leaves."""
@@ -467,6 +489,8 @@
                     self._event(word)
                 case Page() if self.refill is not None:
                     self._fill(member, word)
+                case logs.At() if self.use is not None:
+                    self.use.answered(member, word)
                 case who.Accused():
                     self._members(word)
 
@@ -476,6 +500,8 @@
         self.not_linked.pop(member, None)
         self.log("info", "peers.link_up", name=member, identity=told.identity, reached=len(self.reached))
         self._event(Reach(member, True, told.store))
+        if self.use is not None and member != self.name:
+            self.use.reach(member, True)
 
     def _down(self, member: str, cause: str) -> None:
         if member == self.name and self.folder is not None:
@@ -484,6 +510,8 @@
             self.reached.discard(member)
             self.log("warning", "peers.link_down", name=member, cause=cause, reached=len(self.reached))
             self._event(Reach(member, False, 0))
+            if self.use is not None:
+                self.use.reach(member, False)
         elif member != self.name and self.not_linked.get(member) != cause:  # told once for each cause, not for each try
             self.not_linked[member] = cause
             self.log("warning", "peers.not_linked", name=member, cause=cause)
@@ -524,6 +552,8 @@
             tasks.start_soon(self._bring)
             if self.options.durability == "power-cut":
                 tasks.start_soon(self._sync)
+            if self.use is not None:
+                tasks.start_soon(self.use.run)
             try:
                 while True:
                     await anyio.sleep(TICK_MS / 1000)
@@ -531,6 +561,8 @@
             finally:
                 if self.timer is not None:
                     self.timer.cancel()
+                if self.use is not None:
+                    self.use.close()
                 if self.folder is not None:
                     self.folder.close()
 
@@ -592,6 +624,8 @@
         for link in self.links.values():
             link.watch(now)
         self._members(who.Tick())
+        if self.use is not None:
+            self.use.tick()
         if self.folder is None:
             return
         if self.sick_ms is not None:
--- a/flintshift/lifecycle/exports.py
+++ b/flintshift/lifecycle/exports.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -13,6 +14,7 @@
 from flintshift.settings.options import ExportOptions, UsageOptions
 from flintshift.storage.files import DiskFiles, Files
 from flintshift.storage.snapshot import DamagedError
+from flintshift.usage.book import State
 from flintshift.usage.export import Pace
 from flintshift.usage.exporting import ExportRun
 from flintshift.usage.ledger import Ledger
@@ -21,21 +23,25 @@
 AGAIN_S = 30.0  # after what stopped an exporter: a disk that refuses, or a file that was damaged
 
 
-def sinks_of(options: ExportOptions, files: Files) -> dict[str, Sink]:
+def sinks_of(options: ExportOptions, files: Files, ledger: str = "") -> dict[str, Sink]:
     sinks: dict[str, Sink] = {}
     if options.folder is not None:
         sinks["folder"] = FolderSink(files, options.folder)
     if options.http is not None:
-        sinks["http"] = HttpSink(options.http.url, options.http.timeout_ms)
+        sinks["http"] = HttpSink(options.http.url, options.http.timeout_ms, ledger)
     return sinks
 
 
-def export_run(usage: UsageOptions, options: ExportOptions, log: Log, until_done: bool,
-               files: Files | None = None) -> ExportRun:
+def export_run(folder: Path, options: ExportOptions, log: Log, until_done: bool, files: Files | None = None,
+               copied: State | None = None,
+               noted: Callable[[str, str, bytes], object] = lambda sink, name, digest: None) -> ExportRun:
+    """``copied``: the ledger's state, where further members hold it: whoever writes it exports under its epoch."""
     files = files or DiskFiles()
     pace = Pace(options.backoff_ms, options.backoff_most_ms, options.attempts_per_hour)
-    return ExportRun(files, usage.folder, sinks_of(options, files), pace, random.SystemRandom().random,
-                     lambda: time.monotonic() * 1000, log, until_done)
+    ledger = f"{copied.node}.{copied.life.hex()}" if copied is not None else ""
+    return ExportRun(files, folder, sinks_of(options, files, ledger), pace, random.SystemRandom().random,
+                     lambda: time.monotonic() * 1000, log, until_done, copied.epoch if copied is not None else None,
+                     noted)
 
 
 def open_export(ledger: Ledger, usage: UsageOptions, log: Log) -> Callable[[], Coroutine[Any, Any, None]]:
@@ -45,12 +51,18 @@
 
     async def run() -> None:
         while True:
-            export = export_run(usage, options, log, False, ledger.folder.files)
+            copies = ledger.copies
+            export = export_run(usage.folder, options, log, False, ledger.folder.files,
+                                ledger.book.state if copies is not None else None,
+                                copies.exported if copies is not None else lambda sink, name, digest: None)
             ledger.changed = export.look
-            try:
-                await export.run()
-            except* (OSError, DamagedError) as errors:
-                log("error", "export.stopped", cause="; ".join(map(str, errors.exceptions)))
-            await anyio.sleep(AGAIN_S)
+            with anyio.CancelScope() as turn:
+                ledger.began_anew = turn.cancel
+                try:
+                    await export.run()
+                except* (OSError, DamagedError) as errors:
+                    log("error", "export.stopped", cause="; ".join(map(str, errors.exceptions)))
+            if not turn.cancelled_caught:
+                await anyio.sleep(AGAIN_S)
 
     return run
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -129,7 +129,9 @@
     def _keep_books(self, options: UsageOptions) -> None:
         from flintshift.lifecycle.books import UNUSABLE, Books, open_ledger
         try:
-            self.ledger = open_ledger(self.config.name, self.config.settings, options, self.log)
+            copies = self.config.operators.copies
+            self.ledger = open_ledger(self.config.name, self.config.settings, options, self.log,
+                                      copied=copies is not None and copies.copies > 1)
         except UNUSABLE as error:
             raise ConfigError(f"the ledger of use can't be opened: {error}") from error
         books = self.books = Books(self.ledger, self.config.settings)
@@ -149,6 +151,8 @@
         try:
             copying = Copying(self.config.name, peers, options, self.decisions, self.limits, self.counters,
                               self.now_ms, self.log, guest=self.config.control is not None)
+            if self.ledger is not None and self.config.operators.usage is not None and options.copies > 1:
+                copying.copy_use(self.ledger, self.config.operators.usage)
         except UNUSABLE as error:
             raise ConfigError(f"the folder of copies can't be used: {error}") from error
         self.copying = copying
--- a/flintshift/settings/operators.py
+++ b/flintshift/settings/operators.py
@@ -163,6 +163,7 @@
     keys: Annotated[int, Field(ge=100, le=10_000_000)] = 200_000
     memory: Annotated[Size, sizes("1MiB", "16GiB")] = 256 << 20
     segment: Annotated[Size, sizes("64KiB", "1GiB")] = 16 << 20
+    take_over_use: Annotated[Duration, times("1s", "7d")] = 60_000.0
 
 
 SYNC_MS = {"power-cut": 5.0, "process-death": 50.0, "none": 50.0}
@@ -328,7 +329,8 @@
 def _copies(told: CopiesPart, base: Path) -> CopiesOptions | None:
     if not told.enabled:
         return None
-    return CopiesOptions(base / told.folder, told.copies, told.durability, told.keys, told.memory, told.segment)
+    return CopiesOptions(base / told.folder, told.copies, told.durability, told.keys, told.memory, told.segment,
+                         told.take_over_use)
 
 
 def _export(told: ExportPart | None, base: Path) -> ExportOptions | None:
--- a/flintshift/settings/options.py
+++ b/flintshift/settings/options.py
@@ -84,6 +84,7 @@
     keys: int
     bytes: int
     segment_bytes: int
+    take_over_ms: float = 60_000.0  # a member's ledger of use is taken over once it has been dead for so long
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintshift/usage/exporting.py
+++ b/flintshift/usage/exporting.py
@@ -43,9 +43,11 @@
     """``run`` returns once nothing is left where ``until_done``; else it goes on until cancelled."""
 
     def __init__(self, files: Files, folder: Path, sinks: Mapping[str, Sink], pace: Pace, draw: Callable[[], float],
-                 now_ms: Callable[[], float], say: Say, until_done: bool = False) -> None:
+                 now_ms: Callable[[], float], say: Say, until_done: bool = False, epoch: int | None = None,
+                 noted: Callable[[str, str, bytes], object] = lambda sink, name, digest: None) -> None:
+        """``epoch`` None: counted in the folder, from 1. ``noted`` is told of each acknowledgement."""
         self.files, self.folder, self.sinks, self.say = files, folder, sinks, say
-        self.now_ms, self.until_done = now_ms, until_done
+        self.now_ms, self.until_done, self.given_epoch, self.noted = now_ms, until_done, epoch, noted
         self.heart = Exporter(list(sinks), pace, draw, now_ms())
         self.epoch = 0
         self.wake_ms = math.inf
@@ -83,7 +85,7 @@
             for sink in self.sinks:
                 self.files.make_folder(self.folder / "acks" / sink)
                 snapshot.sweep(self.files, self.folder / "acks" / sink)
-            self.epoch = self.next_epoch()
+            self.epoch = self.next_epoch() if self.given_epoch is None else self.given_epoch
             self.say("info", "export.begins", epoch=self.epoch, sinks=list(self.sinks))
             async with anyio.create_task_group() as tasks:
                 while await self._turn(tasks):
@@ -151,6 +153,7 @@
                 snapshot.publish, self.files, self.folder / "acks" / sink / name, text)
         except OSError as error:
             return NotDelivered(sink, name, f"the acknowledgement can't be kept: {error}")
+        self.noted(sink, name, text)
         return told
 
 
--- a/flintshift/usage/folder.py
+++ b/flintshift/usage/folder.py
@@ -68,12 +68,12 @@
 
 
 def _load(files: Files, folder: Path, bounds: Bounds | None) -> tuple[Book, Reach, Recovered]:
-    book, found = Book(bounds or Bounds()), Recovered()
+    book, found, epoch = Book(bounds or Bounds()), Recovered(), 0
     for sequence in snapshots(files, folder):
         path = folder / "snapshots" / snapshot_name(sequence)
         try:
             record = snapshot.opened(path, files.read(path), SNAPSHOT_KIND)
-            book = Book.load(record.payload, bounds)
+            book, epoch = Book.load(record.payload, bounds), record.epoch
         except (DamagedError, ValueError) as error:
             found.warnings.append(f"{error}; an older one is used")
             continue
@@ -82,7 +82,8 @@
     else:
         if found.warnings:
             raise DamagedError(f"{folder}: no snapshot can be used: {'; '.join(found.warnings)}")
-    reach, claimed, decode = Reach(book.state.sequence + 1, book.state.epoch), book.claimed, unpack_claim
+    reach = Reach(book.state.sequence + 1, max(book.state.epoch, epoch))
+    claimed, decode = book.claimed, unpack_claim
     for batch in batches(files, folder / "log", reach.following, reach):
         try:
             for sequence, epoch, kind, payload in batch:
@@ -126,6 +127,20 @@
         self.append([Opened(node, life, period_ms, clubs, classes, now_ms)])
         self.log.sync()
 
+    def set_aside(self) -> Path:
+        """Another process goes on with this ledger: what stands here makes room for another one, and is kept for people
+        to look at. Returns where."""
+        self.log.close()
+        state = self.book.state
+        aside = self.folder / "taken-over" / f"{state.life.hex()}.e{state.epoch}"
+        self.files.make_folder(aside)
+        for name in ("log", "snapshots", "documents", "acks"):
+            if name in self.files.names(self.folder):
+                self.files.rename(self.folder / name, aside / name)
+        self.files.sync_folder(self.folder)
+        self.lock.close()
+        return aside
+
     def append(self, entries: list[Entry]) -> None:
         """Write records, then apply them.
 
--- a/flintshift/usage/keeper.py
+++ b/flintshift/usage/keeper.py
@@ -6,6 +6,7 @@
 - While documents can't be written, at most ``Bounds.documents`` are made and ``Bounds.periods`` are open: the last
   one then goes on past its end, and the next begins where the time is by then.
 - A change of the length takes effect at the end of the period that is open then; the next one is cut to its grid.
+- Where the ledger's writer is dead and another goes on with it, all periods close.
 - A correction is taken once. It changes an open period's rows, and makes a revision of a closed one.
 """
 
@@ -39,6 +40,7 @@
     Reply,
     Retired,
     Tick,
+    WriterGone,
 )
 
 MOST = 2**63 - 1
@@ -54,6 +56,8 @@
         match event:
             case Tick():
                 return self._time_passed(now)
+            case WriterGone():
+                return self._closed_all(now)
             case ClockMoved(by_ms):
                 return [*self._time_passed(now), Append(Stepped(now, by_ms))]
             case CorrectionAsked():
@@ -85,6 +89,11 @@
             actions.append(Append(Closed(begin, now)))
         return actions
 
+    def _closed_all(self, now: int) -> list[KeeperAction]:
+        """Every period is over, and no answer of any is on its way."""
+        room = max(0, self.book.bounds.documents - len(self.book.state.documents))
+        return [Append(Closed(begin, now)) for begin in sorted(self.book.state.periods)[:room]]
+
     def _correction(self, now: int, asked: CorrectionAsked) -> list[KeeperAction]:
         entry = Corrected(asked.id, asked.author, asked.reason, now, asked.period, asked.club, asked.class_name,
                           asked.front, asked.outcome, list(asked.amounts), self._length(asked))
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -44,11 +44,12 @@
     Write,
 )
 from flintshift.storage.log import BrokenError
+from flintshift.usage.book import Book
 from flintshift.usage.corrections import base_of, from_json
 from flintshift.usage.folder import LedgerFolder, retire
 from flintshift.usage.keeper import Keeper
 from flintshift.usage.periods import LedgerClock
-from flintshift.usage.records import Claim, Ended, Entry, Late, Listed, Marked, pack, renumbered
+from flintshift.usage.records import Claim, Ended, Entry, Late, Listed, Marked, Published, pack, renumbered
 from flintshift.usage.vocabulary import (
     Append,
     ClockMoved,
@@ -76,16 +77,32 @@
     def __call__(self, level: str, event: str, **fields: Any) -> None: ...
 
 
+class Copies(Protocol):
+    """Further members that hold what is written."""
+
+    @property
+    def held(self) -> float: ...  # records up to this one stand at a majority, or need not be waited for
+    @property
+    def in_gap(self) -> bool: ...  # they do not answer
+    def stands(self, sequence: int) -> bool: ...  # at a majority, gap or not
+    def wrote(self, first: int, items: list[tuple[int, bytes]]) -> None: ...
+    def exported(self, sink: str, name: str, digest: bytes) -> None: ...
+
+
 Lists = tuple[list[str], list[str]]  # clubs and classes, by which rows are numbered
 
 
 class Ticket:
     """A claim and what became of it."""
 
-    __slots__ = ("lists", "marked", "period", "row", "sequence")
+    __slots__ = ("book", "lists", "marked", "period", "row", "sequence")
 
     def __init__(self, row: int, lists: Lists) -> None:
         self.row, self.lists, self.sequence, self.period, self.marked = row, lists, 0, 0, False
+        self.book: Book | None = None  # that it was written to
+
+
+Waits = tuple[Ticket, Claim, Callable[[], object] | None]
 
 
 class Ledger:
@@ -99,13 +116,16 @@
         self.commit = Commit(limits, folder.log.following - 1)
         self.refuse, self.retention_ms, self.sinks = refuse, retention_ms, sinks
         self.clock, self.wall_ms, self.steady_ms, self.say = clock, wall_ms, steady_ms, say
-        self.claims: list[tuple[Ticket, Claim, Callable[[], object] | None]] = []  # not written yet
+        self.claims: list[Waits] = []  # not written yet
         self.delivered: list[Ticket] = []  # not marked yet
         self.undelivered: list[Ticket] = []
         self.late: list[Late] = []
         self.lists: Lists = (folder.book.state.clubs, folder.book.state.classes)
         self.listed: Listed | None = None  # not written yet
-        self.held: deque[tuple[int, Callable[[], object]]] = deque()  # answers that wait for the sync of a sequence
+        # Answers that wait until their claim stands on the disk and at other members, by sequence.
+        self.held: deque[tuple[int, Waits]] = deque()
+        self.synced: float = -1.0  # what the disk has told of that
+        self.copies: Copies | None = None
         self.marking = False  # a flush of marks is due
         self.due = False  # a flush is due in this turn of the loop
         self.backlog: list[tuple[int, bytes]] | None = None  # what came after the snapshot that closes a gap
@@ -118,11 +138,12 @@
         self.steps: list[int] = []  # of the clock, not told yet
         self.retired_ms = -math.inf
         self.changed: Callable[[], object] = lambda: None  # documents stand that did not before
+        self.began_anew: Callable[[], object] = lambda: None
 
     @property
     def refusing(self) -> bool:
         """New work is not to be taken: it could not be booked."""
-        return self.refuse and self.commit.gap is not None
+        return self.refuse and (self.commit.gap is not None or (self.copies is not None and self.copies.in_gap))
 
     # What the node tells.
 
@@ -139,6 +160,8 @@
         """The answer has left, or its caller went before it had."""
         if not ticket.marked:
             ticket.marked = True
+            if ticket.book is not None and ticket.book is not self.book:
+                return  # another member goes on with that ledger: there the claim is in doubt
             (self.delivered if arrived else self.undelivered).append(ticket)
             if not self.due and not self.marking:  # no hurry: the next claim takes it along
                 self.marking = True
@@ -189,7 +212,7 @@
             entries.append(self.listed)
             sequence, self.listed = sequence + 1, None
         for ticket, claim, _ in claims:
-            ticket.sequence, ticket.period = sequence, period
+            ticket.sequence, ticket.period, ticket.book = sequence, period, self.book
             sequence += 1
             entries.append(claim)
         if delivered or undelivered:
@@ -197,17 +220,17 @@
             entries.append(Marked(base, [ticket.sequence - base for ticket in delivered],
                                   [ticket.sequence - base for ticket in undelivered]))
         entries += late
-        holds = self.commit.limits.holds
+        holds = self.commit.limits.holds or self.copies is not None
         if holds:  # before the write, which may tell that they are not to wait
-            self.held += [(ticket.sequence, deliver) for ticket, _, deliver in claims if deliver is not None]
+            self.held += [(one[0].sequence, one) for one in claims if one[2] is not None]
         if entries:
             self._write(entries, len(claims))
-        if not holds:
-            for _, _, deliver in claims:
-                if deliver is not None:
-                    deliver()
-        elif self.commit.gap is not None:
-            self._release(math.inf)
+        if holds:
+            self.release()
+            return
+        for _, _, deliver in claims:
+            if deliver is not None:
+                deliver()
 
     def _write(self, entries: list[Entry], requests: int = 0) -> None:
         """Write and apply; where the disk refuses, apply alone."""
@@ -226,6 +249,8 @@
                 if len(self.backlog) > BACKLOG_MOST:  # the next try begins with a snapshot of all again
                     self.backlog = None
         self.folder.apply(first, entries)
+        if self.copies is not None:
+            self.copies.wrote(first, items)
         actions += self.commit.wrote(self.steady_ms(), first + len(items) - 1, log.size, requests)
         if actions:
             self._do(actions)
@@ -238,7 +263,8 @@
                     self.operation = action
                     self._disk_changed()
                 case Release(upto):
-                    self._release(upto)
+                    self.synced = self.synced if upto == math.inf else upto
+                    self.release()
                 case Write():
                     if not self.due:
                         self._flush_soon()
@@ -255,10 +281,15 @@
                 case StillRefused(cause):
                     self.say("warning", "usage.disk_still_refuses", cause=cause)
 
-    def _release(self, upto: float) -> None:
-        held = self.held
+    def release(self) -> None:
+        """Let go of answers whose claims stand where they must."""
+        held, upto = self.held, self.copies.held if self.copies is not None else math.inf
+        if self.commit.limits.holds and self.commit.gap is None:
+            upto = min(upto, self.synced)
         while held and held[0][0] <= upto:
-            held.popleft()[1]()
+            deliver = held.popleft()[1][2]
+            if deliver is not None:
+                deliver()
 
     def _wake_at(self, at_ms: float) -> None:
         if self.timer is not None:
@@ -284,6 +315,7 @@
         if operation is None:
             return
         event: Done | Refused = Done()
+        commit = self.commit
         try:
             match operation:
                 case Sync():
@@ -295,14 +327,17 @@
         except (OSError, BrokenError) as error:
             event = Refused(str(error))
         self.backlog = None
+        if commit is not self.commit:
+            return  # of a ledger that another member has
         self._do(self.commit.handle(self.steady_ms(), event))
         self._disk_changed()
 
     async def _begin_segment(self) -> None:
         """Keep the book as it stands now: recovery will begin there."""
-        sequence, data = self.book.state.sequence, self.folder.snapshot_now()
-        await anyio.to_thread.run_sync(self.folder.log.begin, sequence + 1)
-        self.snapshot_due = sequence, data
+        folder, sequence, data = self.folder, self.book.state.sequence, self.folder.snapshot_now()
+        await anyio.to_thread.run_sync(folder.log.begin, sequence + 1)
+        if folder is self.folder:
+            self.snapshot_due = sequence, data
 
     async def _reopen(self) -> None:
         log, sequence, data = self.folder.log, self.book.state.sequence, self.folder.snapshot_now()
@@ -403,16 +438,20 @@
             self.say("warning", "usage.snapshot_failed", cause=str(error))
 
     async def _documents(self) -> None:
-        made = list(self.book.state.documents)
+        made, book, wanted = list(self.book.state.documents), self.book, self.book.state.sequence
         # The record that made a document must not be lost where the document stands.
-        if not made or not await self._synced():
+        if not made or not await self._synced() or book is not self.book:
             return
+        if self.copies is not None and not self.copies.stands(wanted):
+            return  # nobody exports what another may close in another way
         try:
             number = await anyio.to_thread.run_sync(self.folder.write_documents, made)
         except OSError as error:
             self.say("error", "usage.document_failed", cause=str(error))
             return
         await self._writable()
+        if book is not self.book:
+            return
         self._tell(DocumentsStand(number))
         for document in made:
             self.say("info", "usage.document", name=document.name, bytes=len(document.data))
@@ -450,6 +489,31 @@
         self.say("info", "usage.correction", id=asked.id, taken=reply.taken, text=reply.text, author=asked.author)
         return reply
 
+    def write_nothing(self) -> None:
+        """A record that changes nothing: the first under an epoch that was raised."""
+        self._write([Published(0)])
+
+    def begin_anew(self, folder: LedgerFolder) -> None:
+        """Another member goes on with the ledger so far: from now on this one is written, whose rows are numbered by
+        ``lists``. Claims whose answers have not left are booked here; those that have, and bear no mark, are in doubt
+        there."""
+        again = [one for _, one in self.held]
+        for ticket, _, _ in again:
+            ticket.book = None
+        self.held.clear()
+        self.claims = again + self.claims
+        self.delivered = [ticket for ticket in self.delivered if ticket.book is None]
+        self.undelivered = [ticket for ticket in self.undelivered if ticket.book is None]
+        self.folder, self.book, self.listed = folder, folder.book, None
+        self.keeper = Keeper(folder.book, self.keeper.grace_ms)
+        self.commit = Commit(self.commit.limits, folder.log.following - 1)
+        self.snapshot_due = self.backlog = self.operation = None
+        self.turn_ms, self.synced = 0, -1.0
+        self._tell(Tick())
+        self._disk_changed()
+        self._flush_soon()
+        self.began_anew()
+
     async def _retire(self) -> None:
         try:
             gone = await anyio.to_thread.run_sync(retire, self.folder.files, self.folder.folder, self.sinks,
--- /dev/null
+++ b/flintshift/usage/replica.py
@@ -0,0 +1,205 @@
+"""A copy of another member's ledger: a ledger's folder, written by what that ledger's writer sends.
+
+==============  ================================================================================
+``COPY``        whose it is, the epoch that was promised and to whom, and whether it is sure
+the rest        as in ``usage/folder.py``: whoever takes the ledger over goes on in it
+==============  ================================================================================
+
+It keeps its own book, so that a document stands here as soon as the record that makes it does, and so that a segment
+may go once a snapshot of the book stands.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+
+from flintshift.storage import snapshot
+from flintshift.storage.files import Files
+from flintshift.storage.log import Log, segments
+from flintshift.storage.snapshot import DamagedError
+from flintshift.usage import documents
+from flintshift.usage.book import Book
+from flintshift.usage.folder import LedgerFolder, retire, snapshot_name, snapshots, unacknowledged
+from flintshift.usage.records import Published, pack, unpack
+
+COPY, COPY_KIND = "COPY", 34
+
+
+class CopyState(msgspec.Struct, frozen=True):
+    member: str  # that began the ledger
+    life: bytes
+    promised: int
+    by: str
+    sure: bool  # all that it acknowledged stands here, unless the machine was started anew since
+    boot: str
+    over: bool = False
+
+
+class Whole(msgspec.Struct, array_like=True):
+    """All that a copy needs to go on from a place."""
+
+    book: bytes
+    documents: list[tuple[str, bytes]]  # that some sink does not have yet
+    acks: list[tuple[str, str, bytes]]  # sink, name, digest: of these, what another sink has
+
+
+def whole_of(files: Files, folder: Path, book: Book, sinks: Iterable[str]) -> bytes:
+    """Of a ledger's folder as it stands now."""
+    left = unacknowledged(files, folder, list(sinks))
+    standing = [name for name in files.names(folder / "documents") if documents.NAME.fullmatch(name)]
+    names = sorted({name for missing in left.values() for name in missing} if left else standing)
+    acks = [(sink, name, files.read(folder / "acks" / sink / name)) for sink in left for name in names
+            if name not in left[sink]]
+    return msgspec.msgpack.encode(Whole(
+        book.dump(), [(name, files.read(folder / "documents" / name)) for name in names], acks))
+
+
+def stands(files: Files, folder: Path) -> list[tuple[Path, CopyState]]:
+    """The copies below a folder, as they were left."""
+    found = []
+    for name in files.names(folder):
+        if COPY in files.names(folder / name):
+            path = folder / name / COPY
+            found.append((folder / name, msgspec.msgpack.decode(
+                snapshot.opened(path, files.read(path), COPY_KIND).payload, type=CopyState)))
+    return found
+
+
+def emptied(files: Files, folder: Path) -> None:
+    """Remove what stands of the ledger."""
+    acks = [f"acks/{sink}" for sink in files.names(folder / "acks")]
+    for name in ("log", "snapshots", "documents", "inbox", "replies", *acks):
+        for one in files.names(folder / name):
+            files.remove(folder / name / one)
+
+
+def folder_name(member: str, life: bytes) -> str:
+    return f"{member}.{life.hex()}"
+
+
+class Replica:
+    """The folder as the one process that writes in it holds it.
+
+    Raises:
+        OSError, LockedError, DamagedError: it can't be used.
+    """
+
+    def __init__(self, files: Files, folder: Path, state: CopyState, segment_bytes: int) -> None:
+        self.files, self.folder, self.state, self.segment_bytes = files, folder, state, segment_bytes
+        files.make_folder(folder)
+        self.ledger = LedgerFolder(files, folder)
+
+    @property
+    def last(self) -> tuple[int, int]:
+        return self.ledger.reach.epoch, self.ledger.log.following - 1
+
+    def keep(self, **changes: object) -> None:
+        """Change what stands of the copy, durably."""
+        self.state = msgspec.structs.replace(self.state, **changes)
+        snapshot.publish(self.files, self.folder / COPY,
+                         snapshot.sealed(COPY_KIND, 1, 1, msgspec.msgpack.encode(self.state)))
+
+    def append(self, epoch: int, first: int, records: Iterable[tuple[int, bytes]]) -> None:
+        """
+        Raises:
+            OSError, BrokenError: the disk refused.
+            DamagedError: these are no records that follow.
+        """
+        items, log = list(records), self.ledger.log
+        if first != log.following:
+            raise DamagedError(f"{self.folder}: record {first} came where {log.following} is due")
+        try:
+            entries = [unpack(kind, payload) for kind, payload in items]
+        except ValueError as error:
+            raise DamagedError(f"{self.folder}: record {first} and on: {error}") from error
+        log.epoch = epoch
+        log.append(items)
+        for place, entry in enumerate(entries):
+            if isinstance(entry, Published):
+                made = [one for one in self.ledger.book.state.documents if one.number <= entry.number]
+                if made:
+                    self.ledger.write_documents(made)
+            self.ledger.book.apply(first + place, epoch, entry)
+        self.ledger.reach.epoch = epoch
+        if log.size >= self.segment_bytes:
+            self.turn()
+
+    def write(self, *entries: object) -> tuple[int, list[tuple[int, bytes]]]:
+        """Records of whoever took the ledger over; returns the first one's sequence, and them for the other copies."""
+        items = [pack(entry) for entry in entries]  # type: ignore[arg-type]
+        first = self.ledger.log.following
+        self.append(self.ledger.log.epoch, first, items)
+        return first, items
+
+    def turn(self) -> None:
+        """Begin a segment behind a snapshot; what came before goes."""
+        sequence = self.ledger.book.state.sequence
+        self.ledger.write_snapshot(sequence, self.ledger.snapshot_now())
+        self.ledger.log.begin()
+        self._only(sequence)
+
+    def _only(self, sequence: int) -> None:
+        for first, name in segments(self.files, self.folder / "log"):
+            if first <= sequence:
+                self.files.remove(self.folder / "log" / name)
+        for one in snapshots(self.files, self.folder):
+            if one != sequence:
+                self.files.remove(self.folder / "snapshots" / snapshot_name(one))
+
+    def replace(self, epoch: int, sequence: int, data: bytes) -> None:
+        """Hold this in place of what stood here. Not sure until the caller keeps that it is.
+
+        Raises:
+            OSError: the disk refused.
+            DamagedError: it is no whole ledger.
+        """
+        try:
+            told = msgspec.msgpack.decode(data, type=Whole)
+            book = Book.load(told.book)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise DamagedError(f"{self.folder}: what came is no ledger: {error}") from error
+        self.keep(sure=False)
+        ledger, files, folder = self.ledger, self.files, self.folder
+        ledger.log.close()
+        for _, name in segments(files, folder / "log"):
+            files.remove(folder / "log" / name)
+        for name, document in told.documents:
+            if documents.NAME.fullmatch(name):
+                snapshot.publish(files, folder / "documents" / name, document)
+        for sink, name, digest in told.acks:
+            self.note(sink, name, digest)
+        ledger.book, ledger.reach.epoch = book, epoch
+        ledger.log = Log(files, folder / "log", epoch, sequence + 1)
+        ledger.write_snapshot(sequence, ledger.snapshot_now())
+        ledger.log.begin()
+        self._only(sequence)
+
+    def note(self, sink: str, name: str, digest: bytes) -> None:
+        """A sink has this document."""
+        if documents.NAME.fullmatch(name) and sink in ("folder", "http"):
+            self.files.make_folder(self.folder / "acks" / sink)
+            snapshot.publish(self.files, self.folder / "acks" / sink / name, digest)
+
+    def retire(self, sinks: list[str], retention_ms: float, now_ms: float) -> None:
+        retire(self.files, self.folder, sinks, retention_ms, now_ms, self.ledger.book.state.closed_to)
+
+    def forget(self) -> None:
+        """Nothing of it is needed any more, but that this is so."""
+        self.keep(over=True, sure=False)
+        self.ledger.log.close()
+        emptied(self.files, self.folder)
+
+    def drop(self) -> None:
+        """Not even that."""
+        self.close(clean=False)
+        emptied(self.files, self.folder)
+        self.files.remove(self.folder / COPY)
+
+    def close(self, clean: bool = True) -> None:
+        """``clean``: it stands on the disk whole, whatever becomes of the machine."""
+        self.ledger.close()
+        if clean and not self.ledger.log.broken and not self.state.over:
+            self.keep(boot="")
--- a/flintshift/usage/sinks.py
+++ b/flintshift/usage/sinks.py
@@ -2,7 +2,8 @@
 exporter, which decides.
 
 The billing system's side, for whoever writes one: ``PUT {url}/{name}`` with the document as the body,
-``Idempotency-Key`` (the name), ``Content-Digest`` (RFC 9530, sha-256) and ``X-Export-Epoch``. It answers 200 or 201
+``Idempotency-Key`` (the name), ``Content-Digest`` (RFC 9530, sha-256) and ``X-Export-Epoch``; with copies of the ledger
+on also ``X-Export-Ledger``, and epochs are then of that ledger, not of the node. It answers 200 or 201
 with ``{"digest": "<sha-256 in hex>"}`` once it has the document for good, however often it comes; 409 with the
 digest of what it holds under that name; 412 where it has seen a later epoch of this node's exporter; 429 or 503 with
 ``Retry-After`` in seconds when it can't take it now.
@@ -61,9 +62,10 @@
 
 
 class HttpSink:
-    def __init__(self, url: str, timeout_ms: float) -> None:
+    def __init__(self, url: str, timeout_ms: float, ledger: str = "") -> None:
         import httpx  # here alone: a node without this sink does not import it
         self.httpx, self.url, self.timeout_s = httpx, url, timeout_ms / 1000
+        self.of_ledger = {"X-Export-Ledger": ledger} if ledger else {}
         self.client = httpx.AsyncClient(timeout=self.timeout_s, follow_redirects=False, trust_env=False,
                                         limits=httpx.Limits(max_connections=1))
 
@@ -71,7 +73,7 @@
         digest = documents.digest_of(data)
         headers = {
             "Content-Type": "application/x-protobuf", "Idempotency-Key": f'"{name}"', "X-Export-Epoch": str(epoch),
-            "Content-Digest": f"sha-256=:{base64.b64encode(digest).decode()}:"}
+            "Content-Digest": f"sha-256=:{base64.b64encode(digest).decode()}:", **self.of_ledger}
         try:
             with anyio.fail_after(self.timeout_s):  # a reply that never ends too
                 async with self.client.stream("PUT", f"{self.url}/{name}", content=data, headers=headers) as reply:
--- a/flintshift/usage/vocabulary.py
+++ b/flintshift/usage/vocabulary.py
@@ -60,7 +60,12 @@
     before_ms: int
 
 
-KeeperEvent = Tick | ClockMoved | CorrectionAsked | DocumentsStand | DiskBack | Retired
+@dataclass(frozen=True, slots=True)
+class WriterGone:
+    """Whoever wrote this ledger is dead, and nothing more will be booked in it."""
+
+
+KeeperEvent = Tick | WriterGone | ClockMoved | CorrectionAsked | DocumentsStand | DiskBack | Retired
 
 
 # Answered by the keeper.
--- a/flintshift/wire/peer_words.py
+++ b/flintshift/wire/peer_words.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from flintshift.copies import logs
 from flintshift.copies.refill import FillAsk, Page
 from flintshift.copies.registers import Entry
 from flintshift.copies.vocabulary import NO_BALLOT, Ask, Ballot, Ended, Key, Stage, Step, Value, Verdict, Vote
@@ -17,7 +18,8 @@
 NUMBERS = {outcome: number for number, outcome in enumerate(OUTCOMES, 1)}
 PEER_FRAME_MOST = 4 << 20  # bytes; a longer one is junk
 
-Word = Ask | Vote | Ended | FillAsk | Page | Accuse
+Word = Ask | Vote | Ended | FillAsk | Page | Accuse | logs.LogWord
+Told = Ask | Vote | Ended | FillAsk | Page | Accused | logs.LogWord
 
 
 class WordsError(JunkError, ValueError):
@@ -98,9 +100,64 @@
                     _entry(page.entries.add(), entry)
             case Accuse(identity, lapsed):
                 batch.accused.add(identity=identity, lapsed=lapsed)
+            case logs.At():
+                at = batch.log_places.add(word=word.word, epoch=word.epoch, part=word.part)
+                _log(at.log, word.log)
+                _place(at.last, word.last)
+            case _:
+                _log_word(batch.logs.add(), word)
     return batch
 
 
+def _log(into: pb.LogId, log: logs.LogId) -> None:
+    into.member, into.life = log
+
+
+def _place(into: pb.LogPlace, place: logs.Place) -> None:
+    into.epoch, into.sequence = place
+
+
+def _place_of(told: pb.LogPlace) -> logs.Place:
+    return told.epoch, told.sequence
+
+
+def _log_word(into: pb.LogWord, word: logs.LogWord) -> None:
+    _log(into.log, word.log)
+    match word:
+        case logs.Join(_, epoch, last, takes):
+            into.epoch, into.join.takes = epoch, takes
+            _place(into.join.last, last)
+        case logs.Append(_, epoch, first, records):
+            into.epoch, into.append.first = epoch, first
+            into.append.records.extend(pb.LogRecord(kind=kind, payload=payload) for kind, payload in records)
+        case logs.Part(_, epoch, last, number, more, data):
+            into.epoch = epoch
+            into.part.number, into.part.more, into.part.data = number, more, data
+            _place(into.part.last, last)
+        case logs.Exported(_, sink, name, digest):
+            into.exported.sink, into.exported.name, into.exported.digest = sink, name, digest
+        case logs.Over(_, epoch):
+            into.epoch, into.over = epoch, True
+
+
+def _log_words_of(told: pb.LogWord) -> list[logs.LogWord]:
+    log = told.log.member, told.log.life
+    match told.WhichOneof("word"):
+        case "join":
+            return [logs.Join(log, told.epoch, _place_of(told.join.last), told.join.takes)]
+        case "append":
+            return [logs.Append(log, told.epoch, told.append.first,
+                                tuple((one.kind, one.payload) for one in told.append.records))]
+        case "part":
+            part = told.part
+            return [logs.Part(log, told.epoch, _place_of(part.last), part.number, part.more, part.data)]
+        case "exported":
+            return [logs.Exported(log, told.exported.sink, told.exported.name, told.exported.digest)]
+        case "over":
+            return [logs.Over(log, told.epoch)]
+    return []  # of a later release
+
+
 def read_batch(data: bytes) -> pb.Batch:
     """A frame's content.
 
@@ -113,7 +170,7 @@
         raise WordsError(f"no batch of words: {error}") from error
 
 
-def words_of(batch: pb.Batch, member: str, identity: str) -> list[Ask | Vote | Ended | FillAsk | Page | Accused]:
+def words_of(batch: pb.Batch, member: str, identity: str) -> list[Told]:
     """The words of a batch, which came from that process of a member.
 
     Raises:
@@ -131,6 +188,9 @@
             *(FillAsk(one.store, _key_of(one.after) if one.HasField("after") else None) for one in batch.fills),
             *(Page(tuple(map(_entry_of, one.entries)), _key_of(one.after) if one.HasField("after") else None,
                    one.done, one.counts, one.known_store) for one in batch.pages),
+            *(word for one in batch.logs for word in _log_words_of(one)),
+            *(logs.At((one.log.member, one.log.life), logs.Word(one.word), one.epoch, _place_of(one.last), one.part)
+              for one in batch.log_places),
         ]
     except (ValueError, IndexError) as error:
         raise WordsError(f"a word that can't be: {error}") from error
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -203,7 +203,7 @@
 async def test_an_exporter_of_an_earlier_epoch_is_refused(tmp_path):
     folder_with(tmp_path / "u", 1)
     billing = Billing(tmp_path / "billing")
-    billing.epoch = 7
+    billing.epochs[""] = 7
     url = f"http://127.0.0.1:{await billing.start()}/usage"
     await exporting(tmp_path / "u", {"http": HttpSink(url, 1000.0)}).run()
     assert not list((tmp_path / "billing").iterdir())
@@ -274,7 +274,7 @@
                 raise OSError(5, "refused here")
             return super().lock(path)
 
-    ledger = SimpleNamespace(folder=SimpleNamespace(files=Files()), changed=None)
+    ledger = SimpleNamespace(folder=SimpleNamespace(files=Files()), changed=None, copies=None)
     run = exports.open_export(ledger, usage, lambda level, event, **more: said.append(event))
     with anyio.move_on_after(10):
         async with anyio.create_task_group() as tasks:
