--- a/flintshift/copies/logs.py
+++ b/flintshift/copies/logs.py
@@ -270,7 +270,9 @@
     def _granted(self, now_ms: float, copy: Copy, at: At) -> list[WriterAction]:
         copy.granted = at
         granted = {name: one.granted for name, one in self.copies.items() if one.granted is not None}
-        if len(granted) < self.needed:
+        # A copy without a word may have lost what another wrote meanwhile: it counts where nothing was before, or all tell.
+        sure = sum(told.last != NOWHERE for told in granted.values())
+        if (len(granted) if self.before == NOWHERE else sure) < self.needed and len(granted) < len(self.copies):
             return []
         self.elected = True
         actions: list[WriterAction] = [Elected()]
@@ -515,7 +517,8 @@
             return [*actions, Promise(log, epoch, by), Answer(by, self._no_vote(word, epoch))]
         if epoch < held.promised or (epoch == held.promised and by != held.by):
             return self._refused(by, log, held)
-        if held.sure and held.last > word.last:
+        own = (word.epoch, by) == (held.promised, held.by) and held.last[0] == word.epoch  # and the question is late
+        if held.sure and held.last > word.last and not own:
             return [Answer(by, At(log, Word.AHEAD, held.promised, held.last))]
         actions = []
         if (epoch, by) != (held.promised, held.by):
@@ -553,6 +556,8 @@
         log = word.log
         if held is None or held.promised != word.epoch or held.by != by:
             return self._refused(by, log, held)
+        if held.sure and held.last[0] == word.epoch and held.last >= word.last:  # it comes late: nothing goes back
+            return [Answer(by, At(log, Word.GRANTED, word.epoch, held.last))]
         if word.number == 0:
             held.parts, held.parts_bytes = [], 0
         if word.number != len(held.parts) or held.parts_bytes + len(word.data) > self.pace.part_bytes:
@@ -582,9 +587,11 @@
         return self._majority(at.log, held)
 
     def _majority(self, log: LogId, held: HeldLog) -> list[HolderAction]:
-        wordless = set() if held.patient else held.wordless - held.votes
-        if len(held.votes | wordless) + 1 < len(self.holders(log[0])) // 2 + 1:
-            return []
+        holders, wordless = self.holders(log[0]), held.wordless - held.votes
+        if len(held.votes) + 1 >= len(holders) // 2 + 1:
+            wordless = set()
+        elif held.patient or not held.votes | wordless >= {name for name in holders if name not in (self.me, log[0])}:
+            return []  # one that does not answer may hold more
         epoch, held.taking = held.taking, 0
         of, held.writer = held.writer, self.identity
         return [Taken(log, epoch, held.last, of, tuple(sorted(wordless)))]
