--- a/flintshift/copies/logs.py
+++ b/flintshift/copies/logs.py
@@ -270,7 +270,7 @@
     def _granted(self, now_ms: float, copy: Copy, at: At) -> list[WriterAction]:
         copy.granted = at
         granted = {name: one.granted for name, one in self.copies.items() if one.granted is not None}
-        # A copy without a word may have lost what another wrote meanwhile: it counts where nothing was before, or all tell.
+        # A copy without a word may have lost what another wrote meanwhile: it counts if none was before, or all tell.
         sure = sum(told.last != NOWHERE for told in granted.values())
         if (len(granted) if self.before == NOWHERE else sure) < self.needed and len(granted) < len(self.copies):
             return []
@@ -475,7 +475,8 @@
         if word.log == self.own:
             return []  # it is still to hear that another has it
         if held is not None and held.over:
-            return [Answer(by, At(word.log, Word.OVER, held.promised, held.last))] if isinstance(word, Join) else []
+            asks = isinstance(word, Join | Append | Part)
+            return [Answer(by, At(word.log, Word.OVER, held.promised, held.last))] if asks else []
         match word:
             case Join():
                 return self._join(by, word, held)
--- a/flintshift/lifecycle/exports.py
+++ b/flintshift/lifecycle/exports.py
@@ -62,7 +62,6 @@
                     await export.run()
                 except* (OSError, DamagedError) as errors:
                     log("error", "export.stopped", cause="; ".join(map(str, errors.exceptions)))
-            if not turn.cancelled_caught:
                 await anyio.sleep(AGAIN_S)
 
     return run
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -91,7 +91,7 @@
             try:
                 replica = Replica(self.files, folder, state, self.options.segment_bytes)
             except DamagedError as error:
-                self.log("error", "usage.copy_damaged", member=state.member, cause=str(error),
+                self.log("error", "usage.copy_damaged", ledger=state.member, cause=str(error),
                          then="it is filled anew by whoever writes that ledger")
                 on_disk.emptied(self.files, folder)
                 replica, sure = Replica(self.files, folder, state, self.options.segment_bytes), False
@@ -208,25 +208,25 @@
                         self.ledger.release()
                 case logs.GapBegan(cause):
                     self.counters.add("usage.copy_gaps")
-                    self.log("error", "usage.copies_lack", member=writer.log[0], cause=cause,
+                    self.log("error", "usage.copies_lack", ledger=writer.log[0], cause=cause,
                              then="new work is refused" if self.usage.on_disk_failure == "refuse" else
                              "booked here alone until they answer")
                 case logs.GapEnded(for_ms):
-                    self.log("info", "usage.copies_follow", member=writer.log[0], after_ms=round(for_ms))
+                    self.log("info", "usage.copies_follow", ledger=writer.log[0], after_ms=round(for_ms))
                 case logs.Elected() if own:
                     self._stand(writer, True)
                     self.log("info", "usage.copied", life=writer.log[1].hex(), epoch=writer.epoch,
                              holders=[name for name, copy in writer.copies.items() if copy.granted is not None])
                 case logs.Raised(epoch) if own:
                     self._stand(writer, False)
-                    self.log("warning", "usage.epoch_raised", member=writer.log[0], epoch=epoch,
+                    self.log("warning", "usage.epoch_raised", ledger=writer.log[0], epoch=epoch,
                              cause="another member had begun to take this ledger over")
                     if self.ledger is not None:
                         self.ledger.folder.log.epoch = epoch
                 case logs.Fenced(cause) if own:
                     self._begin_anew(writer, cause)
                 case logs.Fenced(cause):
-                    self.log("warning", "usage.takeover_lost", member=writer.log[0], cause=cause)
+                    self.log("warning", "usage.takeover_lost", ledger=writer.log[0], cause=cause)
                     self._leave(writer.log)
                     self.heart.table[writer.log].writer = ""  # whoever has it is not known here yet
 
@@ -237,7 +237,7 @@
             on_disk.keep_standing(self.files, self.usage.folder, on_disk.Standing(
                 writer.log[1], *writer.before, elected))
         except OSError as error:
-            self.log("error", "usage.copy_refused", member=self.name, cause=str(error))
+            self.log("error", "usage.copy_refused", ledger=self.name, cause=str(error))
 
     def _whole(self, writer: LogWriter) -> bytes:
         if writer is self.writer and self.ledger is not None:
@@ -278,7 +278,7 @@
 
     def _refused(self, log: LogId, error: Exception) -> None:
         self.counters.add("usage.copy_refused")
-        self.log("error", "usage.copy_refused", member=log[0], cause=str(error),
+        self.log("error", "usage.copy_refused", ledger=log[0], cause=str(error),
                  then="it is filled anew by whoever writes that ledger")
         self.heart.lost(log)
 
@@ -324,7 +324,7 @@
         writer = LogWriter(log, epoch, last, self._others(log[0]), self._needed(log[0]), HELD_MS, None)
         self.taken[log] = TakenLedger(replica, writer)
         self.counters.add("usage.took_over")
-        self.log("error" if told.without else "warning", "usage.took_over", member=log[0], life=log[1].hex(),
+        self.log("error" if told.without else "warning", "usage.took_over", ledger=log[0], life=log[1].hex(),
                  epoch=epoch, of=told.of, records=last[1], without=list(told.without),
                  cause="its writer is dead, and no more than this can be had: these hold no copy" if told.without else
                  "its writer is dead, and a majority of its holders has promised the epoch")
@@ -356,7 +356,7 @@
             self.tasks.start_soon(self._export, taken)
         if self.sinks and not taken.waits and writer.held >= writer.last[1] and not any(
                 unacknowledged(self.files, taken.replica.folder, self.sinks).values()):
-            self.log("info", "usage.takeover_done", member=log[0], life=log[1].hex(), epoch=writer.epoch)
+            self.log("info", "usage.takeover_done", ledger=log[0], life=log[1].hex(), epoch=writer.epoch)
             for member in writer.copies:
                 self.send(member, logs.Over(log, writer.epoch))
             self._hold(self.heart.over(log, writer.epoch))
@@ -386,7 +386,7 @@
                 if not replica.state.over:
                     replica.retire(self.sinks, self.usage.retention_ms, time.time() * 1000)
             except REFUSED as error:
-                self.log("warning", "usage.retire_failed", member=log[0], cause=str(error))
+                self.log("warning", "usage.retire_failed", ledger=log[0], cause=str(error))
 
     # The actor.
 
