--- a/flintshift/copies/logs.py
+++ b/flintshift/copies/logs.py
@@ -191,7 +191,8 @@
         self.before = last if before is None else before
         self.copies = {name: Copy() for name in others}
         self.held = 0
-        self.waiting_ms = math.inf  # since when records wait for a majority
+        self.waiting_ms = math.inf  # since when somebody waits for a majority
+        self.awaited = 0  # the last record that somebody waits for
         self.gap_ms: float | None = None
         self.fenced = False
 
@@ -216,10 +217,13 @@
         copy.parts.clear()
         copy.behind.clear()
 
-    def wrote(self, now_ms: float, first: int, records: tuple[Record, ...]) -> list[WriterAction]:
-        """These stand in the writer's own log."""
+    def wrote(self, now_ms: float, first: int, records: tuple[Record, ...], waits: bool) -> list[WriterAction]:
+        """These stand in the writer's own log. ``waits``: somebody is to be answered once a majority has them."""
         self.last = self.epoch, first + len(records) - 1
-        self.waiting_ms = min(self.waiting_ms, now_ms)
+        if waits and self.waiting_ms == math.inf:
+            self.waiting_ms = now_ms
+        if waits:
+            self.awaited = self.last[1]
         word, actions = Append(self.log, self.epoch, first, records), list[WriterAction]()
         for member, copy in self.copies.items():
             if copy.state is State.FOLLOWING:
@@ -323,7 +327,7 @@
         if upto <= self.held:
             return []
         self.held = upto
-        self.waiting_ms = now_ms if upto < self.last[1] else math.inf
+        self.waiting_ms = now_ms if upto < self.awaited else math.inf
         actions: list[WriterAction] = [Held(upto)]
         if self.gap_ms is not None and upto >= self.last[1]:
             actions.append(GapEnded(now_ms - self.gap_ms))
@@ -339,13 +343,15 @@
             copy.asked = False
         return actions
 
-    def tick(self, now_ms: float) -> list[WriterAction]:
-        if self.gap_ms is None and now_ms - self.waiting_ms >= self.held_ms and not self.fenced:
-            self.gap_ms = now_ms
-            following = [name for name, copy in self.copies.items() if copy.state is State.FOLLOWING]
-            return [GapBegan(f"{len(following)} of the {self.needed} copies that it needs follow, and none answered "
-                             f"within {self.held_ms:g} ms"), Held(math.inf)]
-        return []
+    def tick(self, now_ms: float, due_ms: float = math.inf) -> list[WriterAction]:
+        """``due_ms``: then somebody who waits must be answered."""
+        waited_ms = now_ms - self.waiting_ms
+        if self.gap_ms is not None or self.fenced or (waited_ms < self.held_ms and now_ms < due_ms):
+            return []
+        self.gap_ms = now_ms
+        following = [name for name, copy in self.copies.items() if copy.state is State.FOLLOWING]
+        return [GapBegan(f"of {len(following)} copies that follow ({self.needed} must answer) too few did within "
+                         f"{max(waited_ms, 0.0):.0f} ms, and answers were due"), Held(math.inf)]
 
 
 # The holders' side.
--- a/flintshift/lab/history.py
+++ b/flintshift/lab/history.py
@@ -76,6 +76,8 @@
     "late": "an answer came after its due time",
     "missing": "no answer came, though the member lived",
     "run of nothing": "a pool ran what no caller asked for",
+    "use lost": "an answer that its caller read is in no document, and not in doubt",
+    "use doubled": "more is billed than was asked",
 }
 
 
@@ -175,3 +177,35 @@
     if len(results) > 1:
         broken.append(Broken("differing results", key, f"{sorted(results)!r}"))
     return broken
+
+
+@dataclass(slots=True)
+class Use:
+    """Of one member, as its callers saw it."""
+
+    read: set[str] = field(default_factory=set)  # tries that were answered
+    unread: set[str] = field(default_factory=set)  # that broke off: the member may have booked them all the same
+
+
+def used(events: list[Event]) -> dict[str, Use]:
+    """By member."""
+    asked = {event.rid: event.member for event in events if isinstance(event, Asked)}
+    answered = {event.rid for event in events if isinstance(event, Answered)}
+    found: dict[str, Use] = defaultdict(Use)
+    for rid, member in asked.items():
+        (found[member].read if rid in answered else found[member].unread).add(rid)
+    return found
+
+
+def judge_use(members: dict[str, Use], booked: dict[str, int], doubted: dict[str, list[str]]) -> list[Broken]:
+    """``booked``: requests by member in all documents; ``doubted``: ids by member that they list as in doubt."""
+    broken = []
+    for member, use in sorted(members.items()):
+        told = doubted.get(member, [])
+        certain, count = len(use.read - set(told)), booked.get(member, 0)
+        if count < certain:
+            broken.append(Broken("use lost", "", f"{member}: {certain} answered and not in doubt, {count} billed"))
+        if count > certain + len(use.unread - set(told)) or len(told) > len(set(told)):
+            broken.append(Broken("use doubled", "", f"{member}: {certain} answered and {len(use.unread)} broken off, "
+                                 f"{count} billed, {len(told)} in doubt"))
+    return broken
--- a/flintshift/lab/logs_model.py
+++ b/flintshift/lab/logs_model.py
@@ -173,7 +173,7 @@
         records.append((writer.epoch, kind, payload))
         if log != machine.own:
             machine.heart.table[log].last = place(records)
-        self._write(machine, writer, writer.wrote(self.now, len(records), ((kind, payload),)))
+        self._write(machine, writer, writer.wrote(self.now, len(records), ((kind, payload),), kind == 1))
 
     def _write(self, machine: Machine, writer: LogWriter, actions: list[logs.WriterAction]) -> None:
         own = writer.log == machine.own
--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import time
 from collections.abc import Callable
@@ -84,7 +85,8 @@
         attempt.ticket = self.ledger.claim(
             bytes.fromhex(attempt.id), self._row(attempt, front) + outcome,
             (AGAIN if attempt.again else 0) | (KEPT if attempt.kept else 0), int(attempt.run_ms * 1000),
-            attempt.calls, len(attempt.body), len(answer.body), partial(tell, answer))
+            attempt.calls, len(attempt.body), len(answer.body), partial(tell, answer),
+            attempt.door_ms + attempt.kind.deadline_ms if attempt.kind is not None else math.inf)
 
     def delivered(self, attempt: Attempt, arrived: bool) -> None:
         if attempt.ticket is not None:
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -34,6 +34,7 @@
 from flintshift.usage.vocabulary import Append, WriterGone
 
 AGAIN_MS = 2000.0  # between two looks for members that are in reach and do not follow
+SPARE_MS = 100.0  # before its due time, an answer waits for copies no longer: a tick may be late
 REFUSED = (OSError, BrokenError, DamagedError)
 FOLDER = "use"  # below the copies' folder
 
@@ -133,10 +134,10 @@
         assert self.writer is not None
         return not self.writer.fenced and (self.writer.held >= sequence or not self.writer.needed)
 
-    def wrote(self, first: int, items: list[tuple[int, bytes]]) -> None:
+    def wrote(self, first: int, items: list[tuple[int, bytes]], answers: bool) -> None:
         assert self.writer is not None
         if not self.writer.fenced:
-            self._write(self.writer, self.writer.wrote(self.now_ms(), first, tuple(items)))
+            self._write(self.writer, self.writer.wrote(self.now_ms(), first, tuple(items), answers))
 
     def exported(self, sink: str, name: str, digest: bytes) -> None:
         if self.writer is not None:
@@ -172,7 +173,7 @@
         self._hold(self.heart.tick(now))
         again = now >= self.again_ms + AGAIN_MS
         for writer in self._writers():
-            self._write(writer, writer.tick(now))
+            self._write(writer, writer.tick(now, self._due_ms(now) if writer is self.writer else math.inf))
             if again:
                 self._write(writer, writer.again())
         if again:
@@ -189,6 +190,11 @@
             self.retired_ms = now
             self._retire()
 
+    def _due_ms(self, now: float) -> float:
+        """When an answer that waits must leave, by the clock of ``now``."""
+        assert self.ledger is not None
+        return now + self.ledger.due_ms() - time.time() * 1000 - SPARE_MS
+
     # What the writers answer.
 
     def _write(self, writer: LogWriter, actions: list[logs.WriterAction]) -> None:
@@ -336,7 +342,7 @@
     def _append(self, taken: TakenLedger, *entries: Entry) -> None:
         first, items = taken.replica.write(*entries)
         self.heart.table[taken.writer.log].last = taken.replica.last
-        self._write(taken.writer, taken.writer.wrote(self.now_ms(), first, tuple(items)))
+        self._write(taken.writer, taken.writer.wrote(self.now_ms(), first, tuple(items), False))
 
     def _go_on(self, log: LogId) -> None:
         """Close what is open, export it, and be done with it."""
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -85,7 +85,7 @@
     @property
     def in_gap(self) -> bool: ...  # they do not answer
     def stands(self, sequence: int) -> bool: ...  # at a majority, gap or not
-    def wrote(self, first: int, items: list[tuple[int, bytes]]) -> None: ...
+    def wrote(self, first: int, items: list[tuple[int, bytes]], answers: bool) -> None: ...  # some wait for them
     def exported(self, sink: str, name: str, digest: bytes) -> None: ...
 
 
@@ -95,9 +95,10 @@
 class Ticket:
     """A claim and what became of it."""
 
-    __slots__ = ("book", "lists", "marked", "period", "row", "sequence")
+    __slots__ = ("book", "due_ms", "lists", "marked", "period", "row", "sequence")
 
-    def __init__(self, row: int, lists: Lists) -> None:
+    def __init__(self, row: int, lists: Lists, due_ms: float) -> None:
+        self.due_ms = due_ms  # of its answer, by the system's clock
         self.row, self.lists, self.sequence, self.period, self.marked = row, lists, 0, 0, False
         self.book: Book | None = None  # that it was written to
 
@@ -148,9 +149,9 @@
     # What the node tells.
 
     def claim(self, id_: bytes, row: int, flags: int, run_us: int, calls: int, bytes_in: int, bytes_out: int,
-              deliver: Callable[[], object] | None) -> Ticket:
+              deliver: Callable[[], object] | None, due_ms: float = math.inf) -> Ticket:
         """Book a final answer, and deliver it once that is written."""
-        ticket = Ticket(row, self.lists)
+        ticket = Ticket(row, self.lists, due_ms)
         self.claims.append((ticket, Claim(id_, row, flags, run_us, calls, bytes_in, bytes_out), deliver))
         if not self.due:
             self._flush_soon()
@@ -250,7 +251,7 @@
                     self.backlog = None
         self.folder.apply(first, entries)
         if self.copies is not None:
-            self.copies.wrote(first, items)
+            self.copies.wrote(first, items, requests > 0)
         actions += self.commit.wrote(self.steady_ms(), first + len(items) - 1, log.size, requests)
         if actions:
             self._do(actions)
@@ -281,6 +282,10 @@
                 case StillRefused(cause):
                     self.say("warning", "usage.disk_still_refuses", cause=cause)
 
+    def due_ms(self) -> float:
+        """When the first of the answers that wait must leave."""
+        return min((one[0].due_ms for _, one in self.held), default=math.inf)
+
     def release(self) -> None:
         """Let go of answers whose claims stand where they must."""
         held, upto = self.held, self.copies.held if self.copies is not None else math.inf
