Count documents that stand in the log alone: the node may leave before their files do

A restart writes its file; lab/demo.booked_in read files and open periods alone, and missed it.

Change: documents of the log are counted too, by name, so that none is counted twice.

--- a/flintshift/lab/demo.py
+++ b/flintshift/lab/demo.py
@@ -15,6 +15,7 @@
 from flintshift.lab.rig import Rig
 from flintshift.settings.embedded import CLUBS, PORTS
 from flintshift.storage.files import DiskFiles
+from flintshift.usage import documents
 from flintshift.usage.folder import load, read_documents
 
 SETTINGS = """\
@@ -30,7 +31,9 @@
     book, _, _ = load(files, folder)
     found: Counter[str] = Counter()
     doubt = len(book.state.waiting) + sum(len(period.doubted) for period in book.state.periods.values())
-    for document in read_documents(files, folder).values():
+    # A document may stand in the log alone, where the node left between its making and its file.
+    made = {document.name: documents.read(document.data) for document in book.state.documents}
+    for document in {**made, **read_documents(files, folder)}.values():
         doubt += len(document.in_doubt)
         for row in document.rows:
             found[row.club] += row.amounts.requests
