Name a key's stage once for table, upgrade and copies, and adopt others' entries in one place

Need: the key table told a key's state by two flags, the upgrade and the copies each wrote the rule "what runs here stays" beside it, and the copies had a second enum for the same thing.

Change: core.keys.Stage (claimed, finished, free) is the one vocabulary; Entry.stage, runs_here and runs_elsewhere read it, and KeyTable.adopt alone decides whether another's entry replaces one. No behaviour changes. Rejected: one class for entry and register, as a holder's register has ballots and a table's entry has followers.

--- a/flintshift/copies/proposals.py
+++ b/flintshift/copies/proposals.py
@@ -42,7 +42,6 @@
     Reach,
     Send,
     Settled,
-    Stage,
     Step,
     TakeOver,
     Tick,
@@ -53,6 +52,7 @@
     Vote,
     Voted,
 )
+from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 
 NO_MAJORITY = "no majority of the key's holders is in reach"
--- a/flintshift/copies/vocabulary.py
+++ b/flintshift/copies/vocabulary.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct
 
+from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 
 Key = tuple[str, str]  # class, and the key that all tries of one request share
@@ -18,14 +19,6 @@
 FIRST_CLASSIC = 2  # 0 is the round without a promise, 1 that of its winner alone
 
 
-class Stage(IntEnum):
-    """Where a key stands."""
-
-    CLAIMED = 1  # a try of it may run, or may have run
-    FINISHED = 2  # it ran, and how it ended is known; or nobody can know any more, which is Outcome.ERROR
-    FREE = 3  # it never ran
-
-
 class Value(Struct, frozen=True, gc=False):
     """What a register holds."""
 
--- a/flintshift/core/keys.py
+++ b/flintshift/core/keys.py
@@ -5,12 +5,21 @@
 import hashlib
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from flintshift.core.attempts import Attempt
 from flintshift.core.limits import Limits
 from flintshift.interface import Outcome
 
 
+class Stage(IntEnum):
+    """Where a key stands: here, at the other process of an upgrade, and at the holders of its copies."""
+
+    CLAIMED = 1  # a try of it may run, or may have run
+    FINISHED = 2  # it ran, and how it ended is known; or nobody can know any more, which is Outcome.ERROR
+    FREE = 3  # it never ran; a table holds no entry of such a key
+
+
 @dataclass(slots=True, eq=False)
 class Entry:
     owner: str  # the attempt that is held or has run
@@ -19,7 +28,20 @@
     outcome: Outcome | None = None  # of its run, once over
     result: bytes = b""
     followers: list[str] = field(default_factory=list)  # attempts that wait for that run
-    other: bool = False  # the owner is an attempt of another process of this node
+    other: bool = False  # the owner is an attempt of another process
+
+    @property
+    def stage(self) -> Stage:
+        return Stage.CLAIMED if self.outcome is None else Stage.FINISHED
+
+    @property
+    def runs_here(self) -> bool:
+        """Nobody else may say how it ends."""
+        return self.stage is Stage.CLAIMED and not self.other
+
+    @property
+    def runs_elsewhere(self) -> bool:
+        return self.stage is Stage.CLAIMED and self.other
 
 
 def fingerprint(attempt: Attempt) -> bytes:
@@ -61,7 +83,7 @@
 
     def end(self, entry: Entry, outcome: Outcome, result: bytes) -> list[str]:
         """The owner's run is over: keep how, and return the attempts that waited for it."""
-        if entry.outcome is None:
+        if entry.stage is Stage.CLAIMED:
             self.booked += len(result) - self.limits.result
             entry.outcome, entry.result = outcome, result
         waiting, entry.followers = entry.followers, []
@@ -75,17 +97,20 @@
         self._drop((attempt.class_name, attempt.unique or ""))
         return entry.followers
 
-    # What another process of this node tells, while there are two.
+    # What other processes tell: the node's other one in an upgrade, and holders of copies.
 
-    def adopt(self, key: tuple[str, str], entry: Entry) -> list[str]:
-        """Hold what the other process holds; returns attempts that waited under an entry that this replaces."""
+    def adopt(self, key: tuple[str, str], entry: Entry, now_ms: float) -> list[str]:
+        """Hold what another process holds; returns attempts that waited under an entry that this replaces. What runs
+        here, and is not past ``now_ms``, stays: what another tells of it is older."""
         before = self.entries.get(key)
+        if before is not None and before.runs_here and before.live_until_ms >= now_ms:
+            return []
         if before is not None:
             self._drop(key)
             if before.owner == entry.owner:
                 entry.followers, before.followers = before.followers, []
         self.entries[key] = entry
-        self.booked += self.limits.result if entry.outcome is None else len(entry.result)
+        self.booked += self._room(entry)
         return before.followers if before is not None else []
 
     def others(self, key: tuple[str, str], owner: str) -> Entry | None:
@@ -105,19 +130,23 @@
         and are never run again. Returns the attempts that waited for them."""
         waiting: list[str] = []
         for entry in self.entries.values():
-            if entry.other and entry.outcome is None:
+            if entry.runs_elsewhere:
                 waiting += self.end(entry, Outcome.ERROR, b"")
             entry.other = False
         return waiting
 
     def _drop(self, key: tuple[str, str]) -> None:
         entry = self.entries.pop(key)
-        self.booked -= self.limits.result if entry.outcome is None else len(entry.result)
+        self.booked -= self._room(entry)
+
+    def _room(self, entry: Entry) -> int:
+        """Bytes booked for its result."""
+        return self.limits.result if entry.stage is Stage.CLAIMED else len(entry.result)
 
     def purge(self, now_ms: float, open_: Iterator[str]) -> None:
         """Drop entries whose window has passed, but none whose owner is still open."""
         live, past = set(open_), now_ms - self.limits.key_late_ms
         for key in [key for key, entry in self.entries.items()
                     if entry.live_until_ms < past and entry.owner not in live
-                    and not (entry.other and entry.outcome is None)]:
+                    and not entry.runs_elsewhere]:
             self._drop(key)
--- a/flintshift/handover/shared_keys.py
+++ b/flintshift/handover/shared_keys.py
@@ -114,11 +114,8 @@
         return done
 
     def _adopt(self, now_ms: float, word: Known) -> list[Step]:
-        mine = self.keys.entries.get(word.key)
-        if mine is not None and not mine.other and mine.outcome is None and mine.live_until_ms >= now_ms:
-            return []  # it runs here: what the other tells is older
         entry = Entry(word.owner, word.live_until_ms, word.print, word.outcome, word.result, other=True)
-        return [End(follower, Outcome.ERROR) for follower in self.keys.adopt(word.key, entry)]
+        return [End(follower, Outcome.ERROR) for follower in self.keys.adopt(word.key, entry, now_ms)]
 
 
 def key_of(attempt: Attempt) -> Key:
--- a/flintshift/lab/copies_model.py
+++ b/flintshift/lab/copies_model.py
@@ -31,7 +31,6 @@
     Reach,
     Send,
     Settled,
-    Stage,
     TakeOver,
     Tick,
     Told,
@@ -40,6 +39,7 @@
     Vote,
     Voted,
 )
+from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 
 KEEP_MS = 30_000.0
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -46,7 +46,6 @@
     Reach,
     Send,
     Settled,
-    Stage,
     TakeOver,
     Tick,
     Told,
@@ -60,7 +59,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
 from flintshift.core.keys import Entry as Held
-from flintshift.core.keys import fingerprint
+from flintshift.core.keys import Stage, fingerprint
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log
 from flintshift.interface import Outcome
@@ -256,11 +255,9 @@
                 self.keys.pop(owner, None)
                 pending.append(at.Agreed(owner, True))
             case Known(waiting, key, value):
-                mine = keys.entries.get(key)
-                if mine is None or mine.other or mine.outcome is not None:
-                    until = self.wall_ms() + self.limits.clock_skew_ms + self.limits.claim_ms
-                    held = Held(value.owner, until, value.print, value.outcome, value.result, other=True)
-                    pending.extend(at.RunOver(follower, Outcome.ERROR) for follower in keys.adopt(key, held))
+                until = self.wall_ms() + self.limits.clock_skew_ms + self.limits.claim_ms
+                held = Held(value.owner, until, value.print, value.outcome, value.result, other=True)
+                pending.extend(at.RunOver(follower, Outcome.ERROR) for follower in keys.adopt(key, held, -math.inf))
                 for owner in waiting:
                     self.keys.pop(owner, None)
                     pending.append(at.Agreed(owner, False))
