Unite the stand-ins: tests, benchmarks and the rig talk to one set, in lab/peers.py

Need: tests/standins.py and lab/peers.py each held a worker pool, a vault, a name service, app servers and a resolver, which drifted.

No change to the program. Rejected: subclasses in the tests for each stand-in, as each would repeat the protocol's loop to hook into it.

--- a/flintshift/lab/peers.py
+++ b/flintshift/lab/peers.py
@@ -1,5 +1,6 @@
 """Stand-ins for the worker pool, the vault and the name service, from the platform's protocol; for app servers from
-the uwsgi protocol and for a resolver from RFC 1035 and RFC 2136. For demos, benchmarks and whole-program tests."""
+the uwsgi protocol and for a resolver from RFC 1035, RFC 2136 and RFC 6763. For demos, benchmarks and all tests: what a
+test wants of them beside the protocol (a script, a journal, a fault) is an attribute here, and off at first."""
 
 from __future__ import annotations
 
@@ -9,22 +10,50 @@
 import itertools
 import json
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import dns.flags
 import dns.message
 import dns.opcode
+import dns.rdataclass
 import dns.rdatatype
 import dns.rrset
 
 from flintshift.wire import uwsgi
 
 
+class Journal:
+    """What a stand-in was told, in order. Tests wait for an entry, not for time to pass."""
+
+    def __init__(self) -> None:
+        self.entries: list[Any] = []
+        self.changed = asyncio.Condition()
+
+    async def add(self, entry: Any) -> None:
+        async with self.changed:
+            self.entries.append(entry)
+            self.changed.notify_all()
+
+    async def until(self, wanted: Callable[[Any], bool], count: int = 1, within_s: float = 10.0) -> list[Any]:
+        """The entries that are wanted, once there are so many.
+
+        Raises:
+            TimeoutError: there were not in time.
+        """
+        async with self.changed:
+            await asyncio.wait_for(self.changed.wait_for(
+                lambda: sum(map(wanted, self.entries)) >= count), within_s)
+        return [entry for entry in self.entries if wanted(entry)]
+
+
 class Peer:
-    """A TCP stand-in on a loopback port of the system's choice."""
+    """A TCP stand-in on a loopback port, of the system's choice where none is named. ``tells``: it keeps a journal of
+    what it was sent and of links that ended; off for loads, which would fill it."""
 
-    def __init__(self, port: int = 0) -> None:
-        self.port, self.links = port, set[asyncio.StreamWriter]()
+    def __init__(self, port: int = 0, tells: bool = False) -> None:
+        self.port, self.tells, self.links = port, tells, set[asyncio.StreamWriter]()
+        self.log, self.ended = Journal(), Journal()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
@@ -32,15 +61,30 @@
 
     async def stop(self) -> None:
         self.server.close()
+        self.cut()
+
+    async def move(self) -> None:
+        """Take what is new at another address alone; what is open stays open."""
+        self.server.close()
+        self.port = 0
+        await self.start()
+
+    def cut(self) -> None:
         for writer in list(self.links):
             writer.transport.abort()
 
+    async def came(self, entry: Any) -> None:
+        if self.tells:
+            await self.log.add(entry)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.links.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             await self.serve(reader, writer)
         self.links.discard(writer)
         writer.close()
+        if self.tells:
+            await self.ended.add("link")
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         raise NotImplementedError
@@ -49,12 +93,15 @@
 class Pool(Peer):
     """The worker pool: a run takes ``took_ms`` by class (0: at once), those in ``calling`` stand at a call first.
 
-    ``spawned`` counts runs by id, so that a second one shows."""
+    ``spawned`` counts runs by id, so that a second one shows. ``plan`` says by class how a run goes on, as (notice,
+    more fields) or a number of ms, before all else; ``ends`` False: what no plan names never ends by itself."""
 
     def __init__(self, port: int = 0, cores: int = 2, took_ms: dict[str, float] | None = None,
-                 calling: frozenset[str] = frozenset()) -> None:
-        super().__init__(port)
-        self.took_ms, self.calling = took_ms or {}, calling
+                 calling: frozenset[str] = frozenset(), tells: bool = False, ends: bool = True) -> None:
+        super().__init__(port, tells)
+        self.took_ms, self.calling, self.ends = took_ms or {}, calling, ends
+        self.plan: dict[str, float | tuple[str, dict[str, Any]]] = {}
+        self.deaf = False  # what is sent to runs that stand at a call is lost
         self.spawned: Counter[str] = Counter()
         self.routes: dict[str, str] = {}
         self.notices: list[dict[str, Any]] = []
@@ -66,38 +113,51 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
             command = json.loads(line)
+            await self.came(command)
             match command["t"]:
                 case "bind":
-                    self._say(writer, {"t": "bound", "status": "running", "time_ms": 5.0})
+                    self.say(writer, {"t": "bound", "status": "running", "time_ms": 5.0})
                     for notice in self.notices:
                         if notice["no"] > command["no"]:
-                            self._say(writer, notice)
+                            self.say(writer, notice)
                 case "poll":
                     busy = min(1.0, self.wanting / self.size)
-                    self._say(writer, {"t": "polled", "mark": command["mark"], "v": [busy, self.wanting, 0.1, 3]})
+                    self.say(writer, {"t": "polled", "mark": command["mark"], "v": [busy, self.wanting, 0.1, 3]})
                 case "verify":
-                    self._say(writer, {"t": "verified", "mark": command["mark"], "status": "fine"})
+                    self.say(writer, {"t": "verified", "mark": command["mark"], "status": "fine"})
                 case "spawn":
-                    rid = command["rid"]
-                    self.spawned[rid] += 1
-                    if self.spawned[rid] == 1:
-                        self.begun(rid)
-                        self.routes[rid] = command["route"]
-                        if command["route"] in self.calling:
-                            self._tell(rid, "blocked", {"b64": base64.b64encode(b"call").decode()})
-                        else:
-                            self._run(rid)
+                    self._spawn(command["rid"], command["route"])
                 case "supply" | "pass":
-                    if command["rid"] in self.routes:
+                    if command["rid"] in self.routes and not self.deaf:
                         self._run(command["rid"])
 
+    def _spawn(self, rid: str, route: str) -> None:
+        self.spawned[rid] += 1
+        if self.spawned[rid] > 1:
+            return
+        self.begun(rid)
+        self.routes[rid] = route
+        plan = self.plan.get(route)
+        if isinstance(plan, tuple):
+            self.tell(rid, *plan)
+        elif plan is None and route in self.calling:
+            self.tell(rid, "blocked", {"b64": base64.b64encode(b"call").decode()})
+        elif plan is not None or self.ends:
+            self._run(rid)
+
     def begun(self, rid: str) -> None:
         """A run begins."""
 
+    def spawns(self) -> list[dict[str, Any]]:
+        """The commands that began a run, by the journal."""
+        return [entry for entry in self.log.entries if entry["t"] == "spawn"]
+
     def _run(self, rid: str) -> None:
-        took_ms = self.took_ms.get(self.routes.pop(rid, ""), 0.0)
+        route = self.routes.pop(rid, "")
+        plan = self.plan.get(route)
+        took_ms = plan if isinstance(plan, int | float) else self.took_ms.get(route, 0.0)
         if not took_ms:
-            self._finish(rid, 1.0)
+            self.finish(rid)
             return
         task = asyncio.ensure_future(self._work(rid, took_ms))
         self.tasks.add(task)
@@ -105,7 +165,7 @@
 
     async def _work(self, rid: str, took_ms: float) -> None:
         await self.work(took_ms)
-        self._finish(rid, took_ms)
+        self.finish(rid, took_ms)
 
     async def work(self, took_ms: float) -> None:
         """Keep one of the cores busy for so long, once there is one."""
@@ -116,51 +176,68 @@
         finally:
             self.wanting -= 1
 
-    def _finish(self, rid: str, took_ms: float) -> None:
+    def finish(self, rid: str, took_ms: float = 1.0) -> None:
         result = base64.b64encode(f"result of {rid}\n".encode()).decode()
-        self._tell(rid, "finished", {"status": "fine", "time_ms": took_ms, "b64": result})
+        self.tell(rid, "finished", {"status": "fine", "time_ms": took_ms, "b64": result})
 
-    def _tell(self, rid: str, kind: str, more: dict[str, Any]) -> None:
+    def tell(self, rid: str, kind: str, more: dict[str, Any]) -> None:
         notice = {"t": kind, "no": next(self.numbers), "rid": rid, **more}
         self.notices.append(notice)
         del self.notices[:-4000]
         for writer in self.links:
-            self._say(writer, notice)
+            self.say(writer, notice)
 
     @staticmethod
-    def _say(writer: asyncio.StreamWriter, message: dict[str, Any]) -> None:
+    def say(writer: asyncio.StreamWriter, message: dict[str, Any]) -> None:
         if not writer.is_closing():
             writer.write(json.dumps(message).encode() + b"\n")
 
 
 class Vault(Peer):
-    """The vault: says yes to each call at once."""
+    """The vault: says ``reply`` to each call at once, with the call's id in place of %b; None breaks the link under
+    it. Connections in ``forgets`` are reset at their next call, which never runs."""
+
+    def __init__(self, port: int = 0, tells: bool = False) -> None:
+        super().__init__(port, tells)
+        self.reply: bytes | None = b"%b yes 5\r\nreply\r\n"
+        self.forgets: set[asyncio.StreamWriter] = set()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
+            if writer in self.forgets:
+                return writer.transport.abort()
             word, request, *rest = line.decode().split()
-            if word == "ask":
-                await reader.readexactly(int(rest[1]) + 2)
-                writer.write(f"{request} yes 5\r\nreply\r\n".encode())
+            body = (await reader.readexactly(int(rest[1]) + 2))[:-2] if word == "ask" else b""
+            await self.came((word, request, body))
+            if word == "ask" and self.reply is None:
+                return None
+            if word == "ask" and self.reply is not None:
+                writer.write(self.reply.replace(b"%b", request.encode()))
 
 
 class Names(Peer):
     """The name service: takes each report; ``serving`` is set while a node says that it serves, ``listed`` holds the
-    last word of each."""
+    last word of each. ``mute``: it takes reports and never answers."""
 
-    def __init__(self, port: int = 0) -> None:
-        super().__init__(port)
+    def __init__(self, port: int = 0, tells: bool = False) -> None:
+        super().__init__(port, tells)
         self.serving = asyncio.Event()
         self.listed: dict[str, str] = {}
+        self.mute = False
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
         size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
         told = json.loads(await reader.readexactly(size))
-        writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
-        await writer.drain()
-        self.listed[head.split(b" ")[1].decode().rpartition("/")[2]] = told["serving"]
+        if self.mute:
+            await reader.read()
+        else:
+            writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
+            await writer.drain()
+        path = head.split(b" ")[1].decode()
+        self.listed[path.rpartition("/")[2]] = told["serving"]
         (self.serving.set if told["serving"] == "yes" else self.serving.clear)()
+        await self.came((path, told["serving"]))
 
 
 class Apps(Peer):
@@ -168,19 +245,20 @@
     it stands beside, after ``took_ms``.
     """
 
-    def __init__(self, port: int = 0) -> None:
-        super().__init__(port)
+    def __init__(self, port: int = 0, beside: Pool | None = None, tells: bool = False) -> None:
+        super().__init__(port, tells)
         self.spawned: Counter[str] = Counter()
-        self.beside: Pool | None = None
+        self.beside = beside
         self.took_ms = 0.0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         size = uwsgi.block_size(await reader.readexactly(4), 65536)
         variables = uwsgi.unpack(await reader.readexactly(size))
-        await reader.readexactly(int(variables["CONTENT_LENGTH"]))
+        body = await reader.readexactly(int(variables["CONTENT_LENGTH"]))
         rid = variables["HTTP_X_JOB_ID"]
         self.spawned[rid] += 1
-        if self.beside is not None:
+        await self.came({"t": "spawn", "rid": rid, "body": body, "unique": variables.get("HTTP_X_UNIQUE")})
+        if self.beside is not None and self.took_ms:
             await self.beside.work(self.took_ms)
         result = f"result of {rid}\n".encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(result), result))
@@ -188,30 +266,56 @@
 
 
 class Dns(asyncio.DatagramProtocol):
-    """A resolver that names one app server, and takes updates without keeping them."""
+    """A resolver with one zone in memory, which names one app server and takes updates."""
 
-    def __init__(self, app_port: int, domain: str = "desks.example") -> None:
-        name = f"app1._uwsgi._tcp.{domain}."
-        self.answers = {(rrset.name, rrset.rdtype): rrset for rrset in (
-            dns.rrset.from_text(f"_uwsgi._tcp.{domain}.", 5, "IN", "PTR", name),
-            dns.rrset.from_text(name, 5, "IN", "SRV", f"0 0 {app_port} app1.{domain}."),
-            dns.rrset.from_text(name, 5, "IN", "TXT", '"txtvers=1"'),
-            dns.rrset.from_text(f"app1.{domain}.", 5, "IN", "A", "127.0.0.1"))}
+    def __init__(self, app_port: int, domain: str = "desks.example", tells: bool = False) -> None:
+        self.tells, self.log = tells, Journal()
+        self.records: dict[tuple[Any, Any], list[Any]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
         self.browsed = asyncio.Event()
+        name = f"app1._uwsgi._tcp.{domain}."
+        for at, kind, text in ((f"_uwsgi._tcp.{domain}.", "PTR", name), (name, "SRV", f"0 0 {app_port} app1.{domain}."),
+                               (name, "TXT", '"txtvers=1"'), (f"app1.{domain}.", "A", "127.0.0.1")):
+            self.put(at, kind, text)
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(lambda: self, ("127.0.0.1", 0))
         self.port: int = self.transport.get_extra_info("sockname")[1]
 
+    def put(self, name: str, kind: str, text: str) -> None:
+        rrset = dns.rrset.from_text(name, 5, "IN", kind, text)
+        self.records.setdefault((rrset.name, rrset.rdtype), []).extend(rrset)
+
     def datagram_received(self, data: bytes, addr: Any) -> None:
         message = dns.message.from_wire(data)
         reply = dns.message.make_response(message)
-        if message.opcode() == dns.opcode.QUERY:
+        entry: tuple[str, Any]
+        if message.opcode() == dns.opcode.UPDATE:
+            self._update(message)
+            entry = "update", sum(map(len, self.records.values()))
+        else:
             question = message.question[0]
-            found = self.answers.get((question.name, question.rdtype))
-            if found is not None:
-                reply.answer.append(found)
+            found = self.records.get((question.name, question.rdtype), [])
+            if found:
+                reply.answer.append(dns.rrset.from_rdata_list(question.name, 5, found))
             if question.rdtype == dns.rdatatype.AAAA:
                 self.browsed.set()
+            entry = "query", question.to_text()
         self.transport.sendto(reply.to_wire(), addr)
+        if self.tells:
+            task = asyncio.ensure_future(self.log.add(entry))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def _update(self, message: Any) -> None:
+        for rrset in message.update:
+            key = (rrset.name, rrset.rdtype)
+            if rrset.deleting == dns.rdataclass.ANY:
+                for known in [known for known in self.records if known[0] == rrset.name
+                              and rrset.rdtype in (dns.rdatatype.ANY, known[1])]:
+                    del self.records[known]
+            elif rrset.deleting:
+                self.records[key] = [kept for kept in self.records.get(key, []) if kept not in rrset]
+            else:
+                self.records.setdefault(key, []).extend(rrset)
--- a/tests/handover/site.py
+++ b/tests/handover/site.py
@@ -11,8 +11,9 @@
 from collections import Counter
 from pathlib import Path
 
-from standins import BYTES, ROOT, SETTINGS, Caller, Names, Pool, Vault, control_call, job, platform_file
+from standins import BYTES, ROOT, SETTINGS, Caller, control_call, job, platform_file, scripted_pool
 
+from flintshift.lab.peers import Names, Vault
 from flintshift.lab.rig import free_ports
 
 
@@ -20,7 +21,7 @@
     """One of them, with a pool and a control address of its own."""
 
     def __init__(self, site, number):
-        self.site, self.number, self.pool = site, number, Pool()
+        self.site, self.number, self.pool = site, number, scripted_pool()
         self.pool.plan = dict.fromkeys(("race-results", "submit-time"), 0)
         self.config = site.folder / f"config{number}.json"
 
@@ -72,7 +73,7 @@
     def __init__(self, folder: Path):
         self.folder, self.settings = folder, copy.deepcopy(SETTINGS)
         self.settings["familyInfo"]["nCores"] = 8  # so that one run without an end is no sign of a sick machine
-        self.vault, self.names, self.processes = Vault(), Names(), []
+        self.vault, self.names, self.processes = Vault(tells=True), Names(tells=True), []
 
     async def __aenter__(self):
         await self.vault.start()
@@ -107,7 +108,7 @@
         return await ask(await self.connect(), unique, **more)
 
     def runs(self):
-        return [run["rid"] for one in self.processes for run in one.pool.spawned()]
+        return [run["rid"] for one in self.processes for run in one.pool.spawns()]
 
 
 def submit(caller, unique, body=b"12:01.5", class_name="submit-time", **changes):
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -32,10 +32,10 @@
     new = await site.start()
     assert (await old.call())[1] == "another process of this node takes the clients"
     fresh = await site.connect()
-    assert (await ask(fresh, "k2")).status == 200 and len(new.pool.spawned()) == 1
+    assert (await ask(fresh, "k2")).status == 200 and len(new.pool.spawns()) == 1
     old.pool.plan = {"submit-time": 0}
     reply = await ask(rested[0], "k3")  # what is open with the older is answered by it, and told to come to the new one
-    assert reply.status == 200 and reply.headers["connection"] == "close" and len(old.pool.spawned()) == 2
+    assert reply.status == 200 and reply.headers["connection"] == "close" and len(old.pool.spawns()) == 2
     old.process.send_signal(signal.SIGTERM)
     assert (await ask(rested[1], "k4")).status == 200
     old.pool.finish(rid)
@@ -98,7 +98,7 @@
     reply = await ask(fresh, "k1", **{"X-Again": "1"})
     assert (reply.status, reply.body) == ((200, body) if ended else (500, b""))  # never run again, never refused
     assert (await ask(fresh, "k2")).status == 200
-    assert site.runs().count(rid) == 1 and len(new.pool.spawned()) == 1
+    assert site.runs().count(rid) == 1 and len(new.pool.spawns()) == 1
 
 
 @pytest.mark.parametrize("told", [False, True])
@@ -128,12 +128,12 @@
         caller = await site.connect()
         submit(caller, f"then-{number}")
         assert (await caller.reply()).status == 200
-    assert len(old.pool.spawned()) == 3
+    assert len(old.pool.spawns()) == 3
     await site.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"), 2)
     third = await site.start()  # and can be replaced once more
     assert await old.leave() == 0
     caller = await site.connect()
-    assert (await ask(caller, "then-0", **{"X-Again": "1"})).status == 200 and not third.pool.spawned()
+    assert (await ask(caller, "then-0", **{"X-Again": "1"})).status == 200 and not third.pool.spawns()
 
 
 async def test_connections_that_wait_in_the_queue_at_the_handover_are_served(site):
@@ -205,7 +205,7 @@
     await new.pool.start()
     assert (await waiting.reply()).status == 200
     assert (await ask(waiting, "k1", **{"X-Again": "1"})).body == result  # it has told all before it left
-    assert len(old.pool.spawned()) == len(new.pool.spawned()) == 1
+    assert len(old.pool.spawns()) == len(new.pool.spawns()) == 1
 
 
 async def test_a_drained_node_stays_drained_over_an_upgrade(site):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,11 +1,9 @@
-"""Stand-ins for what the node talks to, written from the protocol page and the public specifications
-(uwsgi, RFC 1035, RFC 2136, RFC 6763), and the rig that starts the program among them."""
+"""Callers that say what a test wants said, byte for byte, and the rig that starts the program among the project's
+stand-ins (`flintshift.lab.peers`), which keep a journal here."""
 
 from __future__ import annotations
 
 import asyncio
-import base64
-import contextlib
 import itertools
 import json
 import os
@@ -16,13 +14,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-import dns.flags
-import dns.message
-import dns.opcode
-import dns.rdataclass
-import dns.rdatatype
-import dns.rrset
-
+from flintshift.lab.peers import Apps, Dns, Names, Pool, Vault
 from flintshift.lab.rig import free_ports
 from flintshift.wire import uwsgi
 
@@ -47,214 +39,12 @@
 }
 
 
-class Log:
-    """What a stand-in was sent; tests wait for an entry, not for time to pass."""
-
-    def __init__(self):
-        self.entries, self.changed = [], asyncio.Condition()
-
-    async def add(self, entry):
-        async with self.changed:
-            self.entries.append(entry)
-            self.changed.notify_all()
-
-    async def until(self, wanted, count=1, within=10):
-        async with self.changed:
-            await asyncio.wait_for(self.changed.wait_for(
-                lambda: sum(map(wanted, self.entries)) >= count), within)
-        return [entry for entry in self.entries if wanted(entry)]
-
-
-class Peer:
-    """A TCP stand-in on a loopback port."""
-
-    def __init__(self):
-        self.log, self.ended, self.links, self.port = Log(), Log(), set(), 0
-
-    async def start(self):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    async def stop(self):
-        self.server.close()
-        self.cut()
-
-    async def move(self):
-        """Take what is new at another address alone; what is open stays open."""
-        self.server.close()
-        self.port = 0
-        await self.start()
-
-    def cut(self):
-        for writer in list(self.links):
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        self.links.add(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            await self.serve(reader, writer)
-        self.links.discard(writer)
-        writer.close()
-        await self.ended.add("link")
-
-
-class Pool(Peer):
-    """The worker pool: `plan` says by class how a run goes on, as (notice, more fields) or a number of ms."""
-
-    def __init__(self):
-        super().__init__()
-        self.plan, self.notices, self.numbers = {}, [], itertools.count(1)
-        self.deaf = False  # what is sent to runs that stand at a call is lost
-        self.cores, self.wanting, self.tasks = asyncio.Semaphore(2), 0, set()
-
-    async def serve(self, reader, writer):
-        while line := await reader.readline():
-            command = json.loads(line)
-            await self.log.add(command)
-            match command["t"]:
-                case "bind":
-                    self.say(writer, {"t": "bound", "status": "running", "time_ms": 5.0})
-                    for notice in self.notices:
-                        if notice["no"] > command["no"]:
-                            self.say(writer, notice)
-                case "poll":
-                    gauges = [min(1.0, self.wanting / 2), self.wanting, 0.1, 3]
-                    self.say(writer, {"t": "polled", "mark": command["mark"], "v": gauges})
-                case "verify":
-                    self.say(writer, {"t": "verified", "mark": command["mark"], "status": "fine"})
-                case "spawn":
-                    plan = self.plan.get(command["route"])
-                    if isinstance(plan, int):
-                        task = asyncio.ensure_future(self.work(command["rid"], plan))
-                        self.tasks.add(task)
-                    elif plan is not None:
-                        self.tell(command["rid"], *plan)
-                case "supply" | "pass" if not self.deaf:
-                    self.finish(command["rid"])
-
-    async def work(self, rid, took_ms):
-        self.wanting += 1
-        async with self.cores:
-            await asyncio.sleep(took_ms / 1000)
-        self.wanting -= 1
-        self.finish(rid)
-
-    def finish(self, rid, status="fine"):
-        result = base64.b64encode(f"result of {rid}\n".encode()).decode()
-        self.tell(rid, "finished", {"status": status, "time_ms": 3.0, "b64": result})
-
-    def tell(self, rid, kind, more):
-        self.notices.append({"t": kind, "no": next(self.numbers), "rid": rid, **more})
-        for writer in self.links:
-            self.say(writer, self.notices[-1])
-
-    @staticmethod
-    def say(writer, message):
-        writer.write(json.dumps(message).encode() + b"\n")
-
-    def spawned(self):
-        return [entry for entry in self.log.entries if entry["t"] == "spawn"]
-
-
-class Vault(Peer):
-    """The vault: says `reply` to a call, with the id filled in; None breaks the link under it."""
-
-    reply: bytes | None = b"%b yes 5\r\nreply\r\n"
-    forgets = frozenset()  # connections that are reset at their next call, which never runs
-
-    async def serve(self, reader, writer):
-        while line := await reader.readline():
-            if writer in self.forgets:
-                return writer.transport.abort()
-            word, request, *rest = line.decode().split()
-            body = (await reader.readexactly(int(rest[1]) + 2))[:-2] if word == "ask" else b""
-            await self.log.add((word, request, body))
-            if word == "ask" and self.reply is None:
-                return
-            if word == "ask":
-                writer.write(self.reply.replace(b"%b", request.encode()))
-
-
-class Names(Peer):
-    mute = False  # takes reports and never answers
-
-    async def serve(self, reader, writer):
-        head = await reader.readuntil(b"\r\n\r\n")
-        size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
-        body = await reader.readexactly(size)
-        if not self.mute:
-            writer.write(b"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n")
-        await writer.drain()
-        if self.mute:
-            await reader.read()
-        await self.log.add((head.split(b" ")[1].decode(), json.loads(body)["serving"]))
-
-
-class Apps(Peer):
-    """A uwsgi app server on the cores of the pool."""
-
-    def __init__(self, pool):
-        super().__init__()
-        self.pool, self.took_ms = pool, 0
-
-    async def serve(self, reader, writer):
-        size = uwsgi.block_size(await reader.readexactly(4), 65536)
-        variables = uwsgi.unpack(await reader.readexactly(size))
-        body = await reader.readexactly(int(variables["CONTENT_LENGTH"]))
-        rid = variables["HTTP_X_JOB_ID"]
-        await self.log.add({"t": "spawn", "rid": rid, "body": body, "unique": variables.get("HTTP_X_UNIQUE")})
-        if self.took_ms:
-            self.pool.wanting += 1
-            async with self.pool.cores:
-                await asyncio.sleep(self.took_ms / 1000)
-            self.pool.wanting -= 1
-        result = f"app result of {rid}\n".encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(result), result))
-        await writer.drain()
-
-
-class Dns(asyncio.DatagramProtocol):
-    """A resolver with one zone in memory, which takes updates."""
-
-    def __init__(self):
-        self.log, self.records, self.tasks = Log(), {}, set()
-
-    async def start(self):
-        loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, ("127.0.0.1", 0))
-        self.port = self.transport.get_extra_info("sockname")[1]
-
-    def put(self, name, kind, text):
-        rrset = dns.rrset.from_text(name, 5, "IN", kind, text)
-        self.records.setdefault((rrset.name, rrset.rdtype), []).extend(rrset)
-
-    def datagram_received(self, data, addr):
-        message = dns.message.from_wire(data)
-        reply = dns.message.make_response(message)
-        if message.opcode() == dns.opcode.UPDATE:
-            for rrset in message.update:
-                key = (rrset.name, rrset.rdtype)
-                if rrset.deleting == dns.rdataclass.ANY:
-                    for known in [known for known in self.records if known[0] == rrset.name
-                                  and rrset.rdtype in (dns.rdatatype.ANY, known[1])]:
-                        del self.records[known]
-                elif rrset.deleting:
-                    self.records[key] = [kept for kept in self.records.get(key, []) if kept not in rrset]
-                else:
-                    self.records.setdefault(key, []).extend(rrset)
-            entry = ("update", sum(map(len, self.records.values())))
-        else:
-            question = message.question[0]
-            found = self.records.get((question.name, question.rdtype), [])
-            if found:
-                reply.answer.append(dns.rrset.from_rdata_list(question.name, 5, found))
-            entry = ("query", question.to_text())
-        self.transport.sendto(reply.to_wire(), addr)
-        task = asyncio.ensure_future(self.log.add(entry))
-        self.tasks.add(task)
+ids = itertools.count(1)
 
 
-ids = itertools.count(1)
+def scripted_pool():
+    """A worker pool whose runs end by a test's plan alone."""
+    return Pool(tells=True, ends=False)
 
 
 def job(class_name="submit-time", **changes):
@@ -339,14 +129,12 @@
     control: bool = False  # there is a control door
 
     async def __aenter__(self):
-        self.pool, self.vault, self.names, self.dns = Pool(), Vault(), Names(), Dns()
-        self.apps = Apps(self.pool)
-        for peer in (self.pool, self.vault, self.names, self.dns, self.apps):
+        self.pool, self.vault, self.names = scripted_pool(), Vault(tells=True), Names(tells=True)
+        self.apps = Apps(beside=self.pool, tells=True)
+        for peer in (self.pool, self.vault, self.names, self.apps):
             await peer.start()
-        self.dns.put("_uwsgi._tcp.desks.example.", "PTR", "app1._uwsgi._tcp.desks.example.")
-        self.dns.put("app1._uwsgi._tcp.desks.example.", "SRV", f"0 0 {self.apps.port} app1.desks.example.")
-        self.dns.put("app1._uwsgi._tcp.desks.example.", "TXT", '"txtvers=1"')
-        self.dns.put("app1.desks.example.", "A", "127.0.0.1")
+        self.dns = Dns(self.apps.port, tells=True)
+        await self.dns.start()
         self.ports = dict(zip((*BYTES, "control"), free_ports(3), strict=True))
         self.config, desks = self.folder / "config.json", self.folder / "flintshift.yaml"
         self.configure()
@@ -395,4 +183,4 @@
         await self.names.log.until(lambda entry: entry[1] == "no")
 
     def runs(self):
-        return self.pool.spawned() + self.apps.log.entries
+        return self.pool.spawns() + self.apps.log.entries
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -66,7 +66,7 @@
     assert (await rig.ask("http", fields=job(**{"X-Unique": "k3"}))).status == 200
     again = await rig.ask("http", body=b"1", fields=job(**{"X-Unique": "k1", "X-Again": "1"}))
     assert (again.status, again.body) == (200, first.body)
-    assert len([run for run in rig.pool.spawned() if run["route"] == "submit-time"]) == 3
+    assert len([run for run in rig.pool.spawns() if run["route"] == "submit-time"]) == 3
 
 
 @pytest.mark.parametrize("spoil", [
@@ -103,7 +103,7 @@
     await reload(rig, named("race-results", "submit-time-next"), twice=True)
     await rig.leave()
     await reload(rig, named("race-results"))
-    for run in rig.pool.spawned():
+    for run in rig.pool.spawns():
         rig.pool.finish(run["rid"])
     for caller in callers[:2]:
         assert (await caller.reply()).status == 200
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,7 @@
 
 import anyio
 import pytest
-from standins import BYTES, ROOT, SETTINGS, Caller, Log, Names, Vault, http_bytes, job
+from standins import BYTES, ROOT, SETTINGS, Caller, http_bytes, job
 
 from flintshift.__main__ import main
 from flintshift.core.counters import Counters
@@ -23,6 +23,7 @@
 from flintshift.core.listing import Listing
 from flintshift.core.ports import Posture
 from flintshift.interface import Outcome
+from flintshift.lab.peers import Journal, Names, Vault
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
 from flintshift.wire.names import NameService
@@ -176,7 +177,7 @@
 
 
 async def test_a_report_without_an_answer_counts_and_does_not_delay_the_next():
-    names, counters, limits = Names(), Counters(), Limits(report_wait_ms=200.0, report_every_ms=200.0)
+    names, counters, limits = Names(tells=True), Counters(), Limits(report_wait_ms=200.0, report_every_ms=200.0)
     names.mute = True
     await names.start()
     service, began = NameService(("127.0.0.1", names.port), "n3", limits, counters), time.time()
@@ -206,7 +207,7 @@
 
 @pytest.mark.parametrize(("reply", "outcome", "links"), REPLIES)
 async def test_a_spoilt_reply_costs_its_own_call_alone(reply, outcome, links):
-    vault, told, counters = Vault(), Log(), Counters()
+    vault, told, counters = Vault(tells=True), Journal(), Counters()
     vault.reply = reply
     await vault.start()
     limits = Limits(vault_rest_ms=100.0, call_grace_ms=5.0, vault_fresh_ms=60_000.0)
@@ -228,7 +229,7 @@
 
 
 async def test_a_connection_that_was_forgotten_costs_no_call():
-    vault, told, counters = Vault(), Log(), Counters()
+    vault, told, counters = Vault(tells=True), Journal(), Counters()
     await vault.start()
     link = VaultLink(("127.0.0.1", vault.port), Limits(vault_fresh_ms=60_000.0), counters, told.add,
                      lambda: time.time() * 1000)
@@ -246,7 +247,7 @@
 
 
 async def test_a_call_given_up_closes_its_connection_and_an_idle_one_is_closed():
-    vault, told = Vault(), Log()
+    vault, told = Vault(tells=True), Journal()
     await vault.start()
     link = VaultLink(("127.0.0.1", vault.port), Limits(vault_fresh_ms=50.0), Counters(), told.add,
                      lambda: time.time() * 1000)
--- a/tests/wire/test_control_front.py
+++ b/tests/wire/test_control_front.py
@@ -65,7 +65,7 @@
     """As many reports as FLINTSHIFT_IDLE_REPORTS says, one a second: 60 are the minute that was tried by hand."""
     await rig.call(*OUT)
     reports, back = int(os.environ.get("FLINTSHIFT_IDLE_REPORTS", "3")), ("/ns/hosts/n3", "yes")
-    await rig.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "no"), reports, within=10 + 2 * reports)
+    await rig.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "no"), reports, within_s=10 + 2 * reports)
     before = rig.names.log.entries.count(back)
     assert await pings(rig) == [503] * 3 and (await rig.ask("http")).status == 200
     assert (await rig.call(*IN))[0] == 200
