--- a/flintshift/lab/rig.py
+++ b/flintshift/lab/rig.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import itertools
 import json
 import os
@@ -11,6 +12,7 @@
 import signal
 import socket
 import sys
+import tempfile
 from pathlib import Path
 from typing import IO, Any
 
@@ -27,12 +29,30 @@
     return PORTS[int(part) * share:(int(part) + 1) * share]
 
 
+def _ours(port: int) -> bool:
+    """This process has the port for its whole life. Guards a rig against another one beside it, which would take the
+    port of a member that is down, and answer its callers."""
+    if port not in _locks:
+        folder = Path(tempfile.gettempdir()) / "flintshift-ports"
+        folder.mkdir(exist_ok=True)
+        lock = (folder / str(port)).open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            lock.close()
+            return False
+        _locks[port] = lock
+    return True
+
+
 def free_ports(count: int) -> list[int]:
     """Ports to listen on that nobody holds now, none of them told before until all of the range were."""
     found: list[int] = []
     ports = port_range()
     for _ in range(len(ports)):
         port = ports[next(_turn) % len(ports)]
+        if not _ours(port):
+            continue
         with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
             found.append(port)
         if len(found) == count:
@@ -40,6 +60,7 @@
     raise OSError(f"{count} of the ports from {ports.start} to {ports.stop - 1} are not free")
 
 
+_locks: dict[int, IO[str]] = {}
 _turn = itertools.count(random.randrange(len(PORTS)))  # two that ask in turn never get the same
 
 
