Hurt real members at five more moments: before spawn, at one holder, failing disks, every order of return

Need: issue's hard cases that only chance met: a death between claim and spawn; an outcome at one holder of three; input/output errors of one disk and of two; all members back in every order, one with an empty disk.

Change: lab/hurt.py (was skewed.py) starts a node whose clock is off or whose disk fails while a file stands. Returns in every order of five, with each of them empty, are walked over the production hearts (600 plays), two of them by real processes with repeats after each start. Chaos rounds say at once what broke, and keep logs and story.

--- a/benchmarks/chaos_copies.py
+++ b/benchmarks/chaos_copies.py
@@ -11,6 +11,7 @@
 import argparse
 import asyncio
 import json
+import shutil
 import sys
 import tempfile
 from collections import Counter
@@ -28,9 +29,13 @@
 def play(part: int, parts: int, count: int, seed: int, copies: bool) -> dict[str, Any]:
     import os
     os.environ[PART] = f"{part}/{parts}"
-    with tempfile.TemporaryDirectory(prefix="flintshift-chaos-") as folder:
-        tally = asyncio.run(rounds(Path(folder), count, seed, copies,
-                                   said=lambda text: print(f"fleet {part}: {text}", file=sys.stderr, flush=True)))
+    folder = Path(tempfile.mkdtemp(prefix="flintshift-chaos-"))
+    tally = asyncio.run(rounds(folder, count, seed, copies,
+                               said=lambda text: print(f"fleet {part}: {text}", file=sys.stderr, flush=True)))
+    if tally.texts and copies:
+        print(f"fleet {part}: logs and story in {folder}", file=sys.stderr, flush=True)
+    else:
+        shutil.rmtree(folder)
     return tally.told()
 
 
--- a/flintshift/lab/chaos_copies.py
+++ b/flintshift/lab/chaos_copies.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+import sys
 import time
 from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable
@@ -217,16 +219,17 @@
     async with Fleet(folder, HALLS, COPIES if copies else None, seed=seed, root=root,
                      more=booking(folder, PERIOD)) as fleet:
         await fleet.until_linked()
-        for number in range(count):
-            await one_round(fleet, number, seed, tally, callers)
-            said(f"round {number + 1} of {count}: {sum(tally.broken.values())} broken, "
-                 f"{dict(tally.answers)}, {time.monotonic() - began:.0f} s")
-            if tally.texts and not copies and number >= count - 1:
-                break
-        await all_billed(fleet, tally)
-        tally.took_s = time.monotonic() - began
-        if tally.texts:
-            (folder / "story.txt").write_text("\n".join(map(str, fleet.story())))
+        try:
+            for number in range(count):
+                known = len(tally.texts)
+                await one_round(fleet, number, seed, tally, callers)
+                said("\n".join([f"round {number + 1} of {count}: {dict(tally.broken)} broken, {dict(tally.answers)}, "
+                                f"{time.monotonic() - began:.0f} s", *tally.texts[known:known + 3]]))
+            await all_billed(fleet, tally)
+        finally:
+            tally.took_s = time.monotonic() - began
+            if tally.texts or sys.exc_info()[0] is not None:  # a fleet that never is whole again, too
+                (folder / "story.txt").write_text("\n".join(map(json.dumps, fleet.story())))
     return tally
 
 
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -108,7 +108,9 @@
 
     def __init__(self, folder: Path, halls: dict[str, int], copies: str | None = None, seed: int = 1,
                  took_ms: float = 5.0, cores: int = 4, root: Path | None = None, more: str = "",
-                 platform: dict[str, Any] | None = None, direct: bool = False, control: bool = False) -> None:
+                 platform: dict[str, Any] | None = None, direct: bool = False, control: bool = False,
+                 disks_fail: bool = False) -> None:
+        self.disks_fail = disks_fail  # by `fail_disk`
         self.control = control  # members have a control door, and can be upgraded
         self.direct = direct  # members are linked without proxies between, for measurements
         self.folder, self.copies, self.root, self.more, self.platform = folder, copies, root, more, platform
@@ -169,7 +171,9 @@
             text += (f"peers:\n  enabled: true\n  listen: 127.0.0.1:{member.ports['peer']}\n  members:\n{others}"
                      f"copies:\n  enabled: true\n{self.copies}")
         (member.home / "flintshift.yaml").write_text(text)
-        program = ["flintshift.lab.skewed", str(member.offset_ms)] if member.offset_ms else ["flintshift"]
+        hurt = member.offset_ms or self.disks_fail
+        program = (["flintshift.lab.hurt", str(member.offset_ms), str(member.home / "failing")] if hurt
+                   else ["flintshift"])
         return [sys.executable, "-m", *program, "--settings", str(member.home / "flintshift.yaml")]
 
     async def start(self, name: str, founding: bool = False) -> None:
@@ -354,6 +358,12 @@
         resource.prlimit(member.process.pid, resource.RLIMIT_FSIZE, (1 if refuse else hard, hard))
         self.told(f"the disk of {name} {'is full' if refuse else 'takes again'}")
 
+    def fail_disk(self, name: str, fail: bool = True) -> None:
+        """Each write of its process fails with an input/output error; or they are taken again."""
+        failing = self.members[name].home / "failing"
+        failing.touch() if fail else failing.unlink()
+        self.told(f"the disk of {name} {'fails' if fail else 'takes again'}")
+
     # Links.
 
     def between(self, one: Iterable[str], other: Iterable[str]) -> list[FaultProxy]:
--- a/tests/copies/test_agreement.py
+++ b/tests/copies/test_agreement.py
@@ -130,6 +130,37 @@
         random_play(seed, proposals=MajorityOfFirst).wrong for seed in range(200))
 
 
+ORDERS = list(itertools.product(itertools.permutations(HALLS), HALLS))
+
+
+@pytest.mark.parametrize("part", range(8))
+def test_all_die_at_once_and_come_back_in_every_order_one_of_them_without_its_disk(part):
+    for order, empty in ORDERS[part::8]:
+        world = World(HALLS, 3, 1)
+        for number, key in enumerate(KEYS):
+            world.claim(order[number], key, f"r{number}")
+            world.settle()
+            world.finish(key)
+            world.settle()
+        told = {key: set(one) for key, one in world.results.items()}
+        for name in HALLS:
+            world.crash(name, name == empty)
+        for up, name in enumerate(order):
+            world.restart(name)
+            for number, key in enumerate(KEYS):
+                world.claim(name, key, f"again-{up}-{number}", again=True)
+            for _ in range(30):  # nothing more may come: a majority may not be up
+                if world.sent:
+                    world.deliver(0)
+        assert ended(world).wrong == [] and world.results == told, (order, empty)
+        for number, key in enumerate(KEYS):
+            for name in HALLS:
+                world.claim(name, key, f"last-{name}-{number}", again=True)
+                world.settle()
+                assert world.answers[f"last-{name}-{number}"] == "FINISHED", (order, empty)
+        assert world.ran == {key: [f"r{number}"] for number, key in enumerate(KEYS)}
+
+
 def sender(message: Message) -> str:
     return message.sender.partition("#")[0]
 
--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -62,6 +62,41 @@
     assert story and all(one["outcome"] == "error" for one in story)
 
 
+async def test_the_runner_dies_between_claim_and_spawn_and_the_key_runs_nowhere(fleet):
+    key = held_outside("n1")
+    for name in fleet.members:
+        if name != "n1":
+            fleet.links["n1", name].back = Fault(delay_ms=700.0)  # the holders have its claim, and it does not know
+    asking = asyncio.ensure_future(fleet.ask("n1", key))
+    await asyncio.sleep(0.3)
+    await fleet.lose("n1")
+    assert await asking is None
+    answers = await repeats(fleet, key, but=("n1",))
+    assert [answer.status for answer in answers] == [500] * 4  # it may have run, for all that anybody knows
+    assert fleet.judged().runs == 0
+
+
+@pytest.mark.parametrize("kept", [0, 1, 2])
+async def test_the_runner_dies_with_its_outcome_at_one_holder_and_all_tell_the_same(fleet, kept):
+    key = held_outside("n1")
+    holders = PLACED.holders((KEYED, key))
+    asking = await slowly(fleet, "n1", key, took_ms=300.0)
+    for holder in holders:
+        if holder != holders[kept]:
+            fleet.links["n1", holder].there = Fault(lost=True)
+    await asyncio.sleep(0.5)  # it has ended, and a minority knows how
+    await fleet.lose("n1")
+    assert await asking is None
+    answers = await repeats(fleet, key, but=("n1",))
+    assert len({(answer.status, answer.body) for answer in answers}) == 1
+    assert answers[0].status in (200, 500)
+    fleet.heal()
+    await fleet.start("n1")
+    await fleet.until_filled("n1")
+    assert (await fleet.ask("n1", key, again=True)).body == answers[0].body
+    assert fleet.judged().runs == 1
+
+
 async def test_the_runner_is_killed_and_comes_back_with_its_disk_and_the_key_stays_failed(fleet):
     asking = await slowly(fleet, "n2", "k1")
     await fleet.kill("n2")
@@ -127,6 +162,9 @@
         await (fleet.lose if name == order[2] else fleet.kill)(name)
     for name in order:
         await fleet.start(name)
+        for key, first in firsts.items():  # with one, two and more of them up: its result, or that it may have run
+            again = await fleet.ask(name, key, again=True)
+            assert again.status == 500 or again.body == first.body
     await fleet.until_linked()
     await fleet.until_filled(order[2])
     for key, first in firsts.items():
@@ -209,6 +247,30 @@
         assert told.answers["failed"] + told.answers["refused"] < len(keys) * 0.05
 
 
+async def test_disks_that_fail_take_votes_away_and_no_promise(tmp_path):
+    async with Fleet(tmp_path, HALLS, copies=COPIES, disks_fail=True) as fleet:
+        await fleet.until_linked()
+        key = next(key for key in (f"x{n}" for n in itertools.count())
+                   if {"n2", "n4"} <= set(PLACED.holders((KEYED, key))))
+        before = await fleet.ask("n1", key)
+        fleet.fail_disk("n2")
+        one = [await fleet.ask("n3", f"a{number}") for number in range(20)]
+        assert [answer.status for answer in one].count(200) == 20  # two of three holders go on
+        fleet.fail_disk("n4")
+        two = [await fleet.ask("n1", f"b{number}") for number in range(20)]
+        of_both = [answer.status for number, answer in enumerate(two)
+                   if {"n2", "n4"} <= set(PLACED.holders((KEYED, f"b{number}")))]
+        assert of_both and 200 not in of_both and {answer.status for answer in two} <= {200, 429, 500}
+        for name in ("n2", "n4"):
+            fleet.fail_disk(name, False)
+            await fleet.until_logged(name, "copies.disk_takes_again")
+        assert (await fleet.ask("n2", key, again=True)).body == before.body
+        for number in range(20):
+            await fleet.ask("n4", f"a{number}", again=True)
+            await fleet.ask("n2", f"b{number}", again=True)
+        assert fleet.judged().broken == []
+
+
 async def test_full_disks_take_votes_away_and_no_promise(fleet):
     before = [await fleet.ask("n1", f"k{number}") for number in range(6)]
     fleet.refuse_disk("n2")
