Link members whose schemas are one release apart, in both directions

Need: the schema said that one release of difference works both ways, and Greeting.refuses parted with any other number, so a rolling release would have cut the fleet in two.

Change: members one apart go on with what the lower of both has; further apart they say so and part, as before.

--- a/flintshift/wire/peer_link.py
+++ b/flintshift/wire/peer_link.py
@@ -25,7 +25,7 @@
 from flintshift.wire.link import BROKEN, JunkError
 from flintshift.wire.peer_words import PEER_FRAME_MOST, Word, WordsError, batch_of, read_batch, words_of
 
-SCHEMA = 1
+SCHEMA = 1  # of `proto/peers.proto`; with a member of the schema before or after, what the lower of both has
 HEAD = 4
 WORDS_MOST = 512  # of a frame
 
@@ -47,8 +47,8 @@
         """Why a process that says this of itself is no member of this fleet; empty: it is one."""
         if told.refused:
             return f"it refuses this member: {told.refused}"
-        if told.schema != SCHEMA:
-            return f"it speaks schema {told.schema}, this process schema {SCHEMA}"
+        if abs(told.schema - SCHEMA) > 1:
+            return f"it speaks schema {told.schema}, this process schema {SCHEMA}: one release of difference is spoken"
         if told.member not in known:
             return f"{told.member or 'a nameless member'} is not in this member's list"
         if (told.epoch, told.members) != (self.epoch, self.members):
--- a/tests/copies/test_member_words.py
+++ b/tests/copies/test_member_words.py
@@ -12,6 +12,7 @@
 from flintshift.interface import Outcome
 from flintshift.peers.members import Accuse, Accused
 from flintshift.proto import peers_pb2 as pb
+from flintshift.wire.peer_link import SCHEMA, Greeting
 from flintshift.wire.peer_words import OUTCOMES, WordsError, batch_of, read_batch, words_of
 
 KEYS = [("submit-time", f"k{number}") for number in range(2000)]
@@ -55,6 +56,16 @@
     assert words_of(read_batch(later), "n1", "n1#1") == [WORDS[1]]
 
 
+@pytest.mark.parametrize(("schema", "meets"), [(SCHEMA - 1, True), (SCHEMA, True), (SCHEMA + 1, True),
+                                               (SCHEMA + 2, False)])
+def test_members_one_release_apart_go_on_together_both_ways(schema, meets):
+    mine, list_ = Greeting("n1", "n1#1", 1, b"digest"), ["n1", "n2"]
+    hello = Greeting("n2", "n2#1", 1, b"digest").hello(7, 0).hello
+    hello.schema = schema
+    told = read_batch(pb.Batch(hello=hello).SerializeToString() + b"\xfa\x07\x03abc").hello  # and a field of its own
+    assert bool(mine.refuses(told, list_)) is not meets
+
+
 @pytest.mark.parametrize(("halls", "copies", "least"), [
     ({"n1": "a", "n2": "a", "n3": "a", "n4": "b", "n5": "b"}, 3, 2), ({f"n{n}": f"h{n % 3}" for n in range(9)}, 3, 3),
     ({"n1": "a", "n2": "a"}, 3, 1), ({"n1": "a"}, 1, 1), ({f"n{n}": f"h{n % 2}" for n in range(7)}, 5, 2)])
