Draw the times of reports and reconnects, so that a list service that was away meets no storm

Cause: while the list service is away every node tries it each 100 ms, in step (core/listing.py, report_again_ms), and reports fall in step at a common start; waits before reconnects to pools were doubled without a draw (wire/link.Backoff).

Change: startup/reports.py, a heart without I/O, says when a report is due: the first at a moment of a window that grows with the fleet (groupSize), later ones a period after each other within 5%, after a refusal waits that grow and are drawn (startup/waits.py). The driver moved from core/ to startup/. Pool and members' links take the same waits. On in run, without settings: a node whose settings tell of no others reports at once, as before. lab/capacity.py and lab/services.py are a list service that can be hurt, lab/cold_start.py plays the heart with thousands of nodes.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -70,7 +70,8 @@
     vault_wary_ms: float = 30_000.0  # for so long after one broke, writes are called on new ones alone
     vault_rest_ms: float = 250.0  # for the rest of a reply once begun
     report_every_ms: float = 800.0  # the name service forgets after 3 s
-    report_again_ms: float = 100.0  # after a report that was not taken
+    report_again_ms: float = 100.0  # after a report that was not taken, growing up to the next
+    report_again_most_ms: float = 2800.0
     report_wait_ms: float = 400.0  # for the answer to a report; it counts without
     connect_ms: float = 1000.0
     backoff_ms: float = 20.0  # the first wait before a reconnect, doubled up to the most
--- /dev/null
+++ b/flintshift/lab/services.py
@@ -0,0 +1,31 @@
+"""Stand-ins with a capacity, as `capacity` has it, for services that hundreds of nodes share."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from flintshift.lab.capacity import SLOW_MS, Capacity, Verdict
+from flintshift.lab.peers import Names
+
+
+def now_ms() -> float:
+    return time.monotonic() * 1000
+
+
+class LimitedNames(Names):
+    """A name service that takes so many reports a second. While `capacity.down`, it resets each connection, so that
+    calls can be counted then too."""
+
+    def __init__(self, per_s: float, port: int = 0) -> None:
+        super().__init__(port)
+        self.capacity = Capacity(per_s)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        verdict = self.capacity.call(now_ms())
+        if verdict is Verdict.TURNED_AWAY:
+            writer.transport.abort()
+            return
+        if verdict is Verdict.SLOW:
+            await asyncio.sleep(SLOW_MS / 1000)
+        await super().serve(reader, writer)
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import signal
 import sys
 import time
@@ -18,11 +19,11 @@
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
 from flintshift.core.gauges import GaugePlanner
-from flintshift.core.listing import Listed, Listing
 from flintshift.core.ports import Log, silent
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.settings.options import CopiesOptions, PeersOptions, UsageOptions
 from flintshift.settings.shape import lost
+from flintshift.startup.listing import Listed, Listing
 from flintshift.wire.acceptor import Acceptor, listening
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
@@ -65,7 +66,9 @@
         self.decisions = Decisions(
             self.catalogue, config.seed, limits, counters, now_ms, self.gauges.wake_at,
             self._moved)
-        self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report)
+        # Of name and seed: two nodes of one configuration draw differently, and a node the same each time.
+        draw = random.Random(f"{config.name} {config.seed}")
+        self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report, draw.uniform)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
         self.names = NameService(config.naming, config.name, limits, counters)
@@ -108,7 +111,7 @@
             self._keep_copies(config.operators.peers, config.operators.copies)
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
-        self.listing = Listing(lists, limits)
+        self.listing = Listing(lists, limits, config.settings.servers, draw.uniform)
         self.door: ControlFront | None = None
         self.upgrade: Upgrade | None = None
         self.leave = anyio.Event()
--- a/flintshift/lifecycle/second_front.py
+++ b/flintshift/lifecycle/second_front.py
@@ -9,9 +9,9 @@
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
 from flintshift.core.limits import Limits
-from flintshift.core.listing import Listed
 from flintshift.core.ports import Workers
 from flintshift.settings.options import UwsgiOptions
+from flintshift.startup.listing import Listed
 from flintshift.wire.dnssd import Browser, Record, Resolver
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
--- /dev/null
+++ b/flintshift/startup/listing.py
@@ -0,0 +1,64 @@
+"""The list planner: says wherever this node is listed that it serves, again and again, and that it leaves. When is said
+by `reports`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import anyio
+
+from flintshift.core.limits import Limits
+from flintshift.core.mailbox import Mailbox
+from flintshift.startup.reports import Answered, Event, Report, ReportPace, Reports, Said, Tick, Wake
+from flintshift.startup.waits import Uniform
+
+
+class Listed(Protocol):
+    async def report(self, serving: bool) -> bool:
+        """Say it once; True when it was taken."""
+        ...
+
+
+def now_ms() -> float:
+    return anyio.current_time() * 1000
+
+
+class Listing:
+    """``nodes``: how many report to the same lists, as far as the settings tell."""
+
+    def __init__(self, lists: Sequence[Listed], limits: Limits, nodes: int, uniform: Uniform) -> None:
+        pace = ReportPace(limits.report_every_ms, again_ms=limits.report_again_ms,
+                          again_most_ms=limits.report_again_most_ms, nodes=nodes)
+        self.lists = [(listed, Reports(pace, uniform), Mailbox[Said](limits.list_box)) for listed in lists]
+
+    def say(self, serving: bool | None, last: bool = False) -> None:
+        """From now on say this, again and again; None: nothing. The last word is said until it was taken once."""
+        for _, _, box in self.lists:
+            if not box.offer(Said(serving, last)):  # only the newest word counts: the oldest makes room for it
+                box.take_now()
+                box.offer(Said(serving, last))
+
+    async def run(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for one in self.lists:
+                tasks.start_soon(self._keep, *one)
+
+    @staticmethod
+    async def _keep(listed: Listed, reports: Reports, box: Mailbox[Said]) -> None:
+        event: Event = await box.take()
+        while True:
+            wait_s: float | None = None
+            for action in reports.handle(now_ms(), event):
+                match action:
+                    case Report(serving):
+                        began_ms = now_ms()
+                        event = Answered(await listed.report(serving), began_ms)
+                        break
+                    case Wake(at_ms):
+                        wait_s = max(0.0, at_ms - now_ms()) / 1000
+            else:
+                event = Tick()
+                with anyio.move_on_after(wait_s):
+                    event = await box.take()
--- a/flintshift/wire/link.py
+++ b/flintshift/wire/link.py
@@ -18,18 +18,3 @@
 async def connect(to: tuple[str, int], limits: Limits) -> SocketStream:
     with anyio.fail_after(limits.connect_ms / 1000):
         return await anyio.connect_tcp(*to)
-
-
-class Backoff:
-    """Guards a peer that is down, or talks junk, against being connected to in a tight loop."""
-
-    def __init__(self, limits: Limits) -> None:
-        self.limits = limits
-        self.wait_ms = limits.backoff_ms
-
-    def reset(self) -> None:
-        self.wait_ms = self.limits.backoff_ms
-
-    def next_s(self) -> float:
-        wait_ms, self.wait_ms = self.wait_ms, min(2 * self.wait_ms, self.limits.backoff_most_ms)
-        return wait_ms / 1000
--- a/flintshift/wire/peer_link.py
+++ b/flintshift/wire/peer_link.py
@@ -22,6 +22,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.proto import peers_pb2 as pb
+from flintshift.startup.waits import Waits
 from flintshift.wire.link import BROKEN, JunkError
 from flintshift.wire.peer_words import PEER_FRAME_MOST, Word, WordsError, batch_of, read_batch, words_of
 
@@ -181,7 +182,7 @@
             self.wire.end("an answer was owed for too long")
 
     async def run(self) -> None:
-        wait_ms = self.limits.backoff_ms
+        waits = Waits(self.limits.backoff_ms, self.limits.peer_backoff_most_ms, self.draw.uniform)
         while True:
             wire = Wire(self.limits, self._got)
             refused = ""
@@ -193,7 +194,7 @@
                 if wire.greeted is not None:
                     refused = self.greeting.refuses(wire.greeted, [self.member])
                 if wire.greeted is not None and not refused:
-                    wait_ms = self.limits.backoff_ms
+                    waits.reset()
                     self.wire, self.asked_ms = wire, math.inf
                     self.up(self.member, wire.greeted)
                     await wire.ended.wait()
@@ -205,13 +206,11 @@
             if refused or "Error" in wire.cause:
                 self.counters.add("peers.links_failed")
             self.down(self.member, refused or wire.cause)
-            if refused:
-                wait_ms = self.limits.backoff_most_ms
             # Many that lost one member at once do not come back to it at once.
+            wait_ms = self.draw.uniform(0.5, 1.0) * self.limits.backoff_most_ms if refused else waits.next_ms()
             self.wanted = anyio.Event()
-            with anyio.move_on_after(self.draw.uniform(0.5, 1.0) * wait_ms / 1000):
+            with anyio.move_on_after(wait_ms / 1000):
                 await self.wanted.wait()
-            wait_ms = min(2 * wait_ms, self.limits.peer_backoff_most_ms)
 
     def _got(self, wire: Wire, batch: pb.Batch) -> None:
         if wire.greeted is None:
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -5,6 +5,7 @@
 import base64
 import itertools
 import json
+import random
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -17,7 +18,8 @@
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
 from flintshift.interface import Gauges
-from flintshift.wire.link import BROKEN, Backoff, JunkError, connect
+from flintshift.startup.waits import Uniform, Waits
+from flintshift.wire.link import BROKEN, JunkError, connect
 from flintshift.wire.words import OUTCOMES
 
 Told = Callable[[Report], Awaitable[None]]
@@ -33,7 +35,8 @@
 
 class PoolLink:
     def __init__(self, to: tuple[str, int], gauge_names: list[str | None], limits: Limits,
-                 counters: Counters, report: Told) -> None:
+                 counters: Counters, report: Told, uniform: Uniform = random.uniform) -> None:
+        self.uniform = uniform
         self.to, self.gauge_names, self.limits = to, gauge_names, limits
         self.counters, self.report = counters, report
         self.outbox: Mailbox[bytes] = Mailbox(limits.outbox)
@@ -121,14 +124,14 @@
             self.resting.cancel()
 
     async def run(self) -> None:
-        backoff = Backoff(self.limits)
+        backoff = Waits(self.limits.backoff_ms, self.limits.backoff_most_ms, self.uniform)
         async with anyio.create_task_group() as links:
             while True:
                 self.over = anyio.Event()
                 links.start_soon(self._link, self.over, backoff)
                 await self.over.wait()
 
-    async def _link(self, over: anyio.Event, backoff: Backoff) -> None:
+    async def _link(self, over: anyio.Event, backoff: Waits) -> None:
         try:
             async with await connect(self.to, self.limits) as stream:
                 if not over.is_set():  # guards the new link against being replaced by a late one
@@ -140,11 +143,11 @@
         self.counters.add("pool.links_lost")
         if over is self.over and not over.is_set():  # else another link has taken its place
             self.bound, self.lost_ms = False, anyio.current_time() * 1000
-            with anyio.move_on_after(backoff.next_s()):
+            with anyio.move_on_after(backoff.next_ms() / 1000):
                 await over.wait()  # a new address is tried at once
             over.set()
 
-    async def _serve(self, stream: SocketStream, over: anyio.Event, backoff: Backoff) -> None:
+    async def _serve(self, stream: SocketStream, over: anyio.Event, backoff: Waits) -> None:
         await stream.send(line(t="bind", no=self.read_no))
         reader = BufferedByteReceiveStream(stream)
         async with anyio.create_task_group() as tasks:
--- /dev/null
+++ b/tests/startup/test_reports.py
@@ -0,0 +1,88 @@
+"""When reports are due: the heart alone, any draws, and fleets of it on a clock of their own."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from flintshift.lab.cold_start import LAPSE_MS, play
+from flintshift.startup.reports import Answered, Report, ReportPace, Reports, Said, Tick, Wake
+from flintshift.startup.waits import Waits
+
+TRY_MS = 400.0  # a try may take so long until it is given up
+
+
+def at_share(draws):
+    """Draws that lie at these shares of their range, then in the middle."""
+    shares = iter(draws)
+    return lambda low, high: low + (high - low) * next(shares, 0.5)
+
+
+def begun(reports, now_ms, event):
+    """Handle it, and wait until a report is due; returns when that begins."""
+    actions = reports.handle(now_ms, event)
+    if isinstance(actions[0], Wake):
+        now_ms = actions[0].at_ms
+        actions = reports.handle(now_ms, Tick())
+    assert isinstance(actions[0], Report)
+    return now_ms
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.lists(st.floats(0.0, 1.0), max_size=12))
+def test_after_a_report_that_is_lost_two_more_begin_before_the_entry_lapses(draws):
+    reports = Reports(ReportPace(nodes=300), at_share(draws))
+    taken = begun(reports, 0.0, Said(True))
+    at = begun(reports, taken + 5.0, Answered(True, taken))
+    for _ in range(2):
+        at = begun(reports, at + TRY_MS, Answered(False, at))
+        assert at - taken < LAPSE_MS
+
+
+def test_a_word_that_changes_something_passes_at_once_whatever_the_waits_say():
+    reports = Reports(ReportPace(nodes=300), at_share([]))
+    at = begun(reports, 0.0, Said(True))
+    for _ in range(4):
+        at = begun(reports, at, Answered(False, at))
+    assert isinstance(reports.handle(at, Answered(False, at))[0], Wake)
+    assert reports.handle(at + 10.0, Said(False, last=True)) == [Report(False)]
+    assert reports.handle(at + 12.0, Answered(True, at + 10.0)) == []  # the last word, taken once
+
+
+def test_what_is_said_while_a_report_is_under_way_follows_it_at_once():
+    reports = Reports(ReportPace(), at_share([]))
+    assert reports.handle(0.0, Said(True)) == [Report(True)]  # a node alone does not wait
+    assert reports.handle(5.0, Said(False)) == []
+    assert reports.handle(9.0, Answered(True, 0.0)) == [Report(False)]
+    assert reports.handle(9.5, Said(None)) == []
+    assert reports.handle(10.0, Answered(True, 9.0)) == []
+
+
+def test_waits_grow_are_drawn_and_bounded():
+    draw = random.Random(3)
+    waits = Waits(100.0, 1600.0, draw.uniform)
+    drawn = [waits.next_ms() for _ in range(200)]
+    assert 100.0 <= drawn[0] <= 300.0 and min(drawn[10:]) >= 800.0 and max(drawn) <= 1600.0
+    assert len(set(drawn)) == 200
+    waits.reset()
+    assert waits.next_ms() <= 300.0
+
+
+@pytest.mark.parametrize(("nodes", "most"), [(300, 1.6), (2000, 1.3)])  # the fewer, the more chance is in 100 ms
+def test_a_fleet_meets_a_start_and_an_outage_below_what_the_service_survives(nodes, most):
+    for seed in (1, 2, 3):
+        told = play(nodes, seed)
+        assert told.peak_start <= most and told.peak_back <= most, f"seed {seed}"
+        assert told.collapses == 0 and told.listed_ms <= LAPSE_MS and told.lapsed_before == 0, f"seed {seed}"
+
+
+def test_the_version_before_keeps_its_own_storm_alive():
+    told = play(300, 1, before=True)
+    assert told.peak_back > 5.0 and told.collapses and told.listed_ms is None
+
+
+def test_a_play_is_the_same_each_time():
+    assert play(200, 7) == play(200, 7)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -20,10 +21,10 @@
 from flintshift.__main__ import main
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
-from flintshift.core.listing import Listing
 from flintshift.core.ports import Posture
 from flintshift.interface import Outcome
 from flintshift.lab.peers import Journal, Names, Vault
+from flintshift.startup.listing import Listing
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
 from flintshift.wire.names import NameService
@@ -181,7 +182,7 @@
     names.mute = True
     await names.start()
     service, began = NameService(("127.0.0.1", names.port), "n3", limits, counters), time.time()
-    listing = Listing([service], limits)
+    listing = Listing([service], limits, 1, random.Random(1).uniform)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listing.run)
         listing.say(True)
