Show a start in phases and slow a crash loop; play a cold start of thousands by a command

Need: nobody could see what a start waited for, a node that died again and again came back to its services at once each time, and the storms that are to be spared could only be seen with real machines.

Change: startup/phases.py (alone, bound, restored, listed, ramping, steady, each with its bound) and startup/crash_loops.py (lives that ended badly one after the other make the next one wait, doubled and drawn, up to a minute), both without I/O; lifecycle/starting.py joins them with the log, a socket and a folder. Off, and not imported, without `startup:` in the operators' file. `flintshift startup status`, `flintshift lab coldstart` with JSON and a plot (matplotlib is an extra, not a dependency). Rejected: a supervisor of the node's own (whoever starts it is one already); a node that ends itself to be started later (it would count as one more crash).

--- a/flintshift/cli/main.py
+++ b/flintshift/cli/main.py
@@ -13,6 +13,8 @@
 from flintshift.cli.control import control
 from flintshift.cli.copies import copies, peers
 from flintshift.cli.door import door
+from flintshift.cli.lab import lab
+from flintshift.cli.startup import startup
 from flintshift.cli.usage import usage
 from flintshift.lifecycle.config import embedded, load
 
@@ -97,5 +99,7 @@
 main.add_command(control)
 main.add_command(copies)
 main.add_command(door)
+main.add_command(lab)
 main.add_command(peers)
+main.add_command(startup)
 main.add_command(usage)
--- a/flintshift/lab/cold_start.py
+++ b/flintshift/lab/cold_start.py
@@ -12,6 +12,8 @@
 from flintshift.lab.capacity import SLOW_MS, Capacity, Verdict
 from flintshift.startup.reports import Answered, Event, Report, ReportPace, Reports, Said, Tick, Wake
 
+QUIET_MS = 10_000.0  # before an outage
+AFTER_MS = 20_000.0  # that are watched past it
 LAPSE_MS = 3000.0  # after its last report that was taken, a node is off the list
 
 
@@ -38,19 +40,20 @@
 
 @dataclass
 class World:
-    """``down_ms``: the service is down between these two moments. ``before`` True: each node reports as the version
-    before did, at once, in fixed periods, and after 100 ms again."""
+    """All start within ``start_ms``; the service is away for so long, `QUIET_MS` later. ``before`` True: each node
+    reports as the version that drew nothing did, at once, in fixed periods, and after 100 ms again."""
 
     nodes: int
     seed: int
     capacity: float  # times the steady rate
-    start_ms: float = 1000.0  # within which all start
-    down_ms: tuple[float, float] = (0.0, 0.0)
+    start_ms: float = 1000.0
+    outage_s: float = 0.0
     before: bool = False
     turn: itertools.count[int] = field(default_factory=itertools.count)
     queue: list[tuple[float, int, SimNode, Event, int]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
+        self.down_ms = QUIET_MS, QUIET_MS + self.outage_s * 1000
         self.draw = random.Random(self.seed)
         self.pace = ReportPace(nodes=self.nodes)
         self.steady_per_s = self.nodes * 1000.0 / self.pace.every_ms
@@ -98,14 +101,17 @@
 
 def play(nodes: int, seed: int, capacity: float = 1.3, outage_s: float = 8.0, before: bool = False,
          start_ms: float = 1000.0) -> Told:
-    """All start within ``start_ms``; 10 s later the service is down for so long; 20 s more are watched."""
-    down = 10_000.0, 10_000.0 + outage_s * 1000
-    world = World(nodes, seed, capacity, start_ms, down, before)
+    return run(World(nodes, seed, capacity, start_ms, outage_s, before))
+
+
+def run(world: World) -> Told:
+    """Play a world to its end."""
+    down, nodes = world.down_ms, world.nodes
     world.run(down[0])
     lapsed = sum(node.lapses for node in world.members)
     back = None
     at = down[0]
-    while at < down[1] + 20_000.0:
+    while at < down[1] + AFTER_MS:
         at += 100.0
         world.run(at)
         if at > down[1] and back is None and sum(
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -21,7 +21,7 @@
 from flintshift.core.gauges import GaugePlanner
 from flintshift.core.ports import Log, silent
 from flintshift.lifecycle.config import Config, ConfigError
-from flintshift.settings.options import CopiesOptions, PeersOptions, UsageOptions
+from flintshift.settings.options import CopiesOptions, PeersOptions, StartupOptions, UsageOptions
 from flintshift.settings.shape import lost
 from flintshift.startup.listing import Listed, Listing
 from flintshift.wire.acceptor import Acceptor, listening
@@ -36,7 +36,9 @@
     from flintshift.lifecycle.books import Books
     from flintshift.lifecycle.copying import Copying
     from flintshift.lifecycle.fair_door import FairDoor
+    from flintshift.lifecycle.starting import Starting
     from flintshift.lifecycle.upgrade import Upgrade
+    from flintshift.startup.waits import Uniform
     from flintshift.usage.ledger import Ledger
     from flintshift.wire.control_front import ControlFront
 
@@ -112,6 +114,10 @@
         for front, _ in self.fronts:
             front.log = self.log if requests_too else None
         self.listing = Listing(lists, limits, config.settings.servers, draw.uniform)
+        self.bound = False  # its addresses listen
+        self.starting: Starting | None = None
+        if config.operators.startup is not None:
+            self._watch_start(config.operators.startup, draw.uniform)
         self.door: ControlFront | None = None
         self.upgrade: Upgrade | None = None
         self.leave = anyio.Event()
@@ -165,7 +171,23 @@
         self.actors.append(StatusSocket(options.folder / SOCKET, "copies", copying.shown, "how the copies stand",
                                         self.limits, self.counters, self.warn).run)
 
+    def _watch_start(self, options: StartupOptions, uniform: Uniform) -> None:
+        from flintshift.lifecycle.starting import Starting
+        from flintshift.startup.phases import Seen
+        settings = self.config.settings
+        starting = self.starting = Starting(
+            options, settings.cold_ms if settings.cold else 0.0,
+            lambda: Seen(self.bound, self.decisions.posture.up, self.listing.taken > 0), uniform, self.counters,
+            self.log)
+        self.actors.append(starting.run)
+        if options.socket is not None:
+            from flintshift.lifecycle.status_socket import StatusSocket
+            self.actors.append(StatusSocket(options.socket, "startup", starting.shown, "how the node comes up",
+                                            self.limits, self.counters, self.warn).run)
+
     async def run(self) -> None:
+        if self.starting is not None:
+            await self.starting.wait()
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
         with anyio.open_signal_receiver(*told) as signals:
             listeners: list[Listener[SocketStream] | Acceptor] = await self._listeners()
@@ -183,6 +205,7 @@
                 if self.door is not None:
                     for door in doors:
                         tasks.start_soon(self.door.serve, door, tasks)
+                self.bound = True
                 self.log("info", "node.listening", listen=[f"{host}:{port}" for _, (host, port) in self.fronts])
                 tasks.start_soon(self._heed, signals, self.leave)
                 await self.leave.wait()
@@ -196,6 +219,8 @@
                 await self.ledger.close()
             if self.failed is not None:
                 raise self.failed
+            if self.starting is not None:
+                self.starting.well()
             self.log("info", "node.left", open=self._open())
             # Nothing is left to move: a word of a new configuration must not end the process at its exit.
             signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
--- a/flintshift/settings/operators.py
+++ b/flintshift/settings/operators.py
@@ -25,6 +25,7 @@
     LogOptions,
     Operators,
     PeersOptions,
+    StartupOptions,
     UsageOptions,
     UwsgiOptions,
 )
@@ -166,6 +167,12 @@
     take_over_use: Annotated[Duration, times("1s", "7d")] = 60_000.0
 
 
+class StartupPart(Part):
+    enabled: bool = False
+    socket: Annotated[str, Field(min_length=1)] | None = None
+    folder: Annotated[str, Field(min_length=1)] | None = None
+
+
 SYNC_MS = {"power-cut": 5.0, "process-death": 50.0, "none": 50.0}
 SYNC_HELD_MS = 100.0  # the most where answers wait for it: they have due times
 
@@ -177,6 +184,7 @@
     door: DoorPart = DoorPart()
     peers: PeersPart = PeersPart()
     copies: CopiesPart = CopiesPart()
+    startup: StartupPart = StartupPart()
 
 
 def read(path: Path) -> Operators:
@@ -315,7 +323,7 @@
             usage.on_disk_failure, usage.segment, int(usage.retention),
             _export(usage.export, base)) if usage.enabled else None,
         door=DoorOptions(base / told.door.socket if told.door.socket else None) if told.door.enabled else None,
-        peers=_peers(told.peers), copies=_copies(told.copies, base),
+        peers=_peers(told.peers), copies=_copies(told.copies, base), startup=_startup(told.startup, base),
     )
 
 
@@ -333,6 +341,12 @@
                          told.take_over_use)
 
 
+def _startup(told: StartupPart, base: Path) -> StartupOptions | None:
+    if not told.enabled:
+        return None
+    return StartupOptions(base / told.socket if told.socket else None, base / told.folder if told.folder else None)
+
+
 def _export(told: ExportPart | None, base: Path) -> ExportOptions | None:
     if told is None:
         return None
--- a/flintshift/settings/options.py
+++ b/flintshift/settings/options.py
@@ -87,6 +87,14 @@
     take_over_ms: float = 60_000.0  # a member's ledger of use is taken over once it has been dead for so long
 
 
+@dataclass(frozen=True, slots=True)
+class StartupOptions:
+    """The start as operators see it."""
+
+    socket: Path | None  # where `flintshift startup status` asks
+    folder: Path | None  # on a disk that lasts: lives are remembered there, and a crash loop is slowed
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     uwsgi: UwsgiOptions | None = None
@@ -95,3 +103,4 @@
     door: DoorOptions | None = None
     peers: PeersOptions | None = None
     copies: CopiesOptions | None = None
+    startup: StartupOptions | None = None
--- a/flintshift/startup/listing.py
+++ b/flintshift/startup/listing.py
@@ -31,6 +31,7 @@
     def __init__(self, lists: Sequence[Listed], limits: Limits, nodes: int, uniform: Uniform) -> None:
         pace = ReportPace(limits.report_every_ms, again_ms=limits.report_again_ms,
                           again_most_ms=limits.report_again_most_ms, nodes=nodes)
+        self.taken = 0  # reports, since the start
         self.lists = [(listed, Reports(pace, uniform), Mailbox[Said](limits.list_box)) for listed in lists]
 
     def say(self, serving: bool | None, last: bool = False) -> None:
@@ -45,8 +46,7 @@
             for one in self.lists:
                 tasks.start_soon(self._keep, *one)
 
-    @staticmethod
-    async def _keep(listed: Listed, reports: Reports, box: Mailbox[Said]) -> None:
+    async def _keep(self, listed: Listed, reports: Reports, box: Mailbox[Said]) -> None:
         event: Event = await box.take()
         while True:
             wait_s: float | None = None
@@ -54,7 +54,9 @@
                 match action:
                     case Report(serving):
                         began_ms = now_ms()
-                        event = Answered(await listed.report(serving), began_ms)
+                        taken = await listed.report(serving)
+                        self.taken += taken
+                        event = Answered(taken, began_ms)
                         break
                     case Wake(at_ms):
                         wait_s = max(0.0, at_ms - now_ms()) / 1000
--- a/tests/startup/test_reports.py
+++ b/tests/startup/test_reports.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import random
+import subprocess
+import sys
 
 import pytest
 from hypothesis import given, settings
@@ -86,3 +89,15 @@
 
 def test_a_play_is_the_same_each_time():
     assert play(200, 7) == play(200, 7)
+
+
+def test_the_experiment_is_a_command_with_json_and_exit_codes():
+    def command(*words):
+        done = subprocess.run([sys.executable, "-m", "flintshift.cli", "lab", "coldstart", "--json", *words],
+                              capture_output=True, text=True)
+        return done.returncode, done.stdout
+    code, out = command("--nodes", "200", "--fault", "outage")
+    told = {one["version"]: one for one in json.loads(out)["plays"]}
+    assert code == 0 and told["now"]["collapses"] == 0 and told["before"]["collapses"] == 1
+    assert command("--nodes", "200", "--capacity", "0.5")[0] == 3  # it can't be spared what the fleet always needs
+    assert command("--nodes", "0")[0] == 2
--- /dev/null
+++ b/tests/startup/test_starts.py
@@ -0,0 +1,130 @@
+"""The phases of a start and what slows a crash loop: the hearts as tables, then a real node that dies repeatedly."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from flintshift.lab.rig import Rig
+from flintshift.startup.crash_loops import CrashLoop, Life, LoopPace
+from flintshift.startup.phases import Entered, Late, Phase, PhaseBounds, Phases, Seen, asked
+
+NOTHING, BOUND = Seen(False, False, False), Seen(True, False, False)
+LINKED, REPORTED = Seen(True, True, False), Seen(True, True, True)
+
+
+def phases_of(actions):
+    return [one.phase for one in actions if isinstance(one, Entered)]
+
+
+def test_a_start_goes_through_its_phases_and_says_what_each_waited_for():
+    start = Phases(0.0, cold_ms=500.0)
+    assert start.handle(10.0, NOTHING) == [] and not start.ready
+    assert phases_of(start.handle(100.0, BOUND)) == [Phase.BOUND]
+    assert start.handle(150.0, BOUND) == [] and not start.ready
+    restored, = start.handle(300.0, LINKED)
+    assert restored == Entered(Phase.RESTORED, 200.0, ("the worker pool",)) and start.ready
+    assert phases_of(start.handle(400.0, REPORTED)) == [Phase.LISTED, Phase.RAMPING]
+    assert start.handle(899.0, REPORTED) == []
+    assert start.handle(900.0, REPORTED) == [Entered(Phase.STEADY, 500.0, ("the time in which it is cold",))]
+
+
+def test_a_node_that_is_not_cold_has_no_ramp_and_a_fast_start_passes_all_at_once():
+    assert phases_of(Phases(0.0).handle(5.0, REPORTED)) == [Phase.BOUND, Phase.RESTORED, Phase.LISTED, Phase.STEADY]
+
+
+@pytest.mark.parametrize(("seen", "phase", "late_ms", "waits_for"), [
+    (NOTHING, Phase.ALONE, 6000.0, "its addresses"), (BOUND, Phase.BOUND, 20_000.0, "the worker pool"),
+    (LINKED, Phase.RESTORED, 4000.0, "a list service that takes a report")])
+def test_a_phase_past_its_bound_is_told_once_and_goes_on(seen, phase, late_ms, waits_for):
+    start = Phases(0.0)
+    start.handle(0.0, seen)
+    assert start.phase is phase and start.handle(late_ms, seen) == []
+    assert start.handle(late_ms + 1.0, seen) == [Late(phase, late_ms + 1.0, (waits_for,))]
+    assert start.handle(late_ms + 9000.0, seen) == []
+    assert phases_of(start.handle(late_ms + 9001.0, REPORTED))[-1] is Phase.STEADY
+
+
+def test_a_node_asks_nobody_before_it_listens_and_the_vault_last():
+    assert asked(Phase.ALONE) == [] and "list service" not in asked(Phase.BOUND)
+    assert "vault" not in asked(Phase.RESTORED) and asked(Phase.STEADY)[-1] == "vault"
+    bounds = PhaseBounds()
+    assert bounds.bind_ms + bounds.restore_ms + bounds.list_ms <= 30_000.0
+
+
+def lives(*well, every_ms=1000.0):
+    return CrashLoop([Life(number * every_ms, one) for number, one in enumerate(well)])
+
+
+@pytest.mark.parametrize(("before", "failures", "least", "most"), [
+    ((), 0, 0, 0), ((False,), 1, 0, 0), ((False, False), 2, 0, 0), ((False,) * 3, 3, 1000, 2000),
+    ((False,) * 5, 5, 4000, 8000), ((False,) * 16, 16, 30_000, 60_000), ((False, True, False), 1, 0, 0),
+    ((True, False, False, False), 3, 1000, 2000)])
+def test_lives_that_end_badly_one_after_the_other_make_the_next_one_wait(before, failures, least, most):
+    loop, now = lives(*before), 1000.0 * len(before)
+    assert loop.failures(now) == failures
+    assert (loop.wait_ms(now, lambda low, high: low), loop.wait_ms(now, lambda low, high: high)) == (least, most)
+
+
+def test_a_life_of_long_ago_says_nothing_and_a_clock_that_went_back_forgets_none():
+    loop = lives(*(False,) * 6)
+    assert loop.failures(LoopPace().within_ms + 60_000.0) == 0
+    assert loop.failures(-3_600_000.0) == 6
+
+
+@given(st.binary() | st.text().map(str.encode) | st.just(b'[{"began_ms": "x", "well": 1}]') | st.just(b"[1]"))
+def test_junk_in_the_file_keeps_no_node_from_its_start(data):
+    assert CrashLoop.unpacked(data).wait_ms(0.0, lambda low, high: high) == 0.0
+
+
+def test_lives_are_kept_as_they_were_and_not_without_end():
+    loop = lives(True, False).begun(5000.0)
+    assert CrashLoop.unpacked(loop.packed()).lives == loop.lives
+    assert loop.well(5000.0).failures(6000.0) == 0 and loop.well(1000.0).failures(6000.0) == 1
+    for number in range(100):
+        loop = loop.begun(number)
+    assert len(loop.lives) == LoopPace().kept
+
+
+@pytest.mark.anyio
+async def test_a_node_in_a_crash_loop_stays_away_and_one_that_served_starts_at_once(tmp_path):
+    async def status(code):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "flintshift.cli", "startup", "status", str(tmp_path / "up.sock"), "--json",
+            stdout=asyncio.subprocess.PIPE)
+        out, _ = await process.communicate()
+        assert process.returncode == code
+        return json.loads(out)
+
+    part = "startup: {enabled: true, socket: up.sock, folder: startup}\nlog: {enabled: true}\n"
+    async with Rig(tmp_path, part) as rig:
+        async with asyncio.timeout(10):
+            while (told := await status(0))["phase"] != "steady":
+                await asyncio.sleep(0.05)
+        assert [one["phase"] for one in told["entered"]] == ["bound", "restored", "listed", "steady"]
+        await rig.kill()
+        (tmp_path / "up.sock").unlink()
+        for _ in range(3):  # each dies before it serves: its pool is not there
+            await rig.pool.stop()
+            rig.process = await rig._spawn(rig.command())
+            async with asyncio.timeout(10):
+                while not (tmp_path / "up.sock").exists() or (await status(3))["phase"] != "bound":
+                    await asyncio.sleep(0.05)
+            await rig.kill()
+            (tmp_path / "up.sock").unlink()
+        rig.pool.port = 0
+        await rig.pool.start()
+        began = asyncio.get_running_loop().time()
+        await rig.start()
+        assert asyncio.get_running_loop().time() - began > 1.0
+        told = await status(0)
+        assert told["lives_that_ended_badly"] == 3 and told["crash_loop_wait_ms"] >= 1000
+        await asyncio.sleep(0.3)
+        assert await rig.leave() == 0
+        await rig.start()
+        assert (await status(0))["crash_loop_wait_ms"] == 0
