Tell a holder that was out of reach of ledgers that ended meanwhile, so none waits for ever

Nobody told n5 again; as n2 lived, n5 held on. Ruled out: a lost record (the ledger was billed whole), a refused disk, a fenced writer.

Change: HeldLogs.reach: whoever remembers that a ledger is over tells its holders as they come back in reach.

--- a/flintshift/copies/logs.py
+++ b/flintshift/copies/logs.py
@@ -418,8 +418,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
+    """Ask a member, or tell it that all of a log is over."""
+
     member: str
-    word: Join
+    word: Join | Over
 
 
 @dataclass(frozen=True, slots=True)
@@ -509,6 +511,11 @@
                 return self.over(log, epoch) if held is not None and epoch >= held.promised else []
         return []
 
+    def reach(self, member: str) -> list[HolderAction]:
+        """That member is in reach again: it may not have heard of what ended meanwhile, and holds it for ever."""
+        return [Ask(member, Over(log, held.promised)) for log, held in self.table.items()
+                if held.over and member in self.holders(log[0])]
+
     def over(self, log: LogId, epoch: int) -> list[HolderAction]:
         held = self.table[log]
         self.table[log] = HeldLog(epoch, held.by, held.writer, held.last, False, over=True)
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -153,6 +153,8 @@
         (self.up.add if up else self.up.discard)(member)
         for writer in self._writers():
             self._write(writer, writer.reach(member, up))
+        if up:
+            self._hold(self.heart.reach(member))
 
     def _writers(self) -> list[LogWriter]:
         own = [self.writer] if self.writer is not None else []
--- a/tests/copies/test_log_copies.py
+++ b/tests/copies/test_log_copies.py
@@ -128,6 +128,21 @@
     assert logs.Elected() in actions and logs.WholeWanted("n5") in actions
 
 
+def test_a_holder_that_was_out_of_reach_when_a_ledger_ended_hears_of_it_when_it_is_back():
+    """Else it holds, for as long as the taker lives, a copy that nobody fills any more."""
+    log, other = ("n5", b"old"), ("n1", b"old")
+    taker = HeldLogs("n2", "n2#1", lambda member: (member, "n2", "n4"), lambda identity: True)
+    back = HeldLogs("n5", "n5#2", taker.holders, lambda identity: True)
+    for told in (log, other):
+        taker.restored(told, 7, "n2#1", (7, 40), True, over=False)
+    back.asked("n2#1", logs.Join(log, 7, (7, 41)))
+    assert not back.table[log].sure
+    taker.over(log, 7)  # while no link stands between them
+    told = taker.reach("n5")
+    assert told == [logs.Ask("n5", logs.Over(log, 7))] and taker.reach("n3") == []
+    assert back.asked("n2#1", told[0].word) == [logs.Forget(log)] and back.table[log].over
+
+
 def test_a_play_is_the_same_each_time():
     one, other = play(5), play(5)
     assert (one.held, one.ended, one.now) == (other.held, other.ended, other.now)
