Tell no operator of deaths from before a member's start: a restart logged a dozen at error level

Watchers repeat an accusation that stands each second, for ten minutes, and a member that has just started took it up as suspicion and death of its own (Members._accused, _judge).

Change: a process that is known by accusations alone, made within a lease and a repetition of the start, is taken for dead as before, and nobody is told of it as news. Rejected: news of processes that were heard here alone, as only watchers are beaten to.

--- a/flintshift/peers/members.py
+++ b/flintshift/peers/members.py
@@ -109,6 +109,7 @@
     accusers: set[str] = field(default_factory=set)
     dead: bool = False
     told_ms: float = 0.0
+    news: bool = True  # its death is; not that of one which was dead before this process began
 
 
 def member_of(identity: str) -> str:
@@ -167,7 +168,7 @@
         if known is None:
             self._remember(identity, now_ms)
             return [Appeared(identity)]
-        known.heard_ms = now_ms
+        known.heard_ms, known.news = now_ms, True
         if not (known.accused or known.dead):
             return []
         was_dead, told = known.dead, known.accused
@@ -186,6 +187,7 @@
             if not lapsed:
                 return []
             known = self._remember(identity, now_ms - self.pace.lease_ms)
+            known.news = now_ms >= self.began_ms + self.pace.lease_ms + self.pace.tell_ms
         (known.accusers.add if lapsed else known.accusers.discard)(by)
         return self._judge(now_ms, identity, known)
 
@@ -202,7 +204,7 @@
         if known.dead or len(known.accusers) < len(watchers) // 2 + 1 or silent < self.pace.lease_ms:
             return []
         known.dead = True
-        return [Died(identity, silent, tuple(sorted(known.accusers)))]
+        return [Died(identity, silent, tuple(sorted(known.accusers)))] if known.news else []
 
     def _tick(self, now_ms: float) -> list[Action]:
         actions: list[Action] = []
@@ -215,7 +217,7 @@
             if watched and silent >= self.pace.lease_ms and now_ms >= known.told_ms + self.pace.tell_ms and (
                     silent < self.pace.forget_ms):
                 known.told_ms = now_ms
-                if not known.accused:
+                if not known.accused and known.news:
                     actions.append(Suspected(identity, silent))
                 known.accused = True
                 known.accusers.add(self.name)
--- a/tests/peers/test_members.py
+++ b/tests/peers/test_members.py
@@ -137,3 +137,21 @@
     for life in range(MOST + 50):
         heart.handle(float(life), Heard(f"n2#{life}"))
     assert len(heart.processes) == MOST and f"n2#{MOST + 49}" in heart.processes and "n2#0" not in heart.processes
+
+
+def test_a_member_that_starts_takes_former_processes_for_dead_and_tells_nobody_of_it_as_news():
+    fleet = Fleet()
+    fleet.until(3000.0)
+    fleet.silent.add("n3")
+    fleet.until(6000.0)
+    assert {name for name, _ in fleet.of(Died)} >= {"n1", "n2"}
+    fleet.hearts["n2"] = Members("n2#2", HALLS, PACE, fleet.now)  # started again: it never heard the process that died
+    fleet.seen.clear()
+    fleet.until(9500.0)
+    assert not fleet.hearts["n2"].lives("n3#1", fleet.now)
+    assert [action for name, action in fleet.seen if name == "n2" and isinstance(action, Suspected | Died)] == []
+    fleet.silent.discard("n3")  # it was only paused
+    fleet.until(10_500.0)
+    fleet.silent.add("n3")
+    fleet.until(13_500.0)
+    assert any(name == "n2" and isinstance(action, Died) for name, action in fleet.seen)  # now it is
