--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -84,7 +84,7 @@
         if config.operators.uwsgi is not None:
             from flintshift.lifecycle.second_front import second_front
             second = second_front(config.name, config.operators.uwsgi, fields, self.decisions, limits, counters, now_ms,
-                                  self.pool.verify)
+                                  self.pool.verify, draw.uniform)
             self.decisions.workers = {"pool": self.pool, "apps": second.apps}
             lists.append(second.listed)
             self.fronts.append((second.front, config.operators.uwsgi.listen))
--- a/flintshift/lifecycle/second_front.py
+++ b/flintshift/lifecycle/second_front.py
@@ -12,6 +12,7 @@
 from flintshift.core.ports import Workers
 from flintshift.settings.options import UwsgiOptions
 from flintshift.startup.listing import Listed
+from flintshift.startup.waits import Uniform
 from flintshift.wire.dnssd import Browser, Record, Resolver
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
@@ -28,9 +29,10 @@
 
 
 def second_front(name: str, desks: UwsgiOptions, fields: Fields, decisions: Decisions, limits: Limits,
-                 counters: Counters, now_ms: Callable[[], float], verify: Callable[[], Awaitable[bool]]) -> SecondFront:
+                 counters: Counters, now_ms: Callable[[], float], verify: Callable[[], Awaitable[bool]],
+                 uniform: Uniform) -> SecondFront:
     resolver = Resolver(desks.resolver, limits)
-    browser = Browser(resolver, desks.app_service, desks.domain, limits, counters)
+    browser = Browser(resolver, desks.app_service, desks.domain, limits, counters, uniform)
     apps = AppServers(browser, limits, counters, decisions.report, now_ms)
     record = Record(resolver, desks.node_service, desks.domain, name, desks.listen, limits, counters, now_ms)
     front = UwsgiFront(fields, decisions, limits, counters, now_ms, limits.uwsgi_connections, verify)
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -20,6 +20,7 @@
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
+from flintshift.startup.waits import Uniform, Waits
 
 FAILED = (dns.exception.DNSException, OSError, ValueError)
 
@@ -52,8 +53,8 @@
     """Knows the app servers that the resolver names; the last good answer stands while it does not reply."""
 
     def __init__(self, resolver: Resolver, service: str, domain: str, limits: Limits,
-                 counters: Counters) -> None:
-        self.resolver, self.limits, self.counters = resolver, limits, counters
+                 counters: Counters, uniform: Uniform) -> None:
+        self.resolver, self.limits, self.counters, self.uniform = resolver, limits, counters, uniform
         self.service = dns.name.from_text(service, dns.name.from_text(domain))
         self.found: list[Server] = []
         self.turn = itertools.count()
@@ -65,12 +66,18 @@
         return [server.at for server in sorted(fit[turn:] + fit[:turn], key=lambda server: server.priority)]
 
     async def run(self) -> None:
+        waits = Waits(self.limits.browse_again_ms, self.limits.browse_ms, self.uniform)
         while True:
             try:
-                self.found = await self._browse()
+                self.found, answered = await self._browse(), True
             except FAILED:
                 self.counters.add("dns.failed")
-            wait_ms = self.limits.browse_ms if self.found else self.limits.browse_again_ms
+                answered = False
+            if self.found and answered:
+                waits.reset()
+                wait_ms = self.limits.browse_ms * self.uniform(0.95, 1.05)
+            else:
+                wait_ms = waits.next_ms()
             await anyio.sleep(wait_ms / 1000)
 
     async def _browse(self) -> list[Server]:
