Give an outcome that reaches nobody up at its time, not at the next question 250 ms later

Read for what may hold an answer of a member that is cut off: Proposals.due_ms left out the time of a Finish, so its Overdue waited for the next tick, by again_ms up to 250 ms past it. Links that were found down gave theirs up at once, and the ledger was in a gap and held nothing: both ruled out by the story.

Change: the time of a Finish counts among those that need a tick.

Measured: the new test of the heart fails without the change.

--- a/flintshift/copies/proposals.py
+++ b/flintshift/copies/proposals.py
@@ -143,6 +143,8 @@
         times += [until for proposal in self.under_way.values() for until in proposal.waiting.values()]
         times += [intent.until_ms for proposal in self.under_way.values() for intent in proposal.behind
                   if isinstance(intent, Claim)]
+        times += [proposal.intent.until_ms for proposal in self.under_way.values()
+                  if isinstance(proposal.intent, Finish) and not proposal.given_up]
         times += [at for _, at in self.followed.values()]
         return min(times, default=math.inf)
 
--- a/tests/copies/test_agreement.py
+++ b/tests/copies/test_agreement.py
@@ -13,8 +13,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from flintshift.copies.placement import Placement
+from flintshift.copies.proposals import Proposals
 from flintshift.copies.refill import FillAsk, Page
-from flintshift.copies.vocabulary import Reach
+from flintshift.copies.vocabulary import Finish, Overdue, Reach, Tick
+from flintshift.interface import Outcome
 from flintshift.lab.copies_model import Message, World
 
 HALLS = {"n1": "a", "n2": "a", "n3": "b", "n4": "b", "n5": "c"}
@@ -311,3 +314,13 @@
 TestFleets = Fleets.TestCase
 TestFleets.settings = settings(max_examples=60, stateful_step_count=80, deadline=None, derandomize=True,
                                suppress_health_check=list(HealthCheck))
+
+
+def test_an_outcome_that_no_holder_answers_is_given_up_at_its_time_and_not_at_the_next_question():
+    proposals = Proposals("n1#1", Placement({"n1": "a", "n2": "b", "n3": "c"}, 3), lambda runner: True, random.Random(1))
+    for name in ("n1", "n2", "n3"):
+        proposals.handle(0.0, Reach(name, True, 1))
+    proposals.handle(0.0, Finish(KEYS[0], "r1", b"p", 30_000.0, 100.0, Outcome.OK, b""))
+    assert proposals.due_ms() == 100.0
+    assert Overdue("r1") in proposals.handle(100.0, Tick())
+    assert proposals.due_ms() > 100.0
--- a/tests/copies/test_member_words.py
+++ b/tests/copies/test_member_words.py
@@ -12,6 +12,7 @@
 from flintshift.interface import Outcome
 from flintshift.peers.members import Accuse, Accused
 from flintshift.proto import peers_pb2 as pb
+from flintshift.startup.permits import Permit, PermitAsk
 from flintshift.wire.peer_link import SCHEMA, Greeting
 from flintshift.wire.peer_words import OUTCOMES, WordsError, batch_of, read_batch, words_of
 
@@ -22,6 +23,7 @@
     Ask(2, "n1#1", Step.ACCEPT, ("c", "k"), (7, "n1#1"), (0, 2**63, 3), VALUE),
     Vote(3, Verdict.OK, (0, "n2#9"), (0, "n2#9"), VALUE, (1, 2, 3)),
     Vote(4, Verdict.STALE, NO_BALLOT, NO_BALLOT, None, (1,)),
+    PermitAsk(7, True), PermitAsk(8, done=True), Permit(7, True, 2000.0), Permit(8, False),
     Ended(("c", "k")), FillAsk(5, None), FillAsk(5, ("c", "k")),
     Page((entry(1),), ("submit-time", "k1"), True, False, 9),
     *(Vote(6, Verdict.OK, (1, "x"), (1, "x"), Value(Stage.FINISHED, "r", "x", b"", 1.0, outcome, b"z"), ())
