--- a/flintshift/copies/registers.py
+++ b/flintshift/copies/registers.py
@@ -103,7 +103,8 @@
                 self.table[ask.key] = register
                 self.bytes += OVERHEAD
         verdict, changed = self._step(now_ms, ask, register)
-        if ask.watch and (register.value is None or register.value.stage is Stage.CLAIMED) and (
+        runs_itself = verdict is Verdict.OK and ask.value is not None and ask.value.runner == ask.by
+        if ask.watch and not runs_itself and (register.value is None or register.value.stage is Stage.CLAIMED) and (
                 len(register.watchers) < self.bounds.watchers) and ask.key in self.table:
             register.watchers.add(ask.by)
         entry = self._entry(now_ms, ask.key, register) if changed else None
