Let a few members start at a time: permits by whoever is up, as leases, and never waited for without end

Need: where members may talk, a fleet that starts need not bring hundreds of cold nodes on its vault and its callers at once.

Change: startup/permits.py (who wants one, who grants) without I/O, two words in the members' schema, lifecycle/start_permits.py between heart and links, `startup.at-once`. Off without it; needs peers and copies.

--- a/flintshift/handover/phases.py
+++ b/flintshift/handover/phases.py
@@ -61,6 +61,11 @@
         self.learned: Learned | None = None  # and had learned
         self.connections = 0  # the most that it held since a successor takes the clients
 
+    @property
+    def alone(self) -> bool:
+        """There is no other process, and this one took over from none."""
+        return self.phase is Phase.ALONE
+
     @property
     def takes_clients(self) -> bool:
         return self.up and self.phase in (Phase.ALONE, Phase.GIVING, Phase.SERVING)
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -66,6 +66,8 @@
 from flintshift.peers import members as who
 from flintshift.proto import peers_pb2 as pb
 from flintshift.settings.options import CopiesOptions, PeersOptions, UsageOptions
+from flintshift.startup.permits import Permit, PermitAsk
+from flintshift.startup.waits import Uniform
 from flintshift.storage.files import DiskFiles, Files, LockedError
 from flintshift.storage.log import BrokenError
 from flintshift.storage.snapshot import DamagedError
@@ -74,6 +76,7 @@
 from flintshift.wire.peer_words import entry_bytes, entry_from
 
 if TYPE_CHECKING:
+    from flintshift.lifecycle.start_permits import StartPermits
     from flintshift.lifecycle.use_copies import UseCopies
     from flintshift.usage.ledger import Ledger
 
@@ -141,6 +144,7 @@
         self.others = others
         self.holding = anyio.Event()  # this process holds the copies
         self.use: UseCopies | None = None  # the ledgers of use
+        self.permits: StartPermits | None = None
         try:
             self._hold_copies()
         except LockedError:
@@ -162,6 +166,15 @@
         self.use.restore()
         self.use.write(ledger)
 
+    def start_permits(self, at_once: int, uniform: Uniform, go: Callable[[], None]) -> StartPermits:
+        """Have this fleet start so many members at a time."""
+        from flintshift.lifecycle.start_permits import StartPermits
+        permits = self.permits = StartPermits(
+            self.name, self.identity, tuple(self.placement.halls), at_once, uniform, self._lives, self.reached,
+            lambda member, word: self.links[member].send(word, self._now(), False), self.front.send, go, self.counters,
+            self.log)
+        return permits
+
     def _bounds(self) -> HolderBounds:
         return HolderBounds(self.options.keys, self.options.bytes, self._window_ms())
 
@@ -416,6 +429,9 @@
                     self.front.send(identity, told)
                 case who.Accused():
                     self._members(word)
+                case PermitAsk():
+                    if self.permits is not None:
+                        self.permits.asked(identity, word)
                 case _ if self.use is not None:
                     self.use.asked(identity, word)
 
@@ -488,6 +504,8 @@
                     self._fill(member, word)
                 case logs.At() if self.use is not None:
                     self.use.answered(member, word)
+                case Permit() if self.permits is not None:
+                    self.permits.answered(member, word)
                 case who.Accused():
                     self._members(word)
 
@@ -623,6 +641,8 @@
         self._members(who.Tick())
         if self.use is not None:
             self.use.tick()
+        if self.permits is not None:
+            self.permits.tick()
         if self.folder is None:
             return
         if self.sick_ms is not None:
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -36,6 +36,7 @@
     from flintshift.lifecycle.books import Books
     from flintshift.lifecycle.copying import Copying
     from flintshift.lifecycle.fair_door import FairDoor
+    from flintshift.lifecycle.start_permits import StartPermits
     from flintshift.lifecycle.starting import Starting
     from flintshift.lifecycle.upgrade import Upgrade
     from flintshift.startup.waits import Uniform
@@ -116,6 +117,7 @@
         self.listing = Listing(lists, limits, config.settings.servers, draw.uniform)
         self.bound = False  # its addresses listen
         self.starting: Starting | None = None
+        self.permits: StartPermits | None = None
         if config.operators.startup is not None:
             self._watch_start(config.operators.startup, draw.uniform)
         self.door: ControlFront | None = None
@@ -175,10 +177,14 @@
         from flintshift.lifecycle.starting import Starting
         from flintshift.startup.phases import Seen
         settings = self.config.settings
+        if options.at_once is not None and self.copying is not None:
+            self.permits = self.copying.start_permits(options.at_once, uniform, self.tell_lists)
+        permits = self.permits
         starting = self.starting = Starting(
             options, settings.cold_ms if settings.cold else 0.0,
-            lambda: Seen(self.bound, self.decisions.posture.up, self.listing.taken > 0), uniform, self.counters,
-            self.log)
+            lambda: Seen(self.bound, self.decisions.posture.up, self.listing.taken > 0,
+                         permits is None or permits.starter.went),
+            permits.done if permits is not None else lambda: None, uniform, self.counters, self.log)
         self.actors.append(starting.run)
         if options.socket is not None:
             from flintshift.lifecycle.status_socket import StatusSocket
@@ -325,6 +331,9 @@
         posture = self.decisions.posture
         if self.upgrade is not None and not self.upgrade.phases.takes_clients:
             return  # the other process tells
+        if self.permits is not None and posture.up and not posture.leaving and (
+                self.upgrade is None or self.upgrade.phases.alone) and not self.permits.may_go():
+            return  # told again once it may
         if posture.up or posture.leaving:
             self.listing.say(not (posture.leaving or posture.out), last=posture.leaving)
 
--- /dev/null
+++ b/flintshift/lifecycle/start_permits.py
@@ -0,0 +1,67 @@
+"""Start permits at the node's side: the hearts of `startup/permits.py`, the members' links and the log. Imported only
+where `startup.at-once`, peers and copies are on.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from flintshift.core.counters import Counters
+from flintshift.core.ports import Log
+from flintshift.startup.permits import Action, AskPermit, Go, Granter, Permit, PermitAsk, Starter
+from flintshift.startup.waits import Uniform
+
+
+class StartPermits:
+    """This process wants one, and grants them to others. ``send`` speaks to a member, ``answer`` to a process that
+    asked, ``go`` is called once the start may go on."""
+
+    def __init__(self, name: str, identity: str, members: tuple[str, ...], at_once: int, uniform: Uniform,
+                 lives: Callable[[str], bool], reached: set[str], send: Callable[[str, PermitAsk], None],
+                 answer: Callable[[str, Permit], None], go: Callable[[], None], counters: Counters, log: Log) -> None:
+        self.name, self.identity, self.reached = name, identity, reached
+        self.send, self.answer, self.go, self.counters, self.log = send, answer, go, counters, log
+        self.starter = Starter(name, members, uniform)
+        self.granter = Granter(at_once, lives)
+
+    @staticmethod
+    def _now() -> float:
+        return time.monotonic() * 1000
+
+    def may_go(self) -> bool:
+        """Ask, if it has not been asked."""
+        self._act(self.starter.want(self._now(), self.reached))
+        return self.starter.went
+
+    def tick(self) -> None:
+        self._act(self.starter.tick(self._now(), self.reached))
+
+    def done(self) -> None:
+        self._act(self.starter.done())
+
+    def asked(self, identity: str, word: PermitAsk) -> None:
+        told = self.granter.asked(self._now(), identity, word)
+        if told is not None:
+            self.counters.add("startup.permits_granted" if told.granted else "startup.permits_refused")
+            self.answer(identity, told)
+
+    def answered(self, member: str, permit: Permit) -> None:
+        self._act(self.starter.told(self._now(), member, permit))
+
+    def _act(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case AskPermit(to, word) if to == self.name:
+                    told = self.granter.asked(self._now(), self.identity, word)
+                    if told is not None:
+                        self.answered(self.name, told)
+                case AskPermit(to, word):
+                    self.send(to, word)
+                case Go(cause, after_ms):
+                    self.log("info", "startup.goes_on", cause=cause, after_ms=round(after_ms))
+                    self.go()
+
+    def shown(self) -> dict[str, Any]:
+        return {"held": sorted(self.granter.held), "waiting": sorted(self.granter.waiting)}
--- a/flintshift/lifecycle/starting.py
+++ b/flintshift/lifecycle/starting.py
@@ -25,11 +25,12 @@
 
 
 class Starting:
-    """``seen`` tells how the node stands."""
+    """``seen`` tells how the node stands; ``steady`` is called once the start is over."""
 
-    def __init__(self, options: StartupOptions, cold_ms: float, seen: Callable[[], Seen], uniform: Uniform,
-                 counters: Counters, log: Log, files: Files | None = None) -> None:
-        self.options, self.seen, self.uniform, self.counters, self.log = options, seen, uniform, counters, log
+    def __init__(self, options: StartupOptions, cold_ms: float, seen: Callable[[], Seen], steady: Callable[[], None],
+                 uniform: Uniform, counters: Counters, log: Log, files: Files | None = None) -> None:
+        self.options, self.seen, self.steady, self.uniform = options, seen, steady, uniform
+        self.counters, self.log = counters, log
         self.files = files or DiskFiles()
         self.phases = Phases(self._now(), cold_ms)
         self.entered: list[dict[str, Any]] = []
@@ -99,6 +100,7 @@
                                  waits_for=list(waits_for))
             await anyio.sleep(LOOK_S)
         self.well()
+        self.steady()
 
     def shown(self) -> dict[str, Any]:
         phases = self.phases
--- a/flintshift/settings/operators.py
+++ b/flintshift/settings/operators.py
@@ -171,6 +171,7 @@
     enabled: bool = False
     socket: Annotated[str, Field(min_length=1)] | None = None
     folder: Annotated[str, Field(min_length=1)] | None = None
+    at_once: Annotated[int, Field(ge=1, le=1000)] | None = None
 
 
 SYNC_MS = {"power-cut": 5.0, "process-death": 50.0, "none": 50.0}
@@ -256,6 +257,9 @@
         found.append(("peers.lease", "expected at least three times peers.beat: one lost beat must accuse nobody"))
     if copies.enabled and not peers.enabled:
         found.append(("copies.enabled", "expected peers.enabled too: copies are held by the members of peers"))
+    if told.startup.enabled and told.startup.at_once is not None and not (copies.enabled and peers.enabled):
+        found.append(("startup.at-once", "expected peers.enabled and copies.enabled too: members grant each other "
+                                         "permits over those links"))
     if copies.enabled and peers.enabled and copies.copies > len(peers.members):
         found.append(("copies.copies", f"expected at most the {len(peers.members)} members of peers"))
     return found
@@ -344,7 +348,8 @@
 def _startup(told: StartupPart, base: Path) -> StartupOptions | None:
     if not told.enabled:
         return None
-    return StartupOptions(base / told.socket if told.socket else None, base / told.folder if told.folder else None)
+    return StartupOptions(base / told.socket if told.socket else None, base / told.folder if told.folder else None,
+                          told.at_once)
 
 
 def _export(told: ExportPart | None, base: Path) -> ExportOptions | None:
--- a/flintshift/settings/options.py
+++ b/flintshift/settings/options.py
@@ -93,6 +93,7 @@
 
     socket: Path | None  # where `flintshift startup status` asks
     folder: Path | None  # on a disk that lasts: lives are remembered there, and a crash loop is slowed
+    at_once: int | None = None  # so many members of the fleet start at a time; None: all may
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/flintshift/startup/permits.py
@@ -0,0 +1,180 @@
+"""Start permits among members, without I/O: of a fleet that starts, a few at a time take callers, so that the services
+below meet a few cold nodes and not hundreds.
+
+A permit is a lease. Whoever wants one asks the member that is first in an order which all compute alike, of those in
+its reach; that one grants as many as the fleet allows at once, in the order in which they were asked for. A permit
+ends when its holder says so, when its process is known to be dead, or when its lease has passed without being asked
+for again. Two members that both take themselves for the first (behind a cut, or after one died) grant twice as many
+for a lease at most: permits are a pace, no promise, and nothing is unsafe without one.
+
+Nobody waits for ever: without a member in reach a node goes on after `alone_ms`, and after `patience_ms` in any case.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from flintshift.startup.waits import Uniform
+
+
+@dataclass(frozen=True, slots=True)
+class PermitPace:
+    """Milliseconds."""
+
+    lease_ms: float = 2000.0  # a permit that is not asked for again ends
+    again_ms: float = 250.0  # between two questions of one that waits, drawn within half of it
+    alone_ms: float = 1000.0  # without a member in reach: the most that a node alone is made slower
+    patience_ms: float = 20_000.0
+    most: int = 4096  # that wait or hold, at one granter
+
+
+# Between members.
+
+
+@dataclass(frozen=True, slots=True)
+class PermitAsk:
+    """``number`` rises with each question of a process, so that an answer to an earlier one is known as such."""
+
+    number: int
+    holds: bool = False  # it has one and goes on with it, whoever granted it
+    done: bool = False  # it needs none any more
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    number: int  # of the question
+    granted: bool
+    lease_ms: float = 0.0
+
+
+# Whoever wants one.
+
+
+@dataclass(frozen=True, slots=True)
+class AskPermit:
+    to: str  # a member
+    word: PermitAsk
+
+
+@dataclass(frozen=True, slots=True)
+class Go:
+    """The start goes on."""
+
+    cause: str
+    after_ms: float
+
+
+Action = AskPermit | Go
+
+
+def order(members: Iterable[str]) -> list[str]:
+    """Who is asked first; the same at all members, whatever the order of their lists."""
+    return sorted(members, key=lambda name: hashlib.blake2b(f"start {name}".encode(), digest_size=8).digest())
+
+
+@dataclass(slots=True)
+class Starter:
+    """``members``: all of the fleet, this one too. It asks itself as it asks the others."""
+
+    me: str
+    members: tuple[str, ...]
+    uniform: Uniform
+    pace: PermitPace = field(default_factory=PermitPace)
+    wanted_ms: float | None = None
+    went: bool = False
+    ended: bool = False
+    number: int = 0
+    asked_ms: float = -math.inf
+    next_ms: float = 0.0
+    lease_until_ms: float = -math.inf
+    granter: str = ""
+
+    def want(self, now_ms: float, reached: set[str]) -> list[Action]:
+        if self.wanted_ms is None:
+            self.wanted_ms = self.next_ms = now_ms
+        return self.tick(now_ms, reached)
+
+    def tick(self, now_ms: float, reached: set[str]) -> list[Action]:
+        """``reached``: the other members that this one has a link to."""
+        if self.wanted_ms is None or self.ended:
+            return []
+        waited = now_ms - self.wanted_ms
+        others = reached - {self.me}
+        if not self.went and not others and len(self.members) > 1:
+            return self._go(now_ms, "no member is in reach") if waited >= self.pace.alone_ms else []
+        if not self.went and waited >= self.pace.patience_ms:
+            return self._go(now_ms, "no permit came in time")
+        if now_ms < self.next_ms:
+            return []
+        self.next_ms = now_ms + (self.pace.lease_ms / 3 if self.went else self.pace.again_ms * self.uniform(0.5, 1.5))
+        self.number += 1
+        self.granter = next(name for name in order(self.members) if name in others or name == self.me)
+        return [AskPermit(self.granter, PermitAsk(self.number, holds=self.went))]
+
+    def told(self, now_ms: float, by: str, permit: Permit) -> list[Action]:
+        """An answer to an earlier question, or of a member that is no longer the first in reach, says nothing."""
+        if permit.number != self.number or by != self.granter or not permit.granted or self.ended:
+            return []
+        self.lease_until_ms = now_ms + permit.lease_ms
+        return [] if self.went else self._go(now_ms, f"{by} has granted a permit")
+
+    def _go(self, now_ms: float, cause: str) -> list[Action]:
+        assert self.wanted_ms is not None
+        self.went, self.next_ms = True, now_ms + self.pace.lease_ms / 3
+        return [Go(cause, now_ms - self.wanted_ms)]
+
+    def done(self) -> list[Action]:
+        """The start is over."""
+        if self.ended or self.wanted_ms is None:
+            return []
+        self.ended = True
+        self.number += 1
+        return [AskPermit(self.granter, PermitAsk(self.number, done=True))] if self.granter else []
+
+
+@dataclass(slots=True)
+class Wish:
+    since_ms: float
+    asked_ms: float
+
+
+class Granter:
+    """``at_once``: permits of the fleet. ``lives`` tells whether a process does."""
+
+    def __init__(self, at_once: int, lives: Callable[[str], bool], pace: PermitPace | None = None) -> None:
+        self.at_once, self.lives, self.pace = at_once, lives, pace or PermitPace()
+        self.held: dict[str, float] = {}  # by process: until when
+        self.waiting: dict[str, Wish] = {}
+
+    def asked(self, now_ms: float, by: str, word: PermitAsk) -> Permit | None:
+        """None: there is nothing to answer."""
+        self._lapse(now_ms)
+        if word.done:
+            self.held.pop(by, None)
+            self.waiting.pop(by, None)
+            return None
+        if by in self.held or word.holds or self._turn(by) < self.at_once - len(self.held):
+            if by in self.held or len(self.held) < self.pace.most:
+                self.held[by] = now_ms + self.pace.lease_ms
+            self.waiting.pop(by, None)
+            return Permit(word.number, True, self.pace.lease_ms)
+        if by in self.waiting:
+            self.waiting[by].asked_ms = now_ms
+        elif len(self.waiting) < self.pace.most:
+            self.waiting[by] = Wish(now_ms, now_ms)
+        return Permit(word.number, False)
+
+    def _turn(self, by: str) -> int:
+        """How many wait since before this one."""
+        known = self.waiting.get(by)
+        return sum(one.since_ms < known.since_ms for one in self.waiting.values()) if known else len(self.waiting)
+
+    def _lapse(self, now_ms: float) -> None:
+        for by in [by for by, until in self.held.items() if until <= now_ms or not self.lives(by)]:
+            del self.held[by]
+        gone_ms = now_ms - 4 * self.pace.again_ms  # it asks a nearer one, or is dead
+        for by in [by for by, one in self.waiting.items() if one.asked_ms < gone_ms or not self.lives(by)]:
+            del self.waiting[by]
--- a/flintshift/startup/phases.py
+++ b/flintshift/startup/phases.py
@@ -2,7 +2,7 @@
 
     ALONE ---- its addresses listen --------------------> BOUND
     BOUND ---- the worker pool is linked ---------------> RESTORED
-    RESTORED - a list service has taken a report ---------> LISTED
+    RESTORED - a start permit, and a report was taken -----> LISTED
     LISTED --- the node is cold, as its settings tell ----> RAMPING - that time has passed -> STEADY
     LISTED --- it is not -------------------------------------------------------------------> STEADY
 
@@ -52,6 +52,7 @@
     bound: bool
     pool: bool
     reported: bool
+    permitted: bool = True  # the other members let it take callers
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +118,8 @@
             case Phase.BOUND:
                 return () if seen.pool else ("the worker pool",)
             case Phase.RESTORED:
+                if not seen.permitted:
+                    return ("a start permit",)
                 return () if seen.reported else ("a list service that takes a report",)
             case Phase.RAMPING:
                 return () if now_ms - self.since_ms >= self.cold_ms else ("the time in which it is cold",)
--- a/flintshift/wire/peer_words.py
+++ b/flintshift/wire/peer_words.py
@@ -12,6 +12,7 @@
 from flintshift.interface import Outcome
 from flintshift.peers.members import Accuse, Accused
 from flintshift.proto import peers_pb2 as pb
+from flintshift.startup.permits import Permit, PermitAsk
 from flintshift.wire.link import JunkError
 
 OUTCOMES = (Outcome.OK, Outcome.REJECTED, Outcome.ERROR, Outcome.STOPPED, Outcome.TIMED_OUT, Outcome.UNREACHABLE,
@@ -19,8 +20,8 @@
 NUMBERS = {outcome: number for number, outcome in enumerate(OUTCOMES, 1)}
 PEER_FRAME_MOST = 4 << 20  # bytes; a longer one is junk
 
-Word = Ask | Vote | Ended | FillAsk | Page | Accuse | logs.LogWord
-Told = Ask | Vote | Ended | FillAsk | Page | Accused | logs.LogWord
+Word = Ask | Vote | Ended | FillAsk | Page | Accuse | logs.LogWord | PermitAsk | Permit
+Told = Ask | Vote | Ended | FillAsk | Page | Accused | logs.LogWord | PermitAsk | Permit
 
 
 class WordsError(JunkError, ValueError):
@@ -105,6 +106,10 @@
                 at = batch.log_places.add(word=word.word, epoch=word.epoch, part=word.part)
                 _log(at.log, word.log)
                 _place(at.last, word.last)
+            case PermitAsk(number, holds, done):
+                batch.permit_asks.add(number=number, holds=holds, done=done)
+            case Permit(number, granted, lease_ms):
+                batch.permits.add(number=number, granted=granted, lease_ms=lease_ms)
             case _:
                 _log_word(batch.logs.add(), word)
     return batch
@@ -192,6 +197,8 @@
             *(word for one in batch.logs for word in _log_words_of(one)),
             *(logs.At((one.log.member, one.log.life), logs.Word(one.word), one.epoch, _place_of(one.last), one.part)
               for one in batch.log_places),
+            *(PermitAsk(one.number, one.holds, one.done) for one in batch.permit_asks),
+            *(Permit(one.number, one.granted, one.lease_ms) for one in batch.permits),
         ]
     except (ValueError, IndexError) as error:
         raise WordsError(f"a word that can't be: {error}") from error
--- /dev/null
+++ b/tests/startup/test_permits.py
@@ -0,0 +1,149 @@
+"""Start permits: the hearts of a fleet on one clock, with members that die, sleep and are cut off."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from flintshift.startup.permits import AskPermit, Go, Granter, Permit, PermitAsk, PermitPace, Starter, order
+
+PACE = PermitPace()
+RAMP_MS = 800.0  # of a start, once it goes on
+
+
+class Fleet:
+    """Members that all start at once. ``deaf``: pairs between which nothing passes; ``down``: who is dead."""
+
+    def __init__(self, count: int, at_once: int, seed: int = 1) -> None:
+        self.names = tuple(f"n{number}" for number in range(count))
+        self.now, self.deaf, self.down, self.asleep = 0.0, set(), set(), set()
+        self.draw = random.Random(seed)
+        self.starters = {name: Starter(name, self.names, self.draw.uniform) for name in self.names}
+        self.granters = {name: Granter(at_once, self.lives) for name in self.names}
+        self.went: dict[str, tuple[float, str]] = {}
+        self.steady: set[str] = set()
+        self.most = 0  # that were under way at once
+
+    def lives(self, identity: str) -> bool:
+        return identity not in self.down
+
+    def reach(self, name: str) -> set[str]:
+        return {other for other in self.names if other not in self.down | self.asleep
+                and (name, other) not in self.deaf and (other, name) not in self.deaf}
+
+    def step(self, by_ms: float = 20.0) -> None:
+        self.now += by_ms
+        for name, starter in self.starters.items():
+            if name in self.down or name in self.asleep:
+                continue
+            self.act(name, starter.want(self.now, self.reach(name)))
+            if name in self.went and name not in self.steady and self.now - self.went[name][0] >= RAMP_MS:
+                self.steady.add(name)
+                self.act(name, starter.done())
+        self.most = max(self.most, len(self.went.keys() - self.steady - self.down))
+
+    def act(self, name: str, actions: list) -> None:
+        for action in actions:
+            match action:
+                case Go(cause):
+                    self.went[name] = self.now, cause
+                case AskPermit(to, word) if to in self.reach(name) | {name} and to not in self.asleep:
+                    told = self.granters[to].asked(self.now, name, word)
+                    if told is not None:
+                        self.act(name, self.starters[name].told(self.now, to, told))
+
+    def until(self, ms: float) -> None:
+        while self.now < ms:
+            self.step()
+
+
+def test_a_few_start_at_a_time_and_all_do():
+    fleet = Fleet(40, at_once=5)
+    fleet.until(15_000.0)
+    assert len(fleet.steady) == 40 and fleet.most == 5
+    assert fleet.now >= max(at for at, _ in fleet.went.values()) >= 40 / 5 * RAMP_MS - RAMP_MS
+
+
+def test_a_holder_that_dies_frees_its_permit():
+    fleet = Fleet(6, at_once=1)
+    fleet.until(100.0)
+    first, = fleet.went
+    fleet.down.add(first)
+    fleet.until(600.0)
+    assert len(fleet.went) == 2
+
+
+def test_a_holder_that_is_paused_past_its_lease_loses_the_permit_and_goes_on_when_it_wakes():
+    fleet = Fleet(6, at_once=1)
+    fleet.until(100.0)
+    first, = fleet.went
+    fleet.asleep.add(first)
+    fleet.until(PACE.lease_ms + 600.0)
+    assert len(fleet.went) >= 2
+    fleet.until(10_000.0)
+    fleet.asleep.discard(first)
+    fleet.until(30_000.0)
+    assert fleet.steady == set(fleet.names)
+
+
+def test_the_granter_dies_and_the_next_in_the_order_goes_on():
+    fleet = Fleet(12, at_once=2)
+    fleet.until(1500.0)
+    before = len(fleet.went)
+    fleet.down.add(order(fleet.names)[0])
+    fleet.until(12_000.0)
+    assert before < 11 and fleet.went.keys() | fleet.down == set(fleet.names)
+    assert fleet.most <= 4  # twice as many for a lease at the most
+
+
+def test_a_cut_makes_two_granters_and_at_most_twice_as_many():
+    fleet = Fleet(20, at_once=2)
+    half = fleet.names[::2]
+    fleet.deaf = {(one, other) for one in half for other in fleet.names if other not in half}
+    fleet.until(15_000.0)
+    assert len(fleet.steady) == 20 and fleet.most == 4
+
+
+def test_a_node_without_a_member_in_reach_goes_after_a_second_and_a_fleet_of_one_at_once():
+    fleet = Fleet(5, at_once=2)
+    fleet.down = set(fleet.names[1:])
+    fleet.until(PACE.alone_ms + 40.0)
+    assert fleet.went["n0"][1] == "no member is in reach" and fleet.went["n0"][0] <= PACE.alone_ms + 20.0
+    alone = Fleet(1, at_once=1)
+    alone.step()
+    assert alone.went["n0"][1] == "n0 has granted a permit"
+
+
+def test_nobody_waits_for_ever_for_a_granter_that_only_says_no():
+    starter = Starter("n1", ("n1", "n2"), random.Random(1).uniform)
+    now, went = 0.0, []
+    while not went and now < 60_000.0:
+        for action in starter.want(now, {"n2"}):
+            if isinstance(action, AskPermit):
+                starter.told(now, action.to, Permit(action.word.number, False))
+            else:
+                went.append(now)
+        now += 20.0
+    assert went and went[0] <= PACE.patience_ms + 20.0
+
+
+@pytest.mark.parametrize("permit", [Permit(0, True, 2000.0), Permit(2, True, 2000.0), Permit(1, False)])
+def test_an_answer_to_another_question_or_a_no_lets_nobody_go(permit):
+    starter = Starter("n1", ("n1", "n2"), random.Random(1).uniform)
+    asked = starter.want(0.0, {"n2"})
+    assert isinstance(asked[0], AskPermit)
+    assert starter.told(1.0, asked[0].to, permit) == [] and not starter.went
+    assert starter.told(1.0, "n9", Permit(1, True, 2000.0)) == []  # nor one of a member that was not asked
+
+
+def test_who_waits_longest_goes_first_and_tables_are_bounded():
+    granter = Granter(1, lambda identity: True, PermitPace(most=50))
+    assert granter.asked(0.0, "a", PermitAsk(1)).granted
+    assert not granter.asked(1.0, "b", PermitAsk(1)).granted and not granter.asked(2.0, "c", PermitAsk(1)).granted
+    granter.asked(3.0, "a", PermitAsk(2, done=True))
+    assert not granter.asked(4.0, "c", PermitAsk(2)).granted and granter.asked(5.0, "b", PermitAsk(2)).granted
+    for number in range(500):
+        granter.asked(6.0, f"p{number}", PermitAsk(1))
+        granter.asked(6.0, f"q{number}", PermitAsk(1, holds=True))
+    assert len(granter.waiting) <= 50 and len(granter.held) <= 50
