--- a/tests/copies/test_agreement.py
+++ b/tests/copies/test_agreement.py
@@ -317,7 +317,8 @@
 
 
 def test_an_outcome_that_no_holder_answers_is_given_up_at_its_time_and_not_at_the_next_question():
-    proposals = Proposals("n1#1", Placement({"n1": "a", "n2": "b", "n3": "c"}, 3), lambda runner: True, random.Random(1))
+    placement = Placement({"n1": "a", "n2": "b", "n3": "c"}, 3)
+    proposals = Proposals("n1#1", placement, lambda runner: True, random.Random(1))
     for name in ("n1", "n2", "n3"):
         proposals.handle(0.0, Reach(name, True, 1))
     proposals.handle(0.0, Finish(KEYS[0], "r1", b"p", 30_000.0, 100.0, Outcome.OK, b""))
