Count a copied key by what it takes of memory, and record what copies and a cold start cost

Cause: measured for the first time, a copied key takes 922 bytes of a holder's memory; the bound on bytes counted 264 (OVERHEAD 200 beside the result), so `copies.memory: 256MiB` would have let a holder grow to 0.9 GiB.

Change: OVERHEAD is 860, by benchmarks/copies_model.py; pages of a refill keep their size by a figure of their own.

--- a/flintshift/copies/refill.py
+++ b/flintshift/copies/refill.py
@@ -11,10 +11,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from flintshift.copies.registers import OVERHEAD, PAGE_BYTES, Entry, Registers
+from flintshift.copies.registers import PAGE_BYTES, Entry, Registers
 from flintshift.copies.vocabulary import Key
 
 AGAIN_MS = 500.0  # a question that was not answered is asked again
+ENTRY_BYTES = 200  # of a register in a page, beside its result
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +54,7 @@
             break
         for entry in registers.entries_of(now_ms, key, member):
             entries.append(entry)
-            size += OVERHEAD + (len(entry.value.result) if entry.value is not None else 0)
+            size += ENTRY_BYTES + (len(entry.value.result) if entry.value is not None else 0)
     after = entries[-1].key if entries else ask.after
     counts = registers.full_vote or now_ms >= registers.voting_from_ms
     return Page(tuple(entries), after, done, counts, ask.store)
--- a/flintshift/copies/registers.py
+++ b/flintshift/copies/registers.py
@@ -21,7 +21,7 @@
 from flintshift.core.keys import Stage
 
 PAGE_BYTES = 64_000  # of what a store that is filled is told at once
-OVERHEAD = 200  # bytes of a register beside its result
+OVERHEAD = 860  # bytes of a register beside its result, as a process grows by them (benchmarks/copies_model.py)
 
 
 @dataclass(slots=True)
