Heed a notice to leave while a crash loop is waited out, and junk in its file

Starting.wait stood before the node's signal receiver, so SIGTERM ended a node that stayed away with a signal and not with 0, and left that life on record as one that ended badly. CrashLoop.unpacked let a deeply nested or a huge number in lives.json end the start (RecursionError, OverflowError), though no such file must.

Change: the wait runs beside the node's signals; told to leave, it closes the ledger, marks the life and returns. Both errors read as no lives. startup.not_kept says what is lost by it.

--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -192,10 +192,10 @@
                                             self.limits, self.counters, self.warn).run)
 
     async def run(self) -> None:
-        if self.starting is not None:
-            await self.starting.wait()
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
         with anyio.open_signal_receiver(*told) as signals:
+            if self.starting is not None and await self._left_before(self.starting, signals):
+                return
             listeners: list[Listener[SocketStream] | Acceptor] = await self._listeners()
             doors = [listening(self.config.control, self.limits.backlog)] if self.config.control is not None else []
             async with anyio.create_task_group() as tasks:
@@ -231,6 +231,26 @@
             # Nothing is left to move: a word of a new configuration must not end the process at its exit.
             signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
+    async def _left_before(self, starting: Starting, signals: AsyncIterator[signal.Signals]) -> bool:
+        """Stay away for as long as a crash loop asks for; True where the node was told to leave meanwhile."""
+        async with anyio.create_task_group() as tasks:
+            async def until_told() -> None:
+                await self._heed(signals, self.leave)
+
+            async def until_left() -> None:
+                await self.leave.wait()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(until_told)
+            tasks.start_soon(until_left)
+            await starting.wait()
+            tasks.cancel_scope.cancel()
+        if self.leave.is_set():
+            if self.ledger is not None:
+                await self.ledger.close()
+            starting.well()
+        return self.leave.is_set()
+
     async def _heed(self, signals: AsyncIterator[signal.Signals], leave: anyio.Event) -> None:
         async for number in signals:  # in a drain too: the addresses may move under it
             match number:
--- a/flintshift/lifecycle/starting.py
+++ b/flintshift/lifecycle/starting.py
@@ -83,7 +83,8 @@
     def _not_kept(self, error: OSError) -> None:
         """A start must not fail for it."""
         self.counters.add("startup.not_kept")
-        self.log("warning", "startup.not_kept", folder=str(self.options.folder), cause=str(error))
+        self.log("warning", "startup.not_kept", folder=str(self.options.folder), cause=str(error),
+                 then="a crash loop is not slowed until this folder can be read and written")
 
     async def run(self) -> None:
         while self.phases.phase is not Phase.STEADY:
--- a/flintshift/startup/crash_loops.py
+++ b/flintshift/startup/crash_loops.py
@@ -70,6 +70,6 @@
         """What is no such file tells of no lives: it must not keep a node from its start."""
         try:
             told = [Life(float(one["began_ms"]), bool(one["well"])) for one in json.loads(data)]
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
             told = []
         return CrashLoop(told, pace)
--- a/tests/startup/test_starts.py
+++ b/tests/startup/test_starts.py
@@ -77,7 +77,9 @@
     assert loop.failures(-3_600_000.0) == 6
 
 
-@given(st.binary() | st.text().map(str.encode) | st.just(b'[{"began_ms": "x", "well": 1}]') | st.just(b"[1]"))
+@given(st.binary() | st.text().map(str.encode) | st.sampled_from([
+    b'[{"began_ms": "x", "well": 1}]', b"[1]", b"[" * 100_000, b'[{"began_ms": 1' + b"0" * 400 + b', "well": 0}]',
+    b'[{"began_ms": null, "well": 0}]', b"7", b"null"]))
 def test_junk_in_the_file_keeps_no_node_from_its_start(data):
     assert CrashLoop.unpacked(data).wait_ms(0.0, lambda low, high: high) == 0.0
 
@@ -117,8 +119,19 @@
                     await asyncio.sleep(0.05)
             await rig.kill()
             (tmp_path / "up.sock").unlink()
+        rig.process = await rig._spawn(rig.command())  # a notice to leave while it stays away
+        lives = tmp_path / "startup" / "lives.json"
+        async with asyncio.timeout(10):
+            while len(json.loads(lives.read_text())) < 5:
+                await asyncio.sleep(0.01)
+        assert await rig.leave() == 0 and not (tmp_path / "up.sock").exists()
         rig.pool.port = 0
         await rig.pool.start()
+        await rig.start()
+        assert (await status(0))["crash_loop_wait_ms"] == 0
+        await rig.kill()
+        (tmp_path / "up.sock").unlink()
+        lives.write_text(json.dumps(json.loads(lives.read_text())[:4]))  # as if it had not been told to leave
         began = asyncio.get_running_loop().time()
         await rig.start()
         assert asyncio.get_running_loop().time() - began > 1.0
