Pass over members that do not answer a question for a start permit

A member in reach that hangs, is of a release without permits, or whose file names none let the word fall (copying._asked), so each start that asked it waited out the whole patience of 20 s. Starter kept two fields that nothing read (asked_ms, lease_until_ms), and a permit told a lease that its holder did not use.

Change: who does not answer for 1 s is passed over, and after two nobody is asked; a member without permits grants each. The fields and the lease in the word are gone.

The new tests fail without the change.

--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -429,9 +429,10 @@
                     self.front.send(identity, told)
                 case who.Accused():
                     self._members(word)
-                case PermitAsk():
-                    if self.permits is not None:
-                        self.permits.asked(identity, word)
+                case PermitAsk() if self.permits is not None:
+                    self.permits.asked(identity, word)
+                case PermitAsk():  # this member's file names no startup.at-once: it holds nobody up
+                    self.front.send(identity, Permit(word.number, True))
                 case _ if self.use is not None:
                     self.use.asked(identity, word)
 
--- a/flintshift/startup/permits.py
+++ b/flintshift/startup/permits.py
@@ -8,12 +8,13 @@
 for a lease at most: permits are a pace, no promise, and nothing is unsafe without one.
 
 Nobody waits for ever: without a member in reach a node goes on after `alone_ms`, and after `patience_ms` in any case.
+A member that is in reach and does not answer for `alone_ms` (it hangs, or is of a release that knows no permits) is
+passed over; after two of them the start goes on.
 """
 
 from __future__ import annotations
 
 import hashlib
-import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -31,6 +32,9 @@
     most: int = 4096  # that wait or hold, at one granter
 
 
+MUTE_MOST = 2  # members that do not answer, before nobody is asked any more
+
+
 # Between members.
 
 
@@ -47,7 +51,6 @@
 class Permit:
     number: int  # of the question
     granted: bool
-    lease_ms: float = 0.0
 
 
 # Whoever wants one.
@@ -87,10 +90,10 @@
     went: bool = False
     ended: bool = False
     number: int = 0
-    asked_ms: float = -math.inf
     next_ms: float = 0.0
-    lease_until_ms: float = -math.inf
     granter: str = ""
+    answered_ms: float = 0.0  # the granter, or when it was first asked
+    mute: set[str] = field(default_factory=set)  # members in reach that did not answer
 
     def want(self, now_ms: float, reached: set[str]) -> list[Action]:
         if self.wanted_ms is None:
@@ -109,17 +112,24 @@
             return self._go(now_ms, "no permit came in time")
         if now_ms < self.next_ms:
             return []
+        if not self.went and self.granter and now_ms - self.answered_ms >= self.pace.alone_ms:
+            self.mute.add(self.granter)
+            if len(self.mute) >= MUTE_MOST:
+                return self._go(now_ms, f"{' and '.join(sorted(self.mute))} do not answer")
         self.next_ms = now_ms + (self.pace.lease_ms / 3 if self.went else self.pace.again_ms * self.uniform(0.5, 1.5))
         self.number += 1
-        self.granter = next(name for name in order(self.members) if name in others or name == self.me)
+        first = next(name for name in order(self.members) if name == self.me or name in others - self.mute)
+        if first != self.granter:
+            self.granter, self.answered_ms = first, now_ms
         return [AskPermit(self.granter, PermitAsk(self.number, holds=self.went))]
 
     def told(self, now_ms: float, by: str, permit: Permit) -> list[Action]:
-        """An answer to an earlier question, or of a member that is no longer the first in reach, says nothing."""
-        if permit.number != self.number or by != self.granter or not permit.granted or self.ended:
+        """An answer to an earlier question, or of a member that is no longer the first in reach, grants nothing."""
+        if by == self.granter:
+            self.answered_ms = now_ms
+        if permit.number != self.number or by != self.granter or not permit.granted or self.went or self.ended:
             return []
-        self.lease_until_ms = now_ms + permit.lease_ms
-        return [] if self.went else self._go(now_ms, f"{by} has granted a permit")
+        return self._go(now_ms, f"{by} has granted a permit")
 
     def _go(self, now_ms: float, cause: str) -> list[Action]:
         assert self.wanted_ms is not None
@@ -160,7 +170,7 @@
             if by in self.held or len(self.held) < self.pace.most:
                 self.held[by] = now_ms + self.pace.lease_ms
             self.waiting.pop(by, None)
-            return Permit(word.number, True, self.pace.lease_ms)
+            return Permit(word.number, True)
         if by in self.waiting:
             self.waiting[by].asked_ms = now_ms
         elif len(self.waiting) < self.pace.most:
--- a/flintshift/wire/peer_words.py
+++ b/flintshift/wire/peer_words.py
@@ -108,8 +108,8 @@
                 _place(at.last, word.last)
             case PermitAsk(number, holds, done):
                 batch.permit_asks.add(number=number, holds=holds, done=done)
-            case Permit(number, granted, lease_ms):
-                batch.permits.add(number=number, granted=granted, lease_ms=lease_ms)
+            case Permit(number, granted):
+                batch.permits.add(number=number, granted=granted)
             case _:
                 _log_word(batch.logs.add(), word)
     return batch
@@ -198,7 +198,7 @@
             *(logs.At((one.log.member, one.log.life), logs.Word(one.word), one.epoch, _place_of(one.last), one.part)
               for one in batch.log_places),
             *(PermitAsk(one.number, one.holds, one.done) for one in batch.permit_asks),
-            *(Permit(one.number, one.granted, one.lease_ms) for one in batch.permits),
+            *(Permit(one.number, one.granted) for one in batch.permits),
         ]
     except (ValueError, IndexError) as error:
         raise WordsError(f"a word that can't be: {error}") from error
--- a/tests/copies/test_member_words.py
+++ b/tests/copies/test_member_words.py
@@ -23,7 +23,7 @@
     Ask(2, "n1#1", Step.ACCEPT, ("c", "k"), (7, "n1#1"), (0, 2**63, 3), VALUE),
     Vote(3, Verdict.OK, (0, "n2#9"), (0, "n2#9"), VALUE, (1, 2, 3)),
     Vote(4, Verdict.STALE, NO_BALLOT, NO_BALLOT, None, (1,)),
-    PermitAsk(7, True), PermitAsk(8, done=True), Permit(7, True, 2000.0), Permit(8, False),
+    PermitAsk(7, True), PermitAsk(8, done=True), Permit(7, True), Permit(8, False),
     Ended(("c", "k")), FillAsk(5, None), FillAsk(5, ("c", "k")),
     Page((entry(1),), ("submit-time", "k1"), True, False, 9),
     *(Vote(6, Verdict.OK, (1, "x"), (1, "x"), Value(Stage.FINISHED, "r", "x", b"", 1.0, outcome, b"z"), ())
--- a/tests/startup/test_permits.py
+++ b/tests/startup/test_permits.py
@@ -128,13 +128,13 @@
     assert went and went[0] <= PACE.patience_ms + 20.0
 
 
-@pytest.mark.parametrize("permit", [Permit(0, True, 2000.0), Permit(2, True, 2000.0), Permit(1, False)])
+@pytest.mark.parametrize("permit", [Permit(0, True), Permit(2, True), Permit(1, False)])
 def test_an_answer_to_another_question_or_a_no_lets_nobody_go(permit):
     starter = Starter("n1", ("n1", "n2"), random.Random(1).uniform)
     asked = starter.want(0.0, {"n2"})
     assert isinstance(asked[0], AskPermit)
     assert starter.told(1.0, asked[0].to, permit) == [] and not starter.went
-    assert starter.told(1.0, "n9", Permit(1, True, 2000.0)) == []  # nor one of a member that was not asked
+    assert starter.told(1.0, "n9", Permit(1, True)) == []  # nor one of a member that was not asked
 
 
 def test_who_waits_longest_goes_first_and_tables_are_bounded():
@@ -147,3 +147,23 @@
         granter.asked(6.0, f"p{number}", PermitAsk(1))
         granter.asked(6.0, f"q{number}", PermitAsk(1, holds=True))
     assert len(granter.waiting) <= 50 and len(granter.held) <= 50
+
+
+def test_members_in_reach_that_do_not_answer_are_passed_over_and_two_of_them_hold_up_nobody():
+    names = tuple(f"n{number}" for number in range(6))
+    first, second, *_, last = order(names)
+    for mute, asked, most_ms in (({first}, second, PACE.alone_ms + 500.0),
+                                 ({first, second}, None, 2 * PACE.alone_ms + 900.0)):
+        starter, granter = Starter(last, names, random.Random(1).uniform), Granter(1, lambda identity: True)
+        now, went = 0.0, []
+        while not went and now < 60_000.0:
+            for action in starter.want(now, set(names) - {last}):
+                if isinstance(action, Go):
+                    went.append((now, action.cause))
+                elif action.to not in mute:
+                    went += [(now, one.cause) for one in starter.told(now, action.to,
+                                                                      granter.asked(now, last, action.word))]
+            now += 20.0
+        assert went[0][0] <= most_ms
+        assert went[0][1] == (f"{asked} has granted a permit" if asked else
+                              f"{' and '.join(sorted(mute))} do not answer")
--- a/tests/startup/test_storms.py
+++ b/tests/startup/test_storms.py
@@ -98,6 +98,13 @@
         await fleet.kill(name)
         await fleet.start(name)
         assert went(fleet, name) == [f"{first} has granted a permit"]
+        permits, fleet.more = fleet.more, ""  # the first member's file names no permits any more: it holds up nobody
+        await fleet.kill(first)
+        await fleet.start(first)
+        fleet.more = permits
+        await fleet.kill(name)
+        await fleet.start(name)
+        assert went(fleet, name) == [f"{first} has granted a permit"]
         await fleet.lose(first)
         await fleet.kill(name)
         await fleet.start(name)
