Have each start of the permits' test reach one granter, whose name it asserts

That member does not matter to the product: any grant is good.

Change: each start has links to the member alone that is to grant, the case without a granter has none; every assertion stays.

--- a/tests/startup/test_storms.py
+++ b/tests/startup/test_storms.py
@@ -93,29 +93,28 @@
                      more="startup: {enabled: true, at-once: 1}\n") as fleet:
         await fleet.until_linked()
         first, second, *others = order(fleet.members)
-        assert all(len(went(fleet, name)) == 1 for name in fleet.members)
         name = others[0]
-        await fleet.kill(name)
-        await fleet.start(name)
-        assert went(fleet, name) == [f"{first} has granted a permit"]
+        assert all(len(went(fleet, one)) == 1 for one in fleet.members)
+
+        async def starts_again(*reached):
+            """With links to these alone: which of all comes up first is chance."""
+            await fleet.kill(name)
+            fleet.cut([name], [one for one in fleet.members if one not in (name, *reached)])
+            began = now_ms()
+            await fleet.start(name)
+            assert now_ms() - began < 5000.0
+            fleet.heal()
+            return went(fleet, name)
+
+        assert await starts_again(first) == [f"{first} has granted a permit"]
         permits, fleet.more = fleet.more, ""  # the first member's file names no permits any more: it holds up nobody
         await fleet.kill(first)
         await fleet.start(first)
         fleet.more = permits
-        await fleet.kill(name)
-        fleet.cut([name], [one for one in fleet.members if one not in (name, first)])  # no other is asked
-        await fleet.start(name)
-        assert went(fleet, name) == [f"{first} has granted a permit"]
-        fleet.heal()
+        assert await starts_again(first) == [f"{first} has granted a permit"]
         await fleet.lose(first)
-        await fleet.kill(name)
-        await fleet.start(name)
-        assert went(fleet, name) == [f"{second} has granted a permit"]
-        await fleet.kill(name)
-        fleet.cut([name], [one for one in fleet.members if one != name])
-        began = now_ms()
-        await fleet.start(name)
-        assert went(fleet, name) == ["no member is in reach"] and now_ms() - began < 5000.0
+        assert await starts_again(second) == [f"{second} has granted a permit"]
+        assert await starts_again() == ["no member is in reach"]
 
 
 async def test_a_holder_of_the_permit_that_dies_before_it_is_on_the_list_holds_up_nobody(tmp_path):
