Ask a resolver that fails no more often while app servers are known

Cause: the draw of looks for app servers (dnssd.Browser.run) also shortened the wait after a failure where servers are known, from 5 s to 1.5 s and on; nobody needs that, and a resolver in trouble least.

Change: what is known stands and keeps the period; growing waits are for when nobody is known.

--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -69,11 +69,10 @@
         waits = Waits(self.limits.browse_again_ms, self.limits.browse_ms, self.uniform)
         while True:
             try:
-                self.found, answered = await self._browse(), True
+                self.found = await self._browse()
             except FAILED:
                 self.counters.add("dns.failed")
-                answered = False
-            if self.found and answered:
+            if self.found:  # what is known stands, so a resolver that fails is not asked more often for it
                 waits.reset()
                 wait_ms = self.limits.browse_ms * self.uniform(0.95, 1.05)
             else:
