--- a/flintshift/cli/lab.py
+++ b/flintshift/cli/lab.py
@@ -9,11 +9,13 @@
 
 import click
 
-FAULTS = {  # name: seconds of outage of the list service, and within which all nodes start
-    "outage": (8.0, 1.0),
-    "long-outage": (60.0, 1.0),
-    "together": (0.0, 0.0),
-    "none": (0.0, 1.0),
+# Name: seconds of outage of the list service, seconds within which all nodes start, and whether it collapses.
+FAULTS = {
+    "outage": (8.0, 1.0, False),
+    "long-outage": (60.0, 1.0, False),
+    "collapse": (0.0, 1.0, True),
+    "together": (0.0, 0.0, False),
+    "none": (0.0, 1.0, False),
 }
 
 
@@ -25,17 +27,21 @@
 @lab.command()
 @click.option("--nodes", type=click.IntRange(1, 100_000), default=300, show_default=True)
 @click.option("--fault", type=click.Choice(list(FAULTS)), default="outage", show_default=True,
-              help="outage, long-outage: the list service is away for 8 s, or 60 s, 10 s after the start. together: "
-              "all nodes start in one moment. none: they start within a second, and nothing more happens.")
+              help="outage, long-outage: the list service is away for 8 s, or 60 s, 10 s after the start. collapse: "
+              "it collapses then. together: all nodes start in one moment. none: they start within a second, and "
+              "nothing more happens.")
 @click.option("--capacity", type=click.FloatRange(0.1, 100.0), default=1.3, show_default=True,
               help="Of the list service, in times of what the fleet needs when all is well.")
+@click.option("--longest-wait", type=click.FloatRange(100.0, 600_000.0), metavar="MS",
+              help="Between two tries, in place of the 2800 of the nodes.")
 @click.option("--seed", type=int, default=1, show_default=True, help="The same seed plays the same.")
 @click.option("--seeds", type=click.IntRange(1, 1000), default=1, show_default=True, help="So many, from --seed on.")
 @click.option("--json", "as_json", is_flag=True, help="Print the result as JSON.")
 @click.option("--plot", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
               help="Draw calls a second over time into this file (PNG, SVG or PDF; needs matplotlib, the extra "
               "`flintshift[plot]`).")
-def coldstart(nodes: int, fault: str, capacity: float, seed: int, seeds: int, as_json: bool, plot: Path | None) -> None:
+def coldstart(nodes: int, fault: str, capacity: float, longest_wait: float | None, seed: int, seeds: int, as_json: bool,
+              plot: Path | None) -> None:
     """A cold start, and an outage of the list service, of many simulated nodes: what that service meets.
 
     It takes CAPACITY times the steady load; past that it is slow, past 1.2 times that it turns calls away, and a
@@ -50,12 +56,13 @@
       3  it collapsed, or not all nodes came back on the list
     """
     from flintshift.lab.cold_start import World, run
-    outage_s, start_s = FAULTS[fault]
+    outage_s, start_s, collapse = FAULTS[fault]
     told, worlds = [], list[tuple[str, World]]()
     with click.progressbar(range(seed, seed + seeds), label="plays", file=sys.stderr, hidden=as_json) as numbers:
         for number in numbers:
             for version, before in (("now", False), ("before", True)):
-                world = World(nodes, number, capacity, start_s * 1000, outage_s, before)
+                world = World(nodes, number, capacity, start_s * 1000, outage_s, before, collapse,
+                              None if before else longest_wait)
                 told.append({"version": version, "seed": number, **asdict(run(world))})
                 if number == seed:
                     worlds.append((version, world))
@@ -67,11 +74,11 @@
         click.echo(f"{nodes} nodes; all well, the list service meets {told[0]['steady_per_s']:.0f} calls a second. "
                    "Calls of the worst 100 ms, in times of that:")
         click.echo(f"{'version':<9}{'seed':>5}{'at the start':>14}{'at the return':>15}{'collapses':>11}"
-                   f"{'95% listed after':>18}")
+                   f"{'95% listed after':>18}{'load at the end':>17}")
         for one in told:
             listed = f"{one['listed_ms'] / 1000:.1f} s" if one["listed_ms"] is not None else "never"
             click.echo(f"{one['version']:<9}{one['seed']:>5}{one['peak_start']:>14.2f}{one['peak_back']:>15.2f}"
-                       f"{one['collapses']:>11}{listed:>18}")
+                       f"{one['collapses']:>11}{listed:>18}{one['load_at_end']:>17.2f}")
     now = [one for one in told if one["version"] == "now"]
     sys.exit(3 if any(one["collapses"] or one["listed_ms"] is None for one in now) else 0)
 
--- a/flintshift/lab/cold_start.py
+++ b/flintshift/lab/cold_start.py
@@ -7,7 +7,7 @@
 import heapq
 import itertools
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from flintshift.lab.capacity import SLOW_MS, Capacity, Verdict
 from flintshift.startup.reports import Answered, Event, Report, ReportPace, Reports, Said, Tick, Wake
@@ -27,6 +27,8 @@
     collapses: int
     listed_ms: float | None  # from the return until 95 in 100 nodes stand on the list again; None: they never did
     lapsed_before: int  # nodes whose entry lapsed while the service was well
+    load_in_outage: float  # in times of the steady rate: its last 4 s
+    load_at_end: float  # and the last 4 s of all
 
 
 @dataclass(slots=True)
@@ -40,8 +42,9 @@
 
 @dataclass
 class World:
-    """All start within ``start_ms``; the service is away for so long, `QUIET_MS` later. ``before`` True: each node
-    reports as the version that drew nothing did, at once, in fixed periods, and after 100 ms again."""
+    """All start within ``start_ms``; the service is away for so long, `QUIET_MS` later, or collapses then.
+    ``before`` True: each node reports as the version that drew nothing did, at once, in fixed periods, and after 100 ms
+    again. ``longest_ms``: another longest wait between two tries than the nodes'."""
 
     nodes: int
     seed: int
@@ -49,6 +52,8 @@
     start_ms: float = 1000.0
     outage_s: float = 0.0
     before: bool = False
+    collapse: bool = False
+    longest_ms: float | None = None
     turn: itertools.count[int] = field(default_factory=itertools.count)
     queue: list[tuple[float, int, SimNode, Event, int]] = field(default_factory=list)
 
@@ -56,6 +61,8 @@
         self.down_ms = QUIET_MS, QUIET_MS + self.outage_s * 1000
         self.draw = random.Random(self.seed)
         self.pace = ReportPace(nodes=self.nodes)
+        if self.longest_ms is not None:
+            self.pace = replace(self.pace, again_most_ms=self.longest_ms)
         self.steady_per_s = self.nodes * 1000.0 / self.pace.every_ms
         self.service = Capacity(self.capacity * self.steady_per_s)
         self.members = [SimNode(self._reports(number), self.draw.uniform(0.0, self.start_ms))
@@ -97,14 +104,15 @@
 
 
 def play(nodes: int, seed: int, capacity: float = 1.3, outage_s: float = 8.0, before: bool = False,
-         start_ms: float = 1000.0) -> Told:
-    return run(World(nodes, seed, capacity, start_ms, outage_s, before))
+         start_ms: float = 1000.0, collapse: bool = False, longest_ms: float | None = None) -> Told:
+    return run(World(nodes, seed, capacity, start_ms, outage_s, before, collapse, longest_ms))
 
 
 def run(world: World) -> Told:
     """Play a world to its end."""
     down, nodes = world.down_ms, world.nodes
     world.run(down[0])
+    world.service.collapsed = world.service.collapsed or world.collapse
     lapsed = sum(node.lapses for node in world.members)
     back = None
     at = down[0]
@@ -114,6 +122,10 @@
         if at > down[1] and back is None and sum(
                 node.taken_ms is not None and node.taken_ms >= down[1] for node in world.members) >= 0.95 * nodes:
             back = at - down[1]
-    bin_rate = world.steady_per_s / 10
-    return Told(world.steady_per_s, round(world.service.peak(0.0, down[0]) / bin_rate, 2),
-                round(world.service.peak(down[1], at) / bin_rate, 2), world.service.collapses, back, lapsed)
+    bin_rate, service = world.steady_per_s / 10, world.service
+
+    def load(until_ms: float) -> float:
+        return round(service.counted(until_ms - 4000.0, until_ms) / 4 / world.steady_per_s, 2)
+    return Told(world.steady_per_s, round(service.peak(0.0, down[0]) / bin_rate, 2),
+                round(service.peak(down[1], at) / bin_rate, 2), service.collapses, back, lapsed, load(down[1]),
+                load(at))
--- a/tests/startup/test_reports.py
+++ b/tests/startup/test_reports.py
@@ -82,6 +82,15 @@
         assert told.collapses == 0 and told.listed_ms <= LAPSE_MS and told.lapsed_before == 0, f"seed {seed}"
 
 
+def test_a_service_that_collapsed_is_left_alone_enough_to_come_back():
+    for seed in (1, 2, 3):
+        told = play(300, seed, outage_s=0.0, collapse=True)
+        assert told.listed_ms is not None and told.collapses == 0 and told.load_at_end <= 1.05, f"seed {seed}"
+    storms = [play(300, 1, outage_s=0.0, collapse=True, before=True),  # nor where the longest wait were 1.6 s
+              play(300, 1, outage_s=0.0, collapse=True, longest_ms=1600.0)]
+    assert [one.listed_ms for one in storms] == [None, None] and storms[0].load_at_end > 5.0
+
+
 def test_the_version_before_keeps_its_own_storm_alive():
     told = play(300, 1, before=True)
     assert told.peak_back > 5.0 and told.collapses and told.listed_ms is None
