--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -114,12 +114,14 @@
         assert one.body == other.body
 
 
-async def test_a_member_paused_past_its_lease_wakes_and_its_run_is_fenced(fleet):
+@pytest.mark.parametrize("more_s", [0.0, 7.5])
+async def test_a_member_paused_past_its_lease_wakes_and_its_run_is_fenced(fleet, more_s):
     key = held_outside("n1")
     asking = await slowly(fleet, "n1", key, took_ms=100.0)
     fleet.pause("n1")
     await asyncio.sleep(2.5)
     during = await repeats(fleet, key, but=("n1",))
+    await asyncio.sleep(more_s)  # it wakes after ten seconds, and believes itself the runner
     fleet.resume("n1")
     woken = await asking
     assert [answer.status for answer in during] == [500] * 4
@@ -127,6 +129,55 @@
     assert (await fleet.ask("n1", key, again=True)).status == 500
 
 
+async def pairs(fleet: Fleet, names: tuple[str, str], over: asyncio.Event) -> list[tuple]:
+    """Writes at the two in turn, each asked for again at the other one, until it is over."""
+    told = []
+    while not over.is_set():
+        key = f"p{fleet.rid()}"
+        one, other = names if len(told) % 2 else names[::-1]
+        told.append((key, await fleet.ask(one, key), await fleet.ask(other, key, again=True)))
+    return told
+
+
+async def under_load(fleet: Fleet, names: tuple[str, str], hurting) -> list[tuple]:
+    over = asyncio.Event()
+    load = [asyncio.ensure_future(pairs(fleet, names, over)) for _ in range(4)]
+    await hurting
+    over.set()
+    return [one for told in await asyncio.gather(*load) for one in told]
+
+
+async def test_a_one_way_cut_makes_no_second_majority_and_keeps_service(fleet):
+    async def cut() -> None:
+        fleet.links["n1", "n3"].there = Fault(lost=True)  # n3 hears nothing of what n1 asks; n1 hears n3's questions
+        fleet.links["n2", "n4"].back = Fault(lost=True)  # n4 hears n2's questions, and its answers are lost
+        await asyncio.sleep(4.0)
+    told = await under_load(fleet, ("n1", "n3"), cut())
+    served = [one for one in told if one[1].status == one[2].status == 200]
+    assert len(told) > 50 and len(served) > 0.8 * len(told)
+    assert all(first.body == again.body for _, first, again in served)
+    fleet.heal()
+    await fleet.until_linked()
+    for key, first, _ in served[-20:]:
+        assert [answer.body for answer in await repeats(fleet, key)] == [first.body] * 5
+
+
+async def test_a_member_whose_links_flap_breaks_no_promise_and_takes_no_service_from_the_others(fleet):
+    async def flap() -> None:
+        for _ in range(20):
+            for link in fleet.between(["n1"], ["n2", "n3", "n4", "n5"]):
+                link.reset()
+            await asyncio.sleep(0.15)
+    told = await under_load(fleet, ("n2", "n4"), flap())
+    assert len(told) > 50 and sum(one[1].status == one[2].status == 200 for one in told) > 0.8 * len(told)
+    told = await under_load(fleet, ("n1", "n5"), flap())
+    assert sum(one[1].status == one[2].status == 200 for one in told) > 0
+    await fleet.until_linked()
+    for key, first, again in told[-20:]:
+        bodies = {first.body, again.body, *(answer.body for answer in await repeats(fleet, key))} - {b""}
+        assert len(bodies) <= 1  # one result, or none that anybody knows
+
+
 async def test_no_majority_refuses_first_tries_at_once_and_fails_repeats(fleet):
     first = await fleet.ask("n2", "k1")  # not at n1: what ran there it knows by itself
     fleet.cut(["n1"], ["n2", "n3", "n4", "n5"])
