--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -60,14 +60,12 @@
     """A request that was read and is not over."""
 
     id: str
+    arrival: api.Arrived
     kind: api.RequestClass
-    held_kb: float
     reached_ms: float
     aim_ms: float
     due_ms: float
     value: float  # worth for a unit of work
-    repeat: bool  # marked as a further try
-    caller: int
     must_call: bool  # it may call and can't go on without
     order: tuple[float, float, float]  # among what is held: by fair rank, then the dearest first, then by aim
     stage: Stage = Stage.HELD
@@ -111,9 +109,15 @@
         self.given_up: dict[int, deque[float]] = {}  # by caller: ages at which it gave up
         self.leaving_ms = self.stop_ms = math.inf
         self.handlers: dict[type, Callable[..., None]] = {
-            api.Started: self._started, api.Arrived: self._arrived, api.RunEnded: self._run_ended,
-            api.CallerGone: self._gone, api.CallNeeded: self._call_needed, api.CallEnded: self._call_ended,
-            api.Leaving: self._leaving, api.Woken: self._woken, api.Changed: self._changed,
+            api.Started: self._started,
+            api.Arrived: self._arrived,
+            api.RunEnded: self._run_ended,
+            api.CallerGone: self._gone,
+            api.CallNeeded: self._call_needed,
+            api.CallEnded: self._call_ended,
+            api.Leaving: self._leaving,
+            api.Woken: self._woken,
+            api.Changed: self._changed,
             api.Learned: self._learned,
         }
         self._settle(settings)
@@ -131,8 +135,9 @@
         self.call_limit = CALL_MOST * self.call_share  # less while calls are slow, may be under 1
         even = QUOTA_ROOM / max(1, settings.servers)  # of a quota: what an even spread would bring here
         known_use = {name: (used, then) for name, (_, used, then) in self.quota.items()}
-        self.quota = {tenant.name: (even * tenant.quota_per_s, *known_use.get(tenant.name, (0.0, 0.0)))
-                      for tenant in settings.tenants}
+        self.quota = {}
+        for tenant in settings.tenants:
+            self.quota[tenant.name] = (even * tenant.quota_per_s, *known_use.get(tenant.name, (0.0, 0.0)))
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         if now_ms > self.now:
@@ -173,10 +178,9 @@
         # thought of it fades towards the first guess, until some are let in and measured.
         if gauges.run_queue < self.set.cores:
             begun = {work.kind.name for work in self.work.values() if work.stage is not Stage.HELD}
-            for kind in self.set.classes:
-                if kind.name not in begun:
-                    known = self.run_ms[kind.name]
-                    self.run_ms[kind.name] = max(known * RUN_FADES, min(known, FIRST_RUN * kind.aim_ms))
+            for kind in [kind for kind in self.set.classes if kind.name not in begun]:
+                known = self.run_ms[kind.name]
+                self.run_ms[kind.name] = max(known * RUN_FADES, min(known, FIRST_RUN * kind.aim_ms))
         pressed = self._count(Stage.HELD) > 0
         for work in [work for work in self.work.values() if not work.answered]:
             if self.now + 2 * TICK_MS >= min(work.due_ms, self.stop_ms):
@@ -263,7 +267,7 @@
         """Keep what decisions ask of all work as sums: a walk over it for each costs a busy server much."""
         self.counts[work.stage.value] += sign
         light = work.stage is Stage.HELD or work.stage is Stage.FOLLOWING
-        self.kb[light] += sign * work.held_kb
+        self.kb[light] += sign * work.arrival.held_kb
         if work.stage is Stage.RUNNING or work.stage is Stage.LINED:
             self.must_call += sign * work.must_call
 
@@ -299,11 +303,9 @@
         self.arrived_ms = self.now
         reached = self.now - event.age_ms
         due = self.now + event.patience_ms if event.patience_ms else reached + kind.deadline_ms
-        aim = reached + min(kind.aim_ms, self._patience(event.caller))
-        value = self._value(kind, event.tenant)
-        work = Work(event.request, kind, event.held_kb, reached, min(aim, due), due, value,
-                    event.marked_repeat, event.caller, kind.calls and not kind.skip_worth,
-                    (0.0, -value, min(aim, due)))
+        aim = min(reached + min(kind.aim_ms, self._patience(event.caller)), due)
+        value, must_call = self._value(kind, event.tenant), kind.calls and not kind.skip_worth
+        work = Work(event.request, event, kind, reached, aim, due, value, must_call, (0.0, -value, aim))
         self.work[work.id] = work
         self._book(work, 1)
         if event.repeat_of and event.repeat_of not in self.released:
@@ -363,7 +365,7 @@
         for work in held:
             run_ms = self.run_ms[work.kind.name]
             must_call = work.must_call
-            grown = work.held_kb * (self.set.run_factor - 1)
+            grown = work.arrival.held_kb * (self.set.run_factor - 1)
             fits = memory + grown <= most_kb
             ends = self.now + run_ms + must_call * (1 + lined) * below_ms
             if on_cores >= limit:
@@ -407,7 +409,7 @@
             # A further try was refused elsewhere too, and in a storm the next will be: that costs reading.
             storm = self.storm > STORM
             futile = part < 1 or (storm and self.set.marks_repeats)  # unmarked, dear work may yet find room
-            self.out.append(api.Refuse(work.id, stay, futile and (work.repeat or storm)))
+            self.out.append(api.Refuse(work.id, stay, futile and (work.arrival.marked_repeat or storm)))
             self._forget(work)
             return
         self.out.append(api.Fail(work.id))
@@ -443,9 +445,9 @@
             self.run_ms[work.kind.name] += LEARN * (event.took_ms - work.waited_ms - run_ms)
 
     def _gone(self, work: Work, _: api.CallerGone) -> None:
-        ages = self.given_up.pop(work.caller, None) or deque[float](maxlen=GONE_MOST)
+        ages = self.given_up.pop(work.arrival.caller, None) or deque[float](maxlen=GONE_MOST)
         ages.append(self.now - work.reached_ms)
-        self.given_up[work.caller] = ages  # the one that gave up last at the end
+        self.given_up[work.arrival.caller] = ages  # the one that gave up last at the end
         if len(self.given_up) > CALLERS_MOST:  # callers come back under new numbers without end
             del self.given_up[next(iter(self.given_up))]
         if work.stage in (Stage.HELD, Stage.FOLLOWING):
@@ -498,8 +500,6 @@
         if not self.counts[Stage.LINED.value]:
             return
         line = [work for work in self.work.values() if work.stage is Stage.LINED and not work.answered]
-        if not line:
-            return
         line.sort(key=lambda work: (work.kind.skip_worth, -work.value, work.aim_ms))
         in_hand, spent, left_ms = self._call_room()
         slow = self.call_ms > SLOW_BELOW * self.best_call_ms
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -49,7 +49,7 @@
         works = list(control.work.values())  # the sums that decisions look at are those of a walk over all
         assert control.counts[1:] == [sum(work.stage is stage for work in works) for stage in Stage]
         assert control._memory_kb() == pytest.approx(len(control.keys) * settings.key_kb + sum(
-            work.held_kb * (1 if work.stage in (Stage.HELD, Stage.FOLLOWING) else settings.run_factor)
+            work.arrival.held_kb * (1 if work.stage in (Stage.HELD, Stage.FOLLOWING) else settings.run_factor)
             for work in works))
         assert control.must_call == sum(
             work.must_call for work in works if work.stage in (Stage.RUNNING, Stage.LINED))
