--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 check: lint proto-fresh test
 
 lint: $(DEPS)
+	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
 	$(PY) -m mypy flintshift
 
--- a/benchmarks/chaos_copies.py
+++ b/benchmarks/chaos_copies.py
@@ -28,10 +28,14 @@
 
 def play(part: int, parts: int, count: int, seed: int, copies: bool) -> dict[str, Any]:
     import os
+
     os.environ[PART] = f"{part}/{parts}"
     folder = Path(tempfile.mkdtemp(prefix="flintshift-chaos-"))
-    tally = asyncio.run(rounds(folder, count, seed, copies,
-                               said=lambda text: print(f"fleet {part}: {text}", file=sys.stderr, flush=True)))
+    tally = asyncio.run(
+        rounds(
+            folder, count, seed, copies, said=lambda text: print(f"fleet {part}: {text}", file=sys.stderr, flush=True)
+        )
+    )
     if tally.texts and copies:
         print(f"fleet {part}: logs and story in {folder}", file=sys.stderr, flush=True)
     else:
@@ -42,8 +46,16 @@
 def many(count: int, parallel: int, seed: int, copies: bool) -> dict[str, Any]:
     shares = [count // parallel + (part < count % parallel) for part in range(parallel)]
     with ProcessPoolExecutor(parallel) as fleets:
-        told = list(fleets.map(play, range(parallel), [parallel] * parallel, shares,
-                               [seed + part for part in range(parallel)], [copies] * parallel))
+        told = list(
+            fleets.map(
+                play,
+                range(parallel),
+                [parallel] * parallel,
+                shares,
+                [seed + part for part in range(parallel)],
+                [copies] * parallel,
+            )
+        )
     summed: dict[str, Any] = {"seeds": [seed + part for part in range(parallel)]}
     for name in ("rounds", "keys", "runs", "billed", "in_doubt", "lost_in_gaps"):
         summed[name] = sum(one[name] for one in told)
--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -50,12 +50,20 @@
 
     def against(from_ms: float, to_ms: float) -> float:
         return round(capacity.counted(from_ms, to_ms) / (to_ms - from_ms) * 1000 / steady, 2)
-    return {"nodes": nodes, "steady_per_s": round(steady, 1),
-            "start_peak_500ms": round(capacity.peak(0.0, down, 500.0) / (steady / 2), 2),
-            "in_outage": against(down, back), "last_4_s_of_outage": against(back - 4000.0, back),
-            "back_peak_100ms": round(capacity.peak(back, end) / (steady / 10), 2),
-            "back_first_2_s": against(back, back + 2000.0), "back_8_to_12_s": against(back + 8000.0, back + 12_000.0),
-            "collapses": capacity.collapses, "collapsed_at_the_end": capacity.collapsed, "listed_again_ms": all_ms}
+
+    return {
+        "nodes": nodes,
+        "steady_per_s": round(steady, 1),
+        "start_peak_500ms": round(capacity.peak(0.0, down, 500.0) / (steady / 2), 2),
+        "in_outage": against(down, back),
+        "last_4_s_of_outage": against(back - 4000.0, back),
+        "back_peak_100ms": round(capacity.peak(back, end) / (steady / 10), 2),
+        "back_first_2_s": against(back, back + 2000.0),
+        "back_8_to_12_s": against(back + 8000.0, back + 12_000.0),
+        "collapses": capacity.collapses,
+        "collapsed_at_the_end": capacity.collapsed,
+        "listed_again_ms": all_ms,
+    }
 
 
 async def measure(nodes: list[int], before: Path | None, sizes: list[int]) -> dict[str, Any]:
@@ -69,9 +77,15 @@
                     print(told["real"][-1], file=sys.stderr, flush=True)
     for size in sizes:
         for seed in (1, 2):
-            told["simulated"] += [{"version": version, "nodes": size, "seed": seed,
-                                   **asdict(play(size, seed, CAPACITY, OUTAGE_S, before=version == "before"))}
-                                  for version in ("before", "now")]
+            told["simulated"] += [
+                {
+                    "version": version,
+                    "nodes": size,
+                    "seed": seed,
+                    **asdict(play(size, seed, CAPACITY, OUTAGE_S, before=version == "before")),
+                }
+                for version in ("before", "now")
+            ]
     return told
 
 
@@ -82,9 +96,16 @@
     parser.add_argument("--sizes", default="60,300,1000,5000", help="of simulated fleets")
     parser.add_argument("--out", type=Path, help="write the result here too")
     given = parser.parse_args()
-    text = json.dumps(asyncio.run(measure([int(one) for one in given.nodes.split(",") if one],
-                                          given.before and given.before.resolve(),
-                                          [int(one) for one in given.sizes.split(",") if one])), indent=1)
+    text = json.dumps(
+        asyncio.run(
+            measure(
+                [int(one) for one in given.nodes.split(",") if one],
+                given.before and given.before.resolve(),
+                [int(one) for one in given.sizes.split(",") if one],
+            )
+        ),
+        indent=1,
+    )
     print(text)
     if given.out:
         given.out.write_text(text + "\n")
--- a/benchmarks/control_latency.py
+++ b/benchmarks/control_latency.py
@@ -57,8 +57,10 @@
             assert rig.process is not None
             loop, until, port = asyncio.get_running_loop(), asyncio.Event(), rig.ports["control"]
             before, began = cpu_s(rig.process.pid), time.perf_counter()
-            load = [loop.run_in_executor(executor, ask, rig.ports["http"], "http", callers // WORKERS, 1 << 30, number)
-                    for number in range(WORKERS)]
+            load = [
+                loop.run_in_executor(executor, ask, rig.ports["http"], "http", callers // WORKERS, 1 << 30, number)
+                for number in range(WORKERS)
+            ]
             beside = [asyncio.ensure_future(half(port, until)) for _ in range(halves)]
             await asyncio.sleep(1.0)
             took, end = [], time.perf_counter() + SECONDS
@@ -70,9 +72,15 @@
             await rig.kill()
             await asyncio.gather(*load, *beside, return_exceptions=True)
         took.sort()
-        return {"callers": callers, "half_calls": halves, "calls": len(took), "core_busy": round(busy, 2),
-                "p50_ms": round(statistics.median(took), 1), "p99_ms": round(took[len(took) * 99 // 100], 1),
-                "most_ms": round(took[-1], 1)}
+        return {
+            "callers": callers,
+            "half_calls": halves,
+            "calls": len(took),
+            "core_busy": round(busy, 2),
+            "p50_ms": round(statistics.median(took), 1),
+            "p99_ms": round(took[len(took) * 99 // 100], 1),
+            "most_ms": round(took[-1], 1),
+        }
 
 
 async def main() -> None:
@@ -81,8 +89,10 @@
     parser.add_argument("--callers", type=int, default=240)
     parser.add_argument("--out", type=Path, help="write the result here as JSON")
     given = parser.parse_args()
-    rows = [await measure(callers, given.calls, halves)
-            for callers, halves in ((3, 0), (given.callers, 0), (given.callers, 200))]
+    rows = [
+        await measure(callers, given.calls, halves)
+        for callers, halves in ((3, 0), (given.callers, 0), (given.callers, 200))
+    ]
     for row in rows:
         print(row)
     if given.out:
--- a/benchmarks/copies_cost.py
+++ b/benchmarks/copies_cost.py
@@ -31,8 +31,12 @@
 HALLS = {"ruwi-hall": 3, "seeb-hall": 2}
 BOOKED = "usage: {enabled: true, folder: usage}\n"
 VARIANTS: dict[str, tuple[str | None, str]] = {  # of copies, and of the rest of the operators' file
-    "off": (None, ""), "on": ("  copies: 3\n", ""), "power-cut": ("  durability: power-cut\n", ""),
-    "booked-off": (None, BOOKED), "booked-on": ("  copies: 3\n", BOOKED)}
+    "off": (None, ""),
+    "on": ("  copies: 3\n", ""),
+    "power-cut": ("  durability: power-cut\n", ""),
+    "booked-off": (None, BOOKED),
+    "booked-on": ("  copies: 3\n", BOOKED),
+}
 PLATFORM = {"tenants": [{"name": club, "quotaPerS": 100_000.0} for club in CLUBS]}
 KEYED, READ = "submit-time", "standings"
 ids = itertools.count(1)
@@ -92,8 +96,13 @@
     rate = await callers.play(class_name, seconds, 0.0 if full else 0.1)
     served = max(1, callers.statuses.get(200, 0))
     fleet.events.clear()
-    return {"rate": rate, "p50_ms": median(callers.delays), "p99_ms": percentile(callers.delays, 0.99),
-            "cpu_us": (cpu_s(fleet) - used) / served * 1e6, "served_share": served / max(1, len(callers.delays))}
+    return {
+        "rate": rate,
+        "p50_ms": median(callers.delays),
+        "p99_ms": percentile(callers.delays, 0.99),
+        "cpu_us": (cpu_s(fleet) - used) / served * 1e6,
+        "served_share": served / max(1, len(callers.delays)),
+    }
 
 
 async def traffic(folder: Path, writes: int = 400) -> dict[str, float]:
@@ -103,6 +112,7 @@
 
         def passed() -> int:
             return sum(link.passed for link in fleet.links.values())
+
         before = passed()
         began = time.monotonic()
         await asyncio.sleep(2.0)
@@ -110,8 +120,10 @@
         before, began = passed(), time.monotonic()
         for number in range(writes):
             await fleet.ask(list(fleet.members)[number % 5], f"b{number}")
-        return {"bytes_a_write": round((passed() - before - beats * (time.monotonic() - began)) / writes, 1),
-                "bytes_a_second_at_rest": round(beats, 1)}
+        return {
+            "bytes_a_write": round((passed() - before - beats * (time.monotonic() - began)) / writes, 1),
+            "bytes_a_second_at_rest": round(beats, 1),
+        }
 
 
 async def measure(seconds: float, turns: int, names: list[str]) -> dict[str, Any]:
@@ -120,15 +132,27 @@
         try:
             for variant in names:
                 copies, more = VARIANTS[variant]
-                fleet = Fleet(Path(name) / variant, HALLS, copies, took_ms=1.0, cores=64, platform=PLATFORM,
-                              direct=True, more=more)
+                fleet = Fleet(
+                    Path(name) / variant,
+                    HALLS,
+                    copies,
+                    took_ms=1.0,
+                    cores=64,
+                    platform=PLATFORM,
+                    direct=True,
+                    more=more,
+                )
                 await fleet.__aenter__()
                 await fleet.until_linked()
                 fleets[variant] = fleet
             found: dict[str, dict[str, list[dict[str, float]]]] = {variant: {} for variant in names}
             cores = sorted(os.sched_getaffinity(0))
-            for what, class_name, full in (("keyed", KEYED, False), ("reads", READ, False), ("keyed full", KEYED, True),
-                                           ("reads full", READ, True)):
+            for what, class_name, full in (
+                ("keyed", KEYED, False),
+                ("reads", READ, False),
+                ("keyed full", KEYED, True),
+                ("reads full", READ, True),
+            ):
                 for fleet in fleets.values():
                     for member in fleet.members.values():
                         assert member.process is not None
@@ -145,18 +169,25 @@
     with tempfile.TemporaryDirectory(prefix="flintshift-cost-") as name:
         links = await traffic(Path(name))
     told: dict[str, Any] = {
-        variant: {what: {key: round(median(one[key] for one in turned), 3) for key in turned[0]}
-                  for what, turned in kinds.items()} for variant, kinds in found.items()}
+        variant: {
+            what: {key: round(median(one[key] for one in turned), 3) for key in turned[0]}
+            for what, turned in kinds.items()
+        }
+        for variant, kinds in found.items()
+    }
     told["links"] = links
     off = told[names[0]]
-    told["against_first"] = {variant: {
-        "reads_p50_more_ms": round(told[variant]["reads"]["p50_ms"] - off["reads"]["p50_ms"], 2),
-        "reads_p99_more_ms": round(told[variant]["reads"]["p99_ms"] - off["reads"]["p99_ms"], 2),
-        "keyed_p50_more_ms": round(told[variant]["keyed"]["p50_ms"] - off["keyed"]["p50_ms"], 2),
-        "keyed_p99_more_ms": round(told[variant]["keyed"]["p99_ms"] - off["keyed"]["p99_ms"], 2),
-        "keyed_throughput": round(told[variant]["keyed full"]["rate"] / off["keyed full"]["rate"], 3),
-        "reads_throughput": round(told[variant]["reads full"]["rate"] / off["reads full"]["rate"], 3),
-    } for variant in names[1:]}
+    told["against_first"] = {
+        variant: {
+            "reads_p50_more_ms": round(told[variant]["reads"]["p50_ms"] - off["reads"]["p50_ms"], 2),
+            "reads_p99_more_ms": round(told[variant]["reads"]["p99_ms"] - off["reads"]["p99_ms"], 2),
+            "keyed_p50_more_ms": round(told[variant]["keyed"]["p50_ms"] - off["keyed"]["p50_ms"], 2),
+            "keyed_p99_more_ms": round(told[variant]["keyed"]["p99_ms"] - off["keyed"]["p99_ms"], 2),
+            "keyed_throughput": round(told[variant]["keyed full"]["rate"] / off["keyed full"]["rate"], 3),
+            "reads_throughput": round(told[variant]["reads full"]["rate"] / off["reads full"]["rate"], 3),
+        }
+        for variant in names[1:]
+    }
     return told
 
 
@@ -164,8 +195,9 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--seconds", type=float, default=4.0, help="of a phase")
     parser.add_argument("--turns", type=int, default=3)
-    parser.add_argument("--variants", default="off,on,power-cut", help="the others are held against the first of "
-                        + ", ".join(VARIANTS))
+    parser.add_argument(
+        "--variants", default="off,on,power-cut", help="the others are held against the first of " + ", ".join(VARIANTS)
+    )
     parser.add_argument("--out", type=Path, help="write the result here too")
     given = parser.parse_args()
     text = json.dumps(asyncio.run(measure(given.seconds, given.turns, given.variants.split(","))), indent=1)
--- a/benchmarks/copies_loss.py
+++ b/benchmarks/copies_loss.py
@@ -41,6 +41,7 @@
             if answer is not None and answer.status == 200:
                 served.append(time.monotonic())
             await asyncio.sleep(max(0.0, 0.05 - (time.monotonic() - began)))
+
     await asyncio.gather(*(one(number) for number in range(callers)))
 
 
@@ -60,14 +61,22 @@
         await fleet.lose(lost)
         await loading
         from datetime import datetime
-        known = [datetime.fromisoformat(one["timestamp"]).timestamp() - wall for one in moments(fleet, "peers.died")
-                 if one["identity"].startswith(f"{lost}#")]
+
+        known = [
+            datetime.fromisoformat(one["timestamp"]).timestamp() - wall
+            for one in moments(fleet, "peers.died")
+            if one["identity"].startswith(f"{lost}#")
+        ]
     before = sum(at - 2.0 <= when < at for when in served) / 2.0
     bins = [sum(at + step * BIN_S <= when < at + (step + 1) * BIN_S for when in served) / BIN_S for step in range(40)]
-    low = [step for step in range(38) if sum(bins[step:step + 3]) / 3 < 0.95 * before]
-    return {"before_per_s": round(before, 1), "worst_tenth": round(min(bins) / before, 3),
-            "back_after_ms": round((low[-1] + 1) * BIN_S * 1000) if low else 0,
-            "known_by_all_ms": round(max(known) * 1000), "who_know": len(known)}
+    low = [step for step in range(38) if sum(bins[step : step + 3]) / 3 < 0.95 * before]
+    return {
+        "before_per_s": round(before, 1),
+        "worst_tenth": round(min(bins) / before, 3),
+        "back_after_ms": round((low[-1] + 1) * BIN_S * 1000) if low else 0,
+        "known_by_all_ms": round(max(known) * 1000),
+        "who_know": len(known),
+    }
 
 
 async def come_back(folder: Path, lost: bool) -> dict[str, Any]:
@@ -94,6 +103,7 @@
                 again = await fleet.ask(target, f"{name}-{number}-{count}-back")
                 if again is not None:
                     returned.append(again.status)
+
         callers = [asyncio.ensure_future(caller("n1", number, True)) for number in range(30)]
         callers += [asyncio.ensure_future(caller("n2", number, False)) for number in range(12)]
         await asyncio.sleep(4.0)
@@ -121,17 +131,21 @@
         await load(fleet, list(fleet.members), seconds, 10, [])
         for process in processes:
             process.join()
-        return {"seconds": round(seconds), "busy_processes": burners,
-                "false_suspicions": len(moments(fleet, "peers.suspected")),
-                "false_deaths": len(moments(fleet, "peers.died"))}
+        return {
+            "seconds": round(seconds),
+            "busy_processes": burners,
+            "false_suspicions": len(moments(fleet, "peers.suspected")),
+            "false_deaths": len(moments(fleet, "peers.died")),
+        }
 
 
 async def play(rounds: int, quiet_s: float, burners: int) -> dict[str, Any]:
     with tempfile.TemporaryDirectory(prefix="flintshift-loss-") as name:
         told = [await loss(Path(name) / str(seed), seed) for seed in range(rounds)]
         found: dict[str, Any] = {"losses": told, "median": {key: median(one[key] for one in told) for key in told[0]}}
-        found["come_back"] = {what: await come_back(Path(name) / what, what == "member_lost")
-                              for what in ("member_lives", "member_lost")}
+        found["come_back"] = {
+            what: await come_back(Path(name) / what, what == "member_lost") for what in ("member_lives", "member_lost")
+        }
         if quiet_s:
             found["quiet"] = await quiet(Path(name) / "quiet", quiet_s, burners)
     return found
--- a/benchmarks/copies_model.py
+++ b/benchmarks/copies_model.py
@@ -51,10 +51,14 @@
             went += len(after - before)
             held += bool(before & gone)
         return went / (3 * SLOTS), held / (3 * SLOTS)
+
     one = changed({name: hall for name, hall in names.items() if name != "n001"})
     hall = changed({name: hall for name, hall in names.items() if hall != "hall1"})
-    return {"moved_by_one": round(one[0], 5), "against_least": round(one[0] / one[1], 3) if one[1] else 0.0,
-            "moved_by_a_hall": round(hall[0], 4)}
+    return {
+        "moved_by_one": round(one[0], 5),
+        "against_least": round(one[0] / one[1], 3) if one[1] else 0.0,
+        "moved_by_a_hall": round(hall[0], 4),
+    }
 
 
 class Play:
@@ -117,7 +121,8 @@
     quiet = dict(world.counts)
     told: dict[str, Any] = {
         "keys": len(world.ran),
-        "messages_a_write": round((quiet["Ask"] + quiet["Vote"] + quiet.get("Ended", 0)) / max(1, len(world.ran)), 2)}
+        "messages_a_write": round((quiet["Ask"] + quiet["Vote"] + quiet.get("Ended", 0)) / max(1, len(world.ran)), 2),
+    }
     hall = [name for name in world.machines if world.placement.halls[name] == "hall1"]
     for what, names in (("one", ["n001"]), ("hall", hall)):
         for name in names:
@@ -131,8 +136,12 @@
             playing.run(world.now + 50.0, claims_per_s)
             if all(world.machines[name].registers.full_vote for name in names):
                 break
-        told[f"loss_of_{what}"] = {"members": len(names), "bare_after": lost, "bare_after_refill": playing.bare(),
-                                   "all_vote_after_ms": round(world.now - began)}
+        told[f"loss_of_{what}"] = {
+            "members": len(names),
+            "bare_after": lost,
+            "bare_after_refill": playing.bare(),
+            "all_vote_after_ms": round(world.now - began),
+        }
     told["wrong"] = len(world.wrong)
     return told
 
@@ -168,26 +177,43 @@
                         words += [(other, who.Accused(name, identity, lapsed)) for other in names if other != name]
                     case who.Died():
                         knew.setdefault(name, now)
-    return {"beats_a_second": round(sent / 2.0), "all_know_after_ms": max(knew.values()) - 2000.0,
-            "who_know": len(knew)}
+    return {
+        "beats_a_second": round(sent / 2.0),
+        "all_know_after_ms": max(knew.values()) - 2000.0,
+        "who_know": len(knew),
+    }
 
 
 def memory(keys: int = 50_000, result: int = 64) -> dict[str, int]:
     """Bytes that one holder keeps for a key that has ended, by what the process grows."""
+
     def resident() -> int:
         return int(Path("/proc/self/statm").read_text().split()[1]) * resource.getpagesize()
+
     placement = Placement({"n1": "a", "n2": "b", "n3": "c"}, 3)
     registers = Registers("n1", 1, placement, HolderBounds(), True, 0.0)
     gc.collect()
     before = resident()
     for number in range(keys):
-        value = Value(Stage.FINISHED, f"{number:016x}", "n2#18f2c0a1", number.to_bytes(16, "big"), 30_000.0, Outcome.OK,
-                      number.to_bytes(result, "big"))
-        registers.take(0.0, Entry(("submit-time", f"key-{number:08d}"), (2, "n2#18f2c0a1"), (1, "n2#18f2c0a1"), value,
-                                  30_000.0))
+        value = Value(
+            Stage.FINISHED,
+            f"{number:016x}",
+            "n2#18f2c0a1",
+            number.to_bytes(16, "big"),
+            30_000.0,
+            Outcome.OK,
+            number.to_bytes(result, "big"),
+        )
+        registers.take(
+            0.0, Entry(("submit-time", f"key-{number:08d}"), (2, "n2#18f2c0a1"), (1, "n2#18f2c0a1"), value, 30_000.0)
+        )
     gc.collect()
-    return {"keys": keys, "bytes_of_a_result": result, "resident_bytes_a_key": (resident() - before) // keys,
-            "counted_bytes_a_key": registers.bytes // keys}
+    return {
+        "keys": keys,
+        "bytes_of_a_result": result,
+        "resident_bytes_a_key": (resident() - before) // keys,
+        "counted_bytes_a_key": registers.bytes // keys,
+    }
 
 
 def main() -> None:
@@ -198,10 +224,15 @@
     parser.add_argument("--claims", type=float, default=500.0, help="a second, over the fleet")
     parser.add_argument("--out", type=Path, help="write the result here too")
     given = parser.parse_args()
-    told = {"members": given.members, "halls": given.halls, "seed": given.seed,
-            "memory": memory(), "placement": moved(given.members, given.halls),
-            "membership": heartbeats(given.members, given.halls),
-            "copies": play(given.members, given.halls, given.seed, given.claims)}
+    told = {
+        "members": given.members,
+        "halls": given.halls,
+        "seed": given.seed,
+        "memory": memory(),
+        "placement": moved(given.members, given.halls),
+        "membership": heartbeats(given.members, given.halls),
+        "copies": play(given.members, given.halls, given.seed, given.claims),
+    }
     text = json.dumps(told, indent=1)
     print(text)
     if given.out:
--- a/benchmarks/door_cost.py
+++ b/benchmarks/door_cost.py
@@ -51,8 +51,15 @@
     for waiting in (0, 10, 100):
         for callers in (5, 500, 50_000):
             us, places = min(play(callers, waiting, given.requests) for _ in range(3))
-            rows.append({"waiting": waiting, "callers": callers, "us": round(us, 1), "places": places,
-                         "kb_at_most": round(places * PLACE_BYTES / 1024)})
+            rows.append(
+                {
+                    "waiting": waiting,
+                    "callers": callers,
+                    "us": round(us, 1),
+                    "places": places,
+                    "kb_at_most": round(places * PLACE_BYTES / 1024),
+                }
+            )
             print(rows[-1])
     if given.out:
         given.out.write_text(json.dumps(rows, indent=1) + "\n")
--- a/benchmarks/door_model.py
+++ b/benchmarks/door_model.py
@@ -75,7 +75,7 @@
             told.broken += at is not None and at < math.inf
             told.first_broken += at is None
             caller, club = shares.open[request].caller, request[-1]
-            answer, = shares.handle(now, TurnedAway(request, 0.0, MOST_MS, draw.random()))
+            (answer,) = shares.handle(now, TurnedAway(request, 0.0, MOST_MS, draw.random()))
             assert isinstance(answer, ComeBack) and answer.wait_ms <= MOST_MS
             if answer.promised and at != math.inf:
                 back.append((now + answer.wait_ms * (1.0 if heeds else 0.25), club, caller))
@@ -106,12 +106,24 @@
     parser.add_argument("--out", type=Path, help="write the result here as JSON")
     given = parser.parse_args()
     rows = []
-    for flood, heeds, storm in ((2, True, 0), (6, True, 0), (20, True, 0), (6, False, 0), (6, True, 20),
-                                (6, True, 100)):
+    for flood, heeds, storm in (
+        (2, True, 0),
+        (6, True, 0),
+        (20, True, 0),
+        (6, False, 0),
+        (6, True, 20),
+        (6, True, 100),
+    ):
         plays = [play(heeds, seed, flood, storm) for seed in range(given.seeds)]
-        rows.append({
-            "flood": flood, "heeds": heeds, "storm": storm, "came_back": sum(one.kept + one.broken for one in plays),
-            **{name: round(sum(map(of, plays)) / len(plays), 3) for name, of in FIGURES.items()}})
+        rows.append(
+            {
+                "flood": flood,
+                "heeds": heeds,
+                "storm": storm,
+                "came_back": sum(one.kept + one.broken for one in plays),
+                **{name: round(sum(map(of, plays)) / len(plays), 3) for name, of in FIGURES.items()},
+            }
+        )
         print(rows[-1])
     if given.out:
         given.out.write_text(json.dumps(rows, indent=1) + "\n")
--- a/benchmarks/door_surge.py
+++ b/benchmarks/door_surge.py
@@ -75,8 +75,10 @@
         await asyncio.gather(*tasks)
 
     async def go() -> None:
-        streams = [(club, "usual" if club == surging else club, [place * 100 + one for one in range(CALLERS)],
-                    USUAL_PER_S) for place, club in enumerate(CLUBS)]
+        streams = [
+            (club, "usual" if club == surging else club, [place * 100 + one for one in range(CALLERS)], USUAL_PER_S)
+            for place, club in enumerate(CLUBS)
+        ]
         if times > 1:
             numbers = [99] if one_caller else [*range(50, 50 + 5 * CALLERS)]
             streams.append((surging, "surge", numbers, (times - 1) * USUAL_PER_S))
@@ -86,26 +88,41 @@
     return {kind: (asked[kind], served[kind]) for kind in asked}
 
 
-async def play(rigs: dict[str, Rig], times: float, one_caller: bool, heed: bool, seconds: float, seed: int,
-               executor: ProcessPoolExecutor) -> dict[str, Count]:
+async def play(
+    rigs: dict[str, Rig],
+    times: float,
+    one_caller: bool,
+    heed: bool,
+    seconds: float,
+    seed: int,
+    executor: ProcessPoolExecutor,
+) -> dict[str, Count]:
     loop, found = asyncio.get_running_loop(), {}
     for name in sorted(rigs, reverse=seed % 2 == 1):
-        found[name] = await loop.run_in_executor(executor, load, rigs[name].ports, times, one_caller, heed, seconds,
-                                                 seed)
+        found[name] = await loop.run_in_executor(
+            executor, load, rigs[name].ports, times, one_caller, heed, seconds, seed
+        )
     return found
 
 
-async def measure(times: float, one_caller: bool, heed: bool, seconds: float,
-                  rounds: int) -> dict[str, dict[str, float]]:
+async def measure(
+    times: float, one_caller: bool, heed: bool, seconds: float, rounds: int
+) -> dict[str, dict[str, float]]:
     kept: dict[str, dict[str, list[float]]] = {}
     with tempfile.TemporaryDirectory(prefix="flintshift-bench-") as name, ProcessPoolExecutor(1) as executor:
         async with AsyncExitStack() as stack:
             rigs = {}
             for told in ("on", "off"):
-                rigs[told] = await stack.enter_async_context(Rig(
-                    Path(name) / told, f"door: {{enabled: {str(told == 'on').lower()}}}\n", uwsgi=True, root=ROOT,
-                    pool=Pool(cores=CORES, took_ms={"standings": RUN_MS}),
-                    platform={"tenants": [{"name": club, "quotaPerS": 100.0} for club in CLUBS]}))
+                rigs[told] = await stack.enter_async_context(
+                    Rig(
+                        Path(name) / told,
+                        f"door: {{enabled: {str(told == 'on').lower()}}}\n",
+                        uwsgi=True,
+                        root=ROOT,
+                        pool=Pool(cores=CORES, took_ms={"standings": RUN_MS}),
+                        platform={"tenants": [{"name": club, "quotaPerS": 100.0} for club in CLUBS]},
+                    )
+                )
                 rigs[told].apps.beside, rigs[told].apps.took_ms = rigs[told].pool, RUN_MS
             for round_ in range(rounds):
                 before = await play(rigs, 1.0, one_caller, False, seconds, 10 + round_, executor)
@@ -118,8 +135,9 @@
                             usual = (1, 1)
                             row.setdefault(f"{kind}, number", []).append(asked)
                         row.setdefault(kind, []).append(served / asked / (usual[1] / usual[0]))
-    return {told: {kind: round(statistics.median(parts), 3) for kind, parts in row.items()}
-            for told, row in kept.items()}
+    return {
+        told: {kind: round(statistics.median(parts), 3) for kind, parts in row.items()} for told, row in kept.items()
+    }
 
 
 async def main() -> None:
--- a/benchmarks/kill_exporter.py
+++ b/benchmarks/kill_exporter.py
@@ -60,8 +60,11 @@
     if draw.random() < 0.5:  # a late correction of a period that has closed
         begin = documents.read(holder.book.state.documents[0].data).period_ms
         before = holder.book.state.number
-        tell(CorrectionAsked("c1", "op", "late", begin, CLUBS[0], CLASSES[0], "http", "served",
-                             (3, 0, 0, 0, 0, 0, 0), (0,) * 7, 1000))
+        tell(
+            CorrectionAsked(
+                "c1", "op", "late", begin, CLUBS[0], CLASSES[0], "http", "served", (3, 0, 0, 0, 0, 0, 0), (0,) * 7, 1000
+            )
+        )
         served += 3 * (holder.book.state.number - before)
     holder.write_documents(holder.book.state.documents)
     holder.append([Ended(now)])
@@ -71,9 +74,24 @@
 
 async def export(folder: Path, url: str) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "flintshift.cli", "usage", "export", "--folder", str(folder), "--to-url", url,
-        "--quiet", "--backoff", "0.005", "--timeout", "0.2", cwd=ROOT, stdout=asyncio.subprocess.DEVNULL,
-        stderr=asyncio.subprocess.DEVNULL)
+        sys.executable,
+        "-m",
+        "flintshift.cli",
+        "usage",
+        "export",
+        "--folder",
+        str(folder),
+        "--to-url",
+        url,
+        "--quiet",
+        "--backoff",
+        "0.005",
+        "--timeout",
+        "0.2",
+        cwd=ROOT,
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
 
 
 async def one(seed: int, base: Path, points: Counter[str], longest_s: float) -> tuple[int, int]:
@@ -138,8 +156,15 @@
         return len(wrong)
 
     seconds = await many(runs, parallel, seed, 50, run)
-    return {"runs": runs, "kills": sum(points.values()) - points["had ended"], "points": dict(sorted(points.items())),
-            "served": total, "mismatches": len(wrong), "wrong": wrong, "seconds": seconds}
+    return {
+        "runs": runs,
+        "kills": sum(points.values()) - points["had ended"],
+        "points": dict(sorted(points.items())),
+        "served": total,
+        "mismatches": len(wrong),
+        "wrong": wrong,
+        "seconds": seconds,
+    }
 
 
 if __name__ == "__main__":
--- a/benchmarks/kill_node.py
+++ b/benchmarks/kill_node.py
@@ -50,8 +50,11 @@
 
 async def load_for(rig: Rig, tally: Tally, seconds: float, seed: int, kill: bool) -> None:
     stop = asyncio.Event()
-    callers = [Caller(rig.ports[front], front, number, list(CLUBS), tally, seed * 100 + number, 0.001)
-               for number in range(8) for front in (("http",) if number % 4 else ("uwsgi",))]
+    callers = [
+        Caller(rig.ports[front], front, number, list(CLUBS), tally, seed * 100 + number, 0.001)
+        for number in range(8)
+        for front in (("http",) if number % 4 else ("uwsgi",))
+    ]
     tasks = [asyncio.create_task(caller.run(stop)) for caller in callers]
     await asyncio.sleep(seconds)
     if kill:
@@ -103,8 +106,14 @@
                 continue
             wrong.append(f"{'/'.join(names)}: {seen[names]} answered and not in doubt, {merged[names]} booked")
     wrong += [f"{rid} ran {count} times" for rid, count in spawned.items() if count > 1]
-    return wrong, {"answered": len(tally.ids), "in_doubt": len(doubted), "unanswered": len(tally.unanswered),
-                   "gone": gone, "booked_unseen": unseen, "documents": len(found)}
+    return wrong, {
+        "answered": len(tally.ids),
+        "in_doubt": len(doubted),
+        "unanswered": len(tally.unanswered),
+        "gone": gone,
+        "booked_unseen": unseen,
+        "documents": len(found),
+    }
 
 
 async def one(seed: int, base: Path, durability: str) -> tuple[list[str], dict[str, int]]:
--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -18,14 +18,19 @@
     seconds that all took."""
     room, began, done = asyncio.Semaphore(parallel), time.monotonic(), 0
     with tempfile.TemporaryDirectory(prefix="flintshift-kill-") as name:
+
         async def run(number: int) -> None:
             nonlocal done
             async with room:
                 wrong = await one(number, Path(name))
             done += 1
             if done % every == 0:
-                print(f"{done} of {runs} runs, {wrong} wrong, {time.monotonic() - began:.0f} s", file=sys.stderr,
-                      flush=True)
+                print(
+                    f"{done} of {runs} runs, {wrong} wrong, {time.monotonic() - began:.0f} s",
+                    file=sys.stderr,
+                    flush=True,
+                )
+
         async with asyncio.TaskGroup() as tasks:  # where one fails, none goes on in a folder that is removed
             for number in range(runs):
                 tasks.create_task(run(seed + number))
--- a/benchmarks/ledger_store.py
+++ b/benchmarks/ledger_store.py
@@ -52,7 +52,8 @@
     for number in range(0, requests, commit):
         entries: list[Entry] = [
             Claim((number + place).to_bytes(8, "big"), row_number(place % 2, number % 2, 2, 0, 0), 0, 3217, 1, 7, 26)
-            for place in range(commit)]
+            for place in range(commit)
+        ]
         if before:
             entries.append(Marked(before[0], [one - before[0] for one in before], []))
         first = holder.log.following
@@ -123,10 +124,14 @@
                 shutil.rmtree(folder, ignore_errors=True)
                 size = apart(made, folder, requests, snapshots)
                 runs = [apart(recovery, folder, requests, snapshots) for _ in range(3)]
-                row = {"requests": requests, "snapshots": snapshots,
-                       "seconds": round(statistics.median(run["seconds"] for run in runs), 3),
-                       "replayed_records": runs[0]["records"], "log_bytes_a_request": round(size["bytes"], 1),
-                       "writer_rss_mb": round(size["rss_mb"], 1)}
+                row = {
+                    "requests": requests,
+                    "snapshots": snapshots,
+                    "seconds": round(statistics.median(run["seconds"] for run in runs), 3),
+                    "replayed_records": runs[0]["records"],
+                    "log_bytes_a_request": round(size["bytes"], 1),
+                    "writer_rss_mb": round(size["rss_mb"], 1),
+                }
                 told["recovery"].append(row)
                 print(row, flush=True)
     told["max_rss_mb_here"] = round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024, 1)
--- a/benchmarks/peer_link.py
+++ b/benchmarks/peer_link.py
@@ -37,10 +37,14 @@
 def words(count: int) -> pb.Batch:
     batch = pb.Batch()
     for number in range(count):
-        batch.asks.add(number=number, step=2, key=pb.Key(class_name="submit-time", key=f"key-{number:016x}"),
-                       ballot=pb.Ballot(by="n1#18f2c0a1"), stores=[1, 2, 3],
-                       value=pb.Value(stage=1, owner=f"{number:016x}", runner="n1#18f2c0a1", print=b"p" * 16,
-                                      for_ms=3e4))
+        batch.asks.add(
+            number=number,
+            step=2,
+            key=pb.Key(class_name="submit-time", key=f"key-{number:016x}"),
+            ballot=pb.Ballot(by="n1#18f2c0a1"),
+            stores=[1, 2, 3],
+            value=pb.Value(stage=1, owner=f"{number:016x}", runner="n1#18f2c0a1", print=b"p" * 16, for_ms=3e4),
+        )
     return batch
 
 
@@ -50,10 +54,12 @@
             yield batch
 
     handler = grpc.stream_stream_rpc_method_handler(
-        talk, request_deserializer=pb.Batch.FromString, response_serializer=pb.Batch.SerializeToString)
+        talk, request_deserializer=pb.Batch.FromString, response_serializer=pb.Batch.SerializeToString
+    )
     server = grpc.aio.server()
-    server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(
-        "flintshift.peers.v1.Peers", {"Talk": handler}),))
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler("flintshift.peers.v1.Peers", {"Talk": handler}),)
+    )
     server.add_insecure_port(f"127.0.0.1:{at}")
     await server.start()
     await server.wait_for_termination()
@@ -61,12 +67,14 @@
 
 async def grpc_ask(at: str) -> Exchange:
     channel = grpc.aio.insecure_channel(f"127.0.0.1:{at}")
-    stream = channel.stream_stream(METHOD, request_serializer=pb.Batch.SerializeToString,
-                                   response_deserializer=pb.Batch.FromString)()
+    stream = channel.stream_stream(
+        METHOD, request_serializer=pb.Batch.SerializeToString, response_deserializer=pb.Batch.FromString
+    )()
 
     async def exchange(batch: pb.Batch) -> None:
         await stream.write(batch)
         await stream.read()
+
     return exchange
 
 
@@ -94,13 +102,14 @@
             came.clear()
             wire.send(batch)
             await came.wait()
+
         return exchange
+
     return connect
 
 
 async def framed_ask(at: str) -> Exchange:
-    return await over(lambda wire: asyncio.get_running_loop().create_connection(
-        lambda: wire, "127.0.0.1", int(at)))()
+    return await over(lambda wire: asyncio.get_running_loop().create_connection(lambda: wire, "127.0.0.1", int(at)))()
 
 
 async def unix_ask(at: str) -> Exchange:
@@ -127,9 +136,15 @@
             await exchange(batch)
             delays.append((time.perf_counter() - began) * 1e6)
         delays.sort()
-        rows.append({"link": name, "words": count, "p50_us": round(delays[exchanges // 2]),
-                     "p99_us": round(delays[int(exchanges * 0.99)]),
-                     "cpu_us": round((time.process_time() - cpu) / exchanges * 1e6)})
+        rows.append(
+            {
+                "link": name,
+                "words": count,
+                "p50_us": round(delays[exchanges // 2]),
+                "p99_us": round(delays[int(exchanges * 0.99)]),
+                "cpu_us": round((time.process_time() - cpu) / exchanges * 1e6),
+            }
+        )
     return rows
 
 
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -47,14 +47,18 @@
 
 def ask(port: int, front: str, callers: int, most: int, seed: int) -> tuple[int, list[float]]:
     """One process of callers; returns the answers and the delays in ms."""
+
     async def go() -> tuple[int, list[float]]:
         tally, never = Tally(), asyncio.Event()
-        all_ = [Caller(port, front, seed * 100 + number, list(CLUBS), tally, seed * 100 + number, keep_ids=False)
-                for number in range(callers)]
+        all_ = [
+            Caller(port, front, seed * 100 + number, list(CLUBS), tally, seed * 100 + number, keep_ids=False)
+            for number in range(callers)
+        ]
         for caller in all_:
             caller.classes = ("standings", "finish-times")
         await asyncio.gather(*(caller.run(never, most // callers) for caller in all_))
         return sum(tally.answers.values()), tally.delays
+
     return asyncio.run(go())
 
 
@@ -74,43 +78,76 @@
 Run = tuple[str, str, str | None, Path]  # front, variant, operators' file, where the program stands
 
 
-async def burst(rig: Rig, front: str, requests: int, callers: int, executor: ProcessPoolExecutor,
-                seed: int) -> dict[str, float]:
+async def burst(
+    rig: Rig, front: str, requests: int, callers: int, executor: ProcessPoolExecutor, seed: int
+) -> dict[str, float]:
     """Load on one node, which the others leave in peace meanwhile."""
     assert rig.process is not None
     loop, pid = asyncio.get_running_loop(), rig.process.pid
     before, began = cpu_s(pid), loop.time()
-    parts = await asyncio.gather(*(loop.run_in_executor(
-        executor, ask, rig.ports[front], front, callers, requests // WORKERS, seed + worker)
-        for worker in range(WORKERS)))
+    parts = await asyncio.gather(
+        *(
+            loop.run_in_executor(executor, ask, rig.ports[front], front, callers, requests // WORKERS, seed + worker)
+            for worker in range(WORKERS)
+        )
+    )
     took_s, spent = loop.time() - began, cpu_s(pid) - before
     answers, delays = sum(part[0] for part in parts), sorted(ms for part in parts for ms in part[1])
-    return {"answers": answers, "cpu_us": spent / answers * 1e6, "per_s": answers / took_s,
-            "p50_ms": delays[len(delays) // 2], "p99_ms": delays[len(delays) * 99 // 100], "rss_mb": resident_mb(pid)}
-
-
-async def measure(runs: list[Run], folder: Path, rounds: int, nodes: int, requests: int,
-                  callers: int) -> dict[tuple[str, str], list[dict[str, float]]]:
+    return {
+        "answers": answers,
+        "cpu_us": spent / answers * 1e6,
+        "per_s": answers / took_s,
+        "p50_ms": delays[len(delays) // 2],
+        "p99_ms": delays[len(delays) * 99 // 100],
+        "rss_mb": resident_mb(pid),
+    }
+
+
+async def measure(
+    runs: list[Run], folder: Path, rounds: int, nodes: int, requests: int, callers: int
+) -> dict[tuple[str, str], list[dict[str, float]]]:
     found: dict[tuple[str, str], list[dict[str, float]]] = {run[:2]: [] for run in runs}
     async with AsyncExitStack() as stack:
         executor = stack.enter_context(ProcessPoolExecutor(WORKERS))
         rigs: list[list[Rig]] = []
         for number, (front, variant, settings, root) in enumerate(runs):
-            rigs.append([await stack.enter_async_context(Rig(
-                folder / f"{number}-{node}", settings, uwsgi=front == "uwsgi", root=root, pool=Pool(cores=64),
-                platform=PLATFORM, control=variant == CONTROL)) for node in range(nodes)])
+            rigs.append(
+                [
+                    await stack.enter_async_context(
+                        Rig(
+                            folder / f"{number}-{node}",
+                            settings,
+                            uwsgi=front == "uwsgi",
+                            root=root,
+                            pool=Pool(cores=64),
+                            platform=PLATFORM,
+                            control=variant == CONTROL,
+                        )
+                    )
+                    for node in range(nodes)
+                ]
+            )
         for round_ in range(rounds + 1):  # the first is not counted
             order = list(range(len(runs)))
             parts: dict[int, list[dict[str, float]]] = {place: [] for place in order}
             for node in range(nodes):
-                for place in order[round_ % len(order):] + order[:round_ % len(order)]:
+                for place in order[round_ % len(order) :] + order[: round_ % len(order)]:
                     front = runs[place][0]
-                    parts[place].append(await burst(rigs[place][node], front, requests // (1 if front == "http" else 3),
-                                                    callers, executor, round_ * 10))
+                    parts[place].append(
+                        await burst(
+                            rigs[place][node],
+                            front,
+                            requests // (1 if front == "http" else 3),
+                            callers,
+                            executor,
+                            round_ * 10,
+                        )
+                    )
             for place, told in parts.items():
                 if round_:
-                    found[runs[place][:2]].append({name: statistics.mean(one[name] for one in told)
-                                                   for name in told[0]})
+                    found[runs[place][:2]].append(
+                        {name: statistics.mean(one[name] for one in told) for name in told[0]}
+                    )
             print(f"round {round_} of {rounds}", file=sys.stderr, flush=True)
     return found
 
@@ -129,9 +166,12 @@
     given = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="flintshift-bench-") as name:
         folder = Path(name)
-        runs: list[Run] = [(front, variant, settings, ROOT)
-                           for front in given.fronts.split(",") for variant, settings in VARIANTS.items()
-                           if variant == "off" or variant in given.variants.split(",")]
+        runs: list[Run] = [
+            (front, variant, settings, ROOT)
+            for front in given.fronts.split(",")
+            for variant, settings in VARIANTS.items()
+            if variant == "off" or variant in given.variants.split(",")
+        ]
         if given.control:
             runs.insert(1, (given.fronts.split(",")[0], CONTROL, None, ROOT))
         if given.base:
@@ -142,21 +182,30 @@
             runs.insert(0, ("http", f"off at {given.base[:12]}", None, base))
         found = await measure(runs, folder, given.rounds, given.nodes, given.requests, given.callers)
     table = []
-    print(f"{'front':<7}{'ledger':<22}{'CPU us':>8}{'to off':>8}{'per s':>8}{'to off':>8}{'p50 ms':>8}{'p99 ms':>8}"
-          f"{'RSS MB':>8}")
+    print(
+        f"{'front':<7}{'ledger':<22}{'CPU us':>8}{'to off':>8}{'per s':>8}{'to off':>8}{'p50 ms':>8}{'p99 ms':>8}"
+        f"{'RSS MB':>8}"
+    )
     for (front, variant), rounds in found.items():
         row: dict[str, Any] = {"front": front, "ledger": variant}
         for field in ("cpu_us", "per_s", "p50_ms", "p99_ms", "rss_mb"):
             row[field] = round(statistics.median(one[field] for one in rounds), 2)
         for field in ("cpu_us", "per_s"):
-            row[f"{field}_to_off"] = round(statistics.median(
-                one[field] / off[field] for one, off in zip(rounds, found[front, "off"], strict=True)), 3)
+            row[f"{field}_to_off"] = round(
+                statistics.median(
+                    one[field] / off[field] for one, off in zip(rounds, found[front, "off"], strict=True)
+                ),
+                3,
+            )
         table.append(row)
-        print(f"{front:<7}{variant:<22}{row['cpu_us']:>8.0f}{row['cpu_us_to_off']:>8.3f}{row['per_s']:>8.0f}"
-              f"{row['per_s_to_off']:>8.3f}{row['p50_ms']:>8.2f}{row['p99_ms']:>8.2f}{row['rss_mb']:>8.1f}")
+        print(
+            f"{front:<7}{variant:<22}{row['cpu_us']:>8.0f}{row['cpu_us_to_off']:>8.3f}{row['per_s']:>8.0f}"
+            f"{row['per_s_to_off']:>8.3f}{row['p50_ms']:>8.2f}{row['p99_ms']:>8.2f}{row['rss_mb']:>8.1f}"
+        )
     if given.out:
-        given.out.write_text(json.dumps({"requests": given.requests, "rounds": given.rounds, "rows": table}, indent=1)
-                             + "\n")
+        given.out.write_text(
+            json.dumps({"requests": given.requests, "rounds": given.rounds, "rows": table}, indent=1) + "\n"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -39,6 +39,7 @@
 
 def load(ports: dict[str, int], callers: int, until: float, seed: int) -> list[Answer]:
     """One process of callers, by turns on each front; half of the requests are writes, each of which comes twice."""
+
     async def caller(number: int, told: list[Answer]) -> None:
         front = sorted(ports)[number % len(ports)]
         draw, link, turn = random.Random(seed * 1000 + number), None, 0
@@ -66,6 +67,7 @@
         told: list[Answer] = []
         await asyncio.gather(*(caller(number, told) for number in range(callers)))
         return told
+
     return asyncio.run(go())
 
 
@@ -81,16 +83,22 @@
             until = time.time() + 0.5 + upgrades * (steady_s + 0.8)
             ports = {front: rig.ports[front] for front in (("http", "uwsgi") if uwsgi else ("http",))}
             loop = asyncio.get_running_loop()
-            asked = [loop.run_in_executor(executor, load, ports, callers // WORKERS, until, number)
-                     for number in range(WORKERS)]
+            asked = [
+                loop.run_in_executor(executor, load, ports, callers // WORKERS, until, number)
+                for number in range(WORKERS)
+            ]
             await asyncio.sleep(0.5)
             for _ in range(upgrades):
                 await asyncio.sleep(steady_s)
                 began = time.time()
                 older = await rig.beside()
                 assert rig.process is not None
-                row = {"ready_ms": (time.time() - began) * 1000, "start_cpu_ms": cpu_s(rig.process.pid) * 1000,
-                       "older_mb": resident_mb(older.pid), "newer_mb": resident_mb(rig.process.pid)}
+                row = {
+                    "ready_ms": (time.time() - began) * 1000,
+                    "start_cpu_ms": cpu_s(rig.process.pid) * 1000,
+                    "older_mb": resident_mb(older.pid),
+                    "newer_mb": resident_mb(rig.process.pid),
+                }
                 told = time.time()
                 older.send_signal(signal.SIGTERM)
                 assert await older.wait() == 0
@@ -103,14 +111,24 @@
     keys = Counter(key for *_, rid, _, key in answers if key and rid in ran)
     results = {(key, result) for _, _, status, _, result, key in answers if key and status == 200}
     of = Counter(status for _, _, status, *_ in answers)
-    return {"upgrades": len(rows), "callers": callers, "answers": len(answers),
-            "lost_at_the_door": of[0], "served": of[200], "refused": of[429] + of[503], "failed": of[500] + of[409],
-            "writes_run": len(keys), "second_runs": sum(keys.values()) - len(keys),
-            "writes_served": len({key for key, _ in results}), "results_of_writes": len(results),
-            **{name: round(statistics.median(row[name] for row in rows), 1) for name in rows[0]},
-            "p50_to_steady": round(percentile(during, 0.5) / percentile(steady, 0.5), 2),
-            "p99_to_steady": round(percentile(during, 0.99) / percentile(steady, 0.99), 2),
-            "p99_ms_steady": round(percentile(steady, 0.99), 1), "p99_ms_during": round(percentile(during, 0.99), 1)}
+    return {
+        "upgrades": len(rows),
+        "callers": callers,
+        "answers": len(answers),
+        "lost_at_the_door": of[0],
+        "served": of[200],
+        "refused": of[429] + of[503],
+        "failed": of[500] + of[409],
+        "writes_run": len(keys),
+        "second_runs": sum(keys.values()) - len(keys),
+        "writes_served": len({key for key, _ in results}),
+        "results_of_writes": len(results),
+        **{name: round(statistics.median(row[name] for row in rows), 1) for name in rows[0]},
+        "p50_to_steady": round(percentile(during, 0.5) / percentile(steady, 0.5), 2),
+        "p99_to_steady": round(percentile(during, 0.99) / percentile(steady, 0.99), 2),
+        "p99_ms_steady": round(percentile(steady, 0.99), 1),
+        "p99_ms_during": round(percentile(during, 0.99), 1),
+    }
 
 
 async def main() -> None:
--- a/flintshift/__main__.py
+++ b/flintshift/__main__.py
@@ -14,8 +14,12 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m flintshift", description="A results node on real sockets.")
-    parser.add_argument("--settings", type=Path, metavar="FILE",
-                        help="the operators' file (deploy/flintshift.yaml); none is read unless it is named")
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        metavar="FILE",
+        help="the operators' file (deploy/flintshift.yaml); none is read unless it is named",
+    )
     given = parser.parse_args()
     return start(partial(load, os.environ, given.settings))
 
--- a/flintshift/benchlink.py
+++ b/flintshift/benchlink.py
@@ -49,26 +49,39 @@
 # An event's word: its type, and for each field of the wire the field of the interface and its form.
 REQUEST = ("request", str)
 EVENTS: dict[str, tuple[type, dict[str, tuple[str, Callable[[str], Any]]]]] = {
-    "QUERY": (api.Arrived, {
-        "opId": REQUEST,
-        "tierClass": ("class_name", str),
-        "footprint": ("held_kb", number),
-        "ageMs": ("age_ms", number),
-        "src": ("caller", int),
-        "team": ("tenant", present(str)),
-        "dupOf": ("repeat_of", present(str)),
-        "againByClient": ("marked_repeat", flag),
-        "expiresInMs": ("patience_ms", present(number)),
-        "resource": ("subject", int),
-    }),
-    "DONE": (api.RunEnded, {
-        "opId": REQUEST, "how": ("outcome", OUTCOMES.__getitem__), "timeTakenMs": ("took_ms", number),
-    }),
+    "QUERY": (
+        api.Arrived,
+        {
+            "opId": REQUEST,
+            "tierClass": ("class_name", str),
+            "footprint": ("held_kb", number),
+            "ageMs": ("age_ms", number),
+            "src": ("caller", int),
+            "team": ("tenant", present(str)),
+            "dupOf": ("repeat_of", present(str)),
+            "againByClient": ("marked_repeat", flag),
+            "expiresInMs": ("patience_ms", present(number)),
+            "resource": ("subject", int),
+        },
+    ),
+    "DONE": (
+        api.RunEnded,
+        {
+            "opId": REQUEST,
+            "how": ("outcome", OUTCOMES.__getitem__),
+            "timeTakenMs": ("took_ms", number),
+        },
+    ),
     "DROPPED": (api.CallerGone, {"opId": REQUEST}),
     "NEEDS": (api.CallNeeded, {"opId": REQUEST}),
-    "CALL_RESULT": (api.CallEnded, {
-        "opId": REQUEST, "how": ("outcome", OUTCOMES.__getitem__), "timeTakenMs": ("took_ms", number),
-    }),
+    "CALL_RESULT": (
+        api.CallEnded,
+        {
+            "opId": REQUEST,
+            "how": ("outcome", OUTCOMES.__getitem__),
+            "timeTakenMs": ("took_ms", number),
+        },
+    ),
     "DRAIN": (api.Leaving, {"expiresInMs": ("stops_in_ms", number)}),
     "DUE": (api.Woken, {"nonce": ("token", str), "telemetry": ("gauges", gauges)}),
 }
@@ -92,6 +105,7 @@
     api.WakeAt: ("SET_TIMER", {"at_ms": "atMs", "token": "nonce"}),
 }
 
+
 def split(parts: Iterable[str]) -> dict[str, str]:
     pairs = {}
     for part in parts:
--- a/flintshift/cli/control.py
+++ b/flintshift/cli/control.py
@@ -35,6 +35,7 @@
 
 def call(at: str | None, method: str, name: str) -> None:
     import httpx
+
     url = f"http://{address(at)}/control/{name}"
     try:
         reply = httpx.request(method, url, timeout=WITHIN_S, trust_env=False)
@@ -63,10 +64,15 @@
     @click.option("--at", metavar="HOST:PORT", help="The control address; else LB_CONTROL, else LB_CONFIG's `control`.")
     def command(at: str | None) -> None:
         call(at, method, name)
+
     return command
 
 
 add("ready", "GET", "Whether this process takes clients: its pool is linked, it listens, and it is in service.")
-add("out-of-service", "POST", "Empty the node: health checks are bad from now on, all that arrives is answered as "
-    "always. It stays so over upgrades until `in-service`. Calling it twice changes nothing.")
+add(
+    "out-of-service",
+    "POST",
+    "Empty the node: health checks are bad from now on, all that arrives is answered as "
+    "always. It stays so over upgrades until `in-service`. Calling it twice changes nothing.",
+)
 add("in-service", "POST", "Take clients again: health checks are good, as far as the node itself is well.")
--- a/flintshift/cli/copies.py
+++ b/flintshift/cli/copies.py
@@ -19,6 +19,7 @@
 
 def shown(folder: Path) -> dict[str, Any]:
     from flintshift.copies.store import SOCKET
+
     return told(folder / SOCKET, "members", ADVICE)
 
 
@@ -46,6 +47,7 @@
     """
     from flintshift.copies.store import boot_id, found_store
     from flintshift.storage.files import DiskFiles
+
     try:
         found_store(DiskFiles(), folder, time.time() * 1000, boot_id())
     except OSError as error:
@@ -72,15 +74,24 @@
     if as_json:
         click.echo(json.dumps(found))
     else:
-        votes = "yes" if found["votes"] else (f"no, at the latest in {found['votes_in_ms'] / 1000:.0f} s; filled by "
-                                              f"{', '.join(found['filled_by']) or 'nobody yet'}")
+        votes = (
+            "yes"
+            if found["votes"]
+            else (
+                f"no, at the latest in {found['votes_in_ms'] / 1000:.0f} s; filled by "
+                f"{', '.join(found['filled_by']) or 'nobody yet'}"
+            )
+        )
         stages = ", ".join(f"{count:,} {stage}" for stage, count in found["stages"].items())
-        for name, text in (("member", f"{found['member']} ({found['identity']}), store {found['store']}"),
-                           ("votes", votes), ("disk", found["disk"]),
-                           ("keys", f"{found['keys']:,}: {stages}; {found['bytes'] / 1024:,.0f} KiB"),
-                           ("under-copied", f"{found['under_copied']:,}"),
-                           ("under way", f"{found['proposals']:,} proposals, {found['followed']:,} keys followed"),
-                           ("may have run", f"{len(found['may_have_run'])}")):
+        for name, text in (
+            ("member", f"{found['member']} ({found['identity']}), store {found['store']}"),
+            ("votes", votes),
+            ("disk", found["disk"]),
+            ("keys", f"{found['keys']:,}: {stages}; {found['bytes'] / 1024:,.0f} KiB"),
+            ("under-copied", f"{found['under_copied']:,}"),
+            ("under way", f"{found['proposals']:,} proposals, {found['followed']:,} keys followed"),
+            ("may have run", f"{len(found['may_have_run'])}"),
+        ):
             click.echo(f"{name:<14}{text}")
         for one in found["may_have_run"]:
             click.echo(f"  {one['class']} {one['key']}, claimed by request {one['request']}")
@@ -99,6 +110,7 @@
     from flintshift.storage.files import DiskFiles
     from flintshift.storage.snapshot import DamagedError
     from flintshift.wire.peer_words import entry_from
+
     try:
         state, records, keys = examined(DiskFiles(), folder, entry_from)
     except OSError as error:
@@ -108,11 +120,22 @@
         click.echo(json.dumps({"damage": str(error)}) if as_json else str(error), err=not as_json)
         sys.exit(3)
     if as_json:
-        click.echo(json.dumps({"member": state.member, "store": state.incarnation, "votes": state.votes,
-                               "records": records, "keys": keys}))
+        click.echo(
+            json.dumps(
+                {
+                    "member": state.member,
+                    "store": state.incarnation,
+                    "votes": state.votes,
+                    "records": records,
+                    "keys": keys,
+                }
+            )
+        )
     else:
-        click.echo(f"{folder}: whole: store {state.incarnation} of {state.member or 'nobody yet'}, {records:,} records "
-                   f"of {keys:,} keys; it {'votes' if state.votes else 'does not vote'}")
+        click.echo(
+            f"{folder}: whole: store {state.incarnation} of {state.member or 'nobody yet'}, {records:,} records "
+            f"of {keys:,} keys; it {'votes' if state.votes else 'does not vote'}"
+        )
 
 
 @click.group()
@@ -139,8 +162,12 @@
     else:
         click.echo(f"{'member':<16}{'hall':<16}{'link':<8}processes")
         for one in found["members"]:
-            lives = "; ".join(f"{process['identity']} {process['state']}, heard {process['silent_ms'] / 1000:.1f} s ago"
-                              for process in one["processes"])
-            click.echo(f"{one['member']:<16}{one['hall']:<16}{'up' if one['linked'] else 'down':<8}"
-                       f"{lives or one['cause'] or 'never heard of'}")
+            lives = "; ".join(
+                f"{process['identity']} {process['state']}, heard {process['silent_ms'] / 1000:.1f} s ago"
+                for process in one["processes"]
+            )
+            click.echo(
+                f"{one['member']:<16}{one['hall']:<16}{'up' if one['linked'] else 'down':<8}"
+                f"{lives or one['cause'] or 'never heard of'}"
+            )
     sys.exit(0 if all(one["linked"] for one in found["members"]) else 3)
--- a/flintshift/cli/door.py
+++ b/flintshift/cli/door.py
@@ -53,8 +53,11 @@
       1  the node can't be reached
       2  the command line can't be used
     """
-    found = told(path, "clubs", "name the socket that `door.socket` in the file of a running node names, as the user "
-                 "that the node runs as")
+    found = told(
+        path,
+        "clubs",
+        "name the socket that `door.socket` in the file of a running node names, as the user that the node runs as",
+    )
     clubs = found["clubs"]
     if as_json:
         click.echo(json.dumps(found))
@@ -62,5 +65,7 @@
     click.echo(f"{'club':<22}" + "".join(f"{name:>{width}}" for name, width, _ in COLUMNS))
     for one in sorted(clubs, key=lambda one: -one["waiting_ms"]):
         click.echo(f"{one['club'] or '(others)':<22.22}" + "".join(f"{of(one):>{width}}" for _, width, of in COLUMNS))
-    click.echo(f"tables: {found['places']:,} entries of {found['most_places']:,}, at the most "
-               f"{found['bytes_at_most'] / 1024:,.0f} KiB")
+    click.echo(
+        f"tables: {found['places']:,} entries of {found['most_places']:,}, at the most "
+        f"{found['bytes_at_most'] / 1024:,.0f} KiB"
+    )
--- a/flintshift/cli/main.py
+++ b/flintshift/cli/main.py
@@ -37,8 +37,12 @@
 
 
 @main.command(epilog=EXIT_CODES)
-@click.option("--settings", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
-              help="The operators' file (see deploy/flintshift.yaml); all its parts are off without one.")
+@click.option(
+    "--settings",
+    type=click.Path(path_type=Path, dir_okay=False),
+    metavar="FILE",
+    help="The operators' file (see deploy/flintshift.yaml); all its parts are off without one.",
+)
 def run(settings: Path | None) -> None:
     """Run one node until SIGTERM.
 
@@ -47,6 +51,7 @@
     `flintshift demo --peers-only` provides.
     """
     from flintshift.lifecycle.start import start
+
     reread = partial(load, os.environ, settings) if os.environ.get("LB_CONFIG") else partial(embedded, settings)
     sys.exit(start(reread))
 
@@ -59,6 +64,7 @@
     from dataclasses import asdict, fields
 
     from flintshift.settings.operators import FaultsError, read
+
     try:
         told = read(file)
     except FaultsError as error:
@@ -78,10 +84,18 @@
 @main.command(epilog=EXIT_CODES)
 @click.option("--seconds", type=click.FloatRange(0.5, 3600), default=5.0, show_default=True, help="Of traffic.")
 @click.option("--callers", type=click.IntRange(1, 500), default=8, show_default=True)
-@click.option("--keep", type=click.Path(path_type=Path, file_okay=False), metavar="FOLDER",
-              help="Keep the node's files here; else they go at the end.")
-@click.option("--peers-only", is_flag=True, help="Start the stand-ins alone, at the embedded default's ports, until "
-              "Ctrl-C: for `flintshift run` in another terminal.")
+@click.option(
+    "--keep",
+    type=click.Path(path_type=Path, file_okay=False),
+    metavar="FOLDER",
+    help="Keep the node's files here; else they go at the end.",
+)
+@click.option(
+    "--peers-only",
+    is_flag=True,
+    help="Start the stand-ins alone, at the embedded default's ports, until "
+    "Ctrl-C: for `flintshift run` in another terminal.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print the result as JSON.")
 def demo(seconds: float, callers: int, keep: Path | None, peers_only: bool, as_json: bool) -> None:
     """A node with stand-ins for pool, vault and name service and a little traffic, on loopback.
@@ -89,6 +103,7 @@
     The node keeps a ledger of use; at the end what callers counted stands beside what it booked.
     """
     from flintshift.lab import demo as lab
+
     if peers_only:
         sys.exit(lab.peers_only(click.echo))
     told = lab.run(seconds, callers, keep, partial(click.echo, err=True))
--- a/flintshift/cli/startup.py
+++ b/flintshift/cli/startup.py
@@ -37,8 +37,11 @@
       2  the command line can't be used
       3  it is not ready: the phase and what it waits for are printed
     """
-    found = told(path, "phase", "name the socket that `startup.socket` in the file of a running node names, as the "
-                 "user that the node runs as")
+    found = told(
+        path,
+        "phase",
+        "name the socket that `startup.socket` in the file of a running node names, as the user that the node runs as",
+    )
     if as_json:
         click.echo(json.dumps(found))
     else:
@@ -46,9 +49,12 @@
         click.echo(f"{found['phase']} for {found['for_ms'] / 1000:.1f} s{waits}")
         for one in found["entered"]:
             waited = f" after {one['after_ms']} ms" + (
-                f" of waiting for {' and '.join(one['waited_for'])}" if one["waited_for"] else "")
+                f" of waiting for {' and '.join(one['waited_for'])}" if one["waited_for"] else ""
+            )
             click.echo(f"  {one['phase']:<9}{waited}")
         if found["crash_loop_wait_ms"]:
-            click.echo(f"  before that it stayed away for {found['crash_loop_wait_ms'] / 1000:.1f} s: it had died "
-                       f"{found['lives_that_ended_badly']} times in a row")
+            click.echo(
+                f"  before that it stayed away for {found['crash_loop_wait_ms'] / 1000:.1f} s: it had died "
+                f"{found['lives_that_ended_badly']} times in a row"
+            )
     sys.exit(0 if found["ready"] else 3)
--- a/flintshift/cli/usage.py
+++ b/flintshift/cli/usage.py
@@ -33,9 +33,14 @@
 
 def folder_options(command: Callable[..., None]) -> Callable[..., None]:
     """Every command finds its ledger by --folder, or by the operators' file."""
+
     @click.option("--folder", type=click.Path(path_type=Path, file_okay=False), help="The ledger's folder.")
-    @click.option("--settings", type=click.Path(path_type=Path, dir_okay=False), metavar="FILE",
-                  help="The operators' file that names the folder, where --folder does not.")
+    @click.option(
+        "--settings",
+        type=click.Path(path_type=Path, dir_okay=False),
+        metavar="FILE",
+        help="The operators' file that names the folder, where --folder does not.",
+    )
     @wraps(command)
     def found(folder: Path | None, settings: Path | None, **more: Any) -> None:
         if folder is None and settings is None:
@@ -43,6 +48,7 @@
         options = None
         if settings is not None:
             from flintshift.settings.operators import FaultsError, read
+
             try:
                 options = read(settings).usage
             except FaultsError as error:
@@ -60,6 +66,7 @@
             fail(str(error), 1)
         except (OSError, LockedError) as error:
             fail(str(error), 1)
+
     return found
 
 
@@ -92,36 +99,87 @@
         rows += _rows(begin, state, documents.totals(parts))
     for begin, totals in book.totals().items():
         rows += _rows(begin, "open", totals)
-    rows = [row for row in rows if (not period or row["period"].startswith(period))
-            and (not club or row["club"] == club) and any(row[name] for name in AMOUNTS)]
-    doubt = [{"id": entry.id.hex(), "period": utc(document.period_ms), "club": entry.row.club}
-             for document in standing.values() for entry in document.in_doubt]
-    doubt += [{"id": id_.hex(), "period": utc(begin), "club": parted(key)[0]}
-              for begin, part in sorted(book.state.periods.items()) for id_, key, _ in part.doubted]
-    on_way = [{"id": waiting.claim.id.hex(), "period": utc(waiting.period),
-               "club": book.names_of(waiting.claim.row)[0]} for waiting in book.state.waiting.values()]
+    rows = [
+        row
+        for row in rows
+        if (not period or row["period"].startswith(period))
+        and (not club or row["club"] == club)
+        and any(row[name] for name in AMOUNTS)
+    ]
+    doubt = [
+        {"id": entry.id.hex(), "period": utc(document.period_ms), "club": entry.row.club}
+        for document in standing.values()
+        for entry in document.in_doubt
+    ]
+    doubt += [
+        {"id": id_.hex(), "period": utc(begin), "club": parted(key)[0]}
+        for begin, part in sorted(book.state.periods.items())
+        for id_, key, _ in part.doubted
+    ]
+    on_way = [
+        {"id": waiting.claim.id.hex(), "period": utc(waiting.period), "club": book.names_of(waiting.claim.row)[0]}
+        for waiting in book.state.waiting.values()
+    ]
     if as_json or form == "json":
-        click.echo(json.dumps({"node": book.state.node, "epoch": book.state.epoch, "rows": rows, "in_doubt": doubt,
-                               "on_their_way": on_way, "warnings": found.warnings}, indent=2))
+        click.echo(
+            json.dumps(
+                {
+                    "node": book.state.node,
+                    "epoch": book.state.epoch,
+                    "rows": rows,
+                    "in_doubt": doubt,
+                    "on_their_way": on_way,
+                    "warnings": found.warnings,
+                },
+                indent=2,
+            )
+        )
         return
     if form == "csv":
         click.echo(",".join(("period", "state", "club", "class", "front", "outcome", *AMOUNTS)))
         for row in rows:
             click.echo(",".join(f'"{value}"' if "," in str(value) else str(value) for value in row.values()))
         return
-    click.echo(f"node {book.state.node}, epoch {book.state.epoch}, {len(standing)} documents, "
-               f"{book.state.sequence:,} records")
-    head = ("period", "state", "club", "class", "front", "outcome", "requests", "again", "kept", "run s", "calls",
-            "kB in", "kB out")
+    click.echo(
+        f"node {book.state.node}, epoch {book.state.epoch}, {len(standing)} documents, {book.state.sequence:,} records"
+    )
+    head = (
+        "period",
+        "state",
+        "club",
+        "class",
+        "front",
+        "outcome",
+        "requests",
+        "again",
+        "kept",
+        "run s",
+        "calls",
+        "kB in",
+        "kB out",
+    )
     table = [head]
     for row in rows:
-        table.append((*list(row.values())[:6], f"{row['requests']:,}", f"{row['further_tries']:,}",
-                      f"{row['kept']:,}", f"{row['run_us'] / 1e6:,.3f}", f"{row['calls']:,}",
-                      f"{row['bytes_in'] / 1000:,.1f}", f"{row['bytes_out'] / 1000:,.1f}"))
+        table.append(
+            (
+                *list(row.values())[:6],
+                f"{row['requests']:,}",
+                f"{row['further_tries']:,}",
+                f"{row['kept']:,}",
+                f"{row['run_us'] / 1e6:,.3f}",
+                f"{row['calls']:,}",
+                f"{row['bytes_in'] / 1000:,.1f}",
+                f"{row['bytes_out'] / 1000:,.1f}",
+            )
+        )
     widths = [max(len(line[place]) for line in table) for place in range(len(head))]
     for line in table:
-        click.echo("  ".join(text.ljust(width) if place < 6 else text.rjust(width)
-                             for place, (text, width) in enumerate(zip(line, widths, strict=True))).rstrip())
+        click.echo(
+            "  ".join(
+                text.ljust(width) if place < 6 else text.rjust(width)
+                for place, (text, width) in enumerate(zip(line, widths, strict=True))
+            ).rstrip()
+        )
     for entry in doubt:
         click.echo(f"in doubt: {entry['id']} of {entry['club']}, {entry['period']}")
     if on_way:
@@ -131,8 +189,18 @@
 
 
 def _rows(begin: int, state: str, totals: dict[documents.Names, list[int]]) -> list[dict[str, Any]]:
-    return [{"period": utc(begin), "state": state, "club": names[0], "class": names[1], "front": names[2],
-             "outcome": names[3], **dict(zip(AMOUNTS, row, strict=True))} for names, row in sorted(totals.items())]
+    return [
+        {
+            "period": utc(begin),
+            "state": state,
+            "club": names[0],
+            "class": names[1],
+            "front": names[2],
+            "outcome": names[3],
+            **dict(zip(AMOUNTS, row, strict=True)),
+        }
+        for names, row in sorted(totals.items())
+    ]
 
 
 class Moment(click.ParamType):
@@ -158,12 +226,35 @@
 @click.option("--class", "class_name", required=True)
 @click.option("--front", type=click.Choice(FRONTS), required=True)
 @click.option("--outcome", type=click.Choice(OUTCOMES), required=True)
-@click.option("--wait", type=click.FloatRange(0, 600), default=10.0, show_default=True,
-              help="Seconds for a running node to answer.")
-@click.option("--by", "by", multiple=True, metavar="AMOUNT=N", required=True,
-              help=f"What to add, negative to take away: {', '.join(AMOUNTS)}. May be given more than once.")
-def correct(folder: Path, options: Any, id_: str, period: int, by: tuple[str, ...], wait: float,
-            author: str, reason: str, club: str, class_name: str, front: str, outcome: str) -> None:
+@click.option(
+    "--wait",
+    type=click.FloatRange(0, 600),
+    default=10.0,
+    show_default=True,
+    help="Seconds for a running node to answer.",
+)
+@click.option(
+    "--by",
+    "by",
+    multiple=True,
+    metavar="AMOUNT=N",
+    required=True,
+    help=f"What to add, negative to take away: {', '.join(AMOUNTS)}. May be given more than once.",
+)
+def correct(
+    folder: Path,
+    options: Any,
+    id_: str,
+    period: int,
+    by: tuple[str, ...],
+    wait: float,
+    author: str,
+    reason: str,
+    club: str,
+    class_name: str,
+    front: str,
+    outcome: str,
+) -> None:
     """Correct a row of a period.
 
     An open period is changed. A period that has closed gets a numbered revision with the difference; its documents
@@ -173,14 +264,14 @@
 
     from flintshift.usage.corrections import to_json
     from flintshift.usage.vocabulary import CorrectionAsked
+
     amounts = [0] * len(AMOUNTS)
     for text in by:
         name, found, value = text.partition("=")
         if name not in AMOUNTS or not found or not re.fullmatch(r"[+-]?\d{1,19}", value):
             raise click.UsageError(f"--by {text}: expected one of {', '.join(AMOUNTS)}, = and a whole number")
         amounts[AMOUNTS.index(name)] += int(value)
-    asked = to_json(CorrectionAsked(
-        id_, author, reason, period, club, class_name, front, outcome, tuple(amounts)))
+    asked = to_json(CorrectionAsked(id_, author, reason, period, club, class_name, front, outcome, tuple(amounts)))
     if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", id_):
         raise click.UsageError("--id is 1 to 64 of A-Z a-z 0-9 . _ -")
     try:
@@ -195,12 +286,22 @@
     from flintshift.storage.commit import CommitLimits
     from flintshift.usage.ledger import Ledger
     from flintshift.usage.periods import LedgerClock
+
     holder = LedgerFolder(FILES, folder)
     try:
         wall = time.time() * 1000
-        ledger = Ledger(holder, 0, CommitLimits(syncs=False), False, 0.0, [],
-                        LedgerClock(wall, 0.0, holder.book.state.last_ms), lambda: wall, lambda: 0.0,
-                        lambda *_, **__: None)
+        ledger = Ledger(
+            holder,
+            0,
+            CommitLimits(syncs=False),
+            False,
+            0.0,
+            [],
+            LedgerClock(wall, 0.0, holder.book.state.last_ms),
+            lambda: wall,
+            lambda: 0.0,
+            lambda *_, **__: None,
+        )
         reply = ledger.correct(asked)
         if ledger.commit.gap is not None:
             return False, f"could not be written: {ledger.commit.gap.cause}"
@@ -231,13 +332,31 @@
 @click.option("--to-folder", type=click.Path(path_type=Path, file_okay=False), help="Publish documents here.")
 @click.option("--to-url", help="Send documents to the billing system at this address.")
 @click.option("--timeout", type=click.FloatRange(0.01, 300), default=10.0, show_default=True, help="Seconds.")
-@click.option("--wait", type=click.FloatRange(0, 86_400), default=60.0, show_default=True,
-              help="Seconds until what is left is given up on, to be delivered by a later run.")
-@click.option("--backoff", type=click.FloatRange(0.001, 3600), default=1.0, show_default=True,
-              help="Seconds: the first wait after an attempt that failed.")
+@click.option(
+    "--wait",
+    type=click.FloatRange(0, 86_400),
+    default=60.0,
+    show_default=True,
+    help="Seconds until what is left is given up on, to be delivered by a later run.",
+)
+@click.option(
+    "--backoff",
+    type=click.FloatRange(0.001, 3600),
+    default=1.0,
+    show_default=True,
+    help="Seconds: the first wait after an attempt that failed.",
+)
 @click.option("--quiet", is_flag=True, help="No progress.")
-def export(folder: Path, options: Any, to_folder: Path | None, to_url: str | None, timeout: float, wait: float,
-           backoff: float, quiet: bool) -> None:
+def export(
+    folder: Path,
+    options: Any,
+    to_folder: Path | None,
+    to_url: str | None,
+    timeout: float,
+    wait: float,
+    backoff: float,
+    quiet: bool,
+) -> None:
     """Deliver each closed period once to each sink; a running node that exports does this by itself.
 
     The sinks are those of the operators' file, or --to-folder and --to-url. It ends once all is delivered (0), or
@@ -247,6 +366,7 @@
 
     from flintshift.lifecycle.exports import export_run
     from flintshift.settings.options import ExportOptions, HttpSinkOptions
+
     told = options.export if options is not None else None
     if to_folder is not None or to_url is not None:
         http = HttpSinkOptions(to_url, timeout * 1000) if to_url is not None else None
@@ -283,8 +403,12 @@
 
 @usage.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
-@click.option("--counted", type=click.Path(path_type=Path, dir_okay=False), metavar="CSV",
-              help="A count of the callers' side: requests, and any of node, period, club.")
+@click.option(
+    "--counted",
+    type=click.Path(path_type=Path, dir_okay=False),
+    metavar="CSV",
+    help="A count of the callers' side: requests, and any of node, period, club.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print the findings as a JSON array.")
 def reconcile(files: tuple[Path, ...], counted: Path | None, as_json: bool) -> None:
     """Compare documents of any number of nodes: FILES are documents, or folders that hold them.
@@ -294,8 +418,10 @@
     from dataclasses import asdict
 
     from flintshift.usage.reconcile import check, compare, read_counted
-    paths = [inner for path in files for inner in (sorted(path.rglob(f"*{documents.ENDING}")) if path.is_dir()
-                                                   else [path])]
+
+    paths = [
+        inner for path in files for inner in (sorted(path.rglob(f"*{documents.ENDING}")) if path.is_dir() else [path])
+    ]
     if not paths:
         fail("no documents there", 1)
     found, faults = [], []
--- a/flintshift/copies/logs.py
+++ b/flintshift/copies/logs.py
@@ -184,8 +184,16 @@
     """``others`` hold copies; of them ``needed`` make a majority with this one. ``held_ms``: an answer waits no longer
     for them. ``before``: the last record of the last time that it was elected; None: it took the log over, elected."""
 
-    def __init__(self, log: LogId, epoch: int, last: Place, others: tuple[str, ...], needed: int, held_ms: float,
-                 before: Place | None) -> None:
+    def __init__(
+        self,
+        log: LogId,
+        epoch: int,
+        last: Place,
+        others: tuple[str, ...],
+        needed: int,
+        held_ms: float,
+        before: Place | None,
+    ) -> None:
         self.log, self.epoch, self.last, self.needed, self.held_ms = log, epoch, last, needed, held_ms
         self.takes = self.elected = before is None
         self.before = last if before is None else before
@@ -247,9 +255,11 @@
     def whole(self, member: str, data: bytes) -> list[WriterAction]:
         """All that a copy needs to go on from this process's last record."""
         copy = self.copies[member]
-        pieces = [data[at:at + PART_BYTES] for at in range(0, max(len(data), 1), PART_BYTES)]
-        copy.parts = [Part(self.log, self.epoch, self.last, number, number < len(pieces) - 1, piece)
-                      for number, piece in enumerate(pieces)]
+        pieces = [data[at : at + PART_BYTES] for at in range(0, max(len(data), 1), PART_BYTES)]
+        copy.parts = [
+            Part(self.log, self.epoch, self.last, number, number < len(pieces) - 1, piece)
+            for number, piece in enumerate(pieces)
+        ]
         copy.state = State.FILLING
         return [SendTo(member, copy.parts[0])]
 
@@ -358,8 +368,13 @@
             return []
         self.gap_ms = now_ms
         following = [name for name, copy in self.copies.items() if copy.state is State.FOLLOWING]
-        return [GapBegan(f"of {len(following)} copies that follow ({self.needed} must answer) too few did within "
-                         f"{max(waited_ms, 0.0):.0f} ms, and answers were due"), Held(math.inf)]
+        return [
+            GapBegan(
+                f"of {len(following)} copies that follow ({self.needed} must answer) too few did within "
+                f"{max(waited_ms, 0.0):.0f} ms, and answers were due"
+            ),
+            Held(math.inf),
+        ]
 
 
 # The holders' side.
@@ -471,8 +486,14 @@
 class HeldLogs:
     """``holders`` are those of a member's logs, that member first. ``lives`` tells whether a process does."""
 
-    def __init__(self, me: str, identity: str, holders: Callable[[str], tuple[str, ...]],
-                 lives: Callable[[str], bool], pace: HolderPace | None = None) -> None:
+    def __init__(
+        self,
+        me: str,
+        identity: str,
+        holders: Callable[[str], tuple[str, ...]],
+        lives: Callable[[str], bool],
+        pace: HolderPace | None = None,
+    ) -> None:
         self.me, self.identity, self.holders, self.lives, self.pace = me, identity, holders, lives, pace or HolderPace()
         self.table: dict[LogId, HeldLog] = {}
         self.own: LogId | None = None  # that this process writes for its member: of that it is no second holder
@@ -513,8 +534,11 @@
 
     def reach(self, member: str) -> list[HolderAction]:
         """That member is in reach again: it may not have heard of what ended meanwhile, and holds it for ever."""
-        return [Ask(member, Over(log, held.promised)) for log, held in self.table.items()
-                if held.over and member in self.holders(log[0])]
+        return [
+            Ask(member, Over(log, held.promised))
+            for log, held in self.table.items()
+            if held.over and member in self.holders(log[0])
+        ]
 
     def over(self, log: LogId, epoch: int) -> list[HolderAction]:
         held = self.table[log]
@@ -563,7 +587,7 @@
     def _make_room(self) -> list[HolderAction]:
         """What is over is remembered while there is room: a holder that was away then hears of it."""
         past = [log for log, held in self.table.items() if held.over]
-        return [Drop(self._dropped(log)) for log in past[:max(0, len(self.table) + 1 - self.pace.logs)]]
+        return [Drop(self._dropped(log)) for log in past[: max(0, len(self.table) + 1 - self.pace.logs)]]
 
     def _dropped(self, log: LogId) -> LogId:
         del self.table[log]
--- a/flintshift/copies/proposals.py
+++ b/flintshift/copies/proposals.py
@@ -95,8 +95,9 @@
 class Proposals:
     """``me`` names this process, never another or earlier one. ``lives`` tells whether a runner does."""
 
-    def __init__(self, me: str, placement: Placement, lives: Callable[[str], bool], draw: random.Random,
-                 pace: Pace | None = None) -> None:
+    def __init__(
+        self, me: str, placement: Placement, lives: Callable[[str], bool], draw: random.Random, pace: Pace | None = None
+    ) -> None:
         self.me, self.placement, self.lives, self.draw = me, placement, lives, draw
         self.pace = pace or Pace()
         self.under_way: dict[Key, Proposal] = {}
@@ -117,8 +118,9 @@
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         if isinstance(event, Reach | Tick):  # these may touch any key
             actions = self._handled(now_ms, event)
-            self.next_ms = min((self._due_of(key) for key in self.under_way.keys() | self.followed.keys()),
-                               default=math.inf)
+            self.next_ms = min(
+                (self._due_of(key) for key in self.under_way.keys() | self.followed.keys()), default=math.inf
+            )
             return actions
         key = self.by_number.get(event.vote.number) if isinstance(event, Voted) else event.key
         actions = self._handled(now_ms, event)
@@ -232,10 +234,17 @@
 
     def _ask(self, key: Key, proposal: Proposal, holders: tuple[str, ...]) -> list[Action]:
         writes = proposal.step in (Step.FIRST, Step.ACCEPT)
-        ask = Ask(proposal.number, self.me, proposal.step, key, proposal.ballot, proposal.stores,
-                  proposal.value if writes else None, isinstance(proposal.intent, Claim | Follow))
-        sent: list[Action] = [Send(name, ask) for name in holders
-                              if name in self.stores and name not in proposal.votes]
+        ask = Ask(
+            proposal.number,
+            self.me,
+            proposal.step,
+            key,
+            proposal.ballot,
+            proposal.stores,
+            proposal.value if writes else None,
+            isinstance(proposal.intent, Claim | Follow),
+        )
+        sent: list[Action] = [Send(name, ask) for name in holders if name in self.stores and name not in proposal.votes]
         proposal.wrote = proposal.wrote or (writes and bool(sent))
         return sent
 
@@ -314,8 +323,12 @@
 
     def _promised(self, now_ms: float, key: Key, proposal: Proposal, good: list[Vote]) -> list[Action]:
         stands = self._recovered(good)
-        if (stands is not None and isinstance(proposal.intent, Claim | Follow) and stands.stage is Stage.CLAIMED
-                and not self.lives(stands.runner)):  # it may have run, and nobody will know more
+        if (
+            stands is not None
+            and isinstance(proposal.intent, Claim | Follow)
+            and stands.stage is Stage.CLAIMED
+            and not self.lives(stands.runner)
+        ):  # it may have run, and nobody will know more
             after: Value | None = replace(stands, stage=Stage.FINISHED, outcome=Outcome.ERROR)
         else:
             after = self._after(proposal.intent, stands)
@@ -333,7 +346,7 @@
         if top.ballot[0] != 0:
             return top.value
         held = Counter(vote.ballot for vote in votes if vote.ballot[0] == 0)
-        (ballot, count), = held.most_common(1)
+        ((ballot, count),) = held.most_common(1)
         if count >= self.placement.all_at_once + len(votes) - self.placement.copies:
             return next(vote.value for vote in votes if vote.ballot == ballot)
         return None
@@ -368,8 +381,12 @@
         able = sum(name in self.stores for name in proposal.holders) - len(absent)
         if able < self.placement.majority:
             full = any(vote.verdict is Verdict.FULL for vote in absent)
-            return self._give_up(now_ms, key, proposal, "the holders have no room for a further key" if full
-                                 else "no majority of the key's holders can vote")
+            return self._give_up(
+                now_ms,
+                key,
+                proposal,
+                "the holders have no room for a further key" if full else "no majority of the key's holders can vote",
+            )
         self.counts["rounds_lost"] += 1
         # A ballot above was promised: two that propose at once are drawn apart.
         return self._later(now_ms, proposal, self.draw.uniform(0.5, 4.0) * min(proposal.rounds, 8))
@@ -381,8 +398,9 @@
 
     # Ends.
 
-    def _chosen(self, now_ms: float, key: Key, proposal: Proposal, value: Value | None,
-                next_ballot: int | None) -> list[Action]:
+    def _chosen(
+        self, now_ms: float, key: Key, proposal: Proposal, value: Value | None, next_ballot: int | None
+    ) -> list[Action]:
         if value is not None and value.stage is Stage.CLAIMED and value.runner == self.me and next_ballot is not None:
             self.owned[key] = value.owner, (next_ballot, self.me)
         return self._end(now_ms, key, proposal, value)
@@ -409,8 +427,12 @@
                 actions += self._looked(now_ms, key, value)
         if value is not None and value == proposal.settles:  # whatever led to it: a repeat may come before the takeover
             actions.append(TookOver(key, value))
-        if value is not None and value.stage is not Stage.CLAIMED and key in self.followed and not isinstance(
-                proposal.intent, Follow):
+        if (
+            value is not None
+            and value.stage is not Stage.CLAIMED
+            and key in self.followed
+            and not isinstance(proposal.intent, Follow)
+        ):
             actions += self._looked(now_ms, key, value)
         for intent in proposal.behind:
             actions += self._begin(now_ms, intent) if not isinstance(intent, Claim) else self.handle(now_ms, intent)
--- a/flintshift/copies/refill.py
+++ b/flintshift/copies/refill.py
@@ -74,8 +74,7 @@
         asks = []
         for name in reached:
             source = self.sources.get(name)
-            if source is None or source.done or (
-                    source.asked_ms is not None and now_ms < source.asked_ms + AGAIN_MS):
+            if source is None or source.done or (source.asked_ms is not None and now_ms < source.asked_ms + AGAIN_MS):
                 continue
             source.asked_ms = now_ms
             asks.append((name, FillAsk(store, source.after)))
--- a/flintshift/copies/registers.py
+++ b/flintshift/copies/registers.py
@@ -55,8 +55,9 @@
 class Registers:
     """``me`` is the member's name, ``store`` the incarnation of its store."""
 
-    def __init__(self, me: str, store: int, placement: Placement, bounds: HolderBounds,
-                 votes: bool, voting_from_ms: float) -> None:
+    def __init__(
+        self, me: str, store: int, placement: Placement, bounds: HolderBounds, votes: bool, voting_from_ms: float
+    ) -> None:
         self.me, self.placement, self.bounds = me, placement, bounds
         self.table: dict[Key, Register] = {}
         self.bytes = 0
@@ -104,8 +105,13 @@
                 self.bytes += OVERHEAD
         verdict, changed = self._step(now_ms, ask, register)
         runs_itself = verdict is Verdict.OK and ask.value is not None and ask.value.runner == ask.by
-        if ask.watch and not runs_itself and (register.value is None or register.value.stage is Stage.CLAIMED) and (
-                len(register.watchers) < self.bounds.watchers) and ask.key in self.table:
+        if (
+            ask.watch
+            and not runs_itself
+            and (register.value is None or register.value.stage is Stage.CLAIMED)
+            and (len(register.watchers) < self.bounds.watchers)
+            and ask.key in self.table
+        ):
             register.watchers.add(ask.by)
         entry = self._entry(now_ms, ask.key, register) if changed else None
         if verdict is Verdict.OK and ask.step in (Step.FIRST, Step.ACCEPT):  # the asker knows what it wrote
@@ -121,8 +127,11 @@
                 if register.promised == NO_BALLOT and register.value is None:
                     self._write(now_ms, ask.key, register, (0, ask.by), ask.value)
                     return Verdict.OK, True
-                told_again = register.ballot == (0, ask.by) and register.promised == (1, ask.by) and (
-                    register.value == ask.value)
+                told_again = (
+                    register.ballot == (0, ask.by)
+                    and register.promised == (1, ask.by)
+                    and (register.value == ask.value)
+                )
                 return (Verdict.OK if told_again else Verdict.BEHIND), False
             case Step.PREPARE:
                 if ask.ballot < register.promised:
@@ -160,8 +169,14 @@
                     del self.by_runner[value.runner]
 
     def _vote(self, ask: Ask, verdict: Verdict, register: Register, holders: tuple[str, ...]) -> Vote:
-        return Vote(ask.number, verdict, register.promised, register.ballot, register.value,
-                    tuple(self.stores.get(name, 0) for name in holders))
+        return Vote(
+            ask.number,
+            verdict,
+            register.promised,
+            register.ballot,
+            register.value,
+            tuple(self.stores.get(name, 0) for name in holders),
+        )
 
     def ended(self, key: Key) -> set[str]:
         """Processes that follow the key, where it has ended; they are told once."""
@@ -221,8 +236,11 @@
     def entries_of(self, now_ms: float, key: Key, holder: str | None = None) -> Iterator[Entry]:
         """The register of that key, if there is one (and that member holds it too)."""
         register = self.table.get(key)
-        if register is not None and register.until_ms > now_ms and (
-                holder is None or holder in self.placement.holders(key)):
+        if (
+            register is not None
+            and register.until_ms > now_ms
+            and (holder is None or holder in self.placement.holders(key))
+        ):
             yield self._entry(now_ms, key, register)
 
     def take(self, now_ms: float, entry: Entry) -> Entry | None:
--- a/flintshift/copies/store.py
+++ b/flintshift/copies/store.py
@@ -61,8 +61,17 @@
         OSError, LockedError: it can't be used.
     """
 
-    def __init__(self, files: Files, folder: Path, member: str, now_ms: float, boot: str, synced: bool,
-                 packed: Packed, unpacked: Unpacked) -> None:
+    def __init__(
+        self,
+        files: Files,
+        folder: Path,
+        member: str,
+        now_ms: float,
+        boot: str,
+        synced: bool,
+        packed: Packed,
+        unpacked: Unpacked,
+    ) -> None:
         self.files, self.folder, self.packed, self.unpacked = files, folder, packed, unpacked
         self.member, self.boot = member, boot
         files.make_folder(folder / "log")
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -177,5 +177,19 @@
     result: bytes = b""
 
 
-Report = (Submitted | Departed | RunOver | CallWanted | ReplyUnsure | CallOver | Notice | Tick | Up | Changed | Told
-          | Agreed | Kept | Taught)
+Report = (
+    Submitted
+    | Departed
+    | RunOver
+    | CallWanted
+    | ReplyUnsure
+    | CallOver
+    | Notice
+    | Tick
+    | Up
+    | Changed
+    | Told
+    | Agreed
+    | Kept
+    | Taught
+)
--- a/flintshift/core/catalogue.py
+++ b/flintshift/core/catalogue.py
@@ -46,9 +46,16 @@
     def change(self, settings: Settings, now_ms: float) -> str | None:
         """Take new settings as a whole; else why not. What says how the process began stays as it was."""
         dropped = self._known(now_ms) | {
-            name: Dropped(kind, now_ms, now_ms + self.limits.dropped_ms + self.limits.key_late_ms
-                          + max(kind.repeat_window_ms, kind.deadline_ms + self.limits.lost_run_ms))
-            for name, kind in self.kinds.items()}
+            name: Dropped(
+                kind,
+                now_ms,
+                now_ms
+                + self.limits.dropped_ms
+                + self.limits.key_late_ms
+                + max(kind.repeat_window_ms, kind.deadline_ms + self.limits.lost_run_ms),
+            )
+            for name, kind in self.kinds.items()
+        }
         for kind in settings.classes:
             dropped.pop(kind.name, None)
         if len(dropped) > self.limits.dropped_classes:
@@ -57,8 +64,9 @@
         lately = {club: until for club, until in self.dropped_clubs.items() if until > now_ms}
         lately |= dict.fromkeys(self.clubs, now_ms + self.limits.dropped_ms)
         self.dropped_clubs = {club: until for club, until in lately.items() if club not in clubs}
-        self.settings = replace(settings, cold=self.settings.cold, cold_from=self.settings.cold_from,
-                                cold_ms=self.settings.cold_ms)
+        self.settings = replace(
+            settings, cold=self.settings.cold, cold_from=self.settings.cold_from, cold_ms=self.settings.cold_ms
+        )
         self.kinds, self.clubs, self.dropped = {kind.name: kind for kind in settings.classes}, clubs, dropped
         return None
 
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -39,9 +39,16 @@
 
 
 class Decisions:
-    def __init__(self, catalogue: Catalogue, seed: int, limits: Limits, counters: Counters,
-                 now_ms: Callable[[], float], wake_at: Callable[[float, str], None],
-                 list_: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        seed: int,
+        limits: Limits,
+        counters: Counters,
+        now_ms: Callable[[], float],
+        wake_at: Callable[[float, str], None],
+        list_: Callable[[], None],
+    ) -> None:
         self.catalogue, self.limits, self.counters = catalogue, limits, counters
         self.now_ms, self.wake_at, self.list = now_ms, wake_at, list_
         self.part = WHOLE
@@ -109,8 +116,12 @@
         # The grace counts from when the notice was given, not from when it was heard.
         settings, part = self.catalogue.decided, self.part
         if part != WHOLE:
-            settings = replace(settings, crowd_share=part.crowd, memory_kb=settings.memory_kb * max(part.memory, 1e-3),
-                               call_share=settings.call_share * part.calls)
+            settings = replace(
+                settings,
+                crowd_share=part.crowd,
+                memory_kb=settings.memory_kb * max(part.memory, 1e-3),
+                call_share=settings.call_share * part.calls,
+            )
         return replace(settings, drain_grace_ms=max(0.0, settings.drain_grace_ms - self.limits.notice_late_ms))
 
     async def report(self, report: at.Report) -> None:
@@ -220,8 +231,7 @@
                 if not attempt.calling:  # given up meanwhile
                     return None
                 attempt.calling = False
-                if outcome is Outcome.OK and not self._workers(attempt).supply(
-                        attempt.id, attempt.call_no, reply):
+                if outcome is Outcome.OK and not self._workers(attempt).supply(attempt.id, attempt.call_no, reply):
                     self.counters.add("dropped.supply")
                 return api.CallEnded(attempt.id, outcome, took_ms)
             case at.RunOver():
@@ -281,8 +291,17 @@
         if self.ranks is not None:
             self.ranks.arrived(attempt)
         return api.Arrived(
-            attempt.id, attempt.class_name, attempt.held_kb, now - attempt.door_ms, attempt.caller,
-            attempt.tenant, entry.owner if entry else None, attempt.again, None, attempt.subject)
+            attempt.id,
+            attempt.class_name,
+            attempt.held_kb,
+            now - attempt.door_ms,
+            attempt.caller,
+            attempt.tenant,
+            entry.owner if entry else None,
+            attempt.again,
+            None,
+            attempt.subject,
+        )
 
     def _run_over(self, attempt: Attempt, report: at.RunOver) -> api.Event:
         attempt.running = False
@@ -381,8 +400,11 @@
                 attempt.calls += 1
                 self.counters.add("called")
                 if not self.below.ask(
-                        attempt.id, limit_ms, attempt.payload,
-                        attempt.kind is not None and attempt.kind.effect is not Effect.SAFE):
+                    attempt.id,
+                    limit_ms,
+                    attempt.payload,
+                    attempt.kind is not None and attempt.kind.effect is not Effect.SAFE,
+                ):
                     self.counters.add("dropped.call")
                     self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
             case api.SkipCall():
@@ -453,5 +475,8 @@
     @property
     def open(self) -> int:
         """Requests read and not over."""
-        return (sum(not attempt.over for attempt in (*self.requests.values(), *self.keeping.values()))
-                + len(self.awaiting) + len(self.mailbox))
+        return (
+            sum(not attempt.over for attempt in (*self.requests.values(), *self.keeping.values()))
+            + len(self.awaiting)
+            + len(self.mailbox)
+        )
--- a/flintshift/core/keys.py
+++ b/flintshift/core/keys.py
@@ -146,7 +146,9 @@
     def purge(self, now_ms: float, open_: Iterator[str]) -> None:
         """Drop entries whose window has passed, but none whose owner is still open."""
         live, past = set(open_), now_ms - self.limits.key_late_ms
-        for key in [key for key, entry in self.entries.items()
-                    if entry.live_until_ms < past and entry.owner not in live
-                    and not entry.runs_elsewhere]:
+        for key in [
+            key
+            for key, entry in self.entries.items()
+            if entry.live_until_ms < past and entry.owner not in live and not entry.runs_elsewhere
+        ]:
             self._drop(key)
--- a/flintshift/door/promises.py
+++ b/flintshift/door/promises.py
@@ -44,8 +44,9 @@
         self.slots: dict[int, Slot] = {}
         self.now = 0  # the slot of now
 
-    def promise(self, now_ms: float, caller: int, cost_ms: float, from_ms: float, most_ms: float,
-                draw: float) -> float | None:
+    def promise(
+        self, now_ms: float, caller: int, cost_ms: float, from_ms: float, most_ms: float, draw: float
+    ) -> float | None:
         """Set a place aside; returns the wait, or None where there is no room within ``most_ms``.
 
         ``cost_ms`` and ``from_ms`` are times at the club's share: what it will take, and what stands before it.
--- a/flintshift/door/shares.py
+++ b/flintshift/door/shares.py
@@ -151,8 +151,13 @@
         club = entry.club
         club.turned_away += 1
         from_ms = max(event.least_ms, club.charged - self.virtual)
-        wait_ms = None if entry.tag == LAST else club.calendar.promise(
-            now_ms, entry.caller, entry.cost / club.weight, from_ms, event.most_ms, event.draw)
+        wait_ms = (
+            None
+            if entry.tag == LAST
+            else club.calendar.promise(
+                now_ms, entry.caller, entry.cost / club.weight, from_ms, event.most_ms, event.draw
+            )
+        )
         return ComeBack(event.most_ms, False) if wait_ms is None else ComeBack(wait_ms, True)
 
     def rank_ms(self, request: str) -> float:
@@ -193,8 +198,15 @@
         club = self._club(event.club)
         lane = self._lane(club, event.caller)
         entry = self.open[event.request] = Entry(
-            club, lane, event.caller, event.class_name, self.cost_ms.get(event.class_name, FIRST_MS), self.virtual,
-            club.virtual, max(club.virtual, lane.charged) + lane.waiting_ms)
+            club,
+            lane,
+            event.caller,
+            event.class_name,
+            self.cost_ms.get(event.class_name, FIRST_MS),
+            self.virtual,
+            club.virtual,
+            max(club.virtual, lane.charged) + lane.waiting_ms,
+        )
         if (event.again or not self.marks) and club.calendar.keeps(now_ms, event.caller):
             entry.tag = FRONT
         elif event.again and min(club.tries, lane.tries) < 1.0:
@@ -214,8 +226,9 @@
         key = name if name in self.weights else None  # clubs of no weight are one
         club = self.clubs.get(key)
         if club is None:
-            club = self.clubs[key] = Club(self.weights.get(key or "", self.least), self.virtual,
-                                          Calendar(self.key, self.bounds.calendar))
+            club = self.clubs[key] = Club(
+                self.weights.get(key or "", self.least), self.virtual, Calendar(self.key, self.bounds.calendar)
+            )
         return club
 
     def _lane(self, club: Club, caller: int) -> Lane:
@@ -224,8 +237,9 @@
             return lane
         if len(club.lanes) >= self.bounds.lanes:
             # One that has nothing waiting and no charge past the virtual time is as a new one.
-            club.lanes = {number: known for number, known in club.lanes.items()
-                          if known.waiting or known.charged > club.virtual}
+            club.lanes = {
+                number: known for number, known in club.lanes.items() if known.waiting or known.charged > club.virtual
+            }
         if len(club.lanes) < self.bounds.lanes:
             return club.lanes.setdefault(caller, Lane())
         mark = blake2b(caller.to_bytes(16, "big", signed=True), digest_size=4, key=self.key).digest()
@@ -274,16 +288,31 @@
             self.cost_ms[entry.class_name] = known + LEARN * (took_ms - known)
 
     def shown(self) -> list[Shown]:
-        return [Shown(name, club.weight, club.served_ms, max(0.0, club.charged - self.virtual), len(club.waiting),
-                      sum(entry.cost for entry in club.waiting) / club.weight, len(club.lanes), club.calendar.kept,
-                      club.asked, club.turned_away, club.not_paid)
-                for name, club in self.clubs.items()]
+        return [
+            Shown(
+                name,
+                club.weight,
+                club.served_ms,
+                max(0.0, club.charged - self.virtual),
+                len(club.waiting),
+                sum(entry.cost for entry in club.waiting) / club.weight,
+                len(club.lanes),
+                club.calendar.kept,
+                club.asked,
+                club.turned_away,
+                club.not_paid,
+            )
+            for name, club in self.clubs.items()
+        ]
 
     @property
     def places(self) -> int:
         """The entries of all its tables; each takes ``PLACE_BYTES`` at the most."""
-        return len(self.open) + len(self.cost_ms) + sum(
-            1 + len(club.lanes) + len(club.buckets) + club.calendar.places for club in self.clubs.values())
+        return (
+            len(self.open)
+            + len(self.cost_ms)
+            + sum(1 + len(club.lanes) + len(club.buckets) + club.calendar.places for club in self.clubs.values())
+        )
 
     @property
     def most_places(self) -> int:
--- a/flintshift/handover/phases.py
+++ b/flintshift/handover/phases.py
@@ -115,8 +115,12 @@
                 return [Send(Service(out))] if phase in (Phase.GIVING, Phase.SHEDDING) else []
             case Welcome(version, out) if phase is Phase.ASKING:
                 if version != VERSION:
-                    return [GiveUpStart(f"the process that serves speaks version {version} of the handover, this one "
-                                        f"{VERSION}: drain it, stop it, then start this one")]
+                    return [
+                        GiveUpStart(
+                            f"the process that serves speaks version {version} of the handover, this one "
+                            f"{VERSION}: drain it, stop it, then start this one"
+                        )
+                    ]
                 self.phase, self.out = Phase.COPYING, out
                 return []
             case Copied() if phase is Phase.COPYING:
@@ -124,8 +128,7 @@
                 return self._ready()
             case PoolUp():
                 self.up = True
-                return self._ready() if phase is Phase.COPIED else (
-                    [TakeClients()] if phase is Phase.ALONE else [])
+                return self._ready() if phase is Phase.COPIED else ([TakeClients()] if phase is Phase.ALONE else [])
             case Ready() if phase is Phase.GIVING:
                 self.freed = []
                 self.phase, self.kept, self.connections = Phase.SHEDDING, WHOLE, 0
@@ -173,8 +176,12 @@
         kept = self.kept
         self.connections = max(self.connections, used.connections)
         least = max(LEAST, FIRST * used.connections / self.connections) if used.connections else 0.0
-        self.kept = Load(min(kept.crowd, max(used.crowd, least)), min(kept.memory, max(used.memory, least)),
-                         min(kept.calls, max(used.calls, least)), used.connections)
+        self.kept = Load(
+            min(kept.crowd, max(used.crowd, least)),
+            min(kept.memory, max(used.memory, least)),
+            min(kept.calls, max(used.calls, least)),
+            used.connections,
+        )
         return [Keep(self.kept.crowd, self.kept.memory, self.kept.calls), Send(self.kept)]
 
     def _rest(self) -> Keep:
@@ -187,8 +194,10 @@
         if before is Phase.ALONE:
             return []
         calls = self._rest().calls if before is Phase.SERVING else self.kept.calls
-        self.freed = [(now_ms + (0.0 if self.left else self.runs_ms), Keep(1.0, 1.0, calls)),
-                      (now_ms + self.calls_ms, Keep(1.0, 1.0, 1.0))]
+        self.freed = [
+            (now_ms + (0.0 if self.left else self.runs_ms), Keep(1.0, 1.0, calls)),
+            (now_ms + self.calls_ms, Keep(1.0, 1.0, 1.0)),
+        ]
         self.cut = None
         was_successor = before not in (Phase.GIVING, Phase.SHEDDING)
         partial = was_successor and before is not Phase.SERVING and not self.left
@@ -202,5 +211,5 @@
     def _past(self, now_ms: float) -> list[Action]:
         """What the other left behind is past: the parts that are this process's again."""
         due = [keep for at_ms, keep in self.freed if at_ms <= now_ms]
-        self.freed = self.freed[len(due):]
+        self.freed = self.freed[len(due) :]
         return [*due[-1:]]
--- a/flintshift/handover/shared_keys.py
+++ b/flintshift/handover/shared_keys.py
@@ -49,8 +49,13 @@
     def ask(self, now_ms: float, attempt: Attempt) -> list[Step]:
         kind, limits = attempt.kind, self.limits
         window, deadline = (kind.repeat_window_ms, kind.deadline_ms) if kind is not None else (0.0, math.inf)
-        claim = Claimed(key_of(attempt), attempt.id, attempt.door_ms,
-                        now_ms + limits.claim_ms + window + limits.key_margin_ms, fingerprint(attempt))
+        claim = Claimed(
+            key_of(attempt),
+            attempt.id,
+            attempt.door_ms,
+            now_ms + limits.claim_ms + window + limits.key_margin_ms,
+            fingerprint(attempt),
+        )
         # Its answer has a due time too: it is given up a few ticks before.
         until = min(now_ms + limits.claim_ms, attempt.door_ms + deadline - limits.claim_spare_ms)
         return self._done(self.agreement.ask(claim, until))
--- a/flintshift/handover/vocabulary.py
+++ b/flintshift/handover/vocabulary.py
@@ -130,8 +130,22 @@
     """This process ends in good order: all that it ran has been told."""
 
 
-Word = (Hello | Welcome | Known | Copied | Ready | Learned | Yours | Claimed | Answered | Over | Freed | Load | Service
-        | Left)
+Word = (
+    Hello
+    | Welcome
+    | Known
+    | Copied
+    | Ready
+    | Learned
+    | Yours
+    | Claimed
+    | Answered
+    | Over
+    | Freed
+    | Load
+    | Service
+    | Left
+)
 
 
 # What the phase machine is told, beside words.
--- a/flintshift/interface.py
+++ b/flintshift/interface.py
@@ -267,6 +267,17 @@
 
 
 Action = (
-    Run | Stop | Refuse | Fail | Call | SkipCall | Keep | Forget | AnswerFromOriginal
-    | SetHealth | SetFreeValue | CloseIdle | WakeAt
+    Run
+    | Stop
+    | Refuse
+    | Fail
+    | Call
+    | SkipCall
+    | Keep
+    | Forget
+    | AnswerFromOriginal
+    | SetHealth
+    | SetFreeValue
+    | CloseIdle
+    | WakeAt
 )
--- a/flintshift/lab/billing.py
+++ b/flintshift/lab/billing.py
@@ -16,8 +16,20 @@
 
 import h11
 
-FAULTS = ("late", "silent", "lost-before", "lost-after", "half", "junk", "500-before", "500-after", "503", "429",
-          "wrong-digest", "twice")
+FAULTS = (
+    "late",
+    "silent",
+    "lost-before",
+    "lost-after",
+    "half",
+    "junk",
+    "500-before",
+    "500-after",
+    "503",
+    "429",
+    "wrong-digest",
+    "twice",
+)
 
 
 class Billing:
@@ -116,10 +128,12 @@
         headers = [("Content-Length", str(len(answer))), ("Content-Type", "application/json")]
         if status in (429, 503):
             headers.append(("Retry-After", "0"))
-        data = b"".join(conn.send(event) or b"" for event in (
-            h11.Response(status_code=status, headers=headers), h11.Data(data=answer), h11.EndOfMessage()))
+        data = b"".join(
+            conn.send(event) or b""
+            for event in (h11.Response(status_code=status, headers=headers), h11.Data(data=answer), h11.EndOfMessage())
+        )
         if fault == "half":
-            writer.write(data[:len(data) - max(1, len(answer) // 2)])
+            writer.write(data[: len(data) - max(1, len(answer) // 2)])
             await writer.drain()
             return False
         writer.write(data + data if fault == "twice" else data)
--- a/flintshift/lab/callers.py
+++ b/flintshift/lab/callers.py
@@ -26,8 +26,14 @@
 
 
 def fields_of(rid: str, club: str, class_name: str, sender: int, again: bool = False) -> dict[str, str]:
-    told = {"X-Job-Id": rid, "X-Door-Time": str(int(time.time() * 1000)), "X-Sender": str(sender), "X-Team": club,
-            "X-Ram-Kb": "20.5", "X-Precedence": "0.5"}
+    told = {
+        "X-Job-Id": rid,
+        "X-Door-Time": str(int(time.time() * 1000)),
+        "X-Sender": str(sender),
+        "X-Team": club,
+        "X-Ram-Kb": "20.5",
+        "X-Precedence": "0.5",
+    }
     if class_name == "submit-time":
         told["X-Unique"] = f"key-{rid}"
     if again:
@@ -36,14 +42,24 @@
 
 
 def http_request(class_name: str, body: bytes, told: dict[str, str]) -> bytes:
-    lines = [f"POST /call/{class_name} HTTP/1.1", "Host: api.internal", f"Content-Length: {len(body)}",
-             *(f"{name}: {value}" for name, value in told.items()), "", ""]
+    lines = [
+        f"POST /call/{class_name} HTTP/1.1",
+        "Host: api.internal",
+        f"Content-Length: {len(body)}",
+        *(f"{name}: {value}" for name, value in told.items()),
+        "",
+        "",
+    ]
     return "\r\n".join(lines).encode() + body
 
 
 def uwsgi_request(class_name: str, body: bytes, told: dict[str, str]) -> bytes:
-    variables = {"REQUEST_METHOD": "POST", "PATH_INFO": f"/call/{class_name}", "CONTENT_LENGTH": str(len(body)),
-                 **{"HTTP_" + name.upper().replace("-", "_"): value for name, value in told.items()}}
+    variables = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": f"/call/{class_name}",
+        "CONTENT_LENGTH": str(len(body)),
+        **{"HTTP_" + name.upper().replace("-", "_"): value for name, value in told.items()},
+    }
     return bytes(uwsgi.pack(variables.items())) + body
 
 
@@ -72,8 +88,17 @@
 class Caller:
     """One caller with one connection: asks until told to stop, each request after the answer to the last."""
 
-    def __init__(self, port: int, front: str, sender: int, clubs: list[str], tally: Tally, seed: int,
-                 pause_s: float = 0.0, keep_ids: bool = True) -> None:
+    def __init__(
+        self,
+        port: int,
+        front: str,
+        sender: int,
+        clubs: list[str],
+        tally: Tally,
+        seed: int,
+        pause_s: float = 0.0,
+        keep_ids: bool = True,
+    ) -> None:
         self.port, self.front, self.sender, self.clubs = port, front, sender, clubs
         self.tally, self.draw, self.pause_s, self.keep_ids = tally, random.Random(seed), pause_s, keep_ids
         self.classes = CLASSES
--- a/flintshift/lab/chaos_copies.py
+++ b/flintshift/lab/chaos_copies.py
@@ -90,8 +90,9 @@
 
 
 FAULTS: dict[str, Callable[[Fleet, random.Random, list[str]], Awaitable[None]]] = {
-    one.__name__: one for one in (nothing, slow_link, one_way_cut, cut_off, hall_cut, flapping, paused,
-                                  process_killed, torn_frames)}
+    one.__name__: one
+    for one in (nothing, slow_link, one_way_cut, cut_off, hall_cut, flapping, paused, process_killed, torn_frames)
+}
 
 
 @dataclass
@@ -112,10 +113,19 @@
     lost_in_gaps: int = 0  # booked while no copy answered, as was told, by a machine that was lost then
 
     def told(self) -> dict[str, Any]:
-        return {"rounds": self.rounds, "keys": self.keys, "runs": self.runs, "broken": dict(self.broken),
-                "billed": self.billed, "in_doubt": self.in_doubt, "lost_in_gaps": self.lost_in_gaps,
-                "answers": dict(self.answers), "faults": dict(self.faults), "took_s": round(self.took_s, 1),
-                "first": self.texts[:20]}
+        return {
+            "rounds": self.rounds,
+            "keys": self.keys,
+            "runs": self.runs,
+            "broken": dict(self.broken),
+            "billed": self.billed,
+            "in_doubt": self.in_doubt,
+            "lost_in_gaps": self.lost_in_gaps,
+            "answers": dict(self.answers),
+            "faults": dict(self.faults),
+            "took_s": round(self.took_s, 1),
+            "first": self.texts[:20],
+        }
 
 
 class Load:
@@ -176,12 +186,15 @@
     async def last(key: str) -> None:
         async with room:
             await fleet.ask(draw.choice(list(fleet.members)), key, again=True)
+
     await asyncio.gather(*(last(key) for key in load.keys))
     judged = fleet.judged()
     tally.rounds += 1
     tally.broken.update(judged.by_promise())
-    tally.texts += [f"seed {seed}, round {number} ({fault}, {lost} lost): {one.what} of {one.key}: {one.text}"
-                    for one in judged.broken]
+    tally.texts += [
+        f"seed {seed}, round {number} ({fault}, {lost} lost): {one.what} of {one.key}: {one.text}"
+        for one in judged.broken
+    ]
     tally.answers.update(judged.answers)
     tally.runs += len(ran)
     for name, use in used(fleet.events).items():
@@ -212,19 +225,34 @@
             tally.texts.append(f"{one.what}: {one.text}")
 
 
-async def rounds(folder: Path, count: int, seed: int, copies: bool = True, callers: int = 8,
-                 said: Callable[[str], None] = lambda text: None, root: Path | None = None) -> Tally:
+async def rounds(
+    folder: Path,
+    count: int,
+    seed: int,
+    copies: bool = True,
+    callers: int = 8,
+    said: Callable[[str], None] = lambda text: None,
+    root: Path | None = None,
+) -> Tally:
     """Play so many rounds on one fleet. ``copies`` False: the members share nothing, to see what is lost then."""
     tally, began = Tally(), time.monotonic()
-    async with Fleet(folder, HALLS, COPIES if copies else None, seed=seed, root=root,
-                     more=booking(folder, PERIOD)) as fleet:
+    async with Fleet(
+        folder, HALLS, COPIES if copies else None, seed=seed, root=root, more=booking(folder, PERIOD)
+    ) as fleet:
         await fleet.until_linked()
         try:
             for number in range(count):
                 known = len(tally.texts)
                 await one_round(fleet, number, seed, tally, callers)
-                said("\n".join([f"round {number + 1} of {count}: {dict(tally.broken)} broken, {dict(tally.answers)}, "
-                                f"{time.monotonic() - began:.0f} s", *tally.texts[known:known + 3]]))
+                said(
+                    "\n".join(
+                        [
+                            f"round {number + 1} of {count}: {dict(tally.broken)} broken, {dict(tally.answers)}, "
+                            f"{time.monotonic() - began:.0f} s",
+                            *tally.texts[known : known + 3],
+                        ]
+                    )
+                )
             await all_billed(fleet, tally)
         finally:
             tally.took_s = time.monotonic() - began
--- a/flintshift/lab/cold_start.py
+++ b/flintshift/lab/cold_start.py
@@ -65,8 +65,9 @@
             self.pace = replace(self.pace, again_most_ms=self.longest_ms)
         self.steady_per_s = self.nodes * 1000.0 / self.pace.every_ms
         self.service = Capacity(self.capacity * self.steady_per_s)
-        self.members = [SimNode(self._reports(number), self.draw.uniform(0.0, self.start_ms))
-                        for number in range(self.nodes)]
+        self.members = [
+            SimNode(self._reports(number), self.draw.uniform(0.0, self.start_ms)) for number in range(self.nodes)
+        ]
         for node in self.members:
             self._later(node.starts_ms, node, Said(True))
 
@@ -103,8 +104,16 @@
         self._later(now + took, node, Answered(taken, now))
 
 
-def play(nodes: int, seed: int, capacity: float = 1.3, outage_s: float = 8.0, before: bool = False,
-         start_ms: float = 1000.0, collapse: bool = False, longest_ms: float | None = None) -> Told:
+def play(
+    nodes: int,
+    seed: int,
+    capacity: float = 1.3,
+    outage_s: float = 8.0,
+    before: bool = False,
+    start_ms: float = 1000.0,
+    collapse: bool = False,
+    longest_ms: float | None = None,
+) -> Told:
     return run(World(nodes, seed, capacity, start_ms, outage_s, before, collapse, longest_ms))
 
 
@@ -119,13 +128,24 @@
     while at < down[1] + AFTER_MS:
         at += 100.0
         world.run(at)
-        if at > down[1] and back is None and sum(
-                node.taken_ms is not None and node.taken_ms >= down[1] for node in world.members) >= 0.95 * nodes:
+        if (
+            at > down[1]
+            and back is None
+            and sum(node.taken_ms is not None and node.taken_ms >= down[1] for node in world.members) >= 0.95 * nodes
+        ):
             back = at - down[1]
     bin_rate, service = world.steady_per_s / 10, world.service
 
     def load(until_ms: float) -> float:
         return round(service.counted(until_ms - 4000.0, until_ms) / 4 / world.steady_per_s, 2)
-    return Told(world.steady_per_s, round(service.peak(0.0, down[0]) / bin_rate, 2),
-                round(service.peak(down[1], at) / bin_rate, 2), service.collapses, back, lapsed, load(down[1]),
-                load(at))
+
+    return Told(
+        world.steady_per_s,
+        round(service.peak(0.0, down[0]) / bin_rate, 2),
+        round(service.peak(down[1], at) / bin_rate, 2),
+        service.collapses,
+        back,
+        lapsed,
+        load(down[1]),
+        load(at),
+    )
--- a/flintshift/lab/copies_model.py
+++ b/flintshift/lab/copies_model.py
@@ -73,9 +73,15 @@
 class World:
     """``mutant`` makes a registers' rule wrong, to show that the checks see it."""
 
-    def __init__(self, halls: dict[str, str], copies: int = 3, seed: int = 1,
-                 registers: Callable[..., Registers] = Registers, window_ms: float = KEEP_MS,
-                 proposals: Callable[..., Proposals] = Proposals) -> None:
+    def __init__(
+        self,
+        halls: dict[str, str],
+        copies: int = 3,
+        seed: int = 1,
+        registers: Callable[..., Registers] = Registers,
+        window_ms: float = KEEP_MS,
+        proposals: Callable[..., Proposals] = Proposals,
+    ) -> None:
         self.now, self.draw, self.window_ms = 0.0, random.Random(seed), window_ms
         self.placement = Placement(halls, copies)
         self.new_registers, self.new_proposals = registers, proposals
@@ -101,8 +107,13 @@
         machine.life += 1
         machine.up = True
         machine.registers = self.new_registers(
-            machine.name, machine.store, self.placement, HolderBounds(), machine.votes,
-            0.0 if machine.votes else self.now + self.window_ms)
+            machine.name,
+            machine.store,
+            self.placement,
+            HolderBounds(),
+            machine.votes,
+            0.0 if machine.votes else self.now + self.window_ms,
+        )
         for entry in machine.disk.values():
             machine.registers.take(self.now, entry)
         machine.proposals = self.new_proposals(machine.identity, self.placement, self.lives, self.draw, Pace())
--- a/flintshift/lab/demo.py
+++ b/flintshift/lab/demo.py
@@ -47,8 +47,10 @@
     pool, tally, stop = Pool(cores=2, took_ms=TOOK_MS, calling=frozenset({"race-results"})), Tally(), asyncio.Event()
     async with Rig(folder, SETTINGS, pool=pool) as rig:
         say(f"a node at 127.0.0.1:{rig.ports['http']}; {callers} callers for {seconds:g} s")
-        tasks = [asyncio.create_task(Caller(rig.ports["http"], "http", number, list(CLUBS), tally, number,
-                                            0.02).run(stop)) for number in range(callers)]
+        tasks = [
+            asyncio.create_task(Caller(rig.ports["http"], "http", number, list(CLUBS), tally, number, 0.02).run(stop))
+            for number in range(callers)
+        ]
         done = 0.0
         while done < seconds:
             await asyncio.sleep(min(1.0, seconds - done))
@@ -63,8 +65,14 @@
     for (club, _, _, outcome), count in tally.answers.items():
         counted[club] += count
         outcomes[outcome] += count
-    return {"exit_code": code, "counted": dict(sorted(counted.items())), "booked": dict(sorted(booked.items())),
-            "outcomes": dict(sorted(outcomes.items())), "in_doubt": doubt, "runs": len(pool.spawned)}
+    return {
+        "exit_code": code,
+        "counted": dict(sorted(counted.items())),
+        "booked": dict(sorted(booked.items())),
+        "outcomes": dict(sorted(outcomes.items())),
+        "in_doubt": doubt,
+        "runs": len(pool.spawned),
+    }
 
 
 def run(seconds: float, callers: int, keep: Path | None, say: Callable[[str], None]) -> dict[str, Any]:
@@ -87,8 +95,11 @@
         peers = Pool(PORTS["pool"], took_ms=TOOK_MS), Vault(PORTS["vault"]), Names(PORTS["naming"])
         for peer in peers:
             await peer.start()
-        say("the stand-ins are up: " + ", ".join(f"{type(peer).__name__.lower()} at 127.0.0.1:{peer.port}"
-                                                 for peer in peers) + "; Ctrl-C ends them")
+        say(
+            "the stand-ins are up: "
+            + ", ".join(f"{type(peer).__name__.lower()} at 127.0.0.1:{peer.port}" for peer in peers)
+            + "; Ctrl-C ends them"
+        )
         await asyncio.Event().wait()
 
     try:
--- a/flintshift/lab/faults.py
+++ b/flintshift/lab/faults.py
@@ -77,10 +77,14 @@
         try:
             held: list[Held] = [deque(), deque()]
             come = [asyncio.Event(), asyncio.Event()]
-            reading = [asyncio.ensure_future(self._take(source, held[way], come[way], not way))
-                       for way, source in enumerate((reader, further_reader))]
-            passing = [asyncio.ensure_future(self._pass(held[way], come[way], sink, not way))
-                       for way, sink in enumerate((further, writer))]
+            reading = [
+                asyncio.ensure_future(self._take(source, held[way], come[way], not way))
+                for way, source in enumerate((reader, further_reader))
+            ]
+            passing = [
+                asyncio.ensure_future(self._pass(held[way], come[way], sink, not way))
+                for way, sink in enumerate((further, writer))
+            ]
             await asyncio.wait(passing, return_when=asyncio.FIRST_COMPLETED)
             for task in (*reading, *passing):
                 task.cancel()
@@ -122,7 +126,7 @@
                     await asyncio.sleep(at - loop.time())
                 fault = self.there if there else self.back
                 if 0 <= fault.cut_after <= len(data):
-                    writer.write(data[:fault.cut_after])
+                    writer.write(data[: fault.cut_after])
                     fault.cut_after = -1
                     await writer.drain()
                     return
@@ -130,7 +134,7 @@
                     fault.cut_after -= len(data)
                 step = max(1, fault.drip // 20) if fault.drip else len(data)
                 for begin in range(0, len(data), step):
-                    writer.write(data[begin:begin + step])
+                    writer.write(data[begin : begin + step])
                     await writer.drain()
                     if fault.drip:
                         await asyncio.sleep(0.05)
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -46,8 +46,10 @@
 
 def booking(folder: Path, period: str = "1h") -> str:
     """The operators' part that has each member book use and export it to one billing folder."""
-    return (f"usage: {{enabled: true, folder: usage, period: {period}, grace: 0ms, "
-            f"export: {{folder: {folder / 'billed'}, backoff: 100ms}}}}\n")
+    return (
+        f"usage: {{enabled: true, folder: usage, period: {period}, grace: 0ms, "
+        f"export: {{folder: {folder / 'billed'}, backoff: 100ms}}}}\n"
+    )
 
 
 def billed(folder: Path) -> dict[str, int]:
@@ -106,10 +108,21 @@
     """``halls`` says how many members stand in each. ``copies`` is the text of the operators' ``copies:`` part, as
     lines under that key; None: members share nothing. ``root`` is the folder that the program is imported from."""
 
-    def __init__(self, folder: Path, halls: dict[str, int], copies: str | None = None, seed: int = 1,
-                 took_ms: float = 5.0, cores: int = 4, root: Path | None = None, more: str = "",
-                 platform: dict[str, Any] | None = None, direct: bool = False, control: bool = False,
-                 disks_fail: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        halls: dict[str, int],
+        copies: str | None = None,
+        seed: int = 1,
+        took_ms: float = 5.0,
+        cores: int = 4,
+        root: Path | None = None,
+        more: str = "",
+        platform: dict[str, Any] | None = None,
+        direct: bool = False,
+        control: bool = False,
+        disks_fail: bool = False,
+    ) -> None:
         self.disks_fail = disks_fail  # by `fail_disk`
         self.control = control  # members have a control door, and can be upgraded
         self.direct = direct  # members are linked without proxies between, for measurements
@@ -126,9 +139,12 @@
             name = f"n{number}"
             own = dict(zip(("http", "control", "peer"), (ports.pop() for _ in range(3)), strict=True))
             self.members[name] = Member(name, hall, folder / name, own, self._pool(name))
-        self.links = {(one, other): FaultProxy(ports.pop(), self.members[other].ports["peer"],
-                                               self.draw.getrandbits(32))
-                      for one in self.members for other in self.members if one != other}
+        self.links = {
+            (one, other): FaultProxy(ports.pop(), self.members[other].ports["peer"], self.draw.getrandbits(32))
+            for one in self.members
+            for other in self.members
+            if one != other
+        }
 
     def _pool(self, name: str) -> TellingPool:
         return TellingPool(name, self.events, self.cores, self.took_ms)
@@ -156,8 +172,16 @@
     def write_files(self, member: Member) -> list[str]:
         """The files of a member, and the command that starts it on them."""
         member.home.mkdir(parents=True, exist_ok=True)
-        told = configuration(member.name, {"listen": member.ports["http"], "pool": member.pool.port,
-                                           "naming": self.names.port, "vault": self.vault.port}, self.cores)
+        told = configuration(
+            member.name,
+            {
+                "listen": member.ports["http"],
+                "pool": member.pool.port,
+                "naming": self.names.port,
+                "vault": self.vault.port,
+            },
+            self.cores,
+        )
         told["settings"] |= self.platform or {}
         if self.control:
             told["control"] = f"127.0.0.1:{member.ports['control']}"
@@ -167,13 +191,17 @@
             others = "".join(
                 f"    {name}: {{hall: {one.hall}, address: 127.0.0.1:"
                 f"{one.ports['peer'] if self.direct or name == member.name else self.links[member.name, name].port}}}\n"
-                for name, one in self.members.items())
-            text += (f"peers:\n  enabled: true\n  listen: 127.0.0.1:{member.ports['peer']}\n  members:\n{others}"
-                     f"copies:\n  enabled: true\n{self.copies}")
+                for name, one in self.members.items()
+            )
+            text += (
+                f"peers:\n  enabled: true\n  listen: 127.0.0.1:{member.ports['peer']}\n  members:\n{others}"
+                f"copies:\n  enabled: true\n{self.copies}"
+            )
         (member.home / "flintshift.yaml").write_text(text)
         hurt = member.offset_ms or self.disks_fail
-        program = (["flintshift.lab.hurt", str(member.offset_ms), str(member.home / "failing")] if hurt
-                   else ["flintshift"])
+        program = (
+            ["flintshift.lab.hurt", str(member.offset_ms), str(member.home / "failing")] if hurt else ["flintshift"]
+        )
         return [sys.executable, "-m", *program, "--settings", str(member.home / "flintshift.yaml")]
 
     async def start(self, name: str, founding: bool = False) -> None:
@@ -186,8 +214,15 @@
         await member.pool.start()
         if founding and self.copies is not None:
             found = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "flintshift.cli", "copies", "found", str(member.home / "copies"),
-                cwd=self.root or Path.cwd(), stdout=asyncio.subprocess.DEVNULL)
+                sys.executable,
+                "-m",
+                "flintshift.cli",
+                "copies",
+                "found",
+                str(member.home / "copies"),
+                cwd=self.root or Path.cwd(),
+                stdout=asyncio.subprocess.DEVNULL,
+            )
             if await found.wait():
                 raise RuntimeError(f"{name}: its folder of copies could not be founded")
         await self._begin(member)
@@ -206,8 +241,11 @@
         member.logs.append(log)
         with log.open("wb") as stderr:
             member.process = await asyncio.create_subprocess_exec(
-                *command, cwd=self.root or Path.cwd(), stderr=stderr,
-                env={**os.environ, "LB_CONFIG": str(member.home / "config.json"), "TMPDIR": str(member.home)})
+                *command,
+                cwd=self.root or Path.cwd(),
+                stderr=stderr,
+                env={**os.environ, "LB_CONFIG": str(member.home / "config.json"), "TMPDIR": str(member.home)},
+            )
 
     async def upgrade(self, name: str, until_done: Awaitable[None] | None = None) -> int:
         """A new process of this member takes over from the one that serves, as an operator does it; returns the older
@@ -334,9 +372,17 @@
         """
         until = time.monotonic() + within_s
         while self.copies is not None and self.more:
-            left = [f"{name}: {one}" for name in self.members for one in await self._ledgers(name) if (
-                one["role"] == "took over" or one.get("writer_dead") or one.get("sure") is False
-                or set(one.get("copies", {"": "following"}).values()) != {"following"})]
+            left = [
+                f"{name}: {one}"
+                for name in self.members
+                for one in await self._ledgers(name)
+                if (
+                    one["role"] == "took over"
+                    or one.get("writer_dead")
+                    or one.get("sure") is False
+                    or set(one.get("copies", {"": "following"}).values()) != {"following"}
+                )
+            ]
             if not left:
                 return
             if time.monotonic() > until:
@@ -393,8 +439,15 @@
     def rid(self) -> str:
         return f"{next(self.ids):016x}"
 
-    async def ask(self, name: str, key: str | None, body: bytes = b"12:01.5", again: bool = False,
-                  class_name: str | None = None, within_s: float = 10.0) -> Answer | None:
+    async def ask(
+        self,
+        name: str,
+        key: str | None,
+        body: bytes = b"12:01.5",
+        again: bool = False,
+        class_name: str | None = None,
+        within_s: float = 10.0,
+    ) -> Answer | None:
         """One try at a member over a connection of its own; None: it ended without an answer."""
         rid = self.rid()
         class_name = class_name or (KEYED if key is not None else "standings")
@@ -441,6 +494,7 @@
     if "at" in told:
         return float(told["at"])
     from datetime import datetime
+
     with contextlib.suppress(ValueError, KeyError):
         return datetime.fromisoformat(str(told["timestamp"])).timestamp()
     return 0.0
--- a/flintshift/lab/history.py
+++ b/flintshift/lab/history.py
@@ -147,16 +147,23 @@
     return told
 
 
-def _of_key(key: str, tries: list[Asked], ran: list[tuple[Ran, Asked]], answers: dict[str, Answered],
-            window_ms: float) -> list[Broken]:
+def _of_key(
+    key: str, tries: list[Asked], ran: list[tuple[Ran, Asked]], answers: dict[str, Answered], window_ms: float
+) -> list[Broken]:
     broken = []
     ran = sorted(ran, key=lambda one: one[0].at_ms)
     for (first, asked_first), (second, asked_second) in pairwise(ran):
         if first.rid == second.rid and first.member == second.member:
             continue  # the pool was told again, over a link that broke: it begins nothing
         if asked_second.at_ms <= asked_first.at_ms + window_ms:
-            broken.append(Broken("second run", key, f"{first.rid} at {first.member}, then {second.rid} at "
-                                 f"{second.member} {second.at_ms - first.at_ms:.0f} ms later"))
+            broken.append(
+                Broken(
+                    "second run",
+                    key,
+                    f"{first.rid} at {first.member}, then {second.rid} at "
+                    f"{second.member} {second.at_ms - first.at_ms:.0f} ms later",
+                )
+            )
     results: set[bytes] = set()
     made = {result_of(one.rid) for one, _ in ran}
     for one in tries:
@@ -165,8 +172,14 @@
         if answer is None:
             continue
         if answer.status in REFUSED and before:
-            broken.append(Broken("refused after a run", key, f"{one.rid} at {one.member}: {answer.status}, "
-                                 f"{one.at_ms - before[0].at_ms:.0f} ms after {before[0].rid} ran"))
+            broken.append(
+                Broken(
+                    "refused after a run",
+                    key,
+                    f"{one.rid} at {one.member}: {answer.status}, "
+                    f"{one.at_ms - before[0].at_ms:.0f} ms after {before[0].rid} ran",
+                )
+            )
         if answer.status == 200:
             results.add(answer.body)
             if answer.body not in made:
@@ -206,6 +219,12 @@
         if count < certain:
             broken.append(Broken("use lost", "", f"{member}: {certain} answered and not in doubt, {count} billed"))
         if count > certain + len(use.unread - set(told)) or len(told) > len(set(told)):
-            broken.append(Broken("use doubled", "", f"{member}: {certain} answered and {len(use.unread)} broken off, "
-                                 f"{count} billed, {len(told)} in doubt"))
+            broken.append(
+                Broken(
+                    "use doubled",
+                    "",
+                    f"{member}: {certain} answered and {len(use.unread)} broken off, "
+                    f"{count} billed, {len(told)} in doubt",
+                )
+            )
     return broken
--- a/flintshift/lab/logs_model.py
+++ b/flintshift/lab/logs_model.py
@@ -57,8 +57,13 @@
 
 
 class LogWorld:
-    def __init__(self, halls: dict[str, str], seed: int, holder: Callable[..., HeldLogs] = HeldLogs,
-                 writer: Callable[..., LogWriter] = LogWriter) -> None:
+    def __init__(
+        self,
+        halls: dict[str, str],
+        seed: int,
+        holder: Callable[..., HeldLogs] = HeldLogs,
+        writer: Callable[..., LogWriter] = LogWriter,
+    ) -> None:
         self.now, self.draw = 0.0, random.Random(seed)
         self.placement, self.new_holder, self.new_writer = Placement(halls, 3), holder, writer
         self.sent: list[tuple[str, str, object]] = []  # from a process, to a member (asks) or a process (answers)
@@ -95,8 +100,9 @@
         machine.elected, machine.heart.own = False, machine.own
         machine.records.append((machine.epoch, NOTHING, b""))
         others = tuple(name for name in self.placement.of_log(machine.name) if name != machine.name)
-        machine.writers[machine.own] = self.new_writer(machine.own, machine.epoch, place(machine.records), others, 1,
-                                                       100.0, machine.before)
+        machine.writers[machine.own] = self.new_writer(
+            machine.own, machine.epoch, place(machine.records), others, 1, 100.0, machine.before
+        )
 
     def alive(self, identity: str) -> bool:
         return any(one.up and not one.asleep and one.identity == identity for one in self.machines.values())
@@ -185,7 +191,7 @@
                 case logs.WholeWanted(member):
                     self._write(machine, writer, writer.whole(member, msgspec.msgpack.encode(records)))
                 case logs.Held(upto) if upto <= len(records):
-                    self._now_held(machine, writer, records[:int(upto)])
+                    self._now_held(machine, writer, records[: int(upto)])
                 case logs.Elected():
                     machine.elected = True
                 case logs.Raised(_, before):
--- a/flintshift/lab/model.py
+++ b/flintshift/lab/model.py
@@ -29,12 +29,21 @@
 
 def settings_of(clubs: dict[str, float], **more: Any) -> api.Settings:
     """Two classes, a read ``look`` and a keyed write ``pay``, with an aim of 1 s; two cores; clubs by their quota."""
-    kinds = [api.RequestClass("look", 1000.0, 3000.0, 1.0, api.Effect.SAFE),
-             api.RequestClass("pay", 1000.0, 3000.0, 1.0, api.Effect.KEYED, repeat_window_ms=8000.0)]
+    kinds = [
+        api.RequestClass("look", 1000.0, 3000.0, 1.0, api.Effect.SAFE),
+        api.RequestClass("pay", 1000.0, 3000.0, 1.0, api.Effect.KEYED, repeat_window_ms=8000.0),
+    ]
     given: dict[str, Any] = {
-        "classes": kinds, "cores": 2, "memory_kb": 1e6, "run_factor": 4.0, "fall_multiple": 5.0,
-        "drain_grace_ms": 500.0, "tenants": [api.Tenant(name, quota) for name, quota in clubs.items()],
-        "advice_allowed": True, "advice_max_ms": 1000.0}
+        "classes": kinds,
+        "cores": 2,
+        "memory_kb": 1e6,
+        "run_factor": 4.0,
+        "fall_multiple": 5.0,
+        "drain_grace_ms": 500.0,
+        "tenants": [api.Tenant(name, quota) for name, quota in clubs.items()],
+        "advice_allowed": True,
+        "advice_max_ms": 1000.0,
+    }
     return api.Settings(**given | more)
 
 
@@ -50,8 +59,9 @@
         self.queue: deque[Attempt] = deque()  # begun, and waits for a core
         self.busy = 0
         limits = Limits()
-        self.decisions = Decisions(Catalogue(settings, limits), 1, limits, self.counters, self.clock, self._wake_at,
-                                   lambda: None)
+        self.decisions = Decisions(
+            Catalogue(settings, limits), 1, limits, self.counters, self.clock, self._wake_at, lambda: None
+        )
         self.decisions.workers = {"pool": self}
         self.fair: FairDoor | None = None
         if fair:
@@ -96,8 +106,15 @@
 
     def arrive(self, club: str = "a", **more: Any) -> Attempt:
         """A request is read now."""
-        given: dict[str, Any] = {"id": f"{next(self.numbers):016x}", "class_name": "look", "body": b"",
-                                 "door_ms": self.now, "caller": 1, "tenant": club, "held_kb": 1.0}
+        given: dict[str, Any] = {
+            "id": f"{next(self.numbers):016x}",
+            "class_name": "look",
+            "body": b"",
+            "door_ms": self.now,
+            "caller": 1,
+            "tenant": club,
+            "held_kb": 1.0,
+        }
         attempt = Attempt(**given | more)
         self.decisions.handle(Submitted(attempt))
         return attempt
@@ -134,5 +151,4 @@
 
 def waits_ms(asked: list[Attempt]) -> list[float]:
     """What those that were turned away were told."""
-    return [one.answer.wait_ms for one in asked
-            if one.answer is not None and one.answer.verdict is Verdict.REFUSED]
+    return [one.answer.wait_ms for one in asked if one.answer is not None and one.answer.verdict is Verdict.REFUSED]
--- a/flintshift/lab/peers.py
+++ b/flintshift/lab/peers.py
@@ -42,8 +42,7 @@
             TimeoutError: there were not in time.
         """
         async with self.changed:
-            await asyncio.wait_for(self.changed.wait_for(
-                lambda: sum(map(wanted, self.entries)) >= count), within_s)
+            await asyncio.wait_for(self.changed.wait_for(lambda: sum(map(wanted, self.entries)) >= count), within_s)
         return [entry for entry in self.entries if wanted(entry)]
 
 
@@ -96,8 +95,15 @@
     ``spawned`` counts runs by id, so that a second one shows. ``plan`` says by class how a run goes on, as (notice,
     more fields) or a number of ms, before all else; ``ends`` False: what no plan names never ends by itself."""
 
-    def __init__(self, port: int = 0, cores: int = 2, took_ms: dict[str, float] | None = None,
-                 calling: frozenset[str] = frozenset(), tells: bool = False, ends: bool = True) -> None:
+    def __init__(
+        self,
+        port: int = 0,
+        cores: int = 2,
+        took_ms: dict[str, float] | None = None,
+        calling: frozenset[str] = frozenset(),
+        tells: bool = False,
+        ends: bool = True,
+    ) -> None:
         super().__init__(port, tells)
         self.took_ms, self.calling, self.ends = took_ms or {}, calling, ends
         self.plan: dict[str, float | tuple[str, dict[str, Any]]] = {}
@@ -274,8 +280,12 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.browsed = asyncio.Event()
         name = f"app1._uwsgi._tcp.{domain}."
-        for at, kind, text in ((f"_uwsgi._tcp.{domain}.", "PTR", name), (name, "SRV", f"0 0 {app_port} app1.{domain}."),
-                               (name, "TXT", '"txtvers=1"'), (f"app1.{domain}.", "A", "127.0.0.1")):
+        for at, kind, text in (
+            (f"_uwsgi._tcp.{domain}.", "PTR", name),
+            (name, "SRV", f"0 0 {app_port} app1.{domain}."),
+            (name, "TXT", '"txtvers=1"'),
+            (f"app1.{domain}.", "A", "127.0.0.1"),
+        ):
             self.put(at, kind, text)
 
     async def start(self) -> None:
@@ -312,8 +322,11 @@
         for rrset in message.update:
             key = (rrset.name, rrset.rdtype)
             if rrset.deleting == dns.rdataclass.ANY:
-                for known in [known for known in self.records if known[0] == rrset.name
-                              and rrset.rdtype in (dns.rdatatype.ANY, known[1])]:
+                for known in [
+                    known
+                    for known in self.records
+                    if known[0] == rrset.name and rrset.rdtype in (dns.rdatatype.ANY, known[1])
+                ]:
                     del self.records[known]
             elif rrset.deleting:
                 self.records[key] = [kept for kept in self.records.get(key, []) if kept not in rrset]
--- a/flintshift/lab/rig.py
+++ b/flintshift/lab/rig.py
@@ -26,7 +26,7 @@
 def port_range() -> range:
     part, _, parts = os.environ.get(PART, "0/1").partition("/")
     share = len(PORTS) // int(parts)
-    return PORTS[int(part) * share:(int(part) + 1) * share]
+    return PORTS[int(part) * share : (int(part) + 1) * share]
 
 
 def _ours(port: int) -> bool:
@@ -68,8 +68,16 @@
     """``settings`` is the text of an operators' file without its uwsgi part; None: none is named. ``root`` is the
     folder that the program is imported from, ``python`` the interpreter."""
 
-    def __init__(self, folder: Path, settings: str | None = None, uwsgi: bool = False, pool: Pool | None = None,
-                 root: Path | None = None, platform: dict[str, Any] | None = None, control: bool = False) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        settings: str | None = None,
+        uwsgi: bool = False,
+        pool: Pool | None = None,
+        root: Path | None = None,
+        platform: dict[str, Any] | None = None,
+        control: bool = False,
+    ) -> None:
         self.folder, self.settings, self.uwsgi, self.root, self.platform = folder, settings, uwsgi, root, platform
         self.control = control  # there is a control door, at ports["control"]
         self.pool, self.vault, self.names, self.apps = pool or Pool(), Vault(), Names(), Apps()
@@ -103,8 +111,9 @@
         http, desks = self.ports["http"], self.ports["uwsgi"]
         self.lives = self.lives + 1 if beside else 1
         self.folder.mkdir(parents=True, exist_ok=True)
-        config = configuration("n1", {"listen": http, "pool": self.pool.port, "naming": self.names.port,
-                                      "vault": self.vault.port})
+        config = configuration(
+            "n1", {"listen": http, "pool": self.pool.port, "naming": self.names.port, "vault": self.vault.port}
+        )
         config["settings"] |= self.platform or {}
         if self.control:
             config["control"] = f"127.0.0.1:{door}"
@@ -113,8 +122,9 @@
         if self.settings is not None or self.uwsgi:
             text = self.settings or ""
             if self.uwsgi:
-                text += (f"\nuwsgi:\n  enabled: true\n  listen: 127.0.0.1:{desks}\n"
-                         f"  resolver: 127.0.0.1:{self.dns.port}\n")
+                text += (
+                    f"\nuwsgi:\n  enabled: true\n  listen: 127.0.0.1:{desks}\n  resolver: 127.0.0.1:{self.dns.port}\n"
+                )
             (self.folder / "flintshift.yaml").write_text(text)
             command += ["--settings", str(self.folder / "flintshift.yaml")]
         return command
@@ -139,8 +149,11 @@
 
     async def _spawn(self, command: list[str], stderr: int | IO[bytes] | None = None) -> asyncio.subprocess.Process:
         return await asyncio.create_subprocess_exec(
-            *command, cwd=self.root or Path.cwd(), stderr=stderr,
-            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.folder)})
+            *command,
+            cwd=self.root or Path.cwd(),
+            stderr=stderr,
+            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.folder)},
+        )
 
     async def beside(self, pool: Pool | None = None) -> asyncio.subprocess.Process:
         """Start a new version beside the node, with a pool and a control address of its own; returns the older process
--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -45,21 +45,29 @@
             (club, class_name, front): row_number(place, class_, len(classes), number, 0)
             for place, club in enumerate((*clubs, None))
             for class_, class_name in enumerate(classes)
-            for number, front in enumerate(FRONTS)}
+            for number, front in enumerate(FRONTS)
+        }
 
     def _with(self, settings: api.Settings) -> tuple[list[str], list[str]]:
         """The lists with what the settings add. What they drop stays: its requests may be open, or come again."""
         clubs, classes = self.lists
-        return ([*clubs, *(club.name for club in settings.tenants if club.name not in clubs)],
-                [*classes, *(kind.name for kind in settings.classes if kind.name not in classes)])
+        return (
+            [*clubs, *(club.name for club in settings.tenants if club.name not in clubs)],
+            [*classes, *(kind.name for kind in settings.classes if kind.name not in classes)],
+        )
 
     def too_many(self, settings: api.Settings) -> str | None:
         """Why these settings can't be booked in this life."""
         clubs, classes = self._with(settings)
         rows = (len(clubs) + 1) * len(classes)
-        return None if rows <= ROWS_MOST else (
-            f"the ledger of use would have rows for {len(clubs)} clubs and {len(classes)} classes, with those of "
-            f"earlier settings: {rows} pairs, and {ROWS_MOST} may be; a restart forgets the earlier ones")
+        return (
+            None
+            if rows <= ROWS_MOST
+            else (
+                f"the ledger of use would have rows for {len(clubs)} clubs and {len(classes)} classes, with those of "
+                f"earlier settings: {rows} pairs, and {ROWS_MOST} may be; a restart forgets the earlier ones"
+            )
+        )
 
     def change(self, settings: api.Settings) -> None:
         lists = self._with(settings)
@@ -83,10 +91,16 @@
         attempt.tell = nobody  # guards against the circle of attempt and tell, which only the collector would free
         outcome = POORER if attempt.poorer and answer.verdict is Verdict.SERVED else WORDS[answer.verdict]
         attempt.ticket = self.ledger.claim(
-            bytes.fromhex(attempt.id), self._row(attempt, front) + outcome,
-            (AGAIN if attempt.again else 0) | (KEPT if attempt.kept else 0), int(attempt.run_ms * 1000),
-            attempt.calls, len(attempt.body), len(answer.body), partial(tell, answer),
-            attempt.door_ms + attempt.kind.deadline_ms if attempt.kind is not None else math.inf)
+            bytes.fromhex(attempt.id),
+            self._row(attempt, front) + outcome,
+            (AGAIN if attempt.again else 0) | (KEPT if attempt.kept else 0),
+            int(attempt.run_ms * 1000),
+            attempt.calls,
+            len(attempt.body),
+            len(answer.body),
+            partial(tell, answer),
+            attempt.door_ms + attempt.kind.deadline_ms if attempt.kind is not None else math.inf,
+        )
 
     def delivered(self, attempt: Attempt, arrived: bool) -> None:
         if attempt.ticket is not None:
@@ -98,17 +112,30 @@
             self.ledger.mark(attempt.ticket, False)
             return
         attempt.ticket = self.ledger.claim(
-            bytes.fromhex(attempt.id), self._row(attempt, front) + GONE,
-            FINAL | (AGAIN if attempt.again else 0) | (KEPT if attempt.kept else 0), int(attempt.run_ms * 1000),
-            attempt.calls, len(attempt.body), 0, None)
+            bytes.fromhex(attempt.id),
+            self._row(attempt, front) + GONE,
+            FINAL | (AGAIN if attempt.again else 0) | (KEPT if attempt.kept else 0),
+            int(attempt.run_ms * 1000),
+            attempt.calls,
+            len(attempt.body),
+            0,
+            None,
+        )
 
     def ran_on(self, attempt: Attempt, took_ms: float) -> None:
         if attempt.ticket is not None and took_ms > 0:
             self.ledger.add_late(attempt.ticket, int(took_ms * 1000), 0)
 
 
-def open_folder(name: str, lists: tuple[list[str], list[str]], options: UsageOptions, log: Log, files: Files,
-                copied: bool = False, above: int = 0) -> tuple[LedgerFolder, LedgerClock]:
+def open_folder(
+    name: str,
+    lists: tuple[list[str], list[str]],
+    options: UsageOptions,
+    log: Log,
+    files: Files,
+    copied: bool = False,
+    above: int = 0,
+) -> tuple[LedgerFolder, LedgerClock]:
     """The folder, recovered, with a life begun in it. ``copied``: further members hold copies; a ledger that begins
     then has an epoch above all of this node's earlier ones (the time in seconds, or ``above`` and one).
 
@@ -123,6 +150,7 @@
         life = folder.book.state.life or os.urandom(16)
         if copied:
             from flintshift.usage.replica import stood_before
+
             reach = folder.reach
             folder.before = stood_before(files, options.folder, life, (reach.epoch, reach.following - 1))
             if not reach.epoch:
@@ -133,28 +161,58 @@
         raise
     for warning in found.warnings:
         log("warning", "usage.recovery", text=warning)
-    log("info", "usage.opened", folder=str(options.folder), epoch=folder.log.epoch, records=found.records,
-        from_snapshot=found.from_snapshot, torn_bytes=found.torn, in_doubt=found.in_doubt)
+    log(
+        "info",
+        "usage.opened",
+        folder=str(options.folder),
+        epoch=folder.log.epoch,
+        records=found.records,
+        from_snapshot=found.from_snapshot,
+        torn_bytes=found.torn,
+        in_doubt=found.in_doubt,
+    )
     return folder, clock
 
 
-def open_ledger(name: str, settings: api.Settings, options: UsageOptions, log: Log,
-                files: Files | None = None, copied: bool = False) -> Ledger:
+def open_ledger(
+    name: str, settings: api.Settings, options: UsageOptions, log: Log, files: Files | None = None, copied: bool = False
+) -> Ledger:
     """The ledger on its folder, recovered.
 
     Raises:
         OSError, LockedError, DamagedError: the folder can't be used; the text says why.
     """
-    folder, clock = open_folder(name, ([tenant.name for tenant in settings.tenants],
-                                       [kind.name for kind in settings.classes]), options, log, files or DiskFiles(),
-                                copied)
+    folder, clock = open_folder(
+        name,
+        ([tenant.name for tenant in settings.tenants], [kind.name for kind in settings.classes]),
+        options,
+        log,
+        files or DiskFiles(),
+        copied,
+    )
     sinks = []
     if options.export is not None:
         sinks = [name for name, sink in (("folder", options.export.folder), ("http", options.export.http)) if sink]
-    limits = CommitLimits(options.durability != "none", options.durability == "power-cut", options.sync_ms, HELD_MS,
-                          REOPEN_MS, options.segment_bytes)
-    return Ledger(folder, options.grace_ms, limits, options.on_disk_failure == "refuse", options.retention_ms, sinks,
-                  clock, lambda: time.time() * 1000, lambda: time.monotonic() * 1000, log)
+    limits = CommitLimits(
+        options.durability != "none",
+        options.durability == "power-cut",
+        options.sync_ms,
+        HELD_MS,
+        REOPEN_MS,
+        options.segment_bytes,
+    )
+    return Ledger(
+        folder,
+        options.grace_ms,
+        limits,
+        options.on_disk_failure == "refuse",
+        options.retention_ms,
+        sinks,
+        clock,
+        lambda: time.time() * 1000,
+        lambda: time.monotonic() * 1000,
+        log,
+    )
 
 
 UNUSABLE = (OSError, LockedError, DamagedError)
--- a/flintshift/lifecycle/config.py
+++ b/flintshift/lifecycle/config.py
@@ -55,6 +55,7 @@
 def embedded(operators_file: Path | None = None) -> Config:
     """The embedded default, for a node on one machine among the stand-ins of ``lab/``."""
     from flintshift.settings.embedded import configuration
+
     return made(configuration(), "the embedded default", operators(operators_file))
 
 
@@ -67,17 +68,26 @@
             raise ConfigError(f"{path}: {wrong}")
         pairs = flat(told["settings"])
         asked = told.get("limits", {})
-        limits = Limits(memory_mb=int(asked.get("memory_mb", Limits().memory_mb)),
-                        sockets=int(asked.get("sockets", Limits().sockets)), stop_ms=float(told["stop_ms"]))
+        limits = Limits(
+            memory_mb=int(asked.get("memory_mb", Limits().memory_mb)),
+            sockets=int(asked.get("sockets", Limits().sockets)),
+            stop_ms=float(told["stop_ms"]),
+        )
         settings = settings_from(pairs)
         door = told.get("control") or control
         return Config(
-            name=str(told["name"]), listen=address(told["listen"]),
-            control=address(door) if door else None, pool=address(told["pool"]),
-            naming=address(told["naming"]), vault=address(told["vault"]), seed=int(str(told["seed"]), 16),
-            settings=settings, limits=replace(limits, key_bytes=limits.memory_mb * (1 << 20) // 6),
+            name=str(told["name"]),
+            listen=address(told["listen"]),
+            control=address(door) if door else None,
+            pool=address(told["pool"]),
+            naming=address(told["naming"]),
+            vault=address(told["vault"]),
+            seed=int(str(told["seed"]), 16),
+            settings=settings,
+            limits=replace(limits, key_bytes=limits.memory_mb * (1 << 20) // 6),
             gauge_names=[GAUGES.get(name) for name in pairs.get("familyInfo.gauges", "").split(",")],
-            operators=operators, told=told,
+            operators=operators,
+            told=told,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]} is missing") from error
@@ -90,6 +100,7 @@
     if path is None:
         return Operators()
     from flintshift.settings.operators import FaultsError, read
+
     try:
         return read(path)
     except FaultsError as error:
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -99,9 +99,19 @@
 
     needed = True
 
-    def __init__(self, name: str, peers: PeersOptions, options: CopiesOptions, decisions: Decisions, limits: Limits,
-                 counters: Counters, now_ms: Callable[[], float], log: Log, guest: bool,
-                 files: Files | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        peers: PeersOptions,
+        options: CopiesOptions,
+        decisions: Decisions,
+        limits: Limits,
+        counters: Counters,
+        now_ms: Callable[[], float],
+        log: Log,
+        guest: bool,
+        files: Files | None = None,
+    ) -> None:
         """``guest``: another process of this member may hold the copies; then this one asks it as it asks the others,
         and holds them once that one has ended."""
         self.name, self.options, self.decisions, self.limits = name, options, decisions, limits
@@ -119,11 +129,24 @@
         self.members = who.Members(self.identity, halls, who.Pace(peers.beat_ms, peers.lease_ms), now)
         self.proposals = Proposals(self.identity, self.placement, self._lives, self.draw)
         greeting = self.greeting = Greeting(name, self.identity, peers.epoch, members_digest(peers))
-        self.links = {member: OutLink(member, address, limits, counters, greeting, self._stores, self._answered,
-                                      self._up, self._down, self.draw)
-                      for member, (_, address) in {**peers.members, name: (halls[name], peers.listen)}.items()}
-        self.front = PeerFront(limits, counters, greeting, list(halls), self._stores, self._asked, self._met,
-                               self._refused)
+        self.links = {
+            member: OutLink(
+                member,
+                address,
+                limits,
+                counters,
+                greeting,
+                self._stores,
+                self._answered,
+                self._up,
+                self._down,
+                self.draw,
+            )
+            for member, (_, address) in {**peers.members, name: (halls[name], peers.listen)}.items()
+        }
+        self.front = PeerFront(
+            limits, counters, greeting, list(halls), self._stores, self._asked, self._met, self._refused
+        )
         self.listen = peers.listen
         self.entries: list[Entry] = []  # not written yet
         self.votes: list[tuple[str, Vote, Key]] = []  # that leave once these are
@@ -150,8 +173,13 @@
         except LockedError:
             if not guest:
                 raise
-            log("info", "copies.guest", folder=str(options.folder), identity=self.identity,
-                cause="another process of this member holds them")
+            log(
+                "info",
+                "copies.guest",
+                folder=str(options.folder),
+                identity=self.identity,
+                cause="another process of this member holds them",
+            )
 
     def copy_use(self, ledger: Ledger, options: UsageOptions) -> None:
         """Write this ledger to further members, and hold theirs.
@@ -160,19 +188,43 @@
             OSError, LockedError: the folder can't be used.
         """
         from flintshift.lifecycle.use_copies import UseCopies
-        self.use = UseCopies(self.name, self.identity, self.placement, self.options, options, self.files, boot_id(),
-                             self._lives, self._now, lambda member, word: self.links[member].send(
-                                 word, self._now(), False), self.front.send, self.counters, self.log)
+
+        self.use = UseCopies(
+            self.name,
+            self.identity,
+            self.placement,
+            self.options,
+            options,
+            self.files,
+            boot_id(),
+            self._lives,
+            self._now,
+            lambda member, word: self.links[member].send(word, self._now(), False),
+            self.front.send,
+            self.counters,
+            self.log,
+        )
         self.use.restore()
         self.use.write(ledger)
 
     def start_permits(self, at_once: int, uniform: Uniform, go: Callable[[], None]) -> StartPermits:
         """Have this fleet start so many members at a time."""
         from flintshift.lifecycle.start_permits import StartPermits
+
         permits = self.permits = StartPermits(
-            self.name, self.identity, tuple(self.placement.halls), at_once, uniform, self._lives, self.reached,
-            lambda member, word: self.links[member].send(word, self._now(), False), self.front.send, go, self.counters,
-            self.log)
+            self.name,
+            self.identity,
+            tuple(self.placement.halls),
+            at_once,
+            uniform,
+            self._lives,
+            self.reached,
+            lambda member, word: self.links[member].send(word, self._now(), False),
+            self.front.send,
+            go,
+            self.counters,
+            self.log,
+        )
         return permits
 
     def _bounds(self) -> HolderBounds:
@@ -184,18 +236,40 @@
         Raises:
             OSError, LockedError: it can't be used.
         """
-        self.folder = CopiesFolder(self.files, self.options.folder, self.name, time.time() * 1000, boot_id(),
-                                   self.options.durability == "power-cut", entry_bytes, self._unpacked)
+        self.folder = CopiesFolder(
+            self.files,
+            self.options.folder,
+            self.name,
+            time.time() * 1000,
+            boot_id(),
+            self.options.durability == "power-cut",
+            entry_bytes,
+            self._unpacked,
+        )
         found, state, now = self.folder.found, self.folder.state, self._now()
         before = self.registers.stores
-        self.registers = Registers(self.name, state.incarnation, self.placement, self._bounds(), state.votes,
-                                   now + self._window_ms() if not state.votes else 0.0)
+        self.registers = Registers(
+            self.name,
+            state.incarnation,
+            self.placement,
+            self._bounds(),
+            state.votes,
+            now + self._window_ms() if not state.votes else 0.0,
+        )
         self.registers.stores |= {member: store for member, store in before.items() if member != self.name}
         for entry in found.entries:
             self.registers.take(now, entry)
         self.refill = None if state.votes else Refill(self.others)
-        self.log("info", "copies.opened", folder=str(self.options.folder), identity=self.identity,
-                 store=state.incarnation, keys=len(found.entries), votes=state.votes, cause=found.why_empty)
+        self.log(
+            "info",
+            "copies.opened",
+            folder=str(self.options.folder),
+            identity=self.identity,
+            store=state.incarnation,
+            keys=len(found.entries),
+            votes=state.votes,
+            cause=found.why_empty,
+        )
         self._event(Reach(self.name, True, state.incarnation))
         self.holding.set()
 
@@ -226,9 +300,16 @@
         spare = attempt.door_ms + kind.deadline_ms - self.limits.claim_spare_ms - self.wall_ms()
         key = key_of(attempt)
         self.keys[attempt.id] = key
-        self._from_planner(Claim(key, attempt.id, fingerprint(attempt), self._keep_ms(attempt),
-                                 self._now() + min(self.limits.claim_ms, max(spare, 0.0)),
-                                 attempt.again or not self.decisions.catalogue.decided.marks_repeats))
+        self._from_planner(
+            Claim(
+                key,
+                attempt.id,
+                fingerprint(attempt),
+                self._keep_ms(attempt),
+                self._now() + min(self.limits.claim_ms, max(spare, 0.0)),
+                attempt.again or not self.decisions.catalogue.decided.marks_repeats,
+            )
+        )
 
     def _keep_ms(self, attempt: Attempt) -> float:
         kind = attempt.kind
@@ -247,8 +328,17 @@
         kind = attempt.kind
         assert kind is not None
         due = attempt.door_ms + kind.deadline_ms - self.limits.claim_spare_ms - self.wall_ms()
-        self._from_planner(Finish(key_of(attempt), attempt.id, fingerprint(attempt), self._keep_ms(attempt),
-                                  self._now() + max(due, 0.0), outcome, result))
+        self._from_planner(
+            Finish(
+                key_of(attempt),
+                attempt.id,
+                fingerprint(attempt),
+                self._keep_ms(attempt),
+                self._now() + max(due, 0.0),
+                outcome,
+                result,
+            )
+        )
         return True
 
     def over(self, attempt: Attempt) -> None:
@@ -284,8 +374,14 @@
             case Settled(key, owner, outcome, result, ours):
                 if not ours:
                     self.counters.add("copies.fenced")
-                    self.log("warning", "copies.fenced", request=owner, key=key[1], outcome=outcome.value,
-                             cause="another member settled this run while this one was out of reach")
+                    self.log(
+                        "warning",
+                        "copies.fenced",
+                        request=owner,
+                        key=key[1],
+                        outcome=outcome.value,
+                        cause="another member settled this run while this one was out of reach",
+                    )
                 pending.append(at.Kept(owner, outcome, result))
             case Overdue(owner):
                 pending.append(at.Kept(owner, None))
@@ -297,31 +393,54 @@
                     pending.extend(at.RunOver(one, Outcome.REJECTED) for one in keys.free(key, value.owner))
                 else:
                     outcome = value.outcome or Outcome.ERROR
-                    pending.extend(at.RunOver(one, outcome, 0.0, value.result)
-                                   for one in keys.end(other, outcome, value.result))
+                    pending.extend(
+                        at.RunOver(one, outcome, 0.0, value.result) for one in keys.end(other, outcome, value.result)
+                    )
 
     def shown(self) -> dict[str, Any]:
         """How the copies and the other members stand, for operators."""
         now, registers = self._now(), self.registers
         processes: dict[str, list[dict[str, Any]]] = {}
         for identity, one in self.members.processes.items():
-            processes.setdefault(who.member_of(identity), []).append({
-                "identity": identity, "silent_ms": round(now - one.heard_ms),
-                "state": "dead" if one.dead else "suspected" if one.accused else "alive"})
+            processes.setdefault(who.member_of(identity), []).append(
+                {
+                    "identity": identity,
+                    "silent_ms": round(now - one.heard_ms),
+                    "state": "dead" if one.dead else "suspected" if one.accused else "alive",
+                }
+            )
         return {
-            "member": self.name, "identity": self.identity, "epoch": self.greeting.epoch,
-            "holds": self.folder is not None, "store": registers.store, "votes": registers.full_vote,
+            "member": self.name,
+            "identity": self.identity,
+            "epoch": self.greeting.epoch,
+            "holds": self.folder is not None,
+            "store": registers.store,
+            "votes": registers.full_vote,
             "disk": "refuses" if self.sick_ms else "takes",
             "votes_in_ms": 0 if registers.full_vote else max(0, round(registers.voting_from_ms - now)),
-            "filled_by": sorted(registers.filled_by), "keys": len(registers.table), "bytes": registers.bytes,
-            "stages": registers.stages(), "under_copied": registers.under_copied(self.reached | {self.name}),
+            "filled_by": sorted(registers.filled_by),
+            "keys": len(registers.table),
+            "bytes": registers.bytes,
+            "stages": registers.stages(),
+            "under_copied": registers.under_copied(self.reached | {self.name}),
             "use": self.use.shown() if self.use is not None else [],
-            "proposals": len(self.proposals.under_way), "followed": len(self.proposals.followed),
-            "may_have_run": [{"class": key[0], "key": key[1], "request": owner}
-                             for key, owner in self.taken_over.items()],
-            "members": [{"member": member, "hall": self.placement.halls[member], "linked": member in self.reached,
-                         "cause": self.not_linked.get(member, ""), "processes": processes.get(member, [])}
-                        for member in self.placement.halls if member != self.name]}
+            "proposals": len(self.proposals.under_way),
+            "followed": len(self.proposals.followed),
+            "may_have_run": [
+                {"class": key[0], "key": key[1], "request": owner} for key, owner in self.taken_over.items()
+            ],
+            "members": [
+                {
+                    "member": member,
+                    "hall": self.placement.halls[member],
+                    "linked": member in self.reached,
+                    "cause": self.not_linked.get(member, ""),
+                    "processes": processes.get(member, []),
+                }
+                for member in self.placement.halls
+                if member != self.name
+            ],
+        }
 
     def _from_planner(self, event: Event) -> None:
         self.in_turn = True
@@ -341,8 +460,15 @@
                     self.links[to].send(ask, self._now(), True)
                 case TookOver(key, value):
                     self.counters.add("copies.took_over")
-                    self.log("warning", "copies.took_over", key=key[1], class_name=key[0], request=value.owner,
-                             runner=value.runner, outcome=value.outcome.value if value.outcome else None)
+                    self.log(
+                        "warning",
+                        "copies.took_over",
+                        key=key[1],
+                        class_name=key[0],
+                        request=value.owner,
+                        runner=value.runner,
+                        outcome=value.outcome.value if value.outcome else None,
+                    )
                     if value.outcome is Outcome.ERROR:
                         self.taken_over[key] = value.owner
                         while len(self.taken_over) > self.limits.claims:
@@ -384,8 +510,9 @@
                     self.log("warning", "peers.suspected", identity=identity, silent_ms=round(silent_ms))
                 case who.Died(identity, silent_ms, accusers):
                     self.counters.add("peers.died")
-                    self.log("error", "peers.died", identity=identity, silent_ms=round(silent_ms),
-                             accusers=list(accusers))
+                    self.log(
+                        "error", "peers.died", identity=identity, silent_ms=round(silent_ms), accusers=list(accusers)
+                    )
                 case who.Returned(identity, was_dead):
                     self.log("warning", "peers.returned", identity=identity, was_dead=was_dead)
 
@@ -405,10 +532,17 @@
 
     def _outlived(self, member: str, known: int) -> None:
         """Another knows this member by a newer store: what stands here is older than what it promised since."""
-        self.log("error", "copies.store_outlived", store=self.registers.store, known=known, by=member,
-                 cause="this disk is not the one that this member used last; it is emptied and filled again")
-        self.registers = Registers(self.name, known + 1, self.placement, self.registers.bounds, False,
-                                   self._now() + self._window_ms())
+        self.log(
+            "error",
+            "copies.store_outlived",
+            store=self.registers.store,
+            known=known,
+            by=member,
+            cause="this disk is not the one that this member used last; it is emptied and filled again",
+        )
+        self.registers = Registers(
+            self.name, known + 1, self.placement, self.registers.bounds, False, self._now() + self._window_ms()
+        )
         self.refill = Refill(self.others)
         assert self.folder is not None
         self.folder.write_state(structs.replace(self.folder.state, incarnation=known + 1, votes=False))
@@ -476,8 +610,12 @@
     def _refuses(self, error: Exception) -> None:
         if self.sick_ms is None:
             self.counters.add("copies.disk_refused")
-            self.log("error", "copies.disk_refuses", cause=str(error),
-                     text="this member does not vote until its disk takes what it promises")
+            self.log(
+                "error",
+                "copies.disk_refuses",
+                cause=str(error),
+                text="this member does not vote until its disk takes what it promises",
+            )
             self.sick_ms = self._now()
             self._event(Reach(self.name, False, 0))
 
--- a/flintshift/lifecycle/exports.py
+++ b/flintshift/lifecycle/exports.py
@@ -32,16 +32,31 @@
     return sinks
 
 
-def export_run(folder: Path, options: ExportOptions, log: Log, until_done: bool, files: Files | None = None,
-               copied: State | None = None,
-               noted: Callable[[str, str, bytes], object] = lambda sink, name, digest: None) -> ExportRun:
+def export_run(
+    folder: Path,
+    options: ExportOptions,
+    log: Log,
+    until_done: bool,
+    files: Files | None = None,
+    copied: State | None = None,
+    noted: Callable[[str, str, bytes], object] = lambda sink, name, digest: None,
+) -> ExportRun:
     """``copied``: the ledger's state, where further members hold it: whoever writes it exports under its epoch."""
     files = files or DiskFiles()
     pace = Pace(options.backoff_ms, options.backoff_most_ms, options.attempts_per_hour)
     ledger = f"{copied.node}.{copied.life.hex()}" if copied is not None else ""
-    return ExportRun(files, folder, sinks_of(options, files, ledger), pace, random.SystemRandom().random,
-                     lambda: time.monotonic() * 1000, log, until_done, copied.epoch if copied is not None else None,
-                     noted)
+    return ExportRun(
+        files,
+        folder,
+        sinks_of(options, files, ledger),
+        pace,
+        random.SystemRandom().random,
+        lambda: time.monotonic() * 1000,
+        log,
+        until_done,
+        copied.epoch if copied is not None else None,
+        noted,
+    )
 
 
 def open_export(ledger: Ledger, usage: UsageOptions, log: Log) -> Callable[[], Coroutine[Any, Any, None]]:
@@ -52,9 +67,15 @@
     async def run() -> None:
         while True:
             copies = ledger.copies
-            export = export_run(usage.folder, options, log, False, ledger.folder.files,
-                                ledger.book.state if copies is not None else None,
-                                copies.exported if copies is not None else lambda sink, name, digest: None)
+            export = export_run(
+                usage.folder,
+                options,
+                log,
+                False,
+                ledger.folder.files,
+                ledger.book.state if copies is not None else None,
+                copies.exported if copies is not None else lambda sink, name, digest: None,
+            )
             ledger.changed = export.look
             with anyio.CancelScope() as turn:
                 ledger.began_anew = turn.cancel
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -34,19 +34,26 @@
 
 def weighed(settings: api.Settings) -> Weighed:
     """Clubs weigh as their quotas; a class is first taken to cost what the decisions take it to."""
-    return Weighed({tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s > 0},
-                   settings.cores, {kind.name: FIRST_RUN * kind.aim_ms for kind in settings.classes},
-                   settings.marks_repeats)
+    return Weighed(
+        {tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s > 0},
+        settings.cores,
+        {kind.name: FIRST_RUN * kind.aim_ms for kind in settings.classes},
+        settings.marks_repeats,
+    )
 
 
 class FairDoor:
     """The decision planner's port (``core.ports.Ranks``)."""
 
-    def __init__(self, settings: api.Settings, limits: Limits, counters: Counters,
-                 now_ms: Callable[[], float]) -> None:
+    def __init__(self, settings: api.Settings, limits: Limits, counters: Counters, now_ms: Callable[[], float]) -> None:
         self.counters, self.now_ms, self.draw = counters, now_ms, random.random
-        bounds = Bounds(limits.door_callers, limits.door_buckets, limits.door_open, limits.door_rekey_ms,
-                        CalendarBounds(limits.door_slot_ms, limits.door_slots, limits.door_places))
+        bounds = Bounds(
+            limits.door_callers,
+            limits.door_buckets,
+            limits.door_open,
+            limits.door_rekey_ms,
+            CalendarBounds(limits.door_slot_ms, limits.door_slots, limits.door_places),
+        )
         self.shares = Shares(weighed(settings), os.urandom(16), bounds)
         self.rank_ms = self.shares.rank_ms  # asked for all that is held at each choice: no call between
         self.surges = Surges(self.shares.weights, now_ms())
@@ -54,16 +61,21 @@
 
     def shown(self) -> dict[str, Any]:
         """How the clubs stand, for operators."""
-        return {"clubs": [asdict(one) for one in self.shares.shown()], "places": self.shares.places,
-                "most_places": self.shares.most_places, "bytes_at_most": self.shares.places * PLACE_BYTES}
+        return {
+            "clubs": [asdict(one) for one in self.shares.shown()],
+            "places": self.shares.places,
+            "most_places": self.shares.most_places,
+            "bytes_at_most": self.shares.places * PLACE_BYTES,
+        }
 
     def change(self, settings: api.Settings) -> None:
         self.shares.handle(self.now_ms(), weighed(settings))
         self._tell(self.surges.weigh(self.now_ms(), self.shares.weights))
 
     def arrived(self, attempt: Attempt) -> None:
-        self.shares.handle(self.now_ms(), Arrived(
-            attempt.id, attempt.tenant, attempt.caller, attempt.class_name, attempt.again))
+        self.shares.handle(
+            self.now_ms(), Arrived(attempt.id, attempt.tenant, attempt.caller, attempt.class_name, attempt.again)
+        )
         self.surges.asked(attempt.tenant, self.shares.cost_ms.get(attempt.class_name, FIRST_MS))
 
     def began(self, request: str) -> None:
@@ -74,7 +86,7 @@
 
     def come_back_ms(self, attempt: Attempt, least_ms: float, most_ms: float) -> float:
         self.surges.turned_away(attempt.tenant)
-        told, = self.shares.handle(self.now_ms(), TurnedAway(attempt.id, least_ms, most_ms, self.draw()))
+        (told,) = self.shares.handle(self.now_ms(), TurnedAway(attempt.id, least_ms, most_ms, self.draw()))
         self.counters.add("door.promised" if told.promised else "door.not_promised")
         return told.wait_ms
 
@@ -89,11 +101,28 @@
             match told:
                 case SurgeBegan(club, times, turned_away):
                     self.counters.add("door.surges")
-                    self.log("warning", "door.surge_began", club=club, times_its_share=round(times, 1),
-                             turned_away=turned_away)
+                    self.log(
+                        "warning",
+                        "door.surge_began",
+                        club=club,
+                        times_its_share=round(times, 1),
+                        turned_away=turned_away,
+                    )
                 case SurgeGoesOn(club, since_ms, times, turned_away):
-                    self.log("warning", "door.surge_goes_on", club=club, since_s=round(since_ms / 1000),
-                             times_its_share=round(times, 1), turned_away=turned_away)
+                    self.log(
+                        "warning",
+                        "door.surge_goes_on",
+                        club=club,
+                        since_s=round(since_ms / 1000),
+                        times_its_share=round(times, 1),
+                        turned_away=turned_away,
+                    )
                 case SurgeEnded(club, lasted_ms, most, turned_away):
-                    self.log("info", "door.surge_ended", club=club, lasted_s=round(lasted_ms / 1000, 1),
-                             most_times_its_share=round(most, 1), turned_away=turned_away)
+                    self.log(
+                        "info",
+                        "door.surge_ended",
+                        club=club,
+                        lasted_s=round(lasted_ms / 1000, 1),
+                        most_times_its_share=round(most, 1),
+                        turned_away=turned_away,
+                    )
--- a/flintshift/lifecycle/logs.py
+++ b/flintshift/lifecycle/logs.py
@@ -42,14 +42,22 @@
 
 def open_log(options: LogOptions, node: str, sink: Any = None) -> tuple[Log, bool]:
     """The log, and whether it takes events of single requests."""
-    show = (structlog.processors.JSONRenderer() if options.format == "json"
-            else structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "node", "event"]))
+    show = (
+        structlog.processors.JSONRenderer()
+        if options.format == "json"
+        else structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "node", "event"])
+    )
     logger = structlog.wrap_logger(
         structlog.PrintLogger(sink or sys.stderr),
         processors=[
-            structlog.processors.add_log_level, structlog.processors.TimeStamper("iso", utc=True),
-            Repeats(options.repeats_ms, lambda: time.monotonic() * 1000), show],
-        wrapper_class=structlog.make_filtering_bound_logger(options.level), node=node)
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper("iso", utc=True),
+            Repeats(options.repeats_ms, lambda: time.monotonic() * 1000),
+            show,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(options.level),
+        node=node,
+    )
 
     lost = 0  # lines that could not be written
 
