--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -67,8 +67,8 @@
         self.gauges = GaugePlanner(limits, now_ms)
         self.catalogue = Catalogue(config.settings, limits)
         self.decisions = Decisions(
-            self.catalogue, config.seed, limits, counters, now_ms, self.gauges.wake_at,
-            self._moved)
+            self.catalogue, config.seed, limits, counters, now_ms, self.gauges.wake_at, self._moved
+        )
         # Of name and seed: two nodes of one configuration draw differently, and a node the same each time.
         draw = random.Random(f"{config.name} {config.seed}")
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report, draw.uniform)
@@ -77,15 +77,27 @@
         self.names = NameService(config.naming, config.name, limits, counters)
         lists: list[Listed] = [self.names]
         fields = Fields(self.catalogue, limits, now_ms)
-        self.fronts: list[tuple[Front, tuple[str, int]]] = [(
-            HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections,
-                      self.pool.verify), config.listen)]
-        self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = [
-            self.decisions.run, self.pool.run, self.vault.run]
+        self.fronts: list[tuple[Front, tuple[str, int]]] = [
+            (
+                HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections, self.pool.verify),
+                config.listen,
+            )
+        ]
+        self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = [self.decisions.run, self.pool.run, self.vault.run]
         if config.operators.uwsgi is not None:
             from flintshift.lifecycle.second_front import second_front
-            second = second_front(config.name, config.operators.uwsgi, fields, self.decisions, limits, counters, now_ms,
-                                  self.pool.verify, draw.uniform)
+
+            second = second_front(
+                config.name,
+                config.operators.uwsgi,
+                fields,
+                self.decisions,
+                limits,
+                counters,
+                now_ms,
+                self.pool.verify,
+                draw.uniform,
+            )
             self.decisions.workers = {"pool": self.pool, "apps": second.apps}
             lists.append(second.listed)
             self.fronts.append((second.front, config.operators.uwsgi.listen))
@@ -94,6 +106,7 @@
         requests_too = False
         if config.operators.log is not None:
             from flintshift.lifecycle.logs import open_log
+
             self.log, requests_too = open_log(config.operators.log, config.name)
         self.ledger: Ledger | None = None
         self.books: Books | None = None
@@ -102,13 +115,24 @@
         self.fair: FairDoor | None = None
         if config.operators.door is not None:
             from flintshift.lifecycle.fair_door import FairDoor
+
             self.fair = FairDoor(config.settings, limits, counters, now_ms)
             self.fair.log = self.log
             self.decisions.rank_by(self.fair)
             if config.operators.door.socket is not None:
                 from flintshift.lifecycle.status_socket import StatusSocket
-                self.actors.append(StatusSocket(config.operators.door.socket, "door", self.fair.shown,
-                                                "how the clubs stand", limits, counters, self.warn).run)
+
+                self.actors.append(
+                    StatusSocket(
+                        config.operators.door.socket,
+                        "door",
+                        self.fair.shown,
+                        "how the clubs stand",
+                        limits,
+                        counters,
+                        self.warn,
+                    ).run
+                )
         self.copying: Copying | None = None
         if config.operators.peers is not None and config.operators.copies is not None:
             self._keep_copies(config.operators.peers, config.operators.copies)
@@ -127,22 +151,30 @@
         if config.control is not None:
             from flintshift.lifecycle.upgrade import Upgrade
             from flintshift.wire.control_front import ControlFront
+
             self.door = ControlFront(self, limits, counters, now_ms)
             self.door.log = self.log
             self.upgrade = Upgrade(self)
             self.decisions.claims = self.upgrade
             if self.copying is not None:
                 from flintshift.lifecycle.agreeing import Agreeing
+
                 self.decisions.claims = Agreeing(self.upgrade, self.copying)
             for front, _ in self.fronts:
                 front.leave()  # until it is known that this process takes the clients
 
     def _keep_books(self, options: UsageOptions) -> None:
         from flintshift.lifecycle.books import UNUSABLE, Books, open_ledger
+
         try:
             copies = self.config.operators.copies
-            self.ledger = open_ledger(self.config.name, self.config.settings, options, self.log,
-                                      copied=copies is not None and copies.copies > 1)
+            self.ledger = open_ledger(
+                self.config.name,
+                self.config.settings,
+                options,
+                self.log,
+                copied=copies is not None and copies.copies > 1,
+            )
         except UNUSABLE as error:
             raise ConfigError(f"the ledger of use can't be opened: {error}") from error
         books = self.books = Books(self.ledger, self.config.settings)
@@ -152,16 +184,27 @@
         self.actors.append(self.ledger.run)
         if options.export is not None:
             from flintshift.lifecycle.exports import open_export
+
             self.actors.append(open_export(self.ledger, options, self.log))
 
     def _keep_copies(self, peers: PeersOptions, options: CopiesOptions) -> None:
         from flintshift.copies.store import SOCKET
         from flintshift.lifecycle.copying import UNUSABLE, Copying
+
         if self.config.name not in peers.members:
             raise ConfigError(f"this node, {self.config.name}, is none of peers.members: {', '.join(peers.members)}")
         try:
-            copying = Copying(self.config.name, peers, options, self.decisions, self.limits, self.counters,
-                              self.now_ms, self.log, guest=self.config.control is not None)
+            copying = Copying(
+                self.config.name,
+                peers,
+                options,
+                self.decisions,
+                self.limits,
+                self.counters,
+                self.now_ms,
+                self.log,
+                guest=self.config.control is not None,
+            )
             if self.ledger is not None and self.config.operators.usage is not None and options.copies > 1:
                 copying.copy_use(self.ledger, self.config.operators.usage)
         except UNUSABLE as error:
@@ -170,26 +213,53 @@
         self.decisions.claims, self.decisions.elsewhere = copying, True
         self.actors.append(copying.run)
         from flintshift.lifecycle.status_socket import StatusSocket
-        self.actors.append(StatusSocket(options.folder / SOCKET, "copies", copying.shown, "how the copies stand",
-                                        self.limits, self.counters, self.warn).run)
+
+        self.actors.append(
+            StatusSocket(
+                options.folder / SOCKET,
+                "copies",
+                copying.shown,
+                "how the copies stand",
+                self.limits,
+                self.counters,
+                self.warn,
+            ).run
+        )
 
     def _watch_start(self, options: StartupOptions, uniform: Uniform) -> None:
         from flintshift.lifecycle.starting import Starting
         from flintshift.startup.phases import Seen
+
         settings = self.config.settings
         if options.at_once is not None and self.copying is not None:
             self.permits = self.copying.start_permits(options.at_once, uniform, self.tell_lists)
         permits = self.permits
         starting = self.starting = Starting(
-            options, settings.cold_ms if settings.cold else 0.0,
-            lambda: Seen(self.bound, self.decisions.posture.up, self.listing.taken > 0,
-                         permits is None or permits.starter.went),
-            permits.done if permits is not None else lambda: None, uniform, self.counters, self.log)
+            options,
+            settings.cold_ms if settings.cold else 0.0,
+            lambda: Seen(
+                self.bound, self.decisions.posture.up, self.listing.taken > 0, permits is None or permits.starter.went
+            ),
+            permits.done if permits is not None else lambda: None,
+            uniform,
+            self.counters,
+            self.log,
+        )
         self.actors.append(starting.run)
         if options.socket is not None:
             from flintshift.lifecycle.status_socket import StatusSocket
-            self.actors.append(StatusSocket(options.socket, "startup", starting.shown, "how the node comes up",
-                                            self.limits, self.counters, self.warn).run)
+
+            self.actors.append(
+                StatusSocket(
+                    options.socket,
+                    "startup",
+                    starting.shown,
+                    "how the node comes up",
+                    self.limits,
+                    self.counters,
+                    self.warn,
+                ).run
+            )
 
     async def run(self) -> None:
         told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
@@ -234,6 +304,7 @@
     async def _left_before(self, starting: Starting, signals: AsyncIterator[signal.Signals]) -> bool:
         """Stay away for as long as a crash loop asks for; True where the node was told to leave meanwhile."""
         async with anyio.create_task_group() as tasks:
+
             async def until_told() -> None:
                 await self._heed(signals, self.leave)
 
@@ -351,8 +422,13 @@
         posture = self.decisions.posture
         if self.upgrade is not None and not self.upgrade.phases.takes_clients:
             return  # the other process tells
-        if self.permits is not None and posture.up and not posture.leaving and (
-                self.upgrade is None or self.upgrade.phases.alone) and not self.permits.may_go():
+        if (
+            self.permits is not None
+            and posture.up
+            and not posture.leaving
+            and (self.upgrade is None or self.upgrade.phases.alone)
+            and not self.permits.may_go()
+        ):
             return  # told again once it may
         if posture.up or posture.leaving:
             self.listing.say(not (posture.leaving or posture.out), last=posture.leaving)
@@ -383,7 +459,8 @@
     async def _listen(self, at: tuple[str, int]) -> SocketListener:
         host, port = at
         listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=self.limits.backlog, reuse_port=False)
+            local_host=host, local_port=port, backlog=self.limits.backlog, reuse_port=False
+        )
         one = listener.listeners[0]  # an address has one
         assert isinstance(one, SocketListener)
         return one
--- a/flintshift/lifecycle/second_front.py
+++ b/flintshift/lifecycle/second_front.py
@@ -28,9 +28,17 @@
     actors: tuple[Callable[[], Coroutine[Any, Any, None]], ...]
 
 
-def second_front(name: str, desks: UwsgiOptions, fields: Fields, decisions: Decisions, limits: Limits,
-                 counters: Counters, now_ms: Callable[[], float], verify: Callable[[], Awaitable[bool]],
-                 uniform: Uniform) -> SecondFront:
+def second_front(
+    name: str,
+    desks: UwsgiOptions,
+    fields: Fields,
+    decisions: Decisions,
+    limits: Limits,
+    counters: Counters,
+    now_ms: Callable[[], float],
+    verify: Callable[[], Awaitable[bool]],
+    uniform: Uniform,
+) -> SecondFront:
     resolver = Resolver(desks.resolver, limits)
     browser = Browser(resolver, desks.app_service, desks.domain, limits, counters, uniform)
     apps = AppServers(browser, limits, counters, decisions.report, now_ms)
--- a/flintshift/lifecycle/start_permits.py
+++ b/flintshift/lifecycle/start_permits.py
@@ -18,9 +18,21 @@
     """This process wants one, and grants them to others. ``send`` speaks to a member, ``answer`` to a process that
     asked, ``go`` is called once the start may go on."""
 
-    def __init__(self, name: str, identity: str, members: tuple[str, ...], at_once: int, uniform: Uniform,
-                 lives: Callable[[str], bool], reached: set[str], send: Callable[[str, PermitAsk], None],
-                 answer: Callable[[str, Permit], None], go: Callable[[], None], counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        name: str,
+        identity: str,
+        members: tuple[str, ...],
+        at_once: int,
+        uniform: Uniform,
+        lives: Callable[[str], bool],
+        reached: set[str],
+        send: Callable[[str, PermitAsk], None],
+        answer: Callable[[str, Permit], None],
+        go: Callable[[], None],
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.name, self.identity, self.reached = name, identity, reached
         self.send, self.answer, self.go, self.counters, self.log = send, answer, go, counters, log
         self.starter = Starter(name, members, uniform)
--- a/flintshift/lifecycle/starting.py
+++ b/flintshift/lifecycle/starting.py
@@ -27,8 +27,17 @@
 class Starting:
     """``seen`` tells how the node stands; ``steady`` is called once the start is over."""
 
-    def __init__(self, options: StartupOptions, cold_ms: float, seen: Callable[[], Seen], steady: Callable[[], None],
-                 uniform: Uniform, counters: Counters, log: Log, files: Files | None = None) -> None:
+    def __init__(
+        self,
+        options: StartupOptions,
+        cold_ms: float,
+        seen: Callable[[], Seen],
+        steady: Callable[[], None],
+        uniform: Uniform,
+        counters: Counters,
+        log: Log,
+        files: Files | None = None,
+    ) -> None:
         self.options, self.seen, self.steady, self.uniform = options, seen, steady, uniform
         self.counters, self.log = counters, log
         self.files = files or DiskFiles()
@@ -53,8 +62,13 @@
         if wait_ms:
             self.waited_ms = wait_ms
             self.counters.add("startup.crash_loops")
-            self.log("error", "startup.crash_loop", failures=failures, wait_ms=round(wait_ms),
-                     cause="the lives before ended without steady service and without a notice to leave")
+            self.log(
+                "error",
+                "startup.crash_loop",
+                failures=failures,
+                wait_ms=round(wait_ms),
+                cause="the lives before ended without steady service and without a notice to leave",
+            )
             await anyio.sleep(wait_ms / 1000)
             self.phases = Phases(self._now(), self.phases.cold_ms)
 
@@ -83,29 +97,48 @@
     def _not_kept(self, error: OSError) -> None:
         """A start must not fail for it."""
         self.counters.add("startup.not_kept")
-        self.log("warning", "startup.not_kept", folder=str(self.options.folder), cause=str(error),
-                 then="a crash loop is not slowed until this folder can be read and written")
+        self.log(
+            "warning",
+            "startup.not_kept",
+            folder=str(self.options.folder),
+            cause=str(error),
+            then="a crash loop is not slowed until this folder can be read and written",
+        )
 
     async def run(self) -> None:
         while self.phases.phase is not Phase.STEADY:
             for action in self.phases.handle(self._now(), self.seen()):
                 match action:
                     case Entered(phase, after_ms, waited_for):
-                        told = {"phase": phase.name.lower(), "after_ms": round(after_ms),
-                                "waited_for": list(waited_for)}
+                        told = {
+                            "phase": phase.name.lower(),
+                            "after_ms": round(after_ms),
+                            "waited_for": list(waited_for),
+                        }
                         self.entered.append(told)
                         self.log("info", "startup.phase", **told)
                     case Late(phase, after_ms, waits_for):
                         self.counters.add("startup.late")
-                        self.log("warning", "startup.late", phase=phase.name.lower(), after_ms=round(after_ms),
-                                 waits_for=list(waits_for))
+                        self.log(
+                            "warning",
+                            "startup.late",
+                            phase=phase.name.lower(),
+                            after_ms=round(after_ms),
+                            waits_for=list(waits_for),
+                        )
             await anyio.sleep(LOOK_S)
         self.well()
         self.steady()
 
     def shown(self) -> dict[str, Any]:
         phases = self.phases
-        return {"phase": phases.phase.name.lower(), "ready": phases.ready, "asks": asked(phases.phase),
-                "for_ms": round(self._now() - phases.since_ms), "waits_for": list(phases.waited_for),
-                "entered": self.entered, "crash_loop_wait_ms": round(self.waited_ms),
-                "lives_that_ended_badly": self.failures}
+        return {
+            "phase": phases.phase.name.lower(),
+            "ready": phases.ready,
+            "asks": asked(phases.phase),
+            "for_ms": round(self._now() - phases.since_ms),
+            "waits_for": list(phases.waited_for),
+            "entered": self.entered,
+            "crash_loop_wait_ms": round(self.waited_ms),
+            "lives_that_ended_badly": self.failures,
+        }
--- a/flintshift/lifecycle/status_socket.py
+++ b/flintshift/lifecycle/status_socket.py
@@ -23,8 +23,16 @@
     again: a successor gets the path as the process before it ends.
     """
 
-    def __init__(self, path: Path, part: str, shown: Callable[[], dict[str, Any]], what: str, limits: Limits,
-                 counters: Counters, warn: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        path: Path,
+        part: str,
+        shown: Callable[[], dict[str, Any]],
+        what: str,
+        limits: Limits,
+        counters: Counters,
+        warn: Callable[[str], None],
+    ) -> None:
         """``part`` names the counters, ``shown`` gives what is told, ``what`` says what that is."""
         self.path, self.part, self.shown, self.what = path, part, shown, what
         self.limits, self.counters, self.warn = limits, counters, warn
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -112,8 +112,10 @@
                 self.phases = Phases(True, runs_ms, calls_ms)
                 self.sockets = self.link.sockets
                 if len(self.sockets) != len(self.node.fronts):
-                    raise UpgradeError(f"the process that serves has {len(self.sockets)} fronts, this one "
-                                       f"{len(self.node.fronts)}: change them at a restart")
+                    raise UpgradeError(
+                        f"the process that serves has {len(self.sockets)} fronts, this one "
+                        f"{len(self.node.fronts)}: change them at a restart"
+                    )
                 break
             self.phases = Phases(False, runs_ms, calls_ms)
             try:
@@ -239,8 +241,9 @@
             used = self.decisions.used()
             connections = sum(len(front.connections) for front, _ in self.node.fronts)
             learned = self.decisions.controller.learned()
-            self._step(Used(Load(used.crowd, used.memory, used.calls, connections),
-                            Learned(learned.limit, learned.run_ms)))
+            self._step(
+                Used(Load(used.crowd, used.memory, used.calls, connections), Learned(learned.limit, learned.run_ms))
+            )
 
     # What the node tells.
 
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -57,10 +57,22 @@
 class UseCopies:
     """``usage.ledger.Copies`` of this member's ledger. ``send`` speaks to a member, ``answer`` to one that asked."""
 
-    def __init__(self, name: str, identity: str, placement: Placement, options: CopiesOptions, usage: UsageOptions,
-                 files: Files, boot: str, lives: Callable[[str], bool], now_ms: Callable[[], float],
-                 send: Callable[[str, logs.LogWord], None], answer: Callable[[str, logs.LogWord], None],
-                 counters: Counters, log: Log) -> None:
+    def __init__(
+        self,
+        name: str,
+        identity: str,
+        placement: Placement,
+        options: CopiesOptions,
+        usage: UsageOptions,
+        files: Files,
+        boot: str,
+        lives: Callable[[str], bool],
+        now_ms: Callable[[], float],
+        send: Callable[[str, logs.LogWord], None],
+        answer: Callable[[str, logs.LogWord], None],
+        counters: Counters,
+        log: Log,
+    ) -> None:
         self.name, self.identity, self.placement, self.options, self.usage = name, identity, placement, options, usage
         self.files, self.boot, self.now_ms, self.send, self.answer = files, boot, now_ms, send, answer
         self.counters, self.log = counters, log
@@ -75,8 +87,11 @@
         self.unsynced: list[tuple[LogId, str, logs.LogWord]] = []
         self.sync_wanted = anyio.Event()
         self.again_ms = self.retired_ms = now_ms()
-        self.sinks = [name for name, sink in (("folder", usage.export.folder), ("http", usage.export.http)) if sink
-                      ] if usage.export is not None else []
+        self.sinks = (
+            [name for name, sink in (("folder", usage.export.folder), ("http", usage.export.http)) if sink]
+            if usage.export is not None
+            else []
+        )
 
     # Starts.
 
@@ -92,8 +107,13 @@
             try:
                 replica = Replica(self.files, folder, state, self.options.segment_bytes)
             except DamagedError as error:
-                self.log("error", "usage.copy_damaged", ledger=state.member, cause=str(error),
-                         then="it is filled anew by whoever writes that ledger")
+                self.log(
+                    "error",
+                    "usage.copy_damaged",
+                    ledger=state.member,
+                    cause=str(error),
+                    then="it is filled anew by whoever writes that ledger",
+                )
                 on_disk.emptied(self.files, folder)
                 replica, sure = Replica(self.files, folder, state, self.options.segment_bytes), False
             self.replicas[log] = replica
@@ -110,8 +130,15 @@
         assert self.ledger is not None
         folder = self.ledger.folder
         self.heart.own = self.name, folder.book.state.life
-        self.writer = LogWriter(self.heart.own, epoch, (epoch, folder.log.following - 1), self._others(self.name),
-                                self._needed(self.name), HELD_MS, folder.before)
+        self.writer = LogWriter(
+            self.heart.own,
+            epoch,
+            (epoch, folder.log.following - 1),
+            self._others(self.name),
+            self._needed(self.name),
+            HELD_MS,
+            folder.before,
+        )
 
     def _others(self, member: str) -> tuple[str, ...]:
         return tuple(name for name in self.placement.of_log(member) if name != self.name)
@@ -216,19 +243,35 @@
                         self.ledger.release()
                 case logs.GapBegan(cause):
                     self.counters.add("usage.copy_gaps")
-                    self.log("error", "usage.copies_lack", ledger=writer.log[0], cause=cause,
-                             then="new work is refused" if self.usage.on_disk_failure == "refuse" else
-                             "booked here alone until they answer")
+                    self.log(
+                        "error",
+                        "usage.copies_lack",
+                        ledger=writer.log[0],
+                        cause=cause,
+                        then="new work is refused"
+                        if self.usage.on_disk_failure == "refuse"
+                        else "booked here alone until they answer",
+                    )
                 case logs.GapEnded(for_ms):
                     self.log("info", "usage.copies_follow", ledger=writer.log[0], after_ms=round(for_ms))
                 case logs.Elected() if own:
                     self._stand(writer, True)
-                    self.log("info", "usage.copied", life=writer.log[1].hex(), epoch=writer.epoch,
-                             holders=[name for name, copy in writer.copies.items() if copy.granted is not None])
+                    self.log(
+                        "info",
+                        "usage.copied",
+                        life=writer.log[1].hex(),
+                        epoch=writer.epoch,
+                        holders=[name for name, copy in writer.copies.items() if copy.granted is not None],
+                    )
                 case logs.Raised(epoch) if own:
                     self._stand(writer, False)
-                    self.log("warning", "usage.epoch_raised", ledger=writer.log[0], epoch=epoch,
-                             cause="another member had begun to take this ledger over")
+                    self.log(
+                        "warning",
+                        "usage.epoch_raised",
+                        ledger=writer.log[0],
+                        epoch=epoch,
+                        cause="another member had begun to take this ledger over",
+                    )
                     if self.ledger is not None:
                         self.ledger.folder.log.epoch = epoch
                 case logs.Fenced(cause) if own:
@@ -242,8 +285,9 @@
         """Keep whether the ledger's epoch is granted. Where the disk refuses, the ledger seems to lack something at its
         next start and is taken over: no harm is done."""
         try:
-            on_disk.keep_standing(self.files, self.usage.folder, on_disk.Standing(
-                writer.log[1], *writer.before, elected))
+            on_disk.keep_standing(
+                self.files, self.usage.folder, on_disk.Standing(writer.log[1], *writer.before, elected)
+            )
         except OSError as error:
             self.log("error", "usage.copy_refused", ledger=self.name, cause=str(error))
 
@@ -259,12 +303,18 @@
         assert ledger is not None
         before = ledger.folder
         aside, lists = before.set_aside(), ledger.lists
-        folder, ledger.clock = open_folder(self.name, lists, self.usage, self.log, self.files, True,
-                                           max(before.log.epoch, writer.epoch))
+        folder, ledger.clock = open_folder(
+            self.name, lists, self.usage, self.log, self.files, True, max(before.log.epoch, writer.epoch)
+        )
         self.counters.add("usage.fenced")
-        self.log("error", "usage.fenced", cause=cause, folder=str(aside),
-                 records_not_held=max(0, before.book.state.sequence - writer.held),
-                 then="a ledger of its own begins; what stands in that folder is for people to look at")
+        self.log(
+            "error",
+            "usage.fenced",
+            cause=cause,
+            folder=str(aside),
+            records_not_held=max(0, before.book.state.sequence - writer.held),
+            then="a ledger of its own begins; what stands in that folder is for people to look at",
+        )
         ledger.folder = folder
         self._begin(folder.log.epoch)
         ledger.begin_anew(folder)
@@ -276,8 +326,11 @@
 
     def _hold(self, actions: list[logs.HolderAction]) -> None:
         for action in actions:
-            log = action.word.log if isinstance(action, logs.Answer | logs.Ask) else (
-                action.told.log if isinstance(action, logs.Note) else action.log)
+            log = (
+                action.word.log
+                if isinstance(action, logs.Answer | logs.Ask)
+                else (action.told.log if isinstance(action, logs.Note) else action.log)
+            )
             try:
                 self._held(log, action)
             except REFUSED as error:
@@ -286,8 +339,13 @@
 
     def _refused(self, log: LogId, error: Exception) -> None:
         self.counters.add("usage.copy_refused")
-        self.log("error", "usage.copy_refused", ledger=log[0], cause=str(error),
-                 then="it is filled anew by whoever writes that ledger")
+        self.log(
+            "error",
+            "usage.copy_refused",
+            ledger=log[0],
+            cause=str(error),
+            then="it is filled anew by whoever writes that ledger",
+        )
         self.heart.lost(log)
 
     def _held(self, log: LogId, action: logs.HolderAction) -> None:
@@ -296,8 +354,9 @@
                 replica = self.replicas.get(log)
                 if replica is None:
                     state = CopyState(*log, epoch, by, False, self.boot)
-                    replica = self.replicas[log] = Replica(self.files, self.folder / on_disk.folder_name(*log), state,
-                                                           self.options.segment_bytes)
+                    replica = self.replicas[log] = Replica(
+                        self.files, self.folder / on_disk.folder_name(*log), state, self.options.segment_bytes
+                    )
                 replica.keep(promised=epoch, by=by)
             case logs.Write(_, epoch, first, records):
                 self.replicas[log].append(epoch, first, records)
@@ -332,12 +391,30 @@
         writer = LogWriter(log, epoch, last, self._others(log[0]), self._needed(log[0]), HELD_MS, None)
         self.taken[log] = TakenLedger(replica, writer)
         self.counters.add("usage.took_over")
-        self.log("error" if told.without else "warning", "usage.took_over", ledger=log[0], life=log[1].hex(),
-                 epoch=epoch, of=told.of, records=last[1], without=list(told.without),
-                 cause="its writer is dead, and no more than this can be had: these hold no copy" if told.without else
-                 "its writer is dead, and a majority of its holders has promised the epoch")
-        self._append(self.taken[log], Opened(state.node, state.life, state.period_ms, state.clubs, state.classes,
-                                             int(max(time.time() * 1000, state.last_ms))))
+        self.log(
+            "error" if told.without else "warning",
+            "usage.took_over",
+            ledger=log[0],
+            life=log[1].hex(),
+            epoch=epoch,
+            of=told.of,
+            records=last[1],
+            without=list(told.without),
+            cause="its writer is dead, and no more than this can be had: these hold no copy"
+            if told.without
+            else "its writer is dead, and a majority of its holders has promised the epoch",
+        )
+        self._append(
+            self.taken[log],
+            Opened(
+                state.node,
+                state.life,
+                state.period_ms,
+                state.clubs,
+                state.classes,
+                int(max(time.time() * 1000, state.last_ms)),
+            ),
+        )
         for member in self.up:
             self._write(writer, writer.reach(member, True))
 
@@ -362,8 +439,12 @@
         if taken.exporting is None and self.sinks and self.tasks is not None and not taken.waits:
             taken.exporting = anyio.CancelScope()
             self.tasks.start_soon(self._export, taken)
-        if self.sinks and not taken.waits and writer.held >= writer.last[1] and not any(
-                unacknowledged(self.files, taken.replica.folder, self.sinks).values()):
+        if (
+            self.sinks
+            and not taken.waits
+            and writer.held >= writer.last[1]
+            and not any(unacknowledged(self.files, taken.replica.folder, self.sinks).values())
+        ):
             self.log("info", "usage.takeover_done", ledger=log[0], life=log[1].hex(), epoch=writer.epoch)
             for member in writer.copies:
                 self.send(member, logs.Over(log, writer.epoch))
@@ -373,9 +454,15 @@
         assert self.usage.export is not None and taken.exporting is not None
         with taken.exporting:
             while True:
-                export = export_run(taken.replica.folder, self.usage.export, self.log, False, self.files,
-                                    taken.replica.ledger.book.state,
-                                    lambda sink, name, digest: self._tell_exported(taken.writer, sink, name, digest))
+                export = export_run(
+                    taken.replica.folder,
+                    self.usage.export,
+                    self.log,
+                    False,
+                    self.files,
+                    taken.replica.ledger.book.state,
+                    lambda sink, name, digest: self._tell_exported(taken.writer, sink, name, digest),
+                )
                 taken.look = export.look
                 try:
                     await export.run()
@@ -428,13 +515,30 @@
         """For operators: each ledger that is written or copied here."""
         found = []
         for writer in self._writers():
-            found.append({"member": writer.log[0], "life": writer.log[1].hex(), "epoch": writer.epoch,
-                          "records": writer.last[1], "held": writer.held, "in_gap": writer.in_gap,
-                          "role": "writes" if writer is self.writer else "took over",
-                          "copies": {name: copy.state.name.lower() for name, copy in writer.copies.items()}})
+            found.append(
+                {
+                    "member": writer.log[0],
+                    "life": writer.log[1].hex(),
+                    "epoch": writer.epoch,
+                    "records": writer.last[1],
+                    "held": writer.held,
+                    "in_gap": writer.in_gap,
+                    "role": "writes" if writer is self.writer else "took over",
+                    "copies": {name: copy.state.name.lower() for name, copy in writer.copies.items()},
+                }
+            )
         for log, held in self.heart.table.items():
             if log not in self.taken and not held.over:
-                found.append({"member": log[0], "life": log[1].hex(), "epoch": held.promised, "records": held.last[1],
-                              "role": "copies", "sure": held.sure, "writer": held.writer,
-                              "writer_dead": held.dead_ms is not None})
+                found.append(
+                    {
+                        "member": log[0],
+                        "life": log[1].hex(),
+                        "epoch": held.promised,
+                        "records": held.last[1],
+                        "role": "copies",
+                        "sure": held.sure,
+                        "writer": held.writer,
+                        "writer_dead": held.dead_ms is not None,
+                    }
+                )
         return found
--- a/flintshift/peers/members.py
+++ b/flintshift/peers/members.py
@@ -214,8 +214,12 @@
         for identity, known in list(self.processes.items()):
             silent = now_ms - known.heard_ms
             watched = self.name in self.watchers[member_of(identity)]
-            if watched and silent >= self.pace.lease_ms and now_ms >= known.told_ms + self.pace.tell_ms and (
-                    silent < self.pace.forget_ms):
+            if (
+                watched
+                and silent >= self.pace.lease_ms
+                and now_ms >= known.told_ms + self.pace.tell_ms
+                and (silent < self.pace.forget_ms)
+            ):
                 known.told_ms = now_ms
                 if not known.accused and known.news:
                     actions.append(Suspected(identity, silent))
--- a/flintshift/settings/embedded.py
+++ b/flintshift/settings/embedded.py
@@ -8,8 +8,9 @@
 CLUBS = {"muscat-striders": 120.0, "sur-pacers": 60.0, "nizwa-harriers": 60.0}
 
 
-def configuration(name: str = "node1", ports: dict[str, int] | None = None, cores: int = 2,
-                  memory_mb: int = 192) -> dict[str, Any]:
+def configuration(
+    name: str = "node1", ports: dict[str, int] | None = None, cores: int = 2, memory_mb: int = 192
+) -> dict[str, Any]:
     """What LB_CONFIG would hold, as JSON reads it; all addresses are of this machine."""
     at = {what: f"127.0.0.1:{port}" for what, port in {**PORTS, **(ports or {})}.items()}
 
@@ -17,17 +18,35 @@
         return {"name": name, "onTimeMs": 900.0, "deadlineMs": 1500.0, "worth": worth, "effect": effect, **more}
 
     return {
-        "name": name, "seed": "8c1f30d27a5be964", "stop_ms": 3000.0, **at,
+        "name": name,
+        "seed": "8c1f30d27a5be964",
+        "stop_ms": 3000.0,
+        **at,
         "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
         "settings": {
-            "classes": [kind("race-results", 1.0, "safe"), kind("standings", 1.0, "safe"),
-                        kind("finish-times", 1.0, "safe"),
-                        kind("submit-time", 3.0, "keyed", lateWorth=0.2, repeatWindowMs=8000.0)],
+            "classes": [
+                kind("race-results", 1.0, "safe"),
+                kind("standings", 1.0, "safe"),
+                kind("finish-times", 1.0, "safe"),
+                kind("submit-time", 3.0, "keyed", lateWorth=0.2, repeatWindowMs=8000.0),
+            ],
             "familyInfo": {
-                "nCores": cores, "ramKb": 400_000.0, "runFactor": 8.0, "callsByClass": [True, False, False, True],
-                "classSkipWorth": [0.5, 0.0, 0.0, 0.0], "callShare": 50.0, "callsOverMs": 5000.0, "entryKb": 1.0,
-                "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"], "idleMs": 30000.0, "deepChecks": True,
-                "upstreams": 2, "halt": "none", "say": "none", "lingerMs": 10.0},
+                "nCores": cores,
+                "ramKb": 400_000.0,
+                "runFactor": 8.0,
+                "callsByClass": [True, False, False, True],
+                "classSkipWorth": [0.5, 0.0, 0.0, 0.0],
+                "callShare": 50.0,
+                "callsOverMs": 5000.0,
+                "entryKb": 1.0,
+                "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+                "idleMs": 30000.0,
+                "deepChecks": True,
+                "upstreams": 2,
+                "halt": "none",
+                "say": "none",
+                "lingerMs": 10.0,
+            },
             "rules": {"fallMultiple": 5.0, "drainGraceMs": 300.0},
             "limits": {"retryAfter": True, "maxRetryAfterMs": 1000.0},
             "clientHabits": {"marksRetry": True},
--- a/flintshift/settings/operators.py
+++ b/flintshift/settings/operators.py
@@ -59,6 +59,7 @@
         if not least <= value <= most:
             raise ValueError(f"expected {show(least)} to {show(most)}, found {show(value)}")
         return value
+
     return AfterValidator(check)
 
 
@@ -91,8 +92,9 @@
 
 
 class Part(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True,
-                              alias_generator=lambda name: name.replace("_", "-"))
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, alias_generator=lambda name: name.replace("_", "-")
+    )
 
 
 class UwsgiPart(Part):
@@ -224,10 +226,10 @@
     try:
         told = File.model_validate(_plain(tree))
     except ValidationError as error:
-        raise FaultsError([Fault(name, *_place(tree, found["loc"]), _path(found["loc"]), _words(found))
-                           for found in error.errors()]) from error
-    faults = [Fault(name, *_place(tree, tuple(path.split("."))), path, text)
-              for path, text in _across(told)]
+        raise FaultsError(
+            [Fault(name, *_place(tree, found["loc"]), _path(found["loc"]), _words(found)) for found in error.errors()]
+        ) from error
+    faults = [Fault(name, *_place(tree, tuple(path.split("."))), path, text) for path, text in _across(told)]
     if faults:
         raise FaultsError(faults)
     return _options(told, base)
@@ -242,8 +244,13 @@
     if export is not None and export.backoff > export.backoff_most:
         found.append(("usage.export.backoff", "expected no more than backoff-most"))
     if told.usage.durability == "power-cut" and (told.usage.sync or 0.0) > SYNC_HELD_MS:
-        found.append(("usage.sync", f"expected at most {units.written_ms(SYNC_HELD_MS)} with durability power-cut, "
-                                    "where answers wait for it"))
+        found.append(
+            (
+                "usage.sync",
+                f"expected at most {units.written_ms(SYNC_HELD_MS)} with durability power-cut, "
+                "where answers wait for it",
+            )
+        )
     if told.usage.enabled and told.usage.grace > 31 * told.usage.period:
         found.append(("usage.grace", "expected at most 31 periods"))
     peers, copies = told.peers, told.copies
@@ -258,8 +265,12 @@
     if copies.enabled and not peers.enabled:
         found.append(("copies.enabled", "expected peers.enabled too: copies are held by the members of peers"))
     if told.startup.enabled and told.startup.at_once is not None and not (copies.enabled and peers.enabled):
-        found.append(("startup.at-once", "expected peers.enabled and copies.enabled too: members grant each other "
-                                         "permits over those links"))
+        found.append(
+            (
+                "startup.at-once",
+                "expected peers.enabled and copies.enabled too: members grant each other permits over those links",
+            )
+        )
     if copies.enabled and peers.enabled and copies.copies > len(peers.members):
         found.append(("copies.copies", f"expected at most the {len(peers.members)} members of peers"))
     return found
@@ -318,16 +329,27 @@
 def _options(told: File, base: Path) -> Operators:
     uwsgi, log, usage = told.uwsgi, told.log, told.usage
     return Operators(
-        uwsgi=UwsgiOptions(uwsgi.listen, uwsgi.resolver, uwsgi.domain, uwsgi.app_service,
-                           uwsgi.node_service) if uwsgi.enabled else None,
+        uwsgi=UwsgiOptions(uwsgi.listen, uwsgi.resolver, uwsgi.domain, uwsgi.app_service, uwsgi.node_service)
+        if uwsgi.enabled
+        else None,
         log=LogOptions(log.format, log.level, log.repeats) if log.enabled else None,
         usage=UsageOptions(
-            base / usage.folder, int(usage.period), int(usage.grace), usage.durability,
+            base / usage.folder,
+            int(usage.period),
+            int(usage.grace),
+            usage.durability,
             SYNC_MS[usage.durability] if usage.sync is None else usage.sync,
-            usage.on_disk_failure, usage.segment, int(usage.retention),
-            _export(usage.export, base)) if usage.enabled else None,
+            usage.on_disk_failure,
+            usage.segment,
+            int(usage.retention),
+            _export(usage.export, base),
+        )
+        if usage.enabled
+        else None,
         door=DoorOptions(base / told.door.socket if told.door.socket else None) if told.door.enabled else None,
-        peers=_peers(told.peers), copies=_copies(told.copies, base), startup=_startup(told.startup, base),
+        peers=_peers(told.peers),
+        copies=_copies(told.copies, base),
+        startup=_startup(told.startup, base),
     )
 
 
@@ -341,20 +363,27 @@
 def _copies(told: CopiesPart, base: Path) -> CopiesOptions | None:
     if not told.enabled:
         return None
-    return CopiesOptions(base / told.folder, told.copies, told.durability, told.keys, told.memory, told.segment,
-                         told.take_over_use)
+    return CopiesOptions(
+        base / told.folder, told.copies, told.durability, told.keys, told.memory, told.segment, told.take_over_use
+    )
 
 
 def _startup(told: StartupPart, base: Path) -> StartupOptions | None:
     if not told.enabled:
         return None
-    return StartupOptions(base / told.socket if told.socket else None, base / told.folder if told.folder else None,
-                          told.at_once)
+    return StartupOptions(
+        base / told.socket if told.socket else None, base / told.folder if told.folder else None, told.at_once
+    )
 
 
 def _export(told: ExportPart | None, base: Path) -> ExportOptions | None:
     if told is None:
         return None
     http = HttpSinkOptions(told.http.url, told.http.timeout) if told.http is not None else None
-    return ExportOptions(base / told.folder if told.folder is not None else None, http, told.backoff,
-                         told.backoff_most, told.attempts_per_hour)
+    return ExportOptions(
+        base / told.folder if told.folder is not None else None,
+        http,
+        told.backoff,
+        told.backoff_most,
+        told.attempts_per_hour,
+    )
--- a/flintshift/settings/platform.py
+++ b/flintshift/settings/platform.py
@@ -93,12 +93,12 @@
 }
 TENANT_LIST = "tenants"
 TENANT: dict[str, tuple[str, Callable[[str], Any]]] = {
-    "name": ("name", str), "quotaPerS": ("quota_per_s", number),
+    "name": ("name", str),
+    "quotaPerS": ("quota_per_s", number),
 }
 
 
-def build(kind: type, table: dict[str, tuple[str, Callable[[str], Any]]], pairs: dict[str, str],
-          **given: Any) -> Any:
+def build(kind: type, table: dict[str, tuple[str, Callable[[str], Any]]], pairs: dict[str, str], **given: Any) -> Any:
     """Make an interface object from the pairs a table knows; unknown pairs are skipped."""
     for key, (name, convert) in table.items():
         if key in pairs:
@@ -113,16 +113,14 @@
     return kind(**given)
 
 
-def build_list(kind: type, table: dict[str, tuple[str, Callable[[str], Any]]], pairs: dict[str, str],
-               path: str) -> list[Any]:
+def build_list(
+    kind: type, table: dict[str, tuple[str, Callable[[str], Any]]], pairs: dict[str, str], path: str
+) -> list[Any]:
     try:
         count = int(pairs.get(f"{path}.count", "0"))
     except ValueError as error:
         raise FormError(f"bad value for {path}.count: {pairs[f'{path}.count']!r}") from error
-    return [
-        build(kind, {f"{path}.{index}.{key}": to for key, to in table.items()}, pairs)
-        for index in range(count)
-    ]
+    return [build(kind, {f"{path}.{index}.{key}": to for key, to in table.items()}, pairs) for index in range(count)]
 
 
 def settings_from(pairs: dict[str, str]) -> api.Settings:
@@ -133,8 +131,9 @@
                 setattr(request_class, name, convert(text))
             except (KeyError, ValueError) as error:
                 raise FormError(f"bad value for {path}: {pairs[path]!r}") from error
-    return build(api.Settings, SETTINGS, pairs, classes=classes,
-                 tenants=build_list(api.Tenant, TENANT, pairs, TENANT_LIST))
+    return build(
+        api.Settings, SETTINGS, pairs, classes=classes, tenants=build_list(api.Tenant, TENANT, pairs, TENANT_LIST)
+    )
 
 
 def flat(value: Any, path: str = "") -> dict[str, str]:
--- a/flintshift/startup/crash_loops.py
+++ b/flintshift/startup/crash_loops.py
@@ -53,12 +53,13 @@
 
     def begun(self, now_ms: float) -> CrashLoop:
         """With this life too."""
-        return CrashLoop([*self.lives, Life(now_ms)][-self.pace.kept:], self.pace)
+        return CrashLoop([*self.lives, Life(now_ms)][-self.pace.kept :], self.pace)
 
     def well(self, began_ms: float) -> CrashLoop:
         """The life that began then has served."""
-        return CrashLoop([Life(life.began_ms, life.well or life.began_ms == began_ms) for life in self.lives],
-                         self.pace)
+        return CrashLoop(
+            [Life(life.began_ms, life.well or life.began_ms == began_ms) for life in self.lives], self.pace
+        )
 
     # As it stands on the disk.
 
--- a/flintshift/startup/listing.py
+++ b/flintshift/startup/listing.py
@@ -29,8 +29,12 @@
     """``nodes``: how many report to the same lists, as far as the settings tell."""
 
     def __init__(self, lists: Sequence[Listed], limits: Limits, nodes: int, uniform: Uniform) -> None:
-        pace = ReportPace(limits.report_every_ms, again_ms=limits.report_again_ms,
-                          again_most_ms=limits.report_again_most_ms, nodes=nodes)
+        pace = ReportPace(
+            limits.report_every_ms,
+            again_ms=limits.report_again_ms,
+            again_most_ms=limits.report_again_most_ms,
+            nodes=nodes,
+        )
         self.taken = 0  # reports, since the start
         self.lists = [(listed, Reports(pace, uniform), Mailbox[Said](limits.list_box)) for listed in lists]
 
--- a/flintshift/startup/phases.py
+++ b/flintshift/startup/phases.py
@@ -26,8 +26,12 @@
     STEADY = 5
 
 
-SERVICES = (("worker pool", Phase.BOUND), ("members", Phase.BOUND), ("list service", Phase.RESTORED),
-            ("vault", Phase.LISTED))  # that a node asks for anything, and from which phase on
+SERVICES = (
+    ("worker pool", Phase.BOUND),
+    ("members", Phase.BOUND),
+    ("list service", Phase.RESTORED),
+    ("vault", Phase.LISTED),
+)  # that a node asks for anything, and from which phase on
 
 
 def asked(phase: Phase) -> list[str]:
@@ -98,8 +102,11 @@
             waits_for = self._waits_for(now_ms, seen)
             if waits_for:
                 self.waited_for = waits_for
-                most = {Phase.ALONE: self.bounds.bind_ms, Phase.BOUND: self.bounds.restore_ms,
-                        Phase.RESTORED: self.bounds.list_ms}.get(self.phase)
+                most = {
+                    Phase.ALONE: self.bounds.bind_ms,
+                    Phase.BOUND: self.bounds.restore_ms,
+                    Phase.RESTORED: self.bounds.list_ms,
+                }.get(self.phase)
                 if most is not None and now_ms - self.since_ms > most and not self.told_late:
                     self.told_late = True
                     actions.append(Late(self.phase, now_ms - self.since_ms, waits_for))
--- a/flintshift/startup/reports.py
+++ b/flintshift/startup/reports.py
@@ -121,5 +121,8 @@
             self.due_ms = now_ms + self.waits.next_ms()
             return
         self.waits.reset()
-        self.due_ms = math.inf if self.word.last else began_ms + self.pace.every_ms * self.uniform(
-            1.0 - self.pace.spread, 1.0 + self.pace.spread)
+        self.due_ms = (
+            math.inf
+            if self.word.last
+            else began_ms + self.pace.every_ms * self.uniform(1.0 - self.pace.spread, 1.0 + self.pace.spread)
+        )
--- a/flintshift/storage/frames.py
+++ b/flintshift/storage/frames.py
@@ -52,8 +52,7 @@
 
 def pack(sequence: int, epoch: int, kind: int, payload: bytes) -> bytes:
     fields = FIELDS.pack(len(payload), sequence, epoch, kind)
-    return b"".join((fields, crc32c(fields).to_bytes(4, "little"), payload,
-                     TAIL.pack(crc32c(payload), END)))
+    return b"".join((fields, crc32c(fields).to_bytes(4, "little"), payload, TAIL.pack(crc32c(payload), END)))
 
 
 def batches(data: bytes, offset: int = 0) -> Iterator[list[Record] | Torn | Damage]:
@@ -69,7 +68,7 @@
             wrong = Torn(offset)
             break
         length, sequence, epoch, kind, check = unpack_head(data, offset)
-        if crc32c(data[offset:offset + fields_size]) != check or length > MOST:
+        if crc32c(data[offset : offset + fields_size]) != check or length > MOST:
             wrong = _unwritten(data, offset, "the head of a record does not fit its checksum")
             break
         end = body + length
@@ -106,7 +105,7 @@
     whole = OVERHEAD
     if len(data) - offset >= HEAD.size:
         length, *_, check = HEAD.unpack_from(data, offset)
-        if crc32c(data[offset:offset + FIELDS.size]) == check and length <= MOST:
+        if crc32c(data[offset : offset + FIELDS.size]) == check and length <= MOST:
             whole = OVERHEAD + length
     zeros = len(data) - len(data.rstrip(b"\0"))
     # One zero may be a single changed byte; the four of a checksum before it too are no accident.
--- a/flintshift/storage/log.py
+++ b/flintshift/storage/log.py
@@ -44,7 +44,7 @@
     """First sequence and name of each, in order; other names in the folder are not touched."""
     found = []
     for name in files.names(folder):
-        stem, ending = name[:-len(ENDING)], name[-len(ENDING):]
+        stem, ending = name[: -len(ENDING)], name[-len(ENDING) :]
         if ending == ENDING and len(stem) == 16:
             try:
                 found.append((int(stem, 16), name))
@@ -57,7 +57,7 @@
     if len(data) < SEGMENT.size:
         return False
     magic, _, _, check = SEGMENT.unpack_from(data)
-    return bool(magic == MAGIC and crc32c(data[:SEGMENT.size - 4]) == check)
+    return bool(magic == MAGIC and crc32c(data[: SEGMENT.size - 4]) == check)
 
 
 def check_head(path: Path, data: bytes) -> None:
@@ -65,8 +65,10 @@
         raise DamagedError(f"{path}: is damaged: no head of a segment at offset 0")
     _, version, features, _ = SEGMENT.unpack_from(data)
     if version != VERSION or features & ~FEATURES:
-        raise DamagedError(f"{path}: is of format {version} with features {features:#x}; "
-                           f"this program reads format {VERSION} with features up to {FEATURES:#x}")
+        raise DamagedError(
+            f"{path}: is of format {version} with features {features:#x}; "
+            f"this program reads format {VERSION} with features up to {FEATURES:#x}"
+        )
 
 
 @dataclass(slots=True)
@@ -106,7 +108,7 @@
             check_head(path, data)
         except DamagedError:
             # A head is synced before the first record is written: with nothing behind it, it never was.
-            if last and not data[SEGMENT.size:].strip(b"\0") and not whole_head(data):
+            if last and not data[SEGMENT.size :].strip(b"\0") and not whole_head(data):
                 return
             raise
         reach.size = SEGMENT.size
@@ -125,8 +127,9 @@
     following, last, size, overhead = reach.following, reach.epoch, reach.size, frames.OVERHEAD
     for sequence, epoch, _, payload in found:
         if sequence != following or epoch < last:
-            raise DamagedError(f"{path}: is damaged: record {sequence} of epoch {epoch} stands where {following} is "
-                               f"due, offset {size}")
+            raise DamagedError(
+                f"{path}: is damaged: record {sequence} of epoch {epoch} stands where {following} is due, offset {size}"
+            )
         following, last, size = following + 1, epoch, size + overhead + len(payload)
     reach.following, reach.epoch, reach.size = following, last, size
 
@@ -188,8 +191,7 @@
         if self.broken or self.file is None:
             raise BrokenError(f"{self.folder}: a write or a sync failed before")
         first, epoch, pack = self.following, self.epoch, frames.pack
-        data = b"".join([pack(first + place, epoch, kind, payload)
-                         for place, (kind, payload) in enumerate(items)])
+        data = b"".join([pack(first + place, epoch, kind, payload) for place, (kind, payload) in enumerate(items)])
         try:
             self.file.append(data)
         except OSError:
--- a/flintshift/storage/snapshot.py
+++ b/flintshift/storage/snapshot.py
@@ -38,8 +38,11 @@
 
 def unfinished(names: list[str], name: str, by: int) -> list[str]:
     """Of the names in a folder, what writers of a lower number ``by`` left of the file ``name``."""
-    ends = [(one, one.removeprefix(f"{name}.").removesuffix(UNFINISHED)) for one in names
-            if one.startswith(f"{name}.") and one.endswith(UNFINISHED)]
+    ends = [
+        (one, one.removeprefix(f"{name}.").removesuffix(UNFINISHED))
+        for one in names
+        if one.startswith(f"{name}.") and one.endswith(UNFINISHED)
+    ]
     return [one for one, writer in ends if writer.isdecimal() and int(writer) < by]
 
 
--- a/flintshift/usage/book.py
+++ b/flintshift/usage/book.py
@@ -134,13 +134,19 @@
         number, front = divmod(number, len(FRONTS))
         club, class_ = divmod(number, len(self.state.classes))
         clubs = self.state.clubs
-        return (clubs[club] if club < len(clubs) else OTHER, self.state.classes[class_], FRONTS[front],
-                OUTCOMES[outcome])
+        return (
+            clubs[club] if club < len(clubs) else OTHER,
+            self.state.classes[class_],
+            FRONTS[front],
+            OUTCOMES[outcome],
+        )
 
     def totals(self) -> dict[int, dict[Names, list[int]]]:
         """Open periods' rows, by the period's begin."""
-        return {begin: {parted(key): list(row) for key, row in sorted(period.rows.items())}
-                for begin, period in sorted(self.state.periods.items())}
+        return {
+            begin: {parted(key): list(row) for key, row in sorted(period.rows.items())}
+            for begin, period in sorted(self.state.periods.items())
+        }
 
     def settled(self, begin: int, names: Names) -> list[int]:
         """A row of an open period less the claims whose answers are on their way, which may still leave it."""
@@ -297,14 +303,17 @@
         document = self._document(period.begin, period.length, 0, closed.at_ms)
         document.first_sequence, document.last_sequence = period.first_sequence, period.last_sequence
         document.rows.extend(documents.row(parted(key), row) for key, row in sorted(period.rows.items()) if any(row))
-        document.in_doubt.extend(pb.InDoubt(id=id_, row=documents.row(parted(key), amounts))
-                                 for id_, key, amounts in period.doubted)
+        document.in_doubt.extend(
+            pb.InDoubt(id=id_, row=documents.row(parted(key), amounts)) for id_, key, amounts in period.doubted
+        )
         document.in_doubt_unlisted = period.doubted_unlisted
-        document.gaps.extend(pb.Gap(from_ms=gap.from_ms, to_ms=gap.to_ms, requests=gap.requests, cause=gap.cause)
-                             for gap in period.gaps)
+        document.gaps.extend(
+            pb.Gap(from_ms=gap.from_ms, to_ms=gap.to_ms, requests=gap.requests, cause=gap.cause) for gap in period.gaps
+        )
         document.steps.extend(pb.Step(at_ms=step.at_ms, by_ms=step.by_ms) for step in period.steps)
-        document.lives.extend(pb.Life(epoch=epoch, opened_ms=at_ms, after_clean_end=well)
-                              for epoch, at_ms, well in period.lives)
+        document.lives.extend(
+            pb.Life(epoch=epoch, opened_ms=at_ms, after_clean_end=well) for epoch, at_ms, well in period.lives
+        )
         document.corrections.extend(map(_correction, period.corrections))
         self._made(document)
 
@@ -330,8 +339,17 @@
     def _document(self, begin: int, length: int, revision: int, at_ms: int) -> pb.UsageDocument:
         state = self.state
         return pb.UsageDocument(
-            schema=documents.SCHEMA, node=state.node, life=state.life, epoch=state.epoch, number=state.number + 1,
-            previous=state.digest, period_ms=begin, length_ms=length, revision=revision, closed_ms=at_ms)
+            schema=documents.SCHEMA,
+            node=state.node,
+            life=state.life,
+            epoch=state.epoch,
+            number=state.number + 1,
+            previous=state.digest,
+            period_ms=begin,
+            length_ms=length,
+            revision=revision,
+            closed_ms=at_ms,
+        )
 
     def _made(self, document: pb.UsageDocument) -> None:
         state, data = self.state, documents.packed(document)
@@ -340,18 +358,41 @@
 
 
 def amounts_of(claim: Claim) -> list[int]:
-    return [1, int(bool(claim.flags & AGAIN)), int(bool(claim.flags & KEPT)), claim.run_us, claim.calls,
-            claim.bytes_in, claim.bytes_out]
+    return [
+        1,
+        int(bool(claim.flags & AGAIN)),
+        int(bool(claim.flags & KEPT)),
+        claim.run_us,
+        claim.calls,
+        claim.bytes_in,
+        claim.bytes_out,
+    ]
 
 
 def content_of(entry: Corrected) -> bytes:
     """What makes two corrections the same: all but the time at which they came."""
-    return documents.digest_of(msgspec.msgpack.encode(
-        (entry.author, entry.reason, entry.period, entry.club, entry.class_name, entry.front, entry.outcome,
-         entry.amounts)))
+    return documents.digest_of(
+        msgspec.msgpack.encode(
+            (
+                entry.author,
+                entry.reason,
+                entry.period,
+                entry.club,
+                entry.class_name,
+                entry.front,
+                entry.outcome,
+                entry.amounts,
+            )
+        )
+    )
 
 
 def _correction(entry: Corrected) -> pb.Correction:
     names = entry.club, entry.class_name, entry.front, entry.outcome
-    return pb.Correction(id=entry.id, author=entry.author, reason=entry.reason, at_ms=entry.at_ms,
-                         row=documents.row(names, entry.amounts))
+    return pb.Correction(
+        id=entry.id,
+        author=entry.author,
+        reason=entry.reason,
+        at_ms=entry.at_ms,
+        row=documents.row(names, entry.amounts),
+    )
--- a/flintshift/usage/corrections.py
+++ b/flintshift/usage/corrections.py
@@ -49,8 +49,10 @@
     """
     if asked.period in book.state.periods or not 0 <= asked.period < 2**45:
         return asked
-    found = {document.revision: document
-             for document in read_documents(files, folder, f".{documents.utc(asked.period)}.r").values()}
+    found = {
+        document.revision: document
+        for document in read_documents(files, folder, f".{documents.utc(asked.period)}.r").values()
+    }
     waiting = [documents.read(made.data) for made in book.state.documents]
     found |= {document.revision: document for document in waiting if document.period_ms == asked.period}
     if 0 not in found:
--- a/flintshift/usage/documents.py
+++ b/flintshift/usage/documents.py
@@ -17,8 +17,10 @@
 
 SCHEMA = 1
 ENDING = ".usage"
-NAME = re.compile(r"(?P<node>[A-Za-z0-9_.-]{1,64})\.e(?P<epoch>\d{1,10})\.(?P<period>\d{8}T\d{6}\.\d{3}Z)"
-                  r"\.r(?P<revision>\d{1,9})\.usage")
+NAME = re.compile(
+    r"(?P<node>[A-Za-z0-9_.-]{1,64})\.e(?P<epoch>\d{1,10})\.(?P<period>\d{8}T\d{6}\.\d{3}Z)"
+    r"\.r(?P<revision>\d{1,9})\.usage"
+)
 
 Names = tuple[str, str, str, str]  # club, class, front, outcome
 
@@ -101,10 +103,18 @@
 def as_csv(documents: Iterable[pb.UsageDocument]) -> str:
     sink = io.StringIO()
     writer = csv.writer(sink, lineterminator="\n")
-    writer.writerow(("node", "epoch", "period", "length_ms", "revision", "club", "class", "front", "outcome",
-                     *AMOUNTS))
+    writer.writerow(("node", "epoch", "period", "length_ms", "revision", "club", "class", "front", "outcome", *AMOUNTS))
     for document in documents:
         for told in document.rows:
-            writer.writerow((document.node, document.epoch, utc(document.period_ms), document.length_ms,
-                             document.revision, *names(told), *values(told.amounts)))
+            writer.writerow(
+                (
+                    document.node,
+                    document.epoch,
+                    utc(document.period_ms),
+                    document.length_ms,
+                    document.revision,
+                    *names(told),
+                    *values(told.amounts),
+                )
+            )
     return sink.getvalue()
--- a/flintshift/usage/export.py
+++ b/flintshift/usage/export.py
@@ -92,8 +92,15 @@
                 sink.put_aside.add(name)  # not found again in this life
                 if len(sink.put_aside) >= self.pace.put_aside:
                     sink.stands = True
-                    return [Alarm(event.sink, name, f"{text}; {len(sink.put_aside):,} documents are put aside, and no "
-                                  "more are sent: look at the sink, then start the exporter again"), Stand(event.sink)]
+                    return [
+                        Alarm(
+                            event.sink,
+                            name,
+                            f"{text}; {len(sink.put_aside):,} documents are put aside, and no "
+                            "more are sent: look at the sink, then start the exporter again",
+                        ),
+                        Stand(event.sink),
+                    ]
                 return [Alarm(event.sink, name, text), *self._next(now_ms, event.sink)]
             case Superseded(text=text):
                 sink.stands, sink.out = True, None
--- a/flintshift/usage/exporting.py
+++ b/flintshift/usage/exporting.py
@@ -42,9 +42,19 @@
 class ExportRun:
     """``run`` returns once nothing is left where ``until_done``; else it goes on until cancelled."""
 
-    def __init__(self, files: Files, folder: Path, sinks: Mapping[str, Sink], pace: Pace, draw: Callable[[], float],
-                 now_ms: Callable[[], float], say: Say, until_done: bool = False, epoch: int | None = None,
-                 noted: Callable[[str, str, bytes], object] = lambda sink, name, digest: None) -> None:
+    def __init__(
+        self,
+        files: Files,
+        folder: Path,
+        sinks: Mapping[str, Sink],
+        pace: Pace,
+        draw: Callable[[], float],
+        now_ms: Callable[[], float],
+        say: Say,
+        until_done: bool = False,
+        epoch: int | None = None,
+        noted: Callable[[str, str, bytes], object] = lambda sink, name, digest: None,
+    ) -> None:
         """``epoch`` None: counted in the folder, from 1. ``noted`` is told of each acknowledgement."""
         self.files, self.folder, self.sinks, self.say = files, folder, sinks, say
         self.now_ms, self.until_done, self.given_epoch, self.noted = now_ms, until_done, epoch, noted
@@ -149,8 +159,7 @@
         sink, name = told.sink, told.name
         text = documents.digest_of(data).hex().encode() + b"\n"
         try:
-            await anyio.to_thread.run_sync(
-                snapshot.publish, self.files, self.folder / "acks" / sink / name, text)
+            await anyio.to_thread.run_sync(snapshot.publish, self.files, self.folder / "acks" / sink / name, text)
         except OSError as error:
             return NotDelivered(sink, name, f"the acknowledgement can't be kept: {error}")
         self.noted(sink, name, text)
@@ -159,8 +168,10 @@
 
 def order(names: list[str]) -> list[str]:
     """By period and revision, which is the order in which they were made but for corrections of older periods."""
+
     def key(name: str) -> tuple[str, int]:
         found = documents.NAME.fullmatch(name)
         assert found is not None
         return found["period"], int(found["revision"])
+
     return sorted(names, key=key)
--- a/flintshift/usage/folder.py
+++ b/flintshift/usage/folder.py
@@ -48,8 +48,14 @@
 
 
 def snapshots(files: Files, folder: Path) -> list[int]:
-    return sorted((int(name[:16], 16) for name in files.names(folder / "snapshots")
-                   if name.endswith(ENDING) and len(name) == 16 + len(ENDING)), reverse=True)
+    return sorted(
+        (
+            int(name[:16], 16)
+            for name in files.names(folder / "snapshots")
+            if name.endswith(ENDING) and len(name) == 16 + len(ENDING)
+        ),
+        reverse=True,
+    )
 
 
 def load(files: Files, folder: Path, bounds: Bounds | None = None) -> tuple[Book, Reach, Recovered]:
@@ -121,8 +127,7 @@
             self.lock.close()
             raise
 
-    def open(self, node: str, drawn: bytes, period_ms: int, clubs: list[str], classes: list[str],
-             now_ms: int) -> None:
+    def open(self, node: str, drawn: bytes, period_ms: int, clubs: list[str], classes: list[str], now_ms: int) -> None:
         """Begin a life: what was on its way in the one before is in doubt from here on."""
         life = self.book.state.life or drawn
         self.append([Opened(node, life, period_ms, clubs, classes, now_ms)])
@@ -206,15 +211,25 @@
     return left
 
 
-def retire(files: Files, folder: Path, sinks: list[str], retention_ms: float, now_ms: float,
-           closed_to_ms: int) -> Removal:
+def retire(
+    files: Files, folder: Path, sinks: list[str], retention_ms: float, now_ms: float, closed_to_ms: int
+) -> Removal:
     """Remove what ``retention.removal`` names, and answers to corrections that nobody fetched."""
     left = {name for names in unacknowledged(files, folder, sinks).values() for name in names}
-    standing = [StandingDocument(name, document.period_ms, document.first_sequence,
-                                 files.age_ms(folder / "documents" / name, now_ms), name not in left)
-                for name, document in read_documents(files, folder).items()]
-    listed = [StandingSegment(name, first, files.age_ms(folder / "log" / name, now_ms))
-              for first, name in segments(files, folder / "log")]
+    standing = [
+        StandingDocument(
+            name,
+            document.period_ms,
+            document.first_sequence,
+            files.age_ms(folder / "documents" / name, now_ms),
+            name not in left,
+        )
+        for name, document in read_documents(files, folder).items()
+    ]
+    listed = [
+        StandingSegment(name, first, files.age_ms(folder / "log" / name, now_ms))
+        for first, name in segments(files, folder / "log")
+    ]
     gone = removal(standing, listed, snapshots(files, folder), retention_ms, bool(sinks), closed_to_ms)
     for name in gone.documents:  # before its acknowledgements: a death between leaves these alone, and they go below
         files.remove(folder / "documents" / name)
--- a/flintshift/usage/keeper.py
+++ b/flintshift/usage/keeper.py
@@ -95,8 +95,19 @@
         return [Append(Closed(begin, now)) for begin in sorted(self.book.state.periods)[:room]]
 
     def _correction(self, now: int, asked: CorrectionAsked) -> list[KeeperAction]:
-        entry = Corrected(asked.id, asked.author, asked.reason, now, asked.period, asked.club, asked.class_name,
-                          asked.front, asked.outcome, list(asked.amounts), self._length(asked))
+        entry = Corrected(
+            asked.id,
+            asked.author,
+            asked.reason,
+            now,
+            asked.period,
+            asked.club,
+            asked.class_name,
+            asked.front,
+            asked.outcome,
+            list(asked.amounts),
+            self._length(asked),
+        )
         known = self.book.state.corrections.get(asked.id)
         if known is not None:
             if known[0] == content_of(entry):
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -109,9 +109,19 @@
 class Ledger:
     """``limits`` say what the disk is to do for an answer; what it is told is decided in ``storage/commit.py``."""
 
-    def __init__(self, folder: LedgerFolder, grace_ms: int, limits: CommitLimits, refuse: bool, retention_ms: float,
-                 sinks: list[str], clock: LedgerClock, wall_ms: Callable[[], float],
-                 steady_ms: Callable[[], float], say: Say) -> None:
+    def __init__(
+        self,
+        folder: LedgerFolder,
+        grace_ms: int,
+        limits: CommitLimits,
+        refuse: bool,
+        retention_ms: float,
+        sinks: list[str],
+        clock: LedgerClock,
+        wall_ms: Callable[[], float],
+        steady_ms: Callable[[], float],
+        say: Say,
+    ) -> None:
         self.folder, self.book = folder, folder.book
         self.keeper = Keeper(folder.book, grace_ms)
         self.commit = Commit(limits, folder.log.following - 1)
@@ -148,8 +158,18 @@
 
     # What the node tells.
 
-    def claim(self, id_: bytes, row: int, flags: int, run_us: int, calls: int, bytes_in: int, bytes_out: int,
-              deliver: Callable[[], object] | None, due_ms: float = math.inf) -> Ticket:
+    def claim(
+        self,
+        id_: bytes,
+        row: int,
+        flags: int,
+        run_us: int,
+        calls: int,
+        bytes_in: int,
+        bytes_out: int,
+        deliver: Callable[[], object] | None,
+        due_ms: float = math.inf,
+    ) -> Ticket:
         """Book a final answer, and deliver it once that is written."""
         ticket = Ticket(row, self.lists, due_ms)
         self.claims.append((ticket, Claim(id_, row, flags, run_us, calls, bytes_in, bytes_out), deliver))
@@ -187,8 +207,10 @@
         """Number rows by these lists from now on. What is booked and not written yet goes over to them; tickets that
         are out are known by the lists of their claim."""
         before, self.lists = self.lists, (clubs, classes)
-        self.claims = [(ticket, structs.replace(claim, row=renumbered(claim.row, before, self.lists)), deliver)
-                       for ticket, claim, deliver in self.claims]
+        self.claims = [
+            (ticket, structs.replace(claim, row=renumbered(claim.row, before, self.lists)), deliver)
+            for ticket, claim, deliver in self.claims
+        ]
         self.late = [structs.replace(late, row=renumbered(late.row, before, self.lists)) for late in self.late]
         self.listed = Listed(clubs, classes)
         if not self.due:
@@ -218,8 +240,13 @@
             entries.append(claim)
         if delivered or undelivered:
             base = min(ticket.sequence for ticket in (*delivered, *undelivered))
-            entries.append(Marked(base, [ticket.sequence - base for ticket in delivered],
-                                  [ticket.sequence - base for ticket in undelivered]))
+            entries.append(
+                Marked(
+                    base,
+                    [ticket.sequence - base for ticket in delivered],
+                    [ticket.sequence - base for ticket in undelivered],
+                )
+            )
         entries += late
         holds = self.commit.limits.holds or self.copies is not None
         if holds:  # before the write, which may tell that they are not to wait
@@ -272,8 +299,12 @@
                 case WakeAt(at_ms):
                     self._wake_at(at_ms)
                 case GapBegan(cause):
-                    self.say("error", "usage.disk_refused", cause=cause,
-                             then="new work is refused" if self.refuse else "booked in memory")
+                    self.say(
+                        "error",
+                        "usage.disk_refused",
+                        cause=cause,
+                        then="new work is refused" if self.refuse else "booked in memory",
+                    )
                     self._disk_changed()
                 case GapEnded(since_ms, requests, cause):
                     ago_ms = self.steady_ms() - since_ms
@@ -476,8 +507,9 @@
                 reply = self.correct(files.read(path))
                 told = {"taken": reply.taken, "text": reply.text}
                 await self._synced()
-                await anyio.to_thread.run_sync(partial(
-                    snapshot.publish, files, folder / "replies" / name, json.dumps(told).encode()))
+                await anyio.to_thread.run_sync(
+                    partial(snapshot.publish, files, folder / "replies" / name, json.dumps(told).encode())
+                )
                 files.remove(path)
             except OSError as error:
                 self.say("error", "usage.inbox_failed", name=name, cause=str(error))
@@ -521,8 +553,15 @@
 
     async def _retire(self) -> None:
         try:
-            gone = await anyio.to_thread.run_sync(retire, self.folder.files, self.folder.folder, self.sinks,
-                                                  self.retention_ms, self.wall_ms(), self.book.state.closed_to)
+            gone = await anyio.to_thread.run_sync(
+                retire,
+                self.folder.files,
+                self.folder.folder,
+                self.sinks,
+                self.retention_ms,
+                self.wall_ms(),
+                self.book.state.closed_to,
+            )
         except (OSError, snapshot.DamagedError) as error:
             self.say("warning", "usage.retire_failed", cause=str(error))
             return
--- a/flintshift/usage/reconcile.py
+++ b/flintshift/usage/reconcile.py
@@ -42,14 +42,28 @@
         digest = documents.digest_of(data)
         known = folders[document.node, document.life].setdefault(document.number, (digest, document))
         if known[0] != digest:
-            findings.append(Finding(
-                "conflict", document.node, utc(document.period_ms), "",
-                f"two documents are number {document.number}: {documents.name_of(known[1])} and {where}"))
+            findings.append(
+                Finding(
+                    "conflict",
+                    document.node,
+                    utc(document.period_ms),
+                    "",
+                    f"two documents are number {document.number}: {documents.name_of(known[1])} and {where}",
+                )
+            )
         epochs[document.node, document.epoch].add(document.life)
     for (node, epoch), lives in epochs.items():
         if len(lives) > 1:
-            findings.append(Finding("epoch", node, "", "", f"{len(lives)} ledgers share the epoch {epoch}: "
-                                    + ", ".join(sorted(life.hex()[:8] for life in lives))))
+            findings.append(
+                Finding(
+                    "epoch",
+                    node,
+                    "",
+                    "",
+                    f"{len(lives)} ledgers share the epoch {epoch}: "
+                    + ", ".join(sorted(life.hex()[:8] for life in lives)),
+                )
+            )
     for (node, _), by_number in folders.items():
         ordered = [by_number[number] for number in sorted(by_number)]
         findings += _chain(node, ordered)
@@ -62,19 +76,43 @@
     findings = []
     first = ordered[0][1]
     if first.number > 1:
-        findings.append(Finding("gap", node, "", "", f"documents 1 to {first.number - 1} are missing "
-                                f"before {documents.name_of(first)}"))
+        findings.append(
+            Finding(
+                "gap", node, "", "", f"documents 1 to {first.number - 1} are missing before {documents.name_of(first)}"
+            )
+        )
     for (digest, before), (_, document) in pairwise(ordered):
         if document.number > before.number + 1:
-            findings.append(Finding("gap", node, utc(document.period_ms), "", f"documents {before.number + 1} to "
-                                    f"{document.number - 1} are missing before {documents.name_of(document)}"))
+            findings.append(
+                Finding(
+                    "gap",
+                    node,
+                    utc(document.period_ms),
+                    "",
+                    f"documents {before.number + 1} to "
+                    f"{document.number - 1} are missing before {documents.name_of(document)}",
+                )
+            )
         elif document.previous != digest:
-            findings.append(Finding("chain", node, utc(document.period_ms), "",
-                                    f"{documents.name_of(document)} names another document before it than "
-                                    f"{documents.name_of(before)}"))
+            findings.append(
+                Finding(
+                    "chain",
+                    node,
+                    utc(document.period_ms),
+                    "",
+                    f"{documents.name_of(document)} names another document before it than {documents.name_of(before)}",
+                )
+            )
         if document.epoch < before.epoch:
-            findings.append(Finding("epoch", node, utc(document.period_ms), "",
-                                    f"epoch {document.epoch} comes after epoch {before.epoch}"))
+            findings.append(
+                Finding(
+                    "epoch",
+                    node,
+                    utc(document.period_ms),
+                    "",
+                    f"epoch {document.epoch} comes after epoch {before.epoch}",
+                )
+            )
     return findings
 
 
@@ -83,15 +121,36 @@
     for before, document in pairwise(closed):
         end, begin = before.period_ms + before.length_ms, document.period_ms
         if begin < end:
-            findings.append(Finding("overlap", node, utc(begin), "",
-                                    f"begins {end - begin} ms before the period {utc(before.period_ms)} ends"))
+            findings.append(
+                Finding(
+                    "overlap",
+                    node,
+                    utc(begin),
+                    "",
+                    f"begins {end - begin} ms before the period {utc(before.period_ms)} ends",
+                )
+            )
         if document.first_sequence > before.last_sequence + 1:
-            findings.append(Finding("gap", node, utc(begin), "", f"no document covers the records "
-                                    f"{before.last_sequence + 1} to {document.first_sequence - 1}"))
+            findings.append(
+                Finding(
+                    "gap",
+                    node,
+                    utc(begin),
+                    "",
+                    f"no document covers the records {before.last_sequence + 1} to {document.first_sequence - 1}",
+                )
+            )
         elif document.first_sequence <= before.last_sequence:
-            findings.append(Finding("overlap", node, utc(begin), "",
-                                    f"covers records from {document.first_sequence} on, and the period before "
-                                    f"those up to {before.last_sequence}"))
+            findings.append(
+                Finding(
+                    "overlap",
+                    node,
+                    utc(begin),
+                    "",
+                    f"covers records from {document.first_sequence} on, and the period before "
+                    f"those up to {before.last_sequence}",
+                )
+            )
     return findings
 
 
@@ -99,10 +158,13 @@
     by_period: dict[int, list[pb.UsageDocument]] = defaultdict(list)
     for document in all_:
         by_period[document.period_ms].append(document)
-    return [Finding("total", node, utc(period), names[0], f"{'/'.join(names[1:])} is below zero: {min(row)}",
-                    min(row))
-            for period, found in by_period.items() if any(document.revision == 0 for document in found)
-            for names, row in documents.totals(found).items() if min(row) < 0]
+    return [
+        Finding("total", node, utc(period), names[0], f"{'/'.join(names[1:])} is below zero: {min(row)}", min(row))
+        for period, found in by_period.items()
+        if any(document.revision == 0 for document in found)
+        for names, row in documents.totals(found).items()
+        if min(row) < 0
+    ]
 
 
 Counted = Mapping[tuple[str, str, str], int]  # requests by node, period and club; an empty name stands for all
@@ -126,9 +188,19 @@
                         total += row.amounts.requests
             doubt += sum(1 for entry in document.in_doubt if not club or entry.row.club == club)
         if total != count:
-            findings.append(Finding("total", node or "(all)", period, club or "(all)", (
-                f"{total:,} booked, {count:,} counted: {total - count:+,} "
-                f"({gone:,} callers went, {doubt:,} in doubt)"), total - count))
+            findings.append(
+                Finding(
+                    "total",
+                    node or "(all)",
+                    period,
+                    club or "(all)",
+                    (
+                        f"{total:,} booked, {count:,} counted: {total - count:+,} "
+                        f"({gone:,} callers went, {doubt:,} in doubt)"
+                    ),
+                    total - count,
+                )
+            )
     return findings
 
 
@@ -141,8 +213,10 @@
     reader = csv.DictReader(io.StringIO(text))
     known = {"node", "period", "club", "requests"}
     if not reader.fieldnames or "requests" not in reader.fieldnames or set(reader.fieldnames) - known:
-        raise ValueError(f"line 1: expected the columns requests and any of node, period, club; "
-                         f"found {', '.join(reader.fieldnames or ()) or 'nothing'}")
+        raise ValueError(
+            f"line 1: expected the columns requests and any of node, period, club; "
+            f"found {', '.join(reader.fieldnames or ()) or 'nothing'}"
+        )
     counted: dict[tuple[str, str, str], int] = defaultdict(int)
     for row in reader:
         try:
--- a/flintshift/usage/records.py
+++ b/flintshift/usage/records.py
@@ -123,17 +123,42 @@
     classes: list[str]
 
 
-Entry = (Listed | Opened | Turned | Claim | Marked | Late | Closed | Corrected | Published | Gap | Stepped | Ended
-         | Forgotten)
+Entry = (
+    Listed
+    | Opened
+    | Turned
+    | Claim
+    | Marked
+    | Late
+    | Closed
+    | Corrected
+    | Published
+    | Gap
+    | Stepped
+    | Ended
+    | Forgotten
+)
 KINDS: dict[int, type[Any]] = {
-    1: Opened, 2: Turned, 3: Claim, 4: Marked, 5: Late, 6: Closed, 7: Corrected, 8: Published, 9: Gap,
-    10: Stepped, 11: Ended, 12: Forgotten, 13: Listed,
+    1: Opened,
+    2: Turned,
+    3: Claim,
+    4: Marked,
+    5: Late,
+    6: Closed,
+    7: Corrected,
+    8: Published,
+    9: Gap,
+    10: Stepped,
+    11: Ended,
+    12: Forgotten,
+    13: Listed,
 }
 SNAPSHOT_KIND = 32  # of the frame that a snapshot is
 NUMBERS = {kind: number for number, kind in KINDS.items()}
 _encode = msgspec.msgpack.Encoder().encode
 _decode: dict[int, Callable[[bytes], Any]] = {
-    number: msgspec.msgpack.Decoder(kind).decode for number, kind in KINDS.items()}
+    number: msgspec.msgpack.Decoder(kind).decode for number, kind in KINDS.items()
+}
 CLAIM_KIND = NUMBERS[Claim]
 unpack_claim = msgspec.msgpack.Decoder(Claim).decode
 
--- a/flintshift/usage/replica.py
+++ b/flintshift/usage/replica.py
@@ -57,8 +57,9 @@
     """How far a ledger had come when it was elected last; ``found``: its last record. Kept before a new life writes."""
     before = found
     if STANDING in files.names(folder):
-        told = msgspec.msgpack.decode(snapshot.opened(
-            folder / STANDING, files.read(folder / STANDING), STANDING_KIND).payload, type=Standing)
+        told = msgspec.msgpack.decode(
+            snapshot.opened(folder / STANDING, files.read(folder / STANDING), STANDING_KIND).payload, type=Standing
+        )
         if told.life == life and not told.elected:
             before = told.epoch, told.sequence
     keep_standing(files, folder, Standing(life, *before, False))
@@ -78,10 +79,15 @@
     left = unacknowledged(files, folder, list(sinks))
     standing = [name for name in files.names(folder / "documents") if documents.NAME.fullmatch(name)]
     names = sorted({name for missing in left.values() for name in missing} if left else standing)
-    acks = [(sink, name, files.read(folder / "acks" / sink / name)) for sink in left for name in names
-            if name not in left[sink]]
-    return msgspec.msgpack.encode(Whole(
-        book.dump(), [(name, files.read(folder / "documents" / name)) for name in names], acks))
+    acks = [
+        (sink, name, files.read(folder / "acks" / sink / name))
+        for sink in left
+        for name in names
+        if name not in left[sink]
+    ]
+    return msgspec.msgpack.encode(
+        Whole(book.dump(), [(name, files.read(folder / "documents" / name)) for name in names], acks)
+    )
 
 
 def stands(files: Files, folder: Path) -> list[tuple[Path, CopyState]]:
@@ -90,8 +96,12 @@
     for name in files.names(folder):
         if COPY in files.names(folder / name):
             path = folder / name / COPY
-            found.append((folder / name, msgspec.msgpack.decode(
-                snapshot.opened(path, files.read(path), COPY_KIND).payload, type=CopyState)))
+            found.append(
+                (
+                    folder / name,
+                    msgspec.msgpack.decode(snapshot.opened(path, files.read(path), COPY_KIND).payload, type=CopyState),
+                )
+            )
     return found
 
 
@@ -126,8 +136,9 @@
     def keep(self, **changes: object) -> None:
         """Change what stands of the copy, durably."""
         self.state = msgspec.structs.replace(self.state, **changes)
-        snapshot.publish(self.files, self.folder / COPY,
-                         snapshot.sealed(COPY_KIND, 1, 1, msgspec.msgpack.encode(self.state)))
+        snapshot.publish(
+            self.files, self.folder / COPY, snapshot.sealed(COPY_KIND, 1, 1, msgspec.msgpack.encode(self.state))
+        )
 
     def append(self, epoch: int, first: int, records: Iterable[tuple[int, bytes]]) -> None:
         """
--- a/flintshift/usage/retention.py
+++ b/flintshift/usage/retention.py
@@ -37,8 +37,14 @@
     retired_before_ms: int | None  # no document of a period before this time stands any more; None: none went
 
 
-def removal(documents: list[StandingDocument], segments: list[StandingSegment], snapshots: list[int],
-            retention_ms: float, sinks: bool, closed_to_ms: int) -> Removal:
+def removal(
+    documents: list[StandingDocument],
+    segments: list[StandingSegment],
+    snapshots: list[int],
+    retention_ms: float,
+    sinks: bool,
+    closed_to_ms: int,
+) -> Removal:
     """``segments`` in their order, ``snapshots`` the sequences in them; ``closed_to_ms`` the end of the last period
     that closed."""
     gone = [one for one in documents if sinks and one.exported and one.age_ms >= retention_ms]
--- a/flintshift/usage/sinks.py
+++ b/flintshift/usage/sinks.py
@@ -49,8 +49,7 @@
         standing = self.files.names(self.folder)
         for left in snapshot.unfinished(standing, name, epoch):  # by a death in the middle of this delivery
             self.files.remove(self.folder / left)
-        if name not in standing and snapshot.publish_once(
-                self.files, self.folder / name, data, str(epoch)):
+        if name not in standing and snapshot.publish_once(self.files, self.folder / name, data, str(epoch)):
             return Delivered("folder", name)
         if self.files.read(self.folder / name) == data:
             self.files.sync_folder(self.folder)  # the one who put it there may have died before it did
@@ -64,16 +63,22 @@
 class HttpSink:
     def __init__(self, url: str, timeout_ms: float, ledger: str = "") -> None:
         import httpx  # here alone: a node without this sink does not import it
+
         self.httpx, self.url, self.timeout_s = httpx, url, timeout_ms / 1000
         self.of_ledger = {"X-Export-Ledger": ledger} if ledger else {}
-        self.client = httpx.AsyncClient(timeout=self.timeout_s, follow_redirects=False, trust_env=False,
-                                        limits=httpx.Limits(max_connections=1))
+        self.client = httpx.AsyncClient(
+            timeout=self.timeout_s, follow_redirects=False, trust_env=False, limits=httpx.Limits(max_connections=1)
+        )
 
     async def deliver(self, name: str, data: bytes, epoch: int) -> Outcome:
         digest = documents.digest_of(data)
         headers = {
-            "Content-Type": "application/x-protobuf", "Idempotency-Key": f'"{name}"', "X-Export-Epoch": str(epoch),
-            "Content-Digest": f"sha-256=:{base64.b64encode(digest).decode()}:", **self.of_ledger}
+            "Content-Type": "application/x-protobuf",
+            "Idempotency-Key": f'"{name}"',
+            "X-Export-Epoch": str(epoch),
+            "Content-Digest": f"sha-256=:{base64.b64encode(digest).decode()}:",
+            **self.of_ledger,
+        }
         try:
             with anyio.fail_after(self.timeout_s):  # a reply that never ends too
                 async with self.client.stream("PUT", f"{self.url}/{name}", content=data, headers=headers) as reply:
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -62,5 +62,3 @@
         raw.close()
         raise
     return raw
-
-
--- a/flintshift/wire/control_front.py
+++ b/flintshift/wire/control_front.py
@@ -107,9 +107,17 @@
                         status, reason = await self._outcome(stream)
                         body = f"{reason}\n".encode()
                         self.counters.add(f"control.status_{status}")
-                        await stream.send(written(status, [
-                            ("Content-Type", "text/plain; charset=utf-8"), ("Content-Length", str(len(body))),
-                            ("Connection", "close")], body))
+                        await stream.send(
+                            written(
+                                status,
+                                [
+                                    ("Content-Type", "text/plain; charset=utf-8"),
+                                    ("Content-Length", str(len(body))),
+                                    ("Connection", "close"),
+                                ],
+                                body,
+                            )
+                        )
                         return
                     self.counters.add("control.cut")  # it said nothing, or half a call
         except (*BROKEN, ValueError):  # ValueError: it went before it was looked at
@@ -154,5 +162,3 @@
                 return request
             else:
                 raise UnusableError(400, "the call is cut off")
-
-
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -37,23 +37,22 @@
         self.at, self.limits = at, limits
 
     async def exchange(self, message: dns.message.Message) -> dns.message.Message:
-        reply = await dns.asyncquery.udp(
-            message, self.at[0], port=self.at[1], timeout=self.limits.dns_ms / 1000)
+        reply = await dns.asyncquery.udp(message, self.at[0], port=self.at[1], timeout=self.limits.dns_ms / 1000)
         if reply.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
             raise dns.exception.DNSException(dns.rcode.to_text(reply.rcode()))
         return reply
 
     async def find(self, name: dns.name.Name, kind: RdataType) -> list[Any]:
         reply = await self.exchange(dns.message.make_query(name, kind))
-        return [data for found in reply.answer if found.name == name and found.rdtype == kind
-                for data in found]
+        return [data for found in reply.answer if found.name == name and found.rdtype == kind for data in found]
 
 
 class Browser:
     """Knows the app servers that the resolver names; the last good answer stands while it does not reply."""
 
-    def __init__(self, resolver: Resolver, service: str, domain: str, limits: Limits,
-                 counters: Counters, uniform: Uniform) -> None:
+    def __init__(
+        self, resolver: Resolver, service: str, domain: str, limits: Limits, counters: Counters, uniform: Uniform
+    ) -> None:
         self.resolver, self.limits, self.counters, self.uniform = resolver, limits, counters, uniform
         self.service = dns.name.from_text(service, dns.name.from_text(domain))
         self.found: list[Server] = []
@@ -83,8 +82,11 @@
         found = []
         for pointer in await self.resolver.find(self.service, PTR):
             instance = pointer.target
-            texts = [text.decode("utf-8", "replace") for data in await self.resolver.find(instance, TXT)
-                     for text in data.strings]
+            texts = [
+                text.decode("utf-8", "replace")
+                for data in await self.resolver.find(instance, TXT)
+                for text in data.strings
+            ]
             classes = next((text[8:] for text in texts if text.lower().startswith("classes=")), "")
             for data in await self.resolver.find(instance, SRV):
                 for kind in (A, AAAA):
@@ -92,16 +94,28 @@
                         if not ipaddress.ip_address(host.address).is_loopback:  # none but this machine's
                             self.counters.add("dns.not_loopback")
                             continue
-                        found.append(Server(data.priority, (host.address, data.port),
-                                            frozenset(filter(None, classes.split(",")))))
+                        found.append(
+                            Server(
+                                data.priority, (host.address, data.port), frozenset(filter(None, classes.split(",")))
+                            )
+                        )
         return found
 
 
 class Record:
     """This node's own record: put in while it serves, taken out when it leaves."""
 
-    def __init__(self, resolver: Resolver, service: str, domain: str, name: str, at: tuple[str, int],
-                 limits: Limits, counters: Counters, now_ms: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        resolver: Resolver,
+        service: str,
+        domain: str,
+        name: str,
+        at: tuple[str, int],
+        limits: Limits,
+        counters: Counters,
+        now_ms: Callable[[], float],
+    ) -> None:
         self.resolver, self.limits, self.counters, self.now_ms = resolver, limits, counters, now_ms
         self.at = at
         self.zone = dns.name.from_text(domain)
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -39,8 +39,9 @@
             raise UnusableError(405, "only POST is taken here")
         return path[2]
 
-    def attempt(self, class_name: str, body: bytes, get: Callable[[str], str | None],
-                tell: Callable[[Answer], None]) -> Attempt:
+    def attempt(
+        self, class_name: str, body: bytes, get: Callable[[str], str | None], tell: Callable[[Answer], None]
+    ) -> Attempt:
         def text(name: str, fits: re.Pattern[str]) -> str:
             value = get(name)
             if value is None or not fits.fullmatch(value):
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -56,9 +56,16 @@
 
     name = "front"
 
-    def __init__(self, fields: Fields, decisions: Decisions, limits: Limits, counters: Counters,
-                 now_ms: Callable[[], float], most: int,
-                 verify: Callable[[], Awaitable[bool]]) -> None:
+    def __init__(
+        self,
+        fields: Fields,
+        decisions: Decisions,
+        limits: Limits,
+        counters: Counters,
+        now_ms: Callable[[], float],
+        most: int,
+        verify: Callable[[], Awaitable[bool]],
+    ) -> None:
         self.fields, self.decisions, self.limits = fields, decisions, limits
         self.counters, self.now_ms, self.most, self.verify = counters, now_ms, most, verify
         self.connections: set[Connection] = set()
@@ -213,8 +220,9 @@
         await connection.stream.send(data)
         connection.writing_ms = math.inf
 
-    async def exchange(self, connection: Connection, attempt: Attempt, exchange: Exchange,
-                       more: Callable[[bytes], None]) -> Answer | None:
+    async def exchange(
+        self, connection: Connection, attempt: Attempt, exchange: Exchange, more: Callable[[bytes], None]
+    ) -> Answer | None:
         """Hand a request over and wait for its answer; None when the caller went first."""
         self.counters.add(f"{self.name}.requests")
         if self.books is not None:
@@ -246,9 +254,17 @@
             if self.books is not None:
                 self.books.delivered(attempt, arrived)
             if self.log is not None:
-                self.log("debug", "request.answered", request=attempt.id, club=attempt.tenant, front=self.name,
-                         class_name=attempt.class_name, verdict=answer.verdict.value, arrived=arrived,
-                         age_ms=round(self.now_ms() - attempt.door_ms, 1))
+                self.log(
+                    "debug",
+                    "request.answered",
+                    request=attempt.id,
+                    club=attempt.tenant,
+                    front=self.name,
+                    class_name=attempt.class_name,
+                    verdict=answer.verdict.value,
+                    arrived=arrived,
+                    age_ms=round(self.now_ms() - attempt.door_ms, 1),
+                )
 
     async def sweep(self) -> None:
         """Close connections that have carried nothing for as long as was decided, and those whose callers
--- a/flintshift/wire/handover.py
+++ b/flintshift/wire/handover.py
@@ -74,7 +74,7 @@
         if self.outbox.idle and not isinstance(word, Welcome | Left):
             told = packed(word)
             try:
-                told = told[self.stream.extra(anyio.abc.SocketAttribute.raw_socket).send(told):]
+                told = told[self.stream.extra(anyio.abc.SocketAttribute.raw_socket).send(told) :]
             except BlockingIOError:  # the other is slow: it waits as the rest does
                 pass
             except BROKEN:
@@ -102,8 +102,12 @@
         with contextlib.suppress(OSError):
             raw.shutdown(socket.SHUT_RDWR)
 
-    async def run(self, heard: Callable[[Word], Awaitable[None]], gone: Callable[[], Awaitable[None]],
-                  ended: Callable[[str], Awaitable[None]]) -> None:
+    async def run(
+        self,
+        heard: Callable[[Word], Awaitable[None]],
+        gone: Callable[[], Awaitable[None]],
+        ended: Callable[[str], Awaitable[None]],
+    ) -> None:
         """Until the other process has ended, which is told last; the link itself may end before."""
         try:
             cause = await self._talk(heard)
@@ -154,8 +158,11 @@
                     await self.stream.send(bytes(batch) + packed(word))
                     continue
                 batch = bytearray(word if isinstance(word, bytes) else packed(word))
-                while len(batch) < self.limits.read and self.outbox.items and not isinstance(
-                        more := self.outbox.items[0], Copied | Welcome | Left):
+                while (
+                    len(batch) < self.limits.read
+                    and self.outbox.items
+                    and not isinstance(more := self.outbox.items[0], Copied | Welcome | Left)
+                ):
                     batch += more if isinstance(more, bytes) else packed(more)
                     self.outbox.take_now()
                 await self.stream.send(bytes(batch))
@@ -196,5 +203,7 @@
 
 
 def mute(limits: Limits) -> UpgradeError:
-    return UpgradeError(f"the process that serves took the call and said nothing for {limits.welcome_ms:g} ms; "
-                        "it lives, so its address can't be shared: look at it, and end it if it hangs")
+    return UpgradeError(
+        f"the process that serves took the call and said nothing for {limits.welcome_ms:g} ms; "
+        "it lives, so its address can't be shared: look at it, and end it if it hangs"
+    )
--- a/flintshift/wire/handover_words.py
+++ b/flintshift/wire/handover_words.py
@@ -37,13 +37,13 @@
         self.buffer += data
         found: list[Word] = []
         while len(self.buffer) >= SIZE.size:
-            size, = SIZE.unpack_from(self.buffer)
+            (size,) = SIZE.unpack_from(self.buffer)
             if size > MOST:
                 raise FrameError(f"a word of {size} bytes")
             if len(self.buffer) < SIZE.size + size:
                 break
-            body = bytes(self.buffer[SIZE.size:SIZE.size + size])
-            del self.buffer[:SIZE.size + size]
+            body = bytes(self.buffer[SIZE.size : SIZE.size + size])
+            del self.buffer[: SIZE.size + size]
             try:
                 found.append(_decode(body))
             except msgspec.DecodeError as error:
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -43,8 +43,7 @@
             early = b"".join((conn.trailing_data[0], *more))
             self.answered(connection)
 
-    async def _request(self, connection: Connection,
-                       conn: h11.Connection) -> tuple[h11.Request, bytes] | None:
+    async def _request(self, connection: Connection, conn: h11.Connection) -> tuple[h11.Request, bytes] | None:
         """The next whole request; None when the connection is over."""
         request, body = None, b""
         while True:
@@ -76,8 +75,9 @@
             else:
                 return None
 
-    async def _answer(self, connection: Connection, keep: bool, request: h11.Request, body: bytes,
-                      more: Callable[[bytes], None]) -> bool:
+    async def _answer(
+        self, connection: Connection, keep: bool, request: h11.Request, body: bytes, more: Callable[[bytes], None]
+    ) -> bool:
         """Answer a whole request; False when its caller went first."""
         method, target = request.method.decode(), request.target.decode()
         if urlsplit(target).path == "/ping":
@@ -100,12 +100,12 @@
         answer = await self.exchange(connection, attempt, exchange, more)
         if answer is not None:
             said = headers_of(answer, answer.body, self.posture, self._ending(connection, keep))
-            await self.deliver(connection, attempt, answer,
-                               written(status_of(answer, self.posture), said, answer.body))
+            await self.deliver(connection, attempt, answer, written(status_of(answer, self.posture), said, answer.body))
         return answer is not None
 
-    async def _say(self, connection: Connection, keep: bool, status: int, body: bytes,
-                   answer: Answer | None = None) -> None:
+    async def _say(
+        self, connection: Connection, keep: bool, status: int, body: bytes, answer: Answer | None = None
+    ) -> None:
         headers = headers_of(answer, body, self.posture, self._ending(connection, keep))
         await self.write(connection, written(status, headers, body))
 
--- a/flintshift/wire/link.py
+++ b/flintshift/wire/link.py
@@ -7,8 +7,15 @@
 
 from flintshift.core.limits import Limits
 
-BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream,
-          anyio.IncompleteRead, anyio.DelimiterNotFound, TimeoutError)
+BROKEN = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.DelimiterNotFound,
+    TimeoutError,
+)
 
 
 class JunkError(Exception):
--- a/flintshift/wire/names.py
+++ b/flintshift/wire/names.py
@@ -39,11 +39,11 @@
 
     async def _put(self, stream: SocketStream, body: bytes, sent: anyio.Event) -> bool:
         conn = h11.Connection(h11.CLIENT)
-        headers = [("Host", f"{self.to[0]}:{self.to[1]}"), ("Content-Length", str(len(body))),
-                   ("Connection", "close")]
+        headers = [("Host", f"{self.to[0]}:{self.to[1]}"), ("Content-Length", str(len(body))), ("Connection", "close")]
         request = h11.Request(method="PUT", target=f"/ns/hosts/{self.name}", headers=headers)
-        await stream.send(b"".join(conn.send(event) or b"" for event in
-                                   (request, h11.Data(data=body), h11.EndOfMessage())))
+        await stream.send(
+            b"".join(conn.send(event) or b"" for event in (request, h11.Data(data=body), h11.EndOfMessage()))
+        )
         sent.set()
         while True:
             event = conn.next_event()
--- a/flintshift/wire/peer_link.py
+++ b/flintshift/wire/peer_link.py
@@ -41,8 +41,18 @@
     members: bytes  # a digest of the list
 
     def hello(self, store: int, known_store: int, refused: str = "") -> pb.Batch:
-        return pb.Batch(hello=pb.Hello(schema=SCHEMA, member=self.member, identity=self.identity, epoch=self.epoch,
-                                       members=self.members, store=store, known_store=known_store, refused=refused))
+        return pb.Batch(
+            hello=pb.Hello(
+                schema=SCHEMA,
+                member=self.member,
+                identity=self.identity,
+                epoch=self.epoch,
+                members=self.members,
+                store=store,
+                known_store=known_store,
+                refused=refused,
+            )
+        )
 
     def refuses(self, told: pb.Hello, known: Sequence[str]) -> str:
         """Why a process that says this of itself is no member of this fleet; empty: it is one."""
@@ -53,8 +63,10 @@
         if told.member not in known:
             return f"{told.member or 'a nameless member'} is not in this member's list"
         if (told.epoch, told.members) != (self.epoch, self.members):
-            return (f"it goes by the list of epoch {told.epoch} ({told.members.hex()}), this member by epoch "
-                    f"{self.epoch} ({self.members.hex()})")
+            return (
+                f"it goes by the list of epoch {told.epoch} ({told.members.hex()}), this member by epoch "
+                f"{self.epoch} ({self.members.hex()})"
+            )
         return ""
 
 
@@ -87,8 +99,8 @@
                     raise WordsError(f"a frame of {size} bytes")
                 if len(self.data) < HEAD + size:
                     return
-                told = bytes(self.data[HEAD:HEAD + size])
-                del self.data[:HEAD + size]
+                told = bytes(self.data[HEAD : HEAD + size])
+                del self.data[: HEAD + size]
                 self.got(self, read_batch(told))
         except (JunkError, UnicodeError) as error:
             self.end(f"{type(error).__name__} {error}")
@@ -150,12 +162,28 @@
 class OutLink:
     """To one member: opened by this process, again and again. ``up`` and ``down`` are told as it comes and goes."""
 
-    def __init__(self, member: str, to: tuple[str, int], limits: Limits, counters: Counters, greeting: Greeting,
-                 stores: Callable[[str], tuple[int, int]], heard: Heard, up: Callable[[str, pb.Hello], None],
-                 down: Callable[[str, str], None], draw: random.Random) -> None:
+    def __init__(
+        self,
+        member: str,
+        to: tuple[str, int],
+        limits: Limits,
+        counters: Counters,
+        greeting: Greeting,
+        stores: Callable[[str], tuple[int, int]],
+        heard: Heard,
+        up: Callable[[str, pb.Hello], None],
+        down: Callable[[str, str], None],
+        draw: random.Random,
+    ) -> None:
         self.member, self.to, self.limits, self.counters = member, to, limits, counters
         self.greeting, self.stores, self.heard, self.up, self.down, self.draw = (
-            greeting, stores, heard, up, down, draw)
+            greeting,
+            stores,
+            heard,
+            up,
+            down,
+            draw,
+        )
         self.wire: Wire | None = None  # while the other end is met
         self.asked_ms = math.inf  # since when an answer is owed
         self.wanted = anyio.Event()  # the next try is made at once
@@ -224,9 +252,17 @@
 class PeerFront:
     """Where other members ask this process. Each link is known by the identity at its other end."""
 
-    def __init__(self, limits: Limits, counters: Counters, greeting: Greeting, members: Sequence[str],
-                 stores: Callable[[str], tuple[int, int]], heard: Heard, met: Callable[[str, pb.Hello], None],
-                 refused: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        counters: Counters,
+        greeting: Greeting,
+        members: Sequence[str],
+        stores: Callable[[str], tuple[int, int]],
+        heard: Heard,
+        met: Callable[[str, pb.Hello], None],
+        refused: Callable[[str], None],
+    ) -> None:
         self.limits, self.counters, self.greeting, self.members = limits, counters, greeting, members
         self.stores, self.heard, self.met, self.refused = stores, heard, met, refused
         self.wires: dict[str, Wire] = {}
--- a/flintshift/wire/peer_words.py
+++ b/flintshift/wire/peer_words.py
@@ -15,8 +15,16 @@
 from flintshift.startup.permits import Permit, PermitAsk
 from flintshift.wire.link import JunkError
 
-OUTCOMES = (Outcome.OK, Outcome.REJECTED, Outcome.ERROR, Outcome.STOPPED, Outcome.TIMED_OUT, Outcome.UNREACHABLE,
-            Outcome.INTERRUPTED, Outcome.MOOT)  # numbered from 1; the order is never changed
+OUTCOMES = (
+    Outcome.OK,
+    Outcome.REJECTED,
+    Outcome.ERROR,
+    Outcome.STOPPED,
+    Outcome.TIMED_OUT,
+    Outcome.UNREACHABLE,
+    Outcome.INTERRUPTED,
+    Outcome.MOOT,
+)  # numbered from 1; the order is never changed
 NUMBERS = {outcome: number for number, outcome in enumerate(OUTCOMES, 1)}
 PEER_FRAME_MOST = 4 << 20  # bytes; a longer one is junk
 
@@ -38,14 +46,26 @@
 
 def _value(into: pb.Value, value: Value) -> None:
     into.stage, into.owner, into.runner, into.print, into.for_ms = (
-        value.stage, value.owner, value.runner, value.print, value.for_ms)
+        value.stage,
+        value.owner,
+        value.runner,
+        value.print,
+        value.for_ms,
+    )
     if value.outcome is not None:
         into.outcome, into.result = NUMBERS[value.outcome], value.result
 
 
 def _value_of(told: pb.Value) -> Value:
-    return Value(Stage(told.stage), told.owner, told.runner, told.print, told.for_ms,
-                 OUTCOMES[told.outcome - 1] if told.outcome else None, told.result)
+    return Value(
+        Stage(told.stage),
+        told.owner,
+        told.runner,
+        told.print,
+        told.for_ms,
+        OUTCOMES[told.outcome - 1] if told.outcome else None,
+        told.result,
+    )
 
 
 def _key(into: pb.Key, key: Key) -> None:
@@ -67,8 +87,13 @@
 
 
 def _entry_of(told: pb.Entry) -> Entry:
-    return Entry(_key_of(told.key), _ballot_of(told.promised), _ballot_of(told.ballot),
-                 _value_of(told.value) if told.HasField("value") else None, told.for_ms)
+    return Entry(
+        _key_of(told.key),
+        _ballot_of(told.promised),
+        _ballot_of(told.ballot),
+        _value_of(told.value) if told.HasField("value") else None,
+        told.for_ms,
+    )
 
 
 def batch_of(words: Iterable[Word], beat: bool = False) -> pb.Batch:
@@ -152,8 +177,11 @@
         case "join":
             return [logs.Join(log, told.epoch, _place_of(told.join.last), told.join.takes)]
         case "append":
-            return [logs.Append(log, told.epoch, told.append.first,
-                                tuple((one.kind, one.payload) for one in told.append.records))]
+            return [
+                logs.Append(
+                    log, told.epoch, told.append.first, tuple((one.kind, one.payload) for one in told.append.records)
+                )
+            ]
         case "part":
             part = told.part
             return [logs.Part(log, told.epoch, _place_of(part.last), part.number, part.more, part.data)]
@@ -185,18 +213,47 @@
     try:
         return [
             *(Accused(member, one.identity, one.lapsed) for one in batch.accused),
-            *(Ask(one.number, identity, Step(one.step), _key_of(one.key), _ballot_of(one.ballot), tuple(one.stores),
-                  _value_of(one.value) if one.HasField("value") else None, one.watch) for one in batch.asks),
-            *(Vote(one.number, Verdict(one.verdict), _ballot_of(one.promised), _ballot_of(one.ballot),
-                   _value_of(one.value) if one.HasField("value") else None, tuple(one.stores))
-              for one in batch.votes),
+            *(
+                Ask(
+                    one.number,
+                    identity,
+                    Step(one.step),
+                    _key_of(one.key),
+                    _ballot_of(one.ballot),
+                    tuple(one.stores),
+                    _value_of(one.value) if one.HasField("value") else None,
+                    one.watch,
+                )
+                for one in batch.asks
+            ),
+            *(
+                Vote(
+                    one.number,
+                    Verdict(one.verdict),
+                    _ballot_of(one.promised),
+                    _ballot_of(one.ballot),
+                    _value_of(one.value) if one.HasField("value") else None,
+                    tuple(one.stores),
+                )
+                for one in batch.votes
+            ),
             *(Ended(_key_of(one)) for one in batch.ended),
             *(FillAsk(one.store, _key_of(one.after) if one.HasField("after") else None) for one in batch.fills),
-            *(Page(tuple(map(_entry_of, one.entries)), _key_of(one.after) if one.HasField("after") else None,
-                   one.done, one.counts, one.known_store) for one in batch.pages),
+            *(
+                Page(
+                    tuple(map(_entry_of, one.entries)),
+                    _key_of(one.after) if one.HasField("after") else None,
+                    one.done,
+                    one.counts,
+                    one.known_store,
+                )
+                for one in batch.pages
+            ),
             *(word for one in batch.logs for word in _log_words_of(one)),
-            *(logs.At((one.log.member, one.log.life), logs.Word(one.word), one.epoch, _place_of(one.last), one.part)
-              for one in batch.log_places),
+            *(
+                logs.At((one.log.member, one.log.life), logs.Word(one.word), one.epoch, _place_of(one.last), one.part)
+                for one in batch.log_places
+            ),
             *(PermitAsk(one.number, one.holds, one.done) for one in batch.permit_asks),
             *(Permit(one.number, one.granted) for one in batch.permits),
         ]
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -34,8 +34,15 @@
 
 
 class PoolLink:
-    def __init__(self, to: tuple[str, int], gauge_names: list[str | None], limits: Limits,
-                 counters: Counters, report: Told, uniform: Uniform = random.uniform) -> None:
+    def __init__(
+        self,
+        to: tuple[str, int],
+        gauge_names: list[str | None],
+        limits: Limits,
+        counters: Counters,
+        report: Told,
+        uniform: Uniform = random.uniform,
+    ) -> None:
         self.uniform = uniform
         self.to, self.gauge_names, self.limits = to, gauge_names, limits
         self.counters, self.report = counters, report
--- a/flintshift/wire/uwsgi.py
+++ b/flintshift/wire/uwsgi.py
@@ -12,8 +12,9 @@
 
 
 def pack(variables: Iterable[tuple[str, str]]) -> bytes:
-    block = b"".join(LENGTH.pack(len(part)) + part for pair in variables
-                     for part in (text.encode("latin-1") for text in pair))
+    block = b"".join(
+        LENGTH.pack(len(part)) + part for pair in variables for part in (text.encode("latin-1") for text in pair)
+    )
     return HEAD.pack(0, len(block), 0) + block
 
 
--- a/flintshift/wire/uwsgi_apps.py
+++ b/flintshift/wire/uwsgi_apps.py
@@ -19,8 +19,14 @@
 
 
 class AppServers:
-    def __init__(self, browser: Browser, limits: Limits, counters: Counters,
-                 report: Callable[[Report], Awaitable[None]], now_ms: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        browser: Browser,
+        limits: Limits,
+        counters: Counters,
+        report: Callable[[Report], Awaitable[None]],
+        now_ms: Callable[[], float],
+    ) -> None:
         self.browser, self.limits, self.counters = browser, limits, counters
         self.report, self.now_ms = report, now_ms
         self.outbox: Mailbox[Attempt] = Mailbox(limits.outbox)
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -51,17 +51,17 @@
             return
         class_name, exchange = self.fields.class_of(method, path), Exchange()
         attempt = self.fields.attempt(
-            class_name, body, lambda name: variables.get("HTTP_" + name.upper().replace("-", "_")),
-            exchange.tell)
+            class_name, body, lambda name: variables.get("HTTP_" + name.upper().replace("-", "_")), exchange.tell
+        )
         attempt.workers, attempt.head = "apps", head + block
         answer = await self.exchange(connection, attempt, exchange, lambda data: None)
         if answer is not None:
             headers = headers_of(answer, answer.body, self.posture, close=True)
-            await self.deliver(connection, attempt, answer,
-                               written(status_of(answer, self.posture), headers, answer.body))
+            await self.deliver(
+                connection, attempt, answer, written(status_of(answer, self.posture), headers, answer.body)
+            )
 
-    async def _say(self, connection: Connection, status: int, body: bytes,
-                   answer: Answer | None = None) -> None:
+    async def _say(self, connection: Connection, status: int, body: bytes, answer: Answer | None = None) -> None:
         headers = headers_of(answer, body, self.posture, close=True)
         await self.write(connection, written(status, headers, body))
 
--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -43,8 +43,14 @@
 
 
 class VaultLink:
-    def __init__(self, to: tuple[str, int], limits: Limits, counters: Counters,
-                 report: Callable[[Report], Awaitable[None]], now_ms: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        to: tuple[str, int],
+        limits: Limits,
+        counters: Counters,
+        report: Callable[[Report], Awaitable[None]],
+        now_ms: Callable[[], float],
+    ) -> None:
         self.to, self.limits, self.counters = to, limits, counters
         self.report, self.now_ms = report, now_ms
         self.outbox: Mailbox[Ask | str] = Mailbox(limits.outbox)
@@ -138,8 +144,7 @@
         """A connection that was in use a moment ago. Guards against one that the vault closes or forgets
         while it is idle, and against a second copy of this request's last reply."""
         since = self.now_ms() - self.limits.vault_fresh_ms
-        fit = [line for line in self.idle
-               if line.used_ms >= since and line.to == self.to and line.request != request]
+        fit = [line for line in self.idle if line.used_ms >= since and line.to == self.to and line.request != request]
         if not fit:
             return None
         self.idle.remove(fit[-1])
@@ -170,8 +175,14 @@
     async def _reply(self, reader: BufferedByteReceiveStream) -> tuple[str, str, bytes]:
         parts = (await reader.receive_until(b"\r\n", self.limits.vault_line)).decode("latin-1").split(" ")
         word = parts[1] if len(parts) > 1 else ""
-        if word == "yes" and len(parts) == 3 and parts[2].isascii() and parts[2].isdecimal() \
-                and len(parts[2]) < 9 and int(parts[2]) <= self.limits.line:
+        if (
+            word == "yes"
+            and len(parts) == 3
+            and parts[2].isascii()
+            and parts[2].isdecimal()
+            and len(parts[2]) < 9
+            and int(parts[2]) <= self.limits.line
+        ):
             reply = await reader.receive_exactly(int(parts[2]))
             if await reader.receive_exactly(2) != b"\r\n":
                 raise JunkError("no line end after a reply")
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -39,18 +39,44 @@
     return tmp_path / "u"
 
 
-CORRECT = ["--id", "c1", "--author", "op", "--reason", "why", "--club", "a", "--class", "look", "--front", "http",
-           "--outcome", "served", "--by", "requests=2"]
+CORRECT = [
+    "--id",
+    "c1",
+    "--author",
+    "op",
+    "--reason",
+    "why",
+    "--club",
+    "a",
+    "--class",
+    "look",
+    "--front",
+    "http",
+    "--outcome",
+    "served",
+    "--by",
+    "requests=2",
+]
 
 
 def test_help_names_the_commands_and_the_exit_codes():
     told = run("--help")
     assert told.exit_code == 0
-    assert all(word in told.output for word in ("run", "check", "demo", "control", "usage", "Exit codes:",
-                                                "3  done, and"))
-    for command in (["run"], ["check"], ["demo"], ["usage", "show"], ["usage", "correct"], ["usage", "export"],
-                    ["usage", "reconcile"],
-                    ["control", "ready"], ["control", "out-of-service"], ["control", "in-service"]):
+    assert all(
+        word in told.output for word in ("run", "check", "demo", "control", "usage", "Exit codes:", "3  done, and")
+    )
+    for command in (
+        ["run"],
+        ["check"],
+        ["demo"],
+        ["usage", "show"],
+        ["usage", "correct"],
+        ["usage", "export"],
+        ["usage", "reconcile"],
+        ["control", "ready"],
+        ["control", "out-of-service"],
+        ["control", "in-service"],
+    ):
         assert run(*command, "--help").exit_code == 0
 
 
@@ -99,13 +125,17 @@
     assert [(row["state"], row["requests"]) for row in rows] == [("closed, revision 1", 3), ("open", 1)]
 
 
-@pytest.mark.parametrize(("words", "code", "text"), [
-    (["--period", "19700101T000009.000Z", *CORRECT], 3, "no period begins at 9000 ms"),
-    (["--period", "yesterday", *CORRECT], 2, "is no begin of a period"),
-    (["--period", "19701301T000000.000Z", *CORRECT], 2, "is no date"),
-    (["--period", "19700101T000001.000Z", *CORRECT, "--by", "calls=-9"], 3, "calls: 1 and -9 is below zero"),
-    (["--period", "19700101T000001.000Z", *CORRECT, "--by", "cows=1"], 2, "expected one of requests"),
-    (["--period", "19700101T000001.000Z", *CORRECT[:1], "../x", *CORRECT[2:]], 2, "--id is 1 to 64")])
+@pytest.mark.parametrize(
+    ("words", "code", "text"),
+    [
+        (["--period", "19700101T000009.000Z", *CORRECT], 3, "no period begins at 9000 ms"),
+        (["--period", "yesterday", *CORRECT], 2, "is no begin of a period"),
+        (["--period", "19701301T000000.000Z", *CORRECT], 2, "is no date"),
+        (["--period", "19700101T000001.000Z", *CORRECT, "--by", "calls=-9"], 3, "calls: 1 and -9 is below zero"),
+        (["--period", "19700101T000001.000Z", *CORRECT, "--by", "cows=1"], 2, "expected one of requests"),
+        (["--period", "19700101T000001.000Z", *CORRECT[:1], "../x", *CORRECT[2:]], 2, "--id is 1 to 64"),
+    ],
+)
 def test_a_correction_that_is_not_possible_is_refused_with_the_reason(ledger, words, code, text):
     told = run("usage", "correct", "--folder", ledger, *words)
     assert told.exit_code == code and text in told.output
@@ -127,8 +157,18 @@
 
 
 def test_export_to_a_sink_that_is_down_ends_with_3_and_leaves_all(ledger):
-    told = run("usage", "export", "--folder", ledger, "--to-url", "http://127.0.0.1:9/usage", "--wait", "0.3",
-               "--backoff", "0.05")
+    told = run(
+        "usage",
+        "export",
+        "--folder",
+        ledger,
+        "--to-url",
+        "http://127.0.0.1:9/usage",
+        "--wait",
+        "0.3",
+        "--backoff",
+        "0.05",
+    )
     assert told.exit_code == 3 and "0 delivered, 1 left" in told.output and "export.not_delivered" in told.output
 
 
@@ -143,13 +183,24 @@
 
 def test_run_without_a_usable_file_exits_with_2(tmp_path):
     (tmp_path / "bad.yaml").write_text("uwsgi: {enabled: maybe}\n")
-    told = subprocess.run([sys.executable, "-m", "flintshift.cli", "run", "--settings", str(tmp_path / "bad.yaml")],
-                          cwd=ROOT, capture_output=True, text=True, check=False, env={})
+    told = subprocess.run(
+        [sys.executable, "-m", "flintshift.cli", "run", "--settings", str(tmp_path / "bad.yaml")],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+        env={},
+    )
     assert told.returncode == 2 and "uwsgi.enabled: expected true or false, found 'maybe'" in told.stderr
 
 
 def test_the_demo_books_what_its_callers_counted():
-    told = subprocess.run([sys.executable, "-m", "flintshift.cli", "demo", "--seconds", "1", "--json"], cwd=ROOT,
-                          capture_output=True, text=True, check=False)
+    told = subprocess.run(
+        [sys.executable, "-m", "flintshift.cli", "demo", "--seconds", "1", "--json"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     result = json.loads(told.stdout)
     assert told.returncode == 0 and result["counted"] == result["booked"] and sum(result["counted"].values()) > 20
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,10 +25,19 @@
 
     def __init__(self, **changes: object) -> None:
         base: dict = {
-            "classes": [SAFE, DEAR, KEYED, SKIPS], "cores": 2, "memory_kb": 10_000.0, "run_factor": 4.0,
-            "fall_multiple": 5.0, "drain_grace_ms": 500.0, "tenants": [],
-            "call_share": 4.0, "call_window_ms": 2000.0,
-            "linger_ms": 200.0, "halt": api.Halt.ABORT, "key_kb": 10.0, "advice_allowed": True,
+            "classes": [SAFE, DEAR, KEYED, SKIPS],
+            "cores": 2,
+            "memory_kb": 10_000.0,
+            "run_factor": 4.0,
+            "fall_multiple": 5.0,
+            "drain_grace_ms": 500.0,
+            "tenants": [],
+            "call_share": 4.0,
+            "call_window_ms": 2000.0,
+            "linger_ms": 200.0,
+            "halt": api.Halt.ABORT,
+            "key_kb": 10.0,
+            "advice_allowed": True,
             "advice_max_ms": 1000.0,
         }
         self.control = Controller(api.Settings(**{**base, **changes}), seed=1)
@@ -48,15 +57,13 @@
     def tick(self, after_ms: float = 40.0, **gauges: float) -> list[api.Action]:
         return self.step(api.Woken("tick", api.Gauges(**gauges)), after_ms)
 
-    def ends(self, request: str, outcome: api.Outcome = api.Outcome.OK,
-             took_ms: float = 100.0) -> list[api.Action]:
+    def ends(self, request: str, outcome: api.Outcome = api.Outcome.OK, took_ms: float = 100.0) -> list[api.Action]:
         return self.step(api.RunEnded(request, outcome, took_ms))
 
     def needs_call(self, request: str) -> list[api.Action]:
         return self.step(api.CallNeeded(request))
 
-    def call_ends(self, request: str, outcome: api.Outcome = api.Outcome.OK,
-                  took_ms: float = 50.0) -> list[api.Action]:
+    def call_ends(self, request: str, outcome: api.Outcome = api.Outcome.OK, took_ms: float = 50.0) -> list[api.Action]:
         return self.step(api.CallEnded(request, outcome, took_ms))
 
     def fill(self, name: str = "look") -> list[str]:
--- a/tests/copies/test_agreement.py
+++ b/tests/copies/test_agreement.py
@@ -132,7 +132,8 @@
 
 def test_a_majority_of_round_0_is_not_enough():
     assert any(walk(*walked, proposals=MajorityOfFirst).wrong for walked in WALKS) or any(
-        random_play(seed, proposals=MajorityOfFirst).wrong for seed in range(200))
+        random_play(seed, proposals=MajorityOfFirst).wrong for seed in range(200)
+    )
 
 
 ORDERS = list(itertools.product(itertools.permutations(HALLS), HALLS))
@@ -179,8 +180,9 @@
 
 
 def deliver(world: World, one: str, other: str) -> None:
-    world.deliver(next(place for place, message in enumerate(world.sent)
-                       if (sender(message), to(message)) == (one, other)))
+    world.deliver(
+        next(place for place, message in enumerate(world.sent) if (sender(message), to(message)) == (one, other))
+    )
 
 
 def pass_on(world: World, which) -> None:
@@ -314,8 +316,9 @@
 
 
 TestFleets = Fleets.TestCase
-TestFleets.settings = settings(max_examples=60, stateful_step_count=80, deadline=None, derandomize=True,
-                               suppress_health_check=list(HealthCheck))
+TestFleets.settings = settings(
+    max_examples=60, stateful_step_count=80, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
+)
 
 
 def test_an_outcome_that_no_holder_answers_is_given_up_at_its_time_and_not_at_the_next_question():
--- a/tests/copies/test_log_copies.py
+++ b/tests/copies/test_log_copies.py
@@ -109,9 +109,16 @@
         pass
 
 
-@pytest.mark.parametrize("mutant", [{"holder": GrantsToWhoIsBehind}, {"holder": TakesOldEpochs},
-                                    {"holder": VotesUnsure}, {"writer": ShowsAnEpochThatNobodyGranted}],
-                         ids=lambda mutant: next(iter(mutant.values())).__name__)
+@pytest.mark.parametrize(
+    "mutant",
+    [
+        {"holder": GrantsToWhoIsBehind},
+        {"holder": TakesOldEpochs},
+        {"holder": VotesUnsure},
+        {"writer": ShowsAnEpochThatNobodyGranted},
+    ],
+    ids=lambda mutant: next(iter(mutant.values())).__name__,
+)
 def test_a_broken_rule_is_seen(mutant):
     assert any(play(seed, **mutant).wrong for seed in range(300))
 
--- a/tests/copies/test_member_words.py
+++ b/tests/copies/test_member_words.py
@@ -23,11 +23,18 @@
     Ask(2, "n1#1", Step.ACCEPT, ("c", "k"), (7, "n1#1"), (0, 2**63, 3), VALUE),
     Vote(3, Verdict.OK, (0, "n2#9"), (0, "n2#9"), VALUE, (1, 2, 3)),
     Vote(4, Verdict.STALE, NO_BALLOT, NO_BALLOT, None, (1,)),
-    PermitAsk(7, True), PermitAsk(8, done=True), Permit(7, True), Permit(8, False),
-    Ended(("c", "k")), FillAsk(5, None), FillAsk(5, ("c", "k")),
+    PermitAsk(7, True),
+    PermitAsk(8, done=True),
+    Permit(7, True),
+    Permit(8, False),
+    Ended(("c", "k")),
+    FillAsk(5, None),
+    FillAsk(5, ("c", "k")),
     Page((entry(1),), ("submit-time", "k1"), True, False, 9),
-    *(Vote(6, Verdict.OK, (1, "x"), (1, "x"), Value(Stage.FINISHED, "r", "x", b"", 1.0, outcome, b"z"), ())
-      for outcome in OUTCOMES),
+    *(
+        Vote(6, Verdict.OK, (1, "x"), (1, "x"), Value(Stage.FINISHED, "r", "x", b"", 1.0, outcome, b"z"), ())
+        for outcome in OUTCOMES
+    ),
 ]
 
 
@@ -42,10 +49,15 @@
     assert set(OUTCOMES) == set(Outcome)
 
 
-@pytest.mark.parametrize("batch", [
-    pb.Batch(asks=[pb.Ask(step=9)]), pb.Batch(votes=[pb.Vote(verdict=0)]),
-    pb.Batch(votes=[pb.Vote(verdict=1, value=pb.Value(stage=1, outcome=99))]),
-    pb.Batch(asks=[pb.Ask(step=2, value=pb.Value(stage=8))])])
+@pytest.mark.parametrize(
+    "batch",
+    [
+        pb.Batch(asks=[pb.Ask(step=9)]),
+        pb.Batch(votes=[pb.Vote(verdict=0)]),
+        pb.Batch(votes=[pb.Vote(verdict=1, value=pb.Value(stage=1, outcome=99))]),
+        pb.Batch(asks=[pb.Ask(step=2, value=pb.Value(stage=8))]),
+    ],
+)
 def test_words_that_cannot_be_are_refused(batch):
     with pytest.raises(WordsError):
         words_of(batch, "n1", "n1#1")
@@ -58,8 +70,9 @@
     assert words_of(read_batch(later), "n1", "n1#1") == [WORDS[1]]
 
 
-@pytest.mark.parametrize(("schema", "meets"), [(SCHEMA - 1, True), (SCHEMA, True), (SCHEMA + 1, True),
-                                               (SCHEMA + 2, False)])
+@pytest.mark.parametrize(
+    ("schema", "meets"), [(SCHEMA - 1, True), (SCHEMA, True), (SCHEMA + 1, True), (SCHEMA + 2, False)]
+)
 def test_members_one_release_apart_go_on_together_both_ways(schema, meets):
     mine, list_ = Greeting("n1", "n1#1", 1, b"digest"), ["n1", "n2"]
     hello = Greeting("n2", "n2#1", 1, b"digest").hello(7, 0).hello
@@ -68,9 +81,16 @@
     assert bool(mine.refuses(told, list_)) is not meets
 
 
-@pytest.mark.parametrize(("halls", "copies", "least"), [
-    ({"n1": "a", "n2": "a", "n3": "a", "n4": "b", "n5": "b"}, 3, 2), ({f"n{n}": f"h{n % 3}" for n in range(9)}, 3, 3),
-    ({"n1": "a", "n2": "a"}, 3, 1), ({"n1": "a"}, 1, 1), ({f"n{n}": f"h{n % 2}" for n in range(7)}, 5, 2)])
+@pytest.mark.parametrize(
+    ("halls", "copies", "least"),
+    [
+        ({"n1": "a", "n2": "a", "n3": "a", "n4": "b", "n5": "b"}, 3, 2),
+        ({f"n{n}": f"h{n % 3}" for n in range(9)}, 3, 3),
+        ({"n1": "a", "n2": "a"}, 3, 1),
+        ({"n1": "a"}, 1, 1),
+        ({f"n{n}": f"h{n % 2}" for n in range(7)}, 5, 2),
+    ],
+)
 def test_copies_stand_on_different_members_and_in_as_many_halls_as_there_are(halls, copies, least):
     placement = Placement(halls, copies)
     for key in KEYS[:200]:
--- a/tests/copies/test_store.py
+++ b/tests/copies/test_store.py
@@ -68,11 +68,14 @@
     assert [one.for_ms for one in opened(files, NOW - 3_600_000.0).found.entries] == [30_000.0]
 
 
-@pytest.mark.parametrize(("change", "why", "keeps"), [
-    ({"member": "n2"}, "that of n1", False),
-    ({"boot": "b2"}, "may not have reached the disk", True),
-    ({"boot": "b2", "synced": True}, "", True),
-])
+@pytest.mark.parametrize(
+    ("change", "why", "keeps"),
+    [
+        ({"member": "n2"}, "that of n1", False),
+        ({"boot": "b2"}, "may not have reached the disk", True),
+        ({"boot": "b2", "synced": True}, "", True),
+    ],
+)
 def test_a_disk_that_may_not_know_all_is_another_store(change, why, keeps):
     files = founded()
     store = opened(files)
@@ -108,6 +111,7 @@
 
 def test_the_machine_stops_at_every_operation_and_nothing_written_is_lost_or_invented():
     """A vote leaves after `write`: whatever it said is there in the next life, unless that life has no vote."""
+
     def life(files):
         store = opened(files)
         store.write([entry(1)], NOW)
--- a/tests/door/test_fair_door.py
+++ b/tests/door/test_fair_door.py
@@ -45,6 +45,7 @@
             while (found := await shown("--json")).exit_code or not until(json.loads(found.output)["clubs"]):
                 pass
         return {one["club"]: one for one in json.loads(found.output)["clubs"]}
+
     refused = await shown()
     assert refused.exit_code == 1 and "refused" in refused.output and "door.socket" in refused.output
     file = f"door: {{enabled: true, socket: {path.parent.name}/door.sock}}\n"
@@ -71,9 +72,14 @@
         assert await rig.leave() == 0 and not path.exists()
 
 
-@pytest.mark.parametrize(("make", "cause"), [
-    (lambda path: path.write_text("a ledger"), "Address already in use"), (lambda path: path.mkdir(), "in use"),
-    (lambda path: socket.create_server(str(path), family=socket.AF_UNIX), "another process listens there")])
+@pytest.mark.parametrize(
+    ("make", "cause"),
+    [
+        (lambda path: path.write_text("a ledger"), "Address already in use"),
+        (lambda path: path.mkdir(), "in use"),
+        (lambda path: socket.create_server(str(path), family=socket.AF_UNIX), "another process listens there"),
+    ],
+)
 async def test_a_path_that_cannot_be_had_is_told_is_not_removed_and_costs_no_service(tmp_path, make, cause):
     kept = make(tmp_path / "door.sock")
     async with Rig(tmp_path, "door: {enabled: true, socket: door.sock}\n") as rig:
@@ -86,10 +92,12 @@
 
 
 def test_without_it_the_door_is_not_imported():
-    text = ("import sys, anyio\nfrom flintshift.lifecycle.config import embedded\n"
-            "from flintshift.lifecycle.node import Node\n"
-            "async def made(): assert Node(embedded(), embedded).fair is None\nanyio.run(made)\n"
-            "print([name for name in sys.modules if 'door' in name and name.startswith('flintshift')])")
+    text = (
+        "import sys, anyio\nfrom flintshift.lifecycle.config import embedded\n"
+        "from flintshift.lifecycle.node import Node\n"
+        "async def made(): assert Node(embedded(), embedded).fair is None\nanyio.run(made)\n"
+        "print([name for name in sys.modules if 'door' in name and name.startswith('flintshift')])"
+    )
     assert subprocess.run([sys.executable, "-c", text], capture_output=True).stdout == b"[]\n"
 
 
@@ -124,7 +132,7 @@
     for ended in range(begun + 8):
         node.now += 20.0
         node.end(node.runs[ended])
-    taken = sum(one in node.runs[:begun + 8] for one in other)
+    taken = sum(one in node.runs[: begun + 8] for one in other)
     assert taken == (3 if fair else 0)  # by turns; without it the oldest go first, which is the flood
     if fair:
         assert len(node.fair.shares.open) == node.decisions.open
@@ -159,11 +167,18 @@
 CHANGED = settings_of({"a": 10.0, "b": 10.0, "c": 5.0})
 
 
-@pytest.mark.parametrize("before", [
-    lambda node: None, lambda node: node.change(CHANGED),
-    lambda node: node.change(settings_of({"b": 10.0})),  # the club that surges is dropped, and shares the least part
-    lambda node: setattr(node, "now", node.now + 700.0),  # the clock jumps, or the process was paused
-], ids=["calm", "new settings", "its club is dropped", "a pause"])
+@pytest.mark.parametrize(
+    "before",
+    [
+        lambda node: None,
+        lambda node: node.change(CHANGED),
+        lambda node: node.change(
+            settings_of({"b": 10.0})
+        ),  # the club that surges is dropped, and shares the least part
+        lambda node: setattr(node, "now", node.now + 700.0),  # the clock jumps, or the process was paused
+    ],
+    ids=["calm", "new settings", "its club is dropped", "a pause"],
+)
 @pytest.mark.parametrize("times", [5.9, 20])
 def test_the_other_club_keeps_its_service_in_a_surge_that_begins_with(before, times):
     if times == 20:
--- a/tests/door/test_shares.py
+++ b/tests/door/test_shares.py
@@ -204,6 +204,7 @@
         lane = door.shares.open[request].lane
         door.turn_away(request)
         return lane
+
     victim = bucket(1, 0.0)
     for caller in range(2000):
         bucket(caller, 0.5).charged = 1000.0  # what any of them ran is charged to all of its bucket
@@ -230,15 +231,16 @@
     assert not door.shares.open and not door.shares.backlogged
 
 
-@pytest.mark.parametrize(("marks", "again", "kept"), [
-    (True, True, True), (True, False, False), (False, False, True), (False, True, True)])
+@pytest.mark.parametrize(
+    ("marks", "again", "kept"), [(True, True, True), (True, False, False), (False, False, True), (False, True, True)]
+)
 def test_a_promised_place_is_for_a_further_try_where_these_are_marked_and_else_for_its_caller(marks, again, kept):
     door = Door(marks=marks)
     door.arrive("b")  # waits, so that what "a" is served puts it ahead
     door.arrive(times=4)
     for request, *_ in door.waiting[1:4]:
         door.shares.handle(0.0, Began(request))
-    told, = door.shares.handle(0.0, TurnedAway(door.waiting[4][0], 0.0, 1000.0, 0.0))
+    (told,) = door.shares.handle(0.0, TurnedAway(door.waiting[4][0], 0.0, 1000.0, 0.0))
     assert told.promised and told.wait_ms == 100.0  # three runs of 20 ms at its share are caught up with after 60
     door.arrive(caller=2, times=5)
     door.shares.handle(100.0, Arrived("back", "a", 1, "look", again))
@@ -254,9 +256,12 @@
     def further(request, caller):
         door.shares.handle(0.0, Arrived(request, "a", caller, "look", True))
         return door.shares.open[request].tag < math.inf
+
     assert [further(f"s{number}", number % callers) for number in range(20)] == [True] * paid + [False] * (20 - paid)
-    assert [door.shares.handle(0.0, TurnedAway(f"s{number}", 0.0, 1000.0, 0.0))[0].promised
-            for number in (0, 19)] == [True, False]
+    assert [door.shares.handle(0.0, TurnedAway(f"s{number}", 0.0, 1000.0, 0.0))[0].promised for number in (0, 19)] == [
+        True,
+        False,
+    ]
     late = door.arrive(caller=7)
     assert door.shares.rank_ms(late) < door.shares.rank_ms("s18")
     for _ in range(5):
@@ -266,6 +271,7 @@
 
 def test_every_interleaving_of_a_small_site_keeps_its_sums_and_starves_nobody():
     """Six steps over two clubs and two callers: arrivals, starts, ends and refusals in every order."""
+
     def walk(steps):
         shares = Shares(Weighed({"a": 2.0, "b": 1.0}, 1, {"look": 10.0}, True), KEY)
         waiting, running, least = [], [], 0.0
@@ -295,8 +301,9 @@
             # One club's places follow each other without a gap, from its charge on: nobody is passed over for ever.
             for club in shares.backlogged:
                 at = max(shares.virtual, club.charged)
-                for rank, cost in sorted((shares.rank_ms(name), entry.cost) for name, entry in shares.open.items()
-                                         if entry in club.waiting):
+                for rank, cost in sorted(
+                    (shares.rank_ms(name), entry.cost) for name, entry in shares.open.items() if entry in club.waiting
+                ):
                     assert abs(rank - at) < 1e-6
                     at += cost / club.weight
 
--- a/tests/door/test_surges.py
+++ b/tests/door/test_surges.py
@@ -27,16 +27,22 @@
 CASES = {  # each second: times its share, and turned away; what is told, by the second
     "as it begins and ends, with what it cost": (
         [(0.9, 0), (5.9, 40), (8.0, 70), *[(1.0, 0)] * 2, (0.0, 0), (0.0, 0)],
-        {1: SurgeBegan("a", 5.9, 40), 5: SurgeEnded("a", 4000.0, 8.0, 110)}),
+        {1: SurgeBegan("a", 5.9, 40), 5: SurgeEnded("a", 4000.0, 8.0, 110)},
+    ),
     "not of a club within its share": ([(1.0, 30)] * 5, {}),
     "not of one past it that is served": ([(9.0, 0)] * 5, {}),
     "one that comes and goes by the second is one": (
         [(0.0, 0), (6.0, 50)] * 10 + [(0.0, 0)] * CALM,
-        {1: SurgeBegan("a", 6.0, 50), 19 + CALM: SurgeEnded("a", (18 + CALM) * 1000.0, 6.0, 500)}),
+        {1: SurgeBegan("a", 6.0, 50), 19 + CALM: SurgeEnded("a", (18 + CALM) * 1000.0, 6.0, 500)},
+    ),
     "one that goes on is told again by the minute": (
         [(6.0, 5)] * (1 + 2 * MINUTE),
-        {0: SurgeBegan("a", 6.0, 5), MINUTE: SurgeGoesOn("a", TOLD_MS, 6.0, 5 * (MINUTE + 1)),
-         2 * MINUTE: SurgeGoesOn("a", 2 * TOLD_MS, 6.0, 5 * (2 * MINUTE + 1))}),
+        {
+            0: SurgeBegan("a", 6.0, 5),
+            MINUTE: SurgeGoesOn("a", TOLD_MS, 6.0, 5 * (MINUTE + 1)),
+            2 * MINUTE: SurgeGoesOn("a", 2 * TOLD_MS, 6.0, 5 * (2 * MINUTE + 1)),
+        },
+    ),
 }
 
 
--- a/tests/fleet/test_hard_cases.py
+++ b/tests/fleet/test_hard_cases.py
@@ -30,8 +30,9 @@
 
 def held_outside(*names: str) -> str:
     """A key that none of these members holds."""
-    return next(key for key in (f"x{n}" for n in itertools.count())
-                if not set(names) & set(PLACED.holders((KEYED, key))))
+    return next(
+        key for key in (f"x{n}" for n in itertools.count()) if not set(names) & set(PLACED.holders((KEYED, key)))
+    )
 
 
 async def repeats(fleet: Fleet, key: str, but: tuple[str, ...] = ()) -> list:
@@ -152,6 +153,7 @@
         fleet.links["n1", "n3"].there = Fault(lost=True)  # n3 hears nothing of what n1 asks; n1 hears n3's questions
         fleet.links["n2", "n4"].back = Fault(lost=True)  # n4 hears n2's questions, and its answers are lost
         await asyncio.sleep(4.0)
+
     told = await under_load(fleet, ("n1", "n3"), cut())
     served = [one for one in told if one[1].status == one[2].status == 200]
     assert len(told) > 50 and len(served) > 0.8 * len(told)
@@ -168,6 +170,7 @@
             for link in fleet.between(["n1"], ["n2", "n3", "n4", "n5"]):
                 link.reset()
             await asyncio.sleep(0.15)
+
     told = await under_load(fleet, ("n2", "n4"), flap())
     assert len(told) > 50 and sum(one[1].status == one[2].status == 200 for one in told) > 0.8 * len(told)
     told = await under_load(fleet, ("n1", "n5"), flap())
@@ -184,8 +187,11 @@
     await asyncio.sleep(0.2)
     for number in range(6):  # the links are found silent by the first of these
         await fleet.ask("n1", f"w{number}")
-    new, again, read = (await fleet.ask("n1", held_outside("n1") + "-new"), await fleet.ask("n1", "k1", again=True),
-                        await fleet.ask("n1", None))
+    new, again, read = (
+        await fleet.ask("n1", held_outside("n1") + "-new"),
+        await fleet.ask("n1", "k1", again=True),
+        await fleet.ask("n1", None),
+    )
     assert (new.status, again.status, read.status) == (429, 500, 200)
     assert new.wait_ms
     fleet.heal()
@@ -301,16 +307,20 @@
 async def test_disks_that_fail_take_votes_away_and_no_promise(tmp_path):
     async with Fleet(tmp_path, HALLS, copies=COPIES, disks_fail=True) as fleet:
         await fleet.until_linked()
-        key = next(key for key in (f"x{n}" for n in itertools.count())
-                   if {"n2", "n4"} <= set(PLACED.holders((KEYED, key))))
+        key = next(
+            key for key in (f"x{n}" for n in itertools.count()) if {"n2", "n4"} <= set(PLACED.holders((KEYED, key)))
+        )
         before = await fleet.ask("n1", key)
         fleet.fail_disk("n2")
         one = [await fleet.ask("n3", f"a{number}") for number in range(20)]
         assert [answer.status for answer in one].count(200) == 20  # two of three holders go on
         fleet.fail_disk("n4")
         two = [await fleet.ask("n1", f"b{number}") for number in range(20)]
-        of_both = [answer.status for number, answer in enumerate(two)
-                   if {"n2", "n4"} <= set(PLACED.holders((KEYED, f"b{number}")))]
+        of_both = [
+            answer.status
+            for number, answer in enumerate(two)
+            if {"n2", "n4"} <= set(PLACED.holders((KEYED, f"b{number}")))
+        ]
         assert of_both and 200 not in of_both and {answer.status for answer in two} <= {200, 429, 500}
         for name in ("n2", "n4"):
             fleet.fail_disk(name, False)
--- a/tests/fleet/test_losses.py
+++ b/tests/fleet/test_losses.py
@@ -42,8 +42,9 @@
 
 async def test_operators_see_who_is_missing_and_what_may_have_run(tmp_path):
     async def command(*words: str) -> tuple[int, dict]:
-        process = await asyncio.create_subprocess_exec(sys.executable, "-m", "flintshift.cli", *words, "--json",
-                                                       stdout=asyncio.subprocess.PIPE)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "flintshift.cli", *words, "--json", stdout=asyncio.subprocess.PIPE
+        )
         out, _ = await process.communicate()
         return process.returncode, json.loads(out)
 
--- a/tests/fleet/test_use.py
+++ b/tests/fleet/test_use.py
@@ -99,13 +99,14 @@
                 await asyncio.sleep(0.02)
         taker = [told[0]["node"]]
         halls = {name: member.hall for name, member in fleet.members.items()}
-        other, = set(Placement(halls, 3).of_log("n1")) - {"n1", *taker}
+        (other,) = set(Placement(halls, 3).of_log("n1")) - {"n1", *taker}
 
         async def held() -> list[str]:
             return [one["role"] for one in await fleet._ledgers(other) if one.get("life") == told[0]["life"]]
 
         async def copies() -> dict[str, str]:
             return next((one["copies"] for one in await fleet._ledgers(taker[0]) if one["role"] == "took over"), {})
+
         await fleet.start("n1")  # a majority without the other one
         async with asyncio.timeout(10.0):
             while set((await copies()).values()) != {"following"}:
--- a/tests/handover/site.py
+++ b/tests/handover/site.py
@@ -28,11 +28,19 @@
     async def start(self, ready=True, tmpdir=None):
         await self.pool.start()
         self.control = free_ports(1)[0]
-        self.config.write_text(platform_file(
-            self.site.port, self.pool, self.site.vault, self.site.names, self.site.settings, control=self.control))
+        self.config.write_text(
+            platform_file(
+                self.site.port, self.pool, self.site.vault, self.site.names, self.site.settings, control=self.control
+            )
+        )
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "flintshift", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(tmpdir or self.site.folder)})
+            sys.executable,
+            "-m",
+            "flintshift",
+            cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(tmpdir or self.site.folder)},
+        )
         if ready:
             await self.until_ready()
         return self
--- a/tests/handover/test_model.py
+++ b/tests/handover/test_model.py
@@ -169,12 +169,26 @@
     def state(self):
         sides = []
         for side in self.sides:
-            entries = sorted((key, entry.owner, entry.outcome, entry.other, tuple(entry.followers))
-                             for key, entry in side.keys.entries.items())
+            entries = sorted(
+                (key, entry.owner, entry.outcome, entry.other, tuple(entry.followers))
+                for key, entry in side.keys.entries.items()
+            )
             pending = [(key, mine.owner, tuple(mine.waiting)) for key, mine in side.shared.agreement.pending.items()]
-            sides.append((side.phases.phase, side.phases.up, side.clients, tuple(side.out), tuple(entries),
-                          tuple(pending), tuple(sorted(side.running)), tuple(sorted(side.ran)),
-                          tuple(sorted(side.told.items())), side.alive, side.shared.unsure_until_ms > 0))
+            sides.append(
+                (
+                    side.phases.phase,
+                    side.phases.up,
+                    side.clients,
+                    tuple(side.out),
+                    tuple(entries),
+                    tuple(pending),
+                    tuple(sorted(side.running)),
+                    tuple(sorted(side.ran)),
+                    tuple(sorted(side.told.items())),
+                    side.alive,
+                    side.shared.unsure_until_ms > 0,
+                )
+            )
         return tuple(sides), tuple(self.tries), self.expires, self.notified
 
     def settled(self):
@@ -214,13 +228,16 @@
     return len(seen)
 
 
-@pytest.mark.parametrize(("tries", "refuses"), [
-    ([(0, "a"), (1, "b")], ()),
-    ([(0, "a"), (1, "b")], ("a",)),
-    ([(1, "a"), (0, "b")], ("a",)),
-    ([(0, "a"), (0, "b"), (1, "c")], ()),
-    ([(1, "a"), (1, "b"), (0, "c")], ("b",)),
-])
+@pytest.mark.parametrize(
+    ("tries", "refuses"),
+    [
+        ([(0, "a"), (1, "b")], ()),
+        ([(0, "a"), (1, "b")], ("a",)),
+        ([(1, "a"), (0, "b")], ("a",)),
+        ([(0, "a"), (0, "b"), (1, "c")], ()),
+        ([(1, "a"), (1, "b"), (0, "c")], ("b",)),
+    ],
+)
 def test_no_key_runs_twice_none_that_ran_is_refused_and_none_is_left_waiting(tries, refuses):
     assert explore(tries, refuses) > 100
 
--- a/tests/handover/test_words.py
+++ b/tests/handover/test_words.py
@@ -17,15 +17,20 @@
 from flintshift.wire.handover import Link
 from flintshift.wire.handover_words import FrameError, Unpacker, packed
 
-WORDS = [say.Hello(1), say.Known(("pay", "k"), "r1", 9e12, b"\x00\xff", Outcome.OK, bytes(range(256))),
-         say.Known(("pay", "k"), "r1", 9e12, b"", None, b""), say.Claimed(("pay", "ü"), "r2", 1.0, 2.0, b"p"),
-         say.Copied(), say.Load(0.5, 0.25, 0.0, 7)]
+WORDS = [
+    say.Hello(1),
+    say.Known(("pay", "k"), "r1", 9e12, b"\x00\xff", Outcome.OK, bytes(range(256))),
+    say.Known(("pay", "k"), "r1", 9e12, b"", None, b""),
+    say.Claimed(("pay", "ü"), "r2", 1.0, 2.0, b"p"),
+    say.Copied(),
+    say.Load(0.5, 0.25, 0.0, 7),
+]
 
 
 @pytest.mark.parametrize("size", [1, 3, 7, 64, 100_000])
 def test_words_in_pieces_of_any_size_are_what_was_sent(size):
     data, reader = b"".join(map(packed, WORDS)), Unpacker()
-    assert [word for at in range(0, len(data), size) for word in reader.feed(data[at:at + size])] == WORDS
+    assert [word for at in range(0, len(data), size) for word in reader.feed(data[at : at + size])] == WORDS
 
 
 @pytest.mark.anyio
@@ -56,20 +61,36 @@
     far.close()
 
 
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n", b"\x00\x00\x00\x01\xc1", b"\xff\xff\xff\xff", b"\x00\x00\x00\x00",
-    *(packed(WORDS[1]).replace(was, lie) for was, lie in (
-        (b"Known", b"Knows"), (b"\xa2ok", b"\xa2no"), (b"\xa2r1", b"\x07\x07\x07"))),
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n",
+        b"\x00\x00\x00\x01\xc1",
+        b"\xff\xff\xff\xff",
+        b"\x00\x00\x00\x00",
+        *(
+            packed(WORDS[1]).replace(was, lie)
+            for was, lie in ((b"Known", b"Knows"), (b"\xa2ok", b"\xa2no"), (b"\xa2r1", b"\x07\x07\x07"))
+        ),
+    ],
+)
 def test_what_is_no_word_or_not_of_its_types_is_refused_as_it_is_read(data):
     with pytest.raises(FrameError):
         Unpacker().feed(data)
 
 
-@pytest.mark.parametrize(("phase", "word"), [
-    ("alone", say.Yours()), ("alone", say.Ready()), ("giving", say.Yours()), ("serving", say.Hello(say.VERSION)),
-    ("asking", say.Copied()), ("shedding", say.Load(0.0, 0.0, 0.0, 0)), ("copying", say.Yours()),
-])
+@pytest.mark.parametrize(
+    ("phase", "word"),
+    [
+        ("alone", say.Yours()),
+        ("alone", say.Ready()),
+        ("giving", say.Yours()),
+        ("serving", say.Hello(say.VERSION)),
+        ("asking", say.Copied()),
+        ("shedding", say.Load(0.0, 0.0, 0.0, 0)),
+        ("copying", say.Yours()),
+    ],
+)
 def test_a_word_out_of_its_phase_changes_nothing_and_ends_the_link(phase, word):
     phases = Phases(False, 0.0, 0.0)
     phases.phase = say.Phase(phase)
@@ -80,9 +101,9 @@
 
 def test_another_version_is_told_by_both_sides_and_the_older_serves_on():
     older, younger = Phases(False, 0.0, 0.0), Phases(True, 0.0, 0.0)
-    answer, = older.handle(0.0, say.Hello(say.VERSION + 1))
+    (answer,) = older.handle(0.0, say.Hello(say.VERSION + 1))
     assert isinstance(answer, say.Send) and isinstance(answer.word, say.Welcome) and older.phase is say.Phase.ALONE
-    end, = younger.handle(0.0, say.Welcome(say.VERSION + 1, False))
+    (end,) = younger.handle(0.0, say.Welcome(say.VERSION + 1, False))
     assert isinstance(end, say.GiveUpStart) and f"version {say.VERSION + 1}" in end.cause
 
 
@@ -118,6 +139,5 @@
 def test_claims_that_are_never_answered_are_bounded_and_past_that_an_attempt_is_given_up_at_once():
     agreement = Agreement(2)
     claims = [say.Claimed(("pay", f"k{number}"), f"r{number}", 0.0, 1e6, b"") for number in range(3)]
-    assert [agreement.ask(claim, 1000.0) for claim in claims] == [
-        [Say(claims[0])], [Say(claims[1])], [GiveUp("r2")]]
+    assert [agreement.ask(claim, 1000.0) for claim in claims] == [[Say(claims[0])], [Say(claims[1])], [GiveUp("r2")]]
     assert agreement.expire(1000.0) == [GiveUp("r0"), GiveUp("r1")] and len(agreement.pending) == 2
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -15,9 +15,11 @@
 
 async def play(there: Fault, data: bytes, count: int, within: float = 0.4) -> tuple[bytes, float]:
     """What an echo behind the proxy sends back of the first `count` bytes, and after how many seconds."""
+
     async def echo(reader, writer):
         while piece := await reader.read(1000):
             writer.write(piece)
+
     server = await asyncio.start_server(echo, "127.0.0.1", 0)
     proxy = FaultProxy(free_ports(1)[0], server.sockets[0].getsockname()[1], 1)
     proxy.there = there
@@ -38,14 +40,17 @@
     return got, took
 
 
-@pytest.mark.parametrize(("there", "wanted", "least_s", "most_s"), [
-    (Fault(), b"0123456789", 0.0, 0.3),
-    (Fault(delay_ms=100, jitter_ms=20), b"0123456789", 0.1, 0.4),
-    (Fault(lost=True), b"", 0.4, 9),
-    (Fault(drip=40), b"0123456789", 0.2, 9),
-    (Fault(twice=True), b"01234567890123456789", 0.0, 0.3),
-    (Fault(cut_after=4), b"", 0.0, 0.3),  # the reset takes with it what the echo had not sent
-])
+@pytest.mark.parametrize(
+    ("there", "wanted", "least_s", "most_s"),
+    [
+        (Fault(), b"0123456789", 0.0, 0.3),
+        (Fault(delay_ms=100, jitter_ms=20), b"0123456789", 0.1, 0.4),
+        (Fault(lost=True), b"", 0.4, 9),
+        (Fault(drip=40), b"0123456789", 0.2, 9),
+        (Fault(twice=True), b"01234567890123456789", 0.0, 0.3),
+        (Fault(cut_after=4), b"", 0.0, 0.3),  # the reset takes with it what the echo had not sent
+    ],
+)
 async def test_faults(there, wanted, least_s, most_s):
     got, took = await play(there, b"0123456789", len(wanted) or 1, within=1.0 if there.drip else 0.4)
     assert got == wanted or (there.cut_after >= 0 and len(got) <= 4)
--- a/tests/lab/test_history.py
+++ b/tests/lab/test_history.py
@@ -18,8 +18,13 @@
 )
 
 A1, A2 = "a1", "a2"
-GOOD = [Asked(0, A1, "k", b"x", "n1"), Ran(5, A1, "n1"), Answered(10, A1, 200, result_of(A1)),
-        Asked(20, A2, "k", b"x", "n2"), Answered(30, A2, 200, result_of(A1))]
+GOOD = [
+    Asked(0, A1, "k", b"x", "n1"),
+    Ran(5, A1, "n1"),
+    Answered(10, A1, 200, result_of(A1)),
+    Asked(20, A2, "k", b"x", "n2"),
+    Answered(30, A2, 200, result_of(A1)),
+]
 CASES = {
     "second run": [*GOOD[:4], Ran(25, A2, "n2"), Answered(30, A2, 200, result_of(A1))],
     "refused after a run": [*GOOD[:4], Answered(30, A2, 429, b"")],
@@ -39,26 +44,52 @@
     assert set(told.by_promise()) <= {what, "second run"}  # two results come of two runs
 
 
-@pytest.mark.parametrize("events", [
-    GOOD,
-    [*GOOD[:4], Answered(30, A2, 500, b"")],  # failed is no refusal
-    [*GOOD[:4], Broke(30, A2), Died(25, "n2")],  # its member died
-    [*GOOD[:4], Answered(30, A2, 409, b"")],
-    [GOOD[0], Answered(4, A1, 429, b""), *GOOD[3:4], Ran(25, A2, "n2"), Answered(30, A2, 200, result_of(A2))],
-    [*GOOD[:3], Asked(8200, A2, "k", b"x", "n2"), Ran(8201, A2, "n2"), Answered(8202, A2, 500, b"")],  # past the window
-    [*GOOD[:2], Ran(7, A1, "n1"), *GOOD[2:]],  # told again over a new link
-])
+@pytest.mark.parametrize(
+    "events",
+    [
+        GOOD,
+        [*GOOD[:4], Answered(30, A2, 500, b"")],  # failed is no refusal
+        [*GOOD[:4], Broke(30, A2), Died(25, "n2")],  # its member died
+        [*GOOD[:4], Answered(30, A2, 409, b"")],
+        [GOOD[0], Answered(4, A1, 429, b""), *GOOD[3:4], Ran(25, A2, "n2"), Answered(30, A2, 200, result_of(A2))],
+        [
+            *GOOD[:3],
+            Asked(8200, A2, "k", b"x", "n2"),
+            Ran(8201, A2, "n2"),
+            Answered(8202, A2, 500, b""),
+        ],  # past the window
+        [*GOOD[:2], Ran(7, A1, "n1"), *GOOD[2:]],  # told again over a new link
+    ],
+)
 def test_what_keeps_all_promises_passes(events):
     assert judge(events, 8000, 1500).broken == []
 
 
-@pytest.mark.parametrize(("booked", "doubted", "broken"), [
-    (2, [], []), (3, [], []), (1, [A1], []), (2, [A1], []), (1, [], ["use lost"]), (0, [A1], ["use lost"]),
-    (4, [], ["use doubled"]), (3, [A1], ["use doubled"]), (1, [A1, A1], ["use doubled"]),
-])
+@pytest.mark.parametrize(
+    ("booked", "doubted", "broken"),
+    [
+        (2, [], []),
+        (3, [], []),
+        (1, [A1], []),
+        (2, [A1], []),
+        (1, [], ["use lost"]),
+        (0, [A1], ["use lost"]),
+        (4, [], ["use doubled"]),
+        (3, [A1], ["use doubled"]),
+        (1, [A1, A1], ["use doubled"]),
+    ],
+)
 def test_use_is_billed_to_the_unit_or_that_is_seen(booked, doubted, broken):
-    members = used([*GOOD[:4], Answered(30, A2, 200, b""), Asked(40, "a3", None, b"", "n1"), Broke(50, "a3"),
-                    Asked(60, "a4", None, b"", "n1"), Answered(61, "a4", 429, b"")])
+    members = used(
+        [
+            *GOOD[:4],
+            Answered(30, A2, 200, b""),
+            Asked(40, "a3", None, b"", "n1"),
+            Broke(50, "a3"),
+            Asked(60, "a4", None, b"", "n1"),
+            Answered(61, "a4", 429, b""),
+        ]
+    )
     del members["n2"]
     assert [one.what for one in judge_use(members, {"n1": booked}, {"n1": doubted})] == broken
     assert {one for one in PROMISES if one.startswith("use ")} == {"use lost", "use doubled"}
--- a/tests/lab/test_rig.py
+++ b/tests/lab/test_rig.py
@@ -18,7 +18,7 @@
 
 
 def test_a_port_of_a_member_that_is_down_goes_to_no_other_rig():
-    port, = free_ports(1)  # nobody listens there
+    (port,) = free_ports(1)  # nobody listens there
     told = subprocess.run([sys.executable, "-c", CODE.format(first=port)], capture_output=True, text=True, check=True)
     assert told.stdout.strip() == "taken"
     assert port in port_range()
--- a/tests/peers/test_members.py
+++ b/tests/peers/test_members.py
@@ -64,8 +64,13 @@
 def test_the_ring_takes_halls_in_turn_and_beats_are_three_a_member():
     assert ring(HALLS) == ["n1", "n3", "n5", "n2", "n4"]
     fleet = Fleet()
-    beats = [action for _ in range(20) for heart in fleet.hearts.values()
-             for action in heart.handle(fleet.now, Tick()) if isinstance(action, Beat)]
+    beats = [
+        action
+        for _ in range(20)
+        for heart in fleet.hearts.values()
+        for action in heart.handle(fleet.now, Tick())
+        if isinstance(action, Beat)
+    ]
     assert len(beats) == 3 * len(HALLS)  # one period, however often the clock ticks in it
 
 
@@ -106,8 +111,11 @@
     fleet.until(5000)
     fleet.silent.clear()
     fleet.until(6000)
-    assert all(fleet.hearts[name].lives("n2#1", fleet.now) for name in ("n1", "n3", "n4", "n5") if (
-        name in fleet.hearts["n2"].watchers["n2"]))
+    assert all(
+        fleet.hearts[name].lives("n2#1", fleet.now)
+        for name in ("n1", "n3", "n4", "n5")
+        if (name in fleet.hearts["n2"].watchers["n2"])
+    )
     fleet.silent.add("n2")
     fleet.until(9000)
     fleet.silent.clear()
--- a/tests/settings/test_operators.py
+++ b/tests/settings/test_operators.py
@@ -30,17 +30,28 @@
 
 
 def test_units_become_base_values_and_folders_stand_beside_the_file():
-    usage = parse("f.yaml", "usage: {enabled: true, folder: u, period: 1.5h, sync: 10ms, segment: 64kB}",
-                  Path("/srv")).usage
+    usage = parse(
+        "f.yaml", "usage: {enabled: true, folder: u, period: 1.5h, sync: 10ms, segment: 64kB}", Path("/srv")
+    ).usage
     assert usage is not None
     assert (usage.folder, usage.period_ms, usage.sync_ms, usage.segment_bytes) == (
-        Path("/srv/u"), 5_400_000, 10.0, 64_000)
+        Path("/srv/u"),
+        5_400_000,
+        10.0,
+        64_000,
+    )
     assert usage.export is None
 
 
-@pytest.mark.parametrize(("text", "sync_ms"), [
-    ("", 50.0), (", durability: power-cut", 5.0), (", durability: power-cut, sync: 20ms", 20.0),
-    (", sync: 1s", 1000.0)])
+@pytest.mark.parametrize(
+    ("text", "sync_ms"),
+    [
+        ("", 50.0),
+        (", durability: power-cut", 5.0),
+        (", durability: power-cut, sync: 20ms", 20.0),
+        (", sync: 1s", 1000.0),
+    ],
+)
 def test_the_sync_follows_the_durability_unless_it_is_given(text, sync_ms):
     usage = parse("f.yaml", f"usage: {{enabled: true{text}}}", Path()).usage
     assert usage is not None and usage.sync_ms == sync_ms
@@ -72,20 +83,26 @@
     ]
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("usage: [", "f.yaml:1:9: no YAML 1.2: "),
-    ("a: 1\na: 2", "f.yaml:2:1: no YAML 1.2: found duplicate key"),
-    ("- a", "f.yaml:1:1: expected keys with values"),
-    ("usage: {export: {}}", "f.yaml:1:9: usage.export: expected a folder, http, or both"),
-    ("usage: {export: {folder: x, backoff: 2s, backoff-most: 1s}}", "usage.export.backoff: expected no more"),
-    ("usage: 5", "f.yaml:1:1: usage: expected keys with values, found 5"),
-    ("uwsgi: {listen: '10.0.0.1:1'}", "10.0.0.1 is no loopback address"),
-    ("uwsgi: {listen: 'here'}", "expected host:port with a loopback host"),
-    ("usage: {enabled: true, period: 1s, grace: 1h}", "usage.grace: expected at most 31 periods"),
-    ("usage: {durability: power-cut, sync: 101ms}", "f.yaml:1:32: usage.sync: expected at most 100ms with durability"),
-    ("usage: {period: 1000.5ms}", "expected a whole number of milliseconds"),
-    ("x: &a [*a]", "unknown key"),
-])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("usage: [", "f.yaml:1:9: no YAML 1.2: "),
+        ("a: 1\na: 2", "f.yaml:2:1: no YAML 1.2: found duplicate key"),
+        ("- a", "f.yaml:1:1: expected keys with values"),
+        ("usage: {export: {}}", "f.yaml:1:9: usage.export: expected a folder, http, or both"),
+        ("usage: {export: {folder: x, backoff: 2s, backoff-most: 1s}}", "usage.export.backoff: expected no more"),
+        ("usage: 5", "f.yaml:1:1: usage: expected keys with values, found 5"),
+        ("uwsgi: {listen: '10.0.0.1:1'}", "10.0.0.1 is no loopback address"),
+        ("uwsgi: {listen: 'here'}", "expected host:port with a loopback host"),
+        ("usage: {enabled: true, period: 1s, grace: 1h}", "usage.grace: expected at most 31 periods"),
+        (
+            "usage: {durability: power-cut, sync: 101ms}",
+            "f.yaml:1:32: usage.sync: expected at most 100ms with durability",
+        ),
+        ("usage: {period: 1000.5ms}", "expected a whole number of milliseconds"),
+        ("x: &a [*a]", "unknown key"),
+    ],
+)
 def test_a_fault_is_named(text, told):
     assert told in "\n".join(faults(text))
 
@@ -98,14 +115,12 @@
         read(tmp_path / "latin.yaml")
 
 
-@pytest.mark.parametrize(("text", "ms"), [
-    ("28s", 28_000), ("10ms", 10), ("1.5 min", 90_000), ("31d", 2_678_400_000)])
+@pytest.mark.parametrize(("text", "ms"), [("28s", 28_000), ("10ms", 10), ("1.5 min", 90_000), ("31d", 2_678_400_000)])
 def test_durations(text, ms):
     assert units.duration_ms(text) == ms
 
 
-@pytest.mark.parametrize("text", [
-    "", "s", "-1s", "1e3s", "1 fortnight", "1s2", "9" * 20 + "s", None, 5, True])
+@pytest.mark.parametrize("text", ["", "s", "-1s", "1e3s", "1 fortnight", "1s2", "9" * 20 + "s", None, 5, True])
 def test_what_is_no_duration(text):
     with pytest.raises(ValueError, match="expected a number with one of"):
         units.duration_ms(text)
@@ -121,27 +136,52 @@
 def test_the_node_without_a_file_imports_no_reader_and_no_part_that_is_off():
     listed = subprocess.run(
         [sys.executable, "-c", "import sys, flintshift.__main__; print(*sys.modules)"],
-        cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
-    off = ("dns", "ruamel", "pydantic", "structlog", "msgspec", "click", "google", "httpx",
-           "flintshift.usage", "flintshift.storage", "flintshift.settings.operators", "flintshift.wire.dnssd")
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout.split()
+    off = (
+        "dns",
+        "ruamel",
+        "pydantic",
+        "structlog",
+        "msgspec",
+        "click",
+        "google",
+        "httpx",
+        "flintshift.usage",
+        "flintshift.storage",
+        "flintshift.settings.operators",
+        "flintshift.wire.dnssd",
+    )
     assert not [name for name in listed if name in off or name.startswith(tuple(f"{part}." for part in off))]
 
 
 MEMBERS = "members: {n1: {hall: a, address: '127.0.0.1:1'}, n2: {hall: b, address: '127.0.0.1:2'}}"
 
 
-@pytest.mark.parametrize(("text", "wanted"), [
-    ("peers: {enabled: true}", "at least two members"),
-    (f"copies: {{enabled: true}}\npeers: {{{MEMBERS}}}", "peers.enabled too"),
-    (f"copies: {{enabled: true, copies: 5}}\npeers: {{enabled: true, {MEMBERS}}}", "at most the 2 members"),
-    (f"peers: {{enabled: true, {MEMBERS}, lease: 300ms}}", "at least three times peers.beat"),
-    ("peers: {enabled: true, members: {n1: {hall: a, address: '127.0.0.1:1'}, n2: {hall: b, address: '127.0.0.1:1'}}}",
-     "another member has it too"),
-    ("peers: {members: {n1: {hall: a, address: '10.0.0.1:1'}}}", "peers.members.n1.address"),
-    ("startup: {enabled: true, at-once: 4}", "f.yaml:1:26: startup.at-once: expected peers.enabled and copies.enabled"),
-    (f"peers: {{enabled: true, {MEMBERS}}}\nstartup: {{enabled: true, at-once: 4}}", "startup.at-once"),
-    ("startup: {enabled: true, at-once: 0}", "startup.at-once"),
-])
+@pytest.mark.parametrize(
+    ("text", "wanted"),
+    [
+        ("peers: {enabled: true}", "at least two members"),
+        (f"copies: {{enabled: true}}\npeers: {{{MEMBERS}}}", "peers.enabled too"),
+        (f"copies: {{enabled: true, copies: 5}}\npeers: {{enabled: true, {MEMBERS}}}", "at most the 2 members"),
+        (f"peers: {{enabled: true, {MEMBERS}, lease: 300ms}}", "at least three times peers.beat"),
+        (
+            "peers: {enabled: true, members: "
+            "{n1: {hall: a, address: '127.0.0.1:1'}, n2: {hall: b, address: '127.0.0.1:1'}}}",
+            "another member has it too",
+        ),
+        ("peers: {members: {n1: {hall: a, address: '10.0.0.1:1'}}}", "peers.members.n1.address"),
+        (
+            "startup: {enabled: true, at-once: 4}",
+            "f.yaml:1:26: startup.at-once: expected peers.enabled and copies.enabled",
+        ),
+        (f"peers: {{enabled: true, {MEMBERS}}}\nstartup: {{enabled: true, at-once: 4}}", "startup.at-once"),
+        ("startup: {enabled: true, at-once: 0}", "startup.at-once"),
+    ],
+)
 def test_faults_of_peers_and_copies_are_named(text, wanted):
     assert any(wanted in fault for fault in faults(text))
 
--- a/tests/settings/test_shape.py
+++ b/tests/settings/test_shape.py
@@ -34,26 +34,59 @@
 DEADLINE = "settings.classes.0.deadlineMs"
 
 
-@pytest.mark.parametrize(("path", "value"), [
-    *((DEADLINE, value) for value in (0, -5, 0.0, math.nan, math.inf, -math.inf, True, "900", None, [], {})),
-    *((f"settings.classes.3.{name}", NONE) for name in ("name", "onTimeMs", "deadlineMs", "worth", "effect",
-                                                        "repeatWindowMs")),
-    ("settings.classes.0.onTimeMs", -1), ("settings.classes.0.worth", "1"), ("settings.classes.0.effect", "both"),
-    ("settings.classes.0.name", "a/b"), ("settings.classes.0.name", ""), ("settings.classes.1.name", "race-results"),
-    ("settings.classes.3.repeatWindowMs", 0), ("settings.classes.0", 7), ("settings.classes", {}),
-    ("settings.classes", []), ("settings.classes", "race-results"),
-    ("settings.familyInfo.callsByClass", [True]), ("settings.familyInfo.classSkipWorth", [0.5, 0, 0, 0, 0]),
-    ("settings.familyInfo.classSkipWorth", ["x", 0, 0, 0]),
-    ("settings.familyInfo.nCores", 0), ("settings.familyInfo.nCores", 1.5), ("settings.familyInfo.ramKb", -1.0),
-    ("settings.familyInfo.halt", "never"), ("settings.familyInfo.deepChecks", 1), ("settings.familyInfo", NONE),
-    ("settings.rules.fallMultiple", 0), ("settings.rules.drainGraceMs", -1), ("settings.rules", NONE),
-    ("settings.tenants.0.quotaPerS", "many"), ("settings.tenants.1.name", "muscat-striders"),
-    ("settings.tenants", 5), ("settings.groupSize", 0), ("settings", NONE), ("settings", []),
-    *((name, value) for name in ("listen", "pool", "vault", "naming")
-      for value in (NONE, "nowhere", "a:0", "a:70000", 9)),
-    ("control", "door"), ("stop_ms", "soon"), ("stop_ms", NONE), ("seed", "xyz"), ("name", NONE), ("name", 7),
-    ("limits", 1), ("limits.memory_mb", 0), ("limits.sockets", 1.5),
-])
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        *((DEADLINE, value) for value in (0, -5, 0.0, math.nan, math.inf, -math.inf, True, "900", None, [], {})),
+        *(
+            (f"settings.classes.3.{name}", NONE)
+            for name in ("name", "onTimeMs", "deadlineMs", "worth", "effect", "repeatWindowMs")
+        ),
+        ("settings.classes.0.onTimeMs", -1),
+        ("settings.classes.0.worth", "1"),
+        ("settings.classes.0.effect", "both"),
+        ("settings.classes.0.name", "a/b"),
+        ("settings.classes.0.name", ""),
+        ("settings.classes.1.name", "race-results"),
+        ("settings.classes.3.repeatWindowMs", 0),
+        ("settings.classes.0", 7),
+        ("settings.classes", {}),
+        ("settings.classes", []),
+        ("settings.classes", "race-results"),
+        ("settings.familyInfo.callsByClass", [True]),
+        ("settings.familyInfo.classSkipWorth", [0.5, 0, 0, 0, 0]),
+        ("settings.familyInfo.classSkipWorth", ["x", 0, 0, 0]),
+        ("settings.familyInfo.nCores", 0),
+        ("settings.familyInfo.nCores", 1.5),
+        ("settings.familyInfo.ramKb", -1.0),
+        ("settings.familyInfo.halt", "never"),
+        ("settings.familyInfo.deepChecks", 1),
+        ("settings.familyInfo", NONE),
+        ("settings.rules.fallMultiple", 0),
+        ("settings.rules.drainGraceMs", -1),
+        ("settings.rules", NONE),
+        ("settings.tenants.0.quotaPerS", "many"),
+        ("settings.tenants.1.name", "muscat-striders"),
+        ("settings.tenants", 5),
+        ("settings.groupSize", 0),
+        ("settings", NONE),
+        ("settings", []),
+        *(
+            (name, value)
+            for name in ("listen", "pool", "vault", "naming")
+            for value in (NONE, "nowhere", "a:0", "a:70000", 9)
+        ),
+        ("control", "door"),
+        ("stop_ms", "soon"),
+        ("stop_ms", NONE),
+        ("seed", "xyz"),
+        ("name", NONE),
+        ("name", 7),
+        ("limits", 1),
+        ("limits.memory_mb", 0),
+        ("limits.sockets", 1.5),
+    ],
+)
 def test_each_fault_is_told_by_its_path(path, value):
     told = changed(path, value)
     with pytest.raises(ConfigError) as found:
@@ -85,8 +118,10 @@
 
 def test_a_dropped_class_is_taken_a_while_then_known_for_its_window_then_forgotten():
     limits = Limits(dropped_ms=2500.0, key_late_ms=5000.0, lost_run_ms=100.0, dropped_classes=2)
-    now, later = (made(told, "FILE", Operators()).settings for told in (
-        configuration(), changed("settings.classes.3.name", "submit-time-next")))
+    now, later = (
+        made(told, "FILE", Operators()).settings
+        for told in (configuration(), changed("settings.classes.3.name", "submit-time-next"))
+    )
     book = Catalogue(now, limits)
     assert book.takes("submit-time", 0) and not book.takes("submit-time-next", 0)
     assert book.change(later, 0) is None
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -22,14 +22,32 @@
 SETTINGS = {
     "classes": [
         {"name": "race-results", "onTimeMs": 900.0, "deadlineMs": 1500.0, "worth": 1.0, "effect": "safe"},
-        {"name": "submit-time", "onTimeMs": 900.0, "deadlineMs": 1500.0, "worth": 1.0, "effect": "keyed",
-         "lateWorth": 0.2, "repeatWindowMs": 8000.0},
+        {
+            "name": "submit-time",
+            "onTimeMs": 900.0,
+            "deadlineMs": 1500.0,
+            "worth": 1.0,
+            "effect": "keyed",
+            "lateWorth": 0.2,
+            "repeatWindowMs": 8000.0,
+        },
     ],
     "familyInfo": {
-        "nCores": 2, "ramKb": 40000.0, "runFactor": 8.0, "callsByClass": [True, True],
-        "classSkipWorth": [0.5, 0.0], "callShare": 50.0, "callsOverMs": 5000.0, "entryKb": 1.0,
-        "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"], "idleMs": 30000.0, "deepChecks": True,
-        "upstreams": 2, "halt": "none", "say": "threshold", "lingerMs": 10.0,
+        "nCores": 2,
+        "ramKb": 40000.0,
+        "runFactor": 8.0,
+        "callsByClass": [True, True],
+        "classSkipWorth": [0.5, 0.0],
+        "callShare": 50.0,
+        "callsOverMs": 5000.0,
+        "entryKb": 1.0,
+        "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"],
+        "idleMs": 30000.0,
+        "deepChecks": True,
+        "upstreams": 2,
+        "halt": "none",
+        "say": "threshold",
+        "lingerMs": 10.0,
     },
     "rules": {"fallMultiple": 5.0, "drainGraceMs": 300.0},
     "limits": {"retryAfter": True, "maxRetryAfterMs": 1000.0},
@@ -49,23 +67,38 @@
 
 def job(class_name="submit-time", **changes):
     """The fields of a request; a change to None leaves a field out."""
-    fields = {"X-Job-Id": f"{next(ids):016x}", "X-Door-Time": str(int(time.time() * 1000)), "X-Sender": "1",
-              "X-Team": "muscat-striders", "X-Ram-Kb": "20.5", "X-Precedence": "0.5", **changes}
+    fields = {
+        "X-Job-Id": f"{next(ids):016x}",
+        "X-Door-Time": str(int(time.time() * 1000)),
+        "X-Sender": "1",
+        "X-Team": "muscat-striders",
+        "X-Ram-Kb": "20.5",
+        "X-Precedence": "0.5",
+        **changes,
+    }
     if class_name == "submit-time" and "X-Unique" not in changes:
         fields["X-Unique"] = f"key{next(ids)}"
     return {name: value for name, value in fields.items() if value is not None}
 
 
 def http_bytes(class_name, body, fields, method="POST", path=None):
-    lines = [f"{method} {path or '/call/' + class_name} HTTP/1.1", "Host: api.internal",
-             *(f"{name}: {value}" for name, value in {"Content-Length": len(body), **fields}.items()), "", ""]
+    lines = [
+        f"{method} {path or '/call/' + class_name} HTTP/1.1",
+        "Host: api.internal",
+        *(f"{name}: {value}" for name, value in {"Content-Length": len(body), **fields}.items()),
+        "",
+        "",
+    ]
     return "\r\n".join(lines).encode() + body
 
 
 def uwsgi_bytes(class_name, body, fields, method="POST", path=None):
-    variables = {"REQUEST_METHOD": method, "PATH_INFO": path or f"/call/{class_name}",
-                 "CONTENT_LENGTH": str(len(body)),
-                 **{"HTTP_" + name.upper().replace("-", "_"): value for name, value in fields.items()}}
+    variables = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path or f"/call/{class_name}",
+        "CONTENT_LENGTH": str(len(body)),
+        **{"HTTP_" + name.upper().replace("-", "_"): value for name, value in fields.items()},
+    }
     return uwsgi.pack(variables.items()) + body
 
 
@@ -113,9 +146,16 @@
 
 def platform_file(http, pool, vault, names, settings, control=None, stop_ms=3000.0):
     at = {"listen": http, "control": control, "pool": pool.port, "vault": vault.port, "naming": names.port}
-    return json.dumps({
-        **{name: f"127.0.0.1:{port}" for name, port in at.items() if port}, "name": "n3", "seed": "8c1f30d27a5be964",
-        "stop_ms": stop_ms, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": settings})
+    return json.dumps(
+        {
+            **{name: f"127.0.0.1:{port}" for name, port in at.items() if port},
+            "name": "n3",
+            "seed": "8c1f30d27a5be964",
+            "stop_ms": stop_ms,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": settings,
+        }
+    )
 
 
 @dataclass
@@ -138,20 +178,45 @@
         self.ports = dict(zip((*BYTES, "control"), free_ports(3), strict=True))
         self.config, desks = self.folder / "config.json", self.folder / "flintshift.yaml"
         self.configure()
-        desks.write_text("\n".join((
-            "uwsgi:", "  enabled: true", f"  listen: 127.0.0.1:{self.ports['uwsgi']}",
-            f"  resolver: 127.0.0.1:{self.dns.port}", "  domain: desks.example", self.more_settings)))
+        desks.write_text(
+            "\n".join(
+                (
+                    "uwsgi:",
+                    "  enabled: true",
+                    f"  listen: 127.0.0.1:{self.ports['uwsgi']}",
+                    f"  resolver: 127.0.0.1:{self.dns.port}",
+                    "  domain: desks.example",
+                    self.more_settings,
+                )
+            )
+        )
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "flintshift", "--settings", str(desks), cwd=ROOT,
-            env={**os.environ, "LB_CONFIG": str(self.config)}, stderr=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "flintshift",
+            "--settings",
+            str(desks),
+            cwd=ROOT,
+            env={**os.environ, "LB_CONFIG": str(self.config)},
+            stderr=asyncio.subprocess.PIPE,
+        )
         await self.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
         await self.dns.log.until(lambda entry: entry[0] == "update")
         await self.dns.log.until(lambda entry: entry == ("query", "app1.desks.example. IN AAAA"))
         return self
 
     def configure(self):
-        self.config.write_text(platform_file(self.ports["http"], self.pool, self.vault, self.names, self.settings,
-                                             self.ports["control"] if self.control else None, self.stop_ms))
+        self.config.write_text(
+            platform_file(
+                self.ports["http"],
+                self.pool,
+                self.vault,
+                self.names,
+                self.settings,
+                self.ports["control"] if self.control else None,
+                self.stop_ms,
+            )
+        )
 
     async def __aexit__(self, *_):
         if self.process.returncode is None:
--- a/tests/startup/test_permits.py
+++ b/tests/startup/test_permits.py
@@ -29,8 +29,13 @@
         return identity not in self.down
 
     def reach(self, name: str) -> set[str]:
-        return {other for other in self.names if other not in self.down | self.asleep
-                and (name, other) not in self.deaf and (other, name) not in self.deaf}
+        return {
+            other
+            for other in self.names
+            if other not in self.down | self.asleep
+            and (name, other) not in self.deaf
+            and (other, name) not in self.deaf
+        }
 
     def step(self, by_ms: float = 20.0) -> None:
         self.now += by_ms
@@ -68,7 +73,7 @@
 def test_a_holder_that_dies_frees_its_permit():
     fleet = Fleet(6, at_once=1)
     fleet.until(100.0)
-    first, = fleet.went
+    (first,) = fleet.went
     fleet.down.add(first)
     fleet.until(600.0)
     assert len(fleet.went) == 2
@@ -77,7 +82,7 @@
 def test_a_holder_that_is_paused_past_its_lease_loses_the_permit_and_goes_on_when_it_wakes():
     fleet = Fleet(6, at_once=1)
     fleet.until(100.0)
-    first, = fleet.went
+    (first,) = fleet.went
     fleet.asleep.add(first)
     fleet.until(PACE.lease_ms + 600.0)
     assert len(fleet.went) >= 2
@@ -152,8 +157,10 @@
 def test_members_in_reach_that_do_not_answer_are_passed_over_and_two_of_them_hold_up_nobody():
     names = tuple(f"n{number}" for number in range(6))
     first, second, *_, last = order(names)
-    for mute, asked, most_ms in (({first}, second, PACE.alone_ms + 500.0),
-                                 ({first, second}, None, 2 * PACE.alone_ms + 900.0)):
+    for mute, asked, most_ms in (
+        ({first}, second, PACE.alone_ms + 500.0),
+        ({first, second}, None, 2 * PACE.alone_ms + 900.0),
+    ):
         starter, granter = Starter(last, names, random.Random(1).uniform), Granter(1, lambda identity: True)
         now, went = 0.0, []
         while not went and now < 60_000.0:
@@ -161,9 +168,11 @@
                 if isinstance(action, Go):
                     went.append((now, action.cause))
                 elif action.to not in mute:
-                    went += [(now, one.cause) for one in starter.told(now, action.to,
-                                                                      granter.asked(now, last, action.word))]
+                    went += [
+                        (now, one.cause) for one in starter.told(now, action.to, granter.asked(now, last, action.word))
+                    ]
             now += 20.0
         assert went[0][0] <= most_ms
-        assert went[0][1] == (f"{asked} has granted a permit" if asked else
-                              f"{' and '.join(sorted(mute))} do not answer")
+        assert went[0][1] == (
+            f"{asked} has granted a permit" if asked else f"{' and '.join(sorted(mute))} do not answer"
+        )
--- a/tests/startup/test_reports.py
+++ b/tests/startup/test_reports.py
@@ -86,8 +86,10 @@
     for seed in (1, 2, 3):
         told = play(300, seed, outage_s=0.0, collapse=True)
         assert told.listed_ms is not None and told.collapses == 0 and told.load_at_end <= 1.05, f"seed {seed}"
-    storms = [play(300, 1, outage_s=0.0, collapse=True, before=True),  # nor where the longest wait were 1.6 s
-              play(300, 1, outage_s=0.0, collapse=True, longest_ms=1600.0)]
+    storms = [
+        play(300, 1, outage_s=0.0, collapse=True, before=True),  # nor where the longest wait were 1.6 s
+        play(300, 1, outage_s=0.0, collapse=True, longest_ms=1600.0),
+    ]
     assert [one.listed_ms for one in storms] == [None, None] and storms[0].load_at_end > 5.0
 
 
@@ -102,9 +104,13 @@
 
 def test_the_experiment_is_a_command_with_json_and_exit_codes():
     def command(*words):
-        done = subprocess.run([sys.executable, "-m", "flintshift.cli", "lab", "coldstart", "--json", *words],
-                              capture_output=True, text=True)
+        done = subprocess.run(
+            [sys.executable, "-m", "flintshift.cli", "lab", "coldstart", "--json", *words],
+            capture_output=True,
+            text=True,
+        )
         return done.returncode, done.stdout
+
     code, out = command("--nodes", "200", "--fault", "outage")
     told = {one["version"]: one for one in json.loads(out)["plays"]}
     assert code == 0 and told["now"]["collapses"] == 0 and told["before"]["collapses"] == 1
--- a/tests/startup/test_starts.py
+++ b/tests/startup/test_starts.py
@@ -27,7 +27,7 @@
     assert start.handle(10.0, NOTHING) == [] and not start.ready
     assert phases_of(start.handle(100.0, BOUND)) == [Phase.BOUND]
     assert start.handle(150.0, BOUND) == [] and not start.ready
-    restored, = start.handle(300.0, LINKED)
+    (restored,) = start.handle(300.0, LINKED)
     assert restored == Entered(Phase.RESTORED, 200.0, ("the worker pool",)) and start.ready
     assert phases_of(start.handle(400.0, REPORTED)) == [Phase.LISTED, Phase.RAMPING]
     assert start.handle(899.0, REPORTED) == []
@@ -38,9 +38,14 @@
     assert phases_of(Phases(0.0).handle(5.0, REPORTED)) == [Phase.BOUND, Phase.RESTORED, Phase.LISTED, Phase.STEADY]
 
 
-@pytest.mark.parametrize(("seen", "phase", "late_ms", "waits_for"), [
-    (NOTHING, Phase.ALONE, 6000.0, "its addresses"), (BOUND, Phase.BOUND, 20_000.0, "the worker pool"),
-    (LINKED, Phase.RESTORED, 4000.0, "a list service that takes a report")])
+@pytest.mark.parametrize(
+    ("seen", "phase", "late_ms", "waits_for"),
+    [
+        (NOTHING, Phase.ALONE, 6000.0, "its addresses"),
+        (BOUND, Phase.BOUND, 20_000.0, "the worker pool"),
+        (LINKED, Phase.RESTORED, 4000.0, "a list service that takes a report"),
+    ],
+)
 def test_a_phase_past_its_bound_is_told_once_and_goes_on(seen, phase, late_ms, waits_for):
     start = Phases(0.0)
     start.handle(0.0, seen)
@@ -61,10 +66,19 @@
     return CrashLoop([Life(number * every_ms, one) for number, one in enumerate(well)])
 
 
-@pytest.mark.parametrize(("before", "failures", "least", "most"), [
-    ((), 0, 0, 0), ((False,), 1, 0, 0), ((False, False), 2, 0, 0), ((False,) * 3, 3, 1000, 2000),
-    ((False,) * 5, 5, 4000, 8000), ((False,) * 16, 16, 30_000, 60_000), ((False, True, False), 1, 0, 0),
-    ((True, False, False, False), 3, 1000, 2000)])
+@pytest.mark.parametrize(
+    ("before", "failures", "least", "most"),
+    [
+        ((), 0, 0, 0),
+        ((False,), 1, 0, 0),
+        ((False, False), 2, 0, 0),
+        ((False,) * 3, 3, 1000, 2000),
+        ((False,) * 5, 5, 4000, 8000),
+        ((False,) * 16, 16, 30_000, 60_000),
+        ((False, True, False), 1, 0, 0),
+        ((True, False, False, False), 3, 1000, 2000),
+    ],
+)
 def test_lives_that_end_badly_one_after_the_other_make_the_next_one_wait(before, failures, least, most):
     loop, now = lives(*before), 1000.0 * len(before)
     assert loop.failures(now) == failures
@@ -77,9 +91,21 @@
     assert loop.failures(-3_600_000.0) == 6
 
 
-@given(st.binary() | st.text().map(str.encode) | st.sampled_from([
-    b'[{"began_ms": "x", "well": 1}]', b"[1]", b"[" * 100_000, b'[{"began_ms": 1' + b"0" * 400 + b', "well": 0}]',
-    b'[{"began_ms": null, "well": 0}]', b"7", b"null"]))
+@given(
+    st.binary()
+    | st.text().map(str.encode)
+    | st.sampled_from(
+        [
+            b'[{"began_ms": "x", "well": 1}]',
+            b"[1]",
+            b"[" * 100_000,
+            b'[{"began_ms": 1' + b"0" * 400 + b', "well": 0}]',
+            b'[{"began_ms": null, "well": 0}]',
+            b"7",
+            b"null",
+        ]
+    )
+)
 def test_junk_in_the_file_keeps_no_node_from_its_start(data):
     assert CrashLoop.unpacked(data).wait_ms(0.0, lambda low, high: high) == 0.0
 
@@ -97,8 +123,15 @@
 async def test_a_node_in_a_crash_loop_stays_away_and_one_that_served_starts_at_once(tmp_path):
     async def status(code):
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "flintshift.cli", "startup", "status", str(tmp_path / "up.sock"), "--json",
-            stdout=asyncio.subprocess.PIPE)
+            sys.executable,
+            "-m",
+            "flintshift.cli",
+            "startup",
+            "status",
+            str(tmp_path / "up.sock"),
+            "--json",
+            stdout=asyncio.subprocess.PIPE,
+        )
         out, _ = await process.communicate()
         assert process.returncode == code
         return json.loads(out)
--- a/tests/startup/test_storms.py
+++ b/tests/startup/test_storms.py
@@ -84,13 +84,17 @@
 
 def went(fleet, name):
     """Why its start went on, in its present life."""
-    return [one["cause"] for one in fleet.story()
-            if one["event"] == "startup.goes_on" and one["life"] == fleet.members[name].logs[-1].name]
+    return [
+        one["cause"]
+        for one in fleet.story()
+        if one["event"] == "startup.goes_on" and one["life"] == fleet.members[name].logs[-1].name
+    ]
 
 
 async def test_members_start_by_permits_of_whoever_is_up_and_alone_where_nobody_is(tmp_path):
-    async with Fleet(tmp_path, {"a": 3, "b": 2}, copies="  copies: 3\n",
-                     more="startup: {enabled: true, at-once: 1}\n") as fleet:
+    async with Fleet(
+        tmp_path, {"a": 3, "b": 2}, copies="  copies: 3\n", more="startup: {enabled: true, at-once: 1}\n"
+    ) as fleet:
         await fleet.until_linked()
         first, second, *others = order(fleet.members)
         name = others[0]
--- a/tests/storage/sim_files.py
+++ b/tests/storage/sim_files.py
@@ -63,11 +63,11 @@
             if how == "lost":
                 data = node.synced
             elif how == "torn":
-                grown = data[len(node.synced):] if data.startswith(node.synced) else b""
-                data = data[:len(data) - (len(grown) + 1) // 2]
+                grown = data[len(node.synced) :] if data.startswith(node.synced) else b""
+                data = data[: len(data) - (len(grown) + 1) // 2]
             elif how == "zeros":  # the length reached the disk, the pages did not
                 grown = len(data) - len(node.synced) if data.startswith(node.synced) else 0
-                data = data[:len(data) - grown // 2] + bytes(grown // 2)
+                data = data[: len(data) - grown // 2] + bytes(grown // 2)
             next_.names_now[path] = next_.names_synced[path] = Node(bytearray(data), data)
         next_.times, next_.now_ms = dict(self.times), self.now_ms
         return next_
@@ -99,6 +99,7 @@
         def do():
             self.names_now[path] = Node()
             self.times[path] = self.now_ms
+
         self.step("create", path, do)
         return SimFile(self, path, self.names_now[path])
 
@@ -111,12 +112,14 @@
         def do():
             del node.data[size:]
             node.synced = bytes(node.data)
+
         self.step("truncate", path, do)
 
     def rename(self, path, to):
         def do():
             self.names_now[to] = self.names_now.pop(path)
             self.times[to] = self.now_ms
+
         self.step("rename", to, do)
 
     def link(self, path, to):
@@ -132,6 +135,7 @@
             for path in [path for path in self.names_synced if path.parent == folder]:
                 del self.names_synced[path]
             self.names_synced.update({path: node for path, node in self.names_now.items() if path.parent == folder})
+
         self.step("sync_folder", folder, do)
 
     def lock(self, path):
@@ -143,6 +147,7 @@
         class Held:
             def close(self):
                 files.locks.discard(path)
+
         return Held()
 
 
@@ -156,7 +161,8 @@
             self.files.times[self.path] = self.files.now_ms
 
         def partial():
-            self.node.data += data[:len(data) // 2]
+            self.node.data += data[: len(data) // 2]
+
         self.files.step("append", self.path, do, partial)
 
     def sync(self):
--- a/tests/storage/test_commit.py
+++ b/tests/storage/test_commit.py
@@ -110,11 +110,17 @@
         assert len(self.commit.holding) <= len(self.waiting) + 1
 
 
-steps = st.lists(st.one_of(
-    st.just(("write",)), st.just(("write",)),
-    st.tuples(st.just("passes"), st.sampled_from([1.0, 9.0, 10.0, 51.0, 200.0])),
-    st.tuples(st.just("ends"), st.booleans()), st.just(("want",)), st.tuples(st.just("disk"), st.booleans())),
-    max_size=60)
+steps = st.lists(
+    st.one_of(
+        st.just(("write",)),
+        st.just(("write",)),
+        st.tuples(st.just("passes"), st.sampled_from([1.0, 9.0, 10.0, 51.0, 200.0])),
+        st.tuples(st.just("ends"), st.booleans()),
+        st.just(("want",)),
+        st.tuples(st.just("disk"), st.booleans()),
+    ),
+    max_size=60,
+)
 
 
 @given(steps, st.booleans(), st.booleans())
@@ -204,7 +210,11 @@
 def test_a_refusal_begins_a_gap_that_ends_with_a_reopening_and_tells_its_requests():
     commit = Commit(LIMITS, 0)
     assert commit.handle(5.0, Refused("full", write=True)) == [
-        GapBegan("full"), Release(math.inf), Write(), WakeAt(105.0)]
+        GapBegan("full"),
+        Release(math.inf),
+        Write(),
+        WakeAt(105.0),
+    ]
     for sequence in (1, 2, 3):
         assert commit.wrote(6.0, sequence, 10, 1) == []
     assert commit.handle(104.0, Woken()) == [WakeAt(105.0)]
