--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -144,7 +144,7 @@
         left = files.survived(how)
         found, reach = recovered(left)
         numbers = [record.payload for record in found if record.payload != b"x" * 30]
-        assert numbers[:len(acknowledged)] == [b"%d" % number for number in acknowledged], (stop_at, how)
+        assert numbers[: len(acknowledged)] == [b"%d" % number for number in acknowledged], (stop_at, how)
         assert len(numbers) <= len(acknowledged) + 1
         Log(left, FOLDER, 2, reach.following).resume(reach)
 
@@ -175,8 +175,8 @@
 def test_frames_are_read_as_packed_and_junk_behind_them_is_no_record(items, junk):
     data = b"".join(frames.pack(place, 3, kind, payload) for place, (kind, payload) in enumerate(items))
     found = list(frames.unpack(data + junk))
-    assert found[:len(items)] == [Record(place, 3, kind, payload) for place, (kind, payload) in enumerate(items)]
-    assert all(isinstance(item, Torn | Damage) for item in found[len(items):])
+    assert found[: len(items)] == [Record(place, 3, kind, payload) for place, (kind, payload) in enumerate(items)]
+    assert all(isinstance(item, Torn | Damage) for item in found[len(items) :])
 
 
 # The real disk, and whole files.
@@ -204,10 +204,15 @@
 
 
 def test_two_processes_on_one_folder_are_refused_and_a_death_frees_it(tmp_path):
-    text = ("import sys, time; from pathlib import Path; from flintshift.storage.files import DiskFiles;"
-            "held = DiskFiles().lock(Path(sys.argv[1])); print('held', flush=True); time.sleep(60)")
-    with subprocess.Popen([sys.executable, "-c", text, str(tmp_path / "LOCK")], stdout=subprocess.PIPE,
-                          cwd=Path(__file__).parent.parent.parent) as other:
+    text = (
+        "import sys, time; from pathlib import Path; from flintshift.storage.files import DiskFiles;"
+        "held = DiskFiles().lock(Path(sys.argv[1])); print('held', flush=True); time.sleep(60)"
+    )
+    with subprocess.Popen(
+        [sys.executable, "-c", text, str(tmp_path / "LOCK")],
+        stdout=subprocess.PIPE,
+        cwd=Path(__file__).parent.parent.parent,
+    ) as other:
         assert other.stdout.readline() == b"held\n"
         with pytest.raises(LockedError, match="another process works in this folder"):
             DiskFiles().lock(tmp_path / "LOCK")
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -16,17 +16,39 @@
 
 PAIRS = {
     "classes.count": "2",
-    "classes.0.name": "peek", "classes.0.onTimeMs": "900.0", "classes.0.deadlineMs": "2500.0",
-    "classes.0.worth": "1.0", "classes.0.effect": "safe", "classes.0.lateWorth": "0.1",
-    "classes.1.name": "book", "classes.1.onTimeMs": "1100.0", "classes.1.deadlineMs": "3500.0",
-    "classes.1.worth": "4.0", "classes.1.effect": "keyed", "classes.1.repeatWindowMs": "7000.0",
-    "familyInfo.nCores": "3", "familyInfo.ramKb": "5000.0", "familyInfo.runFactor": "6.0",
-    "familyInfo.below": "shared", "familyInfo.callShare": "3.5", "familyInfo.callsOverMs": "4000.0",
-    "familyInfo.callsByClass": "true,false,true", "familyInfo.classSkipWorth": "0.4,0.0",
-    "familyInfo.cold": "true", "familyInfo.halt": "abort", "familyInfo.say": "share_of",
-    "rules.fallMultiple": "4.0", "rules.fallMs": "1200.0", "rules.drainGraceMs": "700.0",
-    "rules.coldFrom": "0.3", "rules.coldMs": "9000.0", "tenants.count": "1", "tenants.0.name": "north",
-    "tenants.0.share": "1.0", "tenants.0.quotaPerS": "12.0", "unheard.of.0": "x",
+    "classes.0.name": "peek",
+    "classes.0.onTimeMs": "900.0",
+    "classes.0.deadlineMs": "2500.0",
+    "classes.0.worth": "1.0",
+    "classes.0.effect": "safe",
+    "classes.0.lateWorth": "0.1",
+    "classes.1.name": "book",
+    "classes.1.onTimeMs": "1100.0",
+    "classes.1.deadlineMs": "3500.0",
+    "classes.1.worth": "4.0",
+    "classes.1.effect": "keyed",
+    "classes.1.repeatWindowMs": "7000.0",
+    "familyInfo.nCores": "3",
+    "familyInfo.ramKb": "5000.0",
+    "familyInfo.runFactor": "6.0",
+    "familyInfo.below": "shared",
+    "familyInfo.callShare": "3.5",
+    "familyInfo.callsOverMs": "4000.0",
+    "familyInfo.callsByClass": "true,false,true",
+    "familyInfo.classSkipWorth": "0.4,0.0",
+    "familyInfo.cold": "true",
+    "familyInfo.halt": "abort",
+    "familyInfo.say": "share_of",
+    "rules.fallMultiple": "4.0",
+    "rules.fallMs": "1200.0",
+    "rules.drainGraceMs": "700.0",
+    "rules.coldFrom": "0.3",
+    "rules.coldMs": "9000.0",
+    "tenants.count": "1",
+    "tenants.0.name": "north",
+    "tenants.0.share": "1.0",
+    "tenants.0.quotaPerS": "12.0",
+    "unheard.of.0": "x",
 }
 
 
@@ -66,15 +88,20 @@
     api.Arrived: (
         "QUERY\topId=a\ttierClass=peek\tfootprint=2.5\tageMs=1.25\tsrc=3\tprio=0.5\tteam=north\teffortMs=9.5\t"
         "dupOf=b\tagainByClient=1\texpiresInMs=80.5\tresource=44\tmutates=0\tnews=1",
-        api.Arrived("a", "peek", 2.5, 1.25, 3, "north", "b", True, 80.5, 44)),
+        api.Arrived("a", "peek", 2.5, 1.25, 3, "north", "b", True, 80.5, 44),
+    ),
     api.RunEnded: ("DONE\topId=a\thow=err\ttimeTakenMs=3.5", api.RunEnded("a", api.Outcome.ERROR, 3.5)),
     api.CallerGone: ("DROPPED\topId=a", api.CallerGone("a")),
     api.CallNeeded: ("NEEDS\topId=a", api.CallNeeded("a")),
-    api.CallEnded: ("CALL_RESULT\topId=a\thow=econnrefused\ttimeTakenMs=1.0",
-                    api.CallEnded("a", api.Outcome.UNREACHABLE, 1.0)),
+    api.CallEnded: (
+        "CALL_RESULT\topId=a\thow=econnrefused\ttimeTakenMs=1.0",
+        api.CallEnded("a", api.Outcome.UNREACHABLE, 1.0),
+    ),
     api.Leaving: ("DRAIN\texpiresInMs=2500.0", api.Leaving(2500.0)),
-    api.Woken: ("DUE\tnonce=t\ttelemetry=cpu_busy:0.5,runnable:3,mem_used:0.25,sockets:9,other:1",
-                api.Woken("t", api.Gauges(0.5, 3.0, 0.25, 9.0))),
+    api.Woken: (
+        "DUE\tnonce=t\ttelemetry=cpu_busy:0.5,runnable:3,mem_used:0.25,sockets:9,other:1",
+        api.Woken("t", api.Gauges(0.5, 3.0, 0.25, 9.0)),
+    ),
 }
 
 
@@ -138,39 +165,50 @@
     crowd = [query(f"x{n}", "server_2") for n in range(50)]
     together = serve(batch(1, start(), start("server_2")), batch(2, *crowd, query("q1")))
     assert [line for line in together[1] if "server_1" in line] == alone[1]
-    busy = serve(batch(1, start("server_2")), batch(2, *crowd), batch(3, "CRASH_NOW\tserverId=server_2"),
-                 batch(4, start("server_2")), batch(5, query("q1", "server_2")))
+    busy = serve(
+        batch(1, start("server_2")),
+        batch(2, *crowd),
+        batch(3, "CRASH_NOW\tserverId=server_2"),
+        batch(4, start("server_2")),
+        batch(5, query("q1", "server_2")),
+    )
     assert "EXECUTE\tserverId=server_2\topId=q1" in busy[4]
 
 
-@pytest.mark.parametrize("odd", [
-    [start(), start()],
-    ["CRASH_NOW\tserverId=server_1", start()],
-    [start(), "DONE\tserverId=server_1\topId=never\thow=skipped\ttimeTakenMs=0"],
-    [start(), "DROPPED\tserverId=server_1\topId=never"],
-])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        [start(), start()],
+        ["CRASH_NOW\tserverId=server_1", start()],
+        [start(), "DONE\tserverId=server_1\topId=never\thow=skipped\ttimeTakenMs=0"],
+        [start(), "DROPPED\tserverId=server_1\topId=never"],
+    ],
+)
 def test_legal_but_odd_rounds_go_on(odd):
     replies = serve(batch(1, *odd), batch(2, query("q1")))
     assert "EXECUTE\tserverId=server_1\topId=q1" in replies[1]
 
 
-@pytest.mark.parametrize(("text", "trouble"), [
-    ("HELLO\n", "expected FRAME"),
-    ("FRAME\ttMs=soon\n", "no number as tMs"),
-    (batch(1, "QUERY\topId=a"), "names no instance"),
-    (batch(1, query("a")), "never started"),
-    (batch(1, start(), "TELEPORT\tserverId=server_1"), "unknown event 'TELEPORT'"),
-    (batch(1, start(), "DONE\tserverId=server_1\topId=a\thow=weird"), "bad value for how"),
-    (batch(1, start(), "DONE\tserverId=server_1\thow=done"), "missing opId"),
-    (batch(1, start(), "DONE\tserverId=server_1\topId"), "not a name=value pair"),
-    (batch(1, start(), query("a", footprint="nan")), "bad value for footprint"),
-    (batch(1, start(), query("a", tierClass="nobody")), "unknown class"),
-    (batch(1, start(**{"classes.count": "many"})), "bad value for classes.count"),
-    (batch(1, start(**{"familyInfo.nCores": "x"})), "bad value for familyInfo.nCores"),
-    (batch(1, start(**{"familyInfo.classSkipWorth": "x"})), "bad value for familyInfo.classSkipWorth"),
-    (batch(1, "ENLIST\tserverId=server_1\tnonce64=x"), "nonce64"),
-    ("FRAME\ttMs=1\n", "ends within a batch"),
-])
+@pytest.mark.parametrize(
+    ("text", "trouble"),
+    [
+        ("HELLO\n", "expected FRAME"),
+        ("FRAME\ttMs=soon\n", "no number as tMs"),
+        (batch(1, "QUERY\topId=a"), "names no instance"),
+        (batch(1, query("a")), "never started"),
+        (batch(1, start(), "TELEPORT\tserverId=server_1"), "unknown event 'TELEPORT'"),
+        (batch(1, start(), "DONE\tserverId=server_1\topId=a\thow=weird"), "bad value for how"),
+        (batch(1, start(), "DONE\tserverId=server_1\thow=done"), "missing opId"),
+        (batch(1, start(), "DONE\tserverId=server_1\topId"), "not a name=value pair"),
+        (batch(1, start(), query("a", footprint="nan")), "bad value for footprint"),
+        (batch(1, start(), query("a", tierClass="nobody")), "unknown class"),
+        (batch(1, start(**{"classes.count": "many"})), "bad value for classes.count"),
+        (batch(1, start(**{"familyInfo.nCores": "x"})), "bad value for familyInfo.nCores"),
+        (batch(1, start(**{"familyInfo.classSkipWorth": "x"})), "bad value for familyInfo.classSkipWorth"),
+        (batch(1, "ENLIST\tserverId=server_1\tnonce64=x"), "nonce64"),
+        ("FRAME\ttMs=1\n", "ends within a batch"),
+    ],
+)
 def test_malformed_input_is_named(text, trouble):
     with pytest.raises(benchlink.WireError, match=trouble):
         serve(text)
@@ -179,8 +217,13 @@
 def run(text: str) -> subprocess.CompletedProcess[str]:
     root = Path(__file__).parent.parent
     return subprocess.run(
-        [sys.executable, "-m", "flintshift.benchlink"], input=text, text=True, capture_output=True, cwd=root,
-        env={**os.environ, "PYTHONPATH": str(root)}, check=False,
+        [sys.executable, "-m", "flintshift.benchlink"],
+        input=text,
+        text=True,
+        capture_output=True,
+        cwd=root,
+        env={**os.environ, "PYTHONPATH": str(root)},
+        check=False,
     )
 
 
@@ -195,5 +238,6 @@
 def test_a_fault_of_the_module_is_told_on_the_wire(monkeypatch):
     def broken(self, now_ms, event):
         raise IndexError("nothing\tthere")
+
     monkeypatch.setattr(benchlink.Controller, "handle", broken)
     assert serve(batch(1, start())) == [["EXCEPTION\tserverId=server_1\ttext=IndexError: nothing there"]]
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -69,15 +69,21 @@
     assert len([run for run in rig.pool.spawns() if run["route"] == "submit-time"]) == 3
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda text: "", lambda text: text[:-40], lambda text: "[]", lambda text: "null",
-    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": -5', 1),
-    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": NaN', 1),
-    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": "1500"', 1),
-    lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": true', 1),
-    lambda text: text.replace('"idleMs": 30000.0, ', "", 1),
-    lambda text: json.dumps({key: value for key, value in json.loads(text).items() if key != "settings"}),
-])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda text: "",
+        lambda text: text[:-40],
+        lambda text: "[]",
+        lambda text: "null",
+        lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": -5', 1),
+        lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": NaN', 1),
+        lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": "1500"', 1),
+        lambda text: text.replace('"deadlineMs": 1500.0', '"deadlineMs": true', 1),
+        lambda text: text.replace('"idleMs": 30000.0, ', "", 1),
+        lambda text: json.dumps({key: value for key, value in json.loads(text).items() if key != "settings"}),
+    ],
+)
 async def test_a_file_that_cannot_be_used_moves_no_address_and_changes_no_class(rig, spoil):
     rig.settings = named("race-results", "submit-time-next")
     rig.configure()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -239,8 +239,13 @@
 
 
 def test_calls_with_effect_are_repeated_only_when_proven_not_run(make):
-    for outcome, again in ((Outcome.REJECTED, True), (Outcome.UNREACHABLE, True), (Outcome.TIMED_OUT, False),
-                           (Outcome.ERROR, False), (Outcome.INTERRUPTED, False)):
+    for outcome, again in (
+        (Outcome.REJECTED, True),
+        (Outcome.UNREACHABLE, True),
+        (Outcome.TIMED_OUT, False),
+        (Outcome.ERROR, False),
+        (Outcome.INTERRUPTED, False),
+    ):
         server = make()
         request, _ = server.arrive("pay")
         server.needs_call(request)
@@ -340,8 +345,12 @@
     server = make()
     request, _ = server.arrive()
     server.ends(request)
-    for event in (api.RunEnded(request, Outcome.MOOT), api.CallerGone(request), api.CallNeeded(request),
-                  api.CallEnded(request, Outcome.OK)):
+    for event in (
+        api.RunEnded(request, Outcome.MOOT),
+        api.CallerGone(request),
+        api.CallNeeded(request),
+        api.CallEnded(request, Outcome.OK),
+    ):
         assert server.step(event) == []
 
 
@@ -360,6 +369,7 @@
             if turn % 3 == 0:
                 log += server.ends(request)
         return log
+
     assert day() == day()
 
 
@@ -373,6 +383,7 @@
             refused = [action for action in of(actions, api.Refuse) if action.request == request]
             if refused:
                 return refused[0].stay_away_ms
+
     assert 0 < stay("look") < stay("buy") == 1000.0
     assert 0 < stay("buy", 3) < 100.0
 
@@ -418,6 +429,7 @@
             if answers(actions, request):
                 return turn
         return 30
+
     assert line(spread=0.0) < line(spread=60.0)
 
 
@@ -439,11 +451,13 @@
 
 def test_a_cold_server_takes_longer_before_it_counts_as_hung(make):
     """Guards against fresh servers that refuse all because their first slow runs look like a hang."""
+
     def reported_bad(cold: bool) -> bool:
         server = make(cold=cold, cold_from=0.25, cold_ms=20_000.0, list_follows_health=True)
         server.fill("buy")  # then past three run times of 150 ms, far from twelve
         acts = [act for _ in range(18) for act in server.tick(busy=1.0, run_queue=2.0)]
         return api.SetHealth(good=False, from_store=True) in acts
+
     assert reported_bad(cold=False) and not reported_bad(cold=True)
 
 
@@ -484,12 +498,14 @@
 
 def test_an_absent_run_queue_is_not_taken_for_an_idle_server(make):
     """Guards against a limit that climbs to the ceiling because a gauge that does not exist reads as 0."""
+
     def running(**gauges: float) -> int:
         server = make(cores=4)
         count = len(server.fill("buy"))
         for _ in range(20):
             count += len(of(server.tick(**gauges) + server.arrive("buy")[1], api.Run))
         return count
+
     assert running() <= 6 < running(run_queue=0.0, busy=0.0)
 
 
@@ -551,6 +567,7 @@
         server.fill("buy")
         refusals = [a for _ in range(200) for a in of(server.arrive("look")[1], api.Refuse)]
         return [refusal.not_elsewhere for refusal in refusals]
+
     assert not wishes(marks=False)[0] and wishes(marks=False)[-1]
     assert not any(wishes(marks=True))
 
@@ -563,6 +580,7 @@
     def wishes(marked: bool) -> list[bool]:
         acts = [a for _ in range(120) for a in of(server.arrive("look", marked_repeat=marked)[1], api.Refuse)]
         return [refusal.not_elsewhere for refusal in acts]
+
     assert not any(wishes(marked=False))
     wishes(marked=True)
     after = wishes(marked=False)
@@ -631,8 +649,10 @@
             if api.Run(request) in acts:
                 take(server.needs_call(request))
         take(server.tick(busy=0.5, run_queue=1.0))
-    most = max(sum(max(0.0, min(end, to) - max(start, to - 5000.0)) for start, end in calls.values())
-               for _, to in calls.values())
+    most = max(
+        sum(max(0.0, min(end, to) - max(start, to - 5000.0)) for start, end in calls.values())
+        for _, to in calls.values()
+    )
     assert len(calls) > 6 and 0.4 * share < most / 5000.0 <= 0.65 * share + 1e-9
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -53,20 +53,41 @@
 class Planner:
     def __init__(self, **limits):
         self.now, self.told, self.ports = 1_000_000.0, {}, Ports()
-        kinds = [api.RequestClass("look", 500.0, 900.0, 1.0, api.Effect.SAFE, calls=True, skip_worth=0.5),
-                 api.RequestClass("pay", 500.0, 900.0, 1.0, api.Effect.KEYED, repeat_window_ms=2000.0,
-                                  calls=True)]
-        settings = api.Settings(kinds, 2, 40_000.0, 8.0, 5.0, 300.0, [], advice_allowed=True,
-                                advice_max_ms=800.0, call_share=10.0, call_window_ms=5000.0)
+        kinds = [
+            api.RequestClass("look", 500.0, 900.0, 1.0, api.Effect.SAFE, calls=True, skip_worth=0.5),
+            api.RequestClass("pay", 500.0, 900.0, 1.0, api.Effect.KEYED, repeat_window_ms=2000.0, calls=True),
+        ]
+        settings = api.Settings(
+            kinds,
+            2,
+            40_000.0,
+            8.0,
+            5.0,
+            300.0,
+            [],
+            advice_allowed=True,
+            advice_max_ms=800.0,
+            call_share=10.0,
+            call_window_ms=5000.0,
+        )
         sizes = Limits(**limits)
-        self.planner = Decisions(Catalogue(settings, sizes), 1, sizes, Counters(), lambda: self.now,
-                                 lambda at_ms, token: None, lambda: None)
+        self.planner = Decisions(
+            Catalogue(settings, sizes), 1, sizes, Counters(), lambda: self.now, lambda at_ms, token: None, lambda: None
+        )
         self.planner.workers, self.planner.below = {"pool": self.ports}, self.ports
         self.planner.handle(at.Up())
 
     def submit(self, request, class_name="look", **changes):
-        attempt = Attempt(request, class_name, changes.pop("door_ms", self.now), 10.0, 1, b"", **changes,
-                          tell=lambda answer: self.told.setdefault(request, []).append(answer))
+        attempt = Attempt(
+            request,
+            class_name,
+            changes.pop("door_ms", self.now),
+            10.0,
+            1,
+            b"",
+            **changes,
+            tell=lambda answer: self.told.setdefault(request, []).append(answer),
+        )
         self.planner.handle(at.Submitted(attempt))
         return attempt
 
@@ -101,8 +122,9 @@
 
 def test_a_class_that_was_dropped_for_good_while_its_request_waited_is_refused_and_ends_nothing():
     node = Planner()
-    late = Attempt("late", "pay", node.now, 10.0, 1, b"", unique="k",
-                   tell=lambda answer: node.told["late"].append(answer))
+    late = Attempt(
+        "late", "pay", node.now, 10.0, 1, b"", unique="k", tell=lambda answer: node.told["late"].append(answer)
+    )
     node.told["late"] = []
     settings = node.planner.catalogue.settings
     assert node.planner.change(replace(settings, classes=settings.classes[:1])) is None
@@ -233,19 +255,29 @@
 
 def test_every_way_a_run_or_call_ends_has_an_outcome():
     assert set(OUTCOMES.values()) == set(Outcome)
-    words = {"call": {"yes", "notnow", "failed", "overdue", "pointless"},
-             "run": {"fine", "fault", "broken_off", "late", "unknown"},
-             "link": {"refused", "broken", "silent"}}
+    words = {
+        "call": {"yes", "notnow", "failed", "overdue", "pointless"},
+        "run": {"fine", "fault", "broken_off", "late", "unknown"},
+        "link": {"refused", "broken", "silent"},
+    }
     assert {(by, word) for by in words for word in words[by]} == set(OUTCOMES)
 
 
-@pytest.mark.parametrize(("pairs", "cut"), [
-    ([], 0), ([("A", "b"), ("HTTP_X", "")], 0), ([("A", "é" * 300)], 0),
-    ([("A", "b")], 1), ([("A", "b")], 3), ([("A", "b")], 5)])
+@pytest.mark.parametrize(
+    ("pairs", "cut"),
+    [
+        ([], 0),
+        ([("A", "b"), ("HTTP_X", "")], 0),
+        ([("A", "é" * 300)], 0),
+        ([("A", "b")], 1),
+        ([("A", "b")], 3),
+        ([("A", "b")], 5),
+    ],
+)
 def test_uwsgi_variables_there_and_back_and_cut_off(pairs, cut):
     packet = uwsgi.pack(pairs)
     assert uwsgi.block_size(packet[:4], 9999) == len(packet) - 4
-    block = packet[4:len(packet) - cut]
+    block = packet[4 : len(packet) - cut]
     if not cut:
         assert uwsgi.unpack(block) == dict(pairs)
     else:
@@ -254,8 +286,9 @@
         assert caught.value.status == 400
 
 
-@pytest.mark.parametrize(("length", "found"), [
-    ("", 0), ("12", 12), ("13", 413), ("9" * 5000, 413), ("-1", 400), ("1.5", 400), ("٣", 400)])
+@pytest.mark.parametrize(
+    ("length", "found"), [("", 0), ("12", 12), ("13", 413), ("9" * 5000, 413), ("-1", 400), ("1.5", 400), ("٣", 400)]
+)
 def test_uwsgi_body_sizes(length, found):
     if found < 400:
         assert uwsgi.body_size({"CONTENT_LENGTH": length}, 12) == found
@@ -270,8 +303,17 @@
         uwsgi.unpack(uwsgi.pack([("HTTP_X_UNIQUE", "a"), ("HTTP_X_UNIQUE", "b")])[4:])
 
 
-@pytest.mark.parametrize(("text", "found"), [("127.0.0.1:80", ("127.0.0.1", 80)), ("[::1]:9", ("::1", 9)),
-                                             ("host", None), (":80", None), ("a:0", None), ("a:99999", None)])
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        ("127.0.0.1:80", ("127.0.0.1", 80)),
+        ("[::1]:9", ("::1", 9)),
+        ("host", None),
+        (":80", None),
+        ("a:0", None),
+        ("a:99999", None),
+    ],
+)
 def test_addresses(text, found):
     if found:
         assert address(text) == found
--- a/tests/test_ledger_node.py
+++ b/tests/test_ledger_node.py
@@ -30,8 +30,9 @@
 import kill_node  # noqa: E402
 
 pytestmark = pytest.mark.anyio
-LEDGER = ("usage: {{enabled: true, folder: usage, period: {}, grace: 0ms, on-disk-failure: {}}}\n"
-          "log: {{enabled: true}}\n")
+LEDGER = (
+    "usage: {{enabled: true, folder: usage, period: {}, grace: 0ms, on-disk-failure: {}}}\nlog: {{enabled: true}}\n"
+)
 
 
 async def ask(rig, class_name="standings", club="sur-pacers", rid="00000000000000aa", **more):
@@ -51,8 +52,12 @@
 
 
 def rows(folder):
-    told = subprocess.run([sys.executable, "-m", "flintshift.cli", "usage", "show", "--folder", str(folder), "--json"],
-                          cwd=ROOT, capture_output=True, check=True).stdout
+    told = subprocess.run(
+        [sys.executable, "-m", "flintshift.cli", "usage", "show", "--folder", str(folder), "--json"],
+        cwd=ROOT,
+        capture_output=True,
+        check=True,
+    ).stdout
     return json.loads(told)["rows"]
 
 
@@ -66,7 +71,10 @@
         await rig.start(asyncio.subprocess.DEVNULL)
         found = {row["class"]: row for row in rows(tmp_path / "usage")}
         assert {name: row["requests"] for name, row in found.items()} == {
-            "standings": 1, "race-results": 1, "submit-time": 2}
+            "standings": 1,
+            "race-results": 1,
+            "submit-time": 2,
+        }
         assert found["race-results"]["further_tries"] == 1 and found["standings"]["bytes_in"] == 7
         # The repeat was answered from the kept result: one run of the two, and said so.
         assert found["submit-time"]["kept"] == 1 and found["submit-time"]["run_us"] == 1000
@@ -120,14 +128,17 @@
 
         async def served():
             return (await ask(rig, rid="00000000000000ff"))[0] == 200
+
         for _ in range(200):
             if await served():
                 break
             await asyncio.sleep(0.05)
         else:
             raise AssertionError("the disk is back, and the node does not take work")
-        await until(lambda: [one for one in read_documents(DiskFiles(), tmp_path / "usage").values() if one.gaps],
-                    "no document tells of the gap")
+        await until(
+            lambda: [one for one in read_documents(DiskFiles(), tmp_path / "usage").values() if one.gaps],
+            "no document tells of the gap",
+        )
         assert await rig.leave() == 0
     booked, doubt = booked_in(tmp_path / "usage")
     assert doubt == 0
@@ -141,13 +152,40 @@
     settings = LEDGER.format("1s", "serve").replace("usage: {", "usage: {export: {folder: out}, ")
     async with Rig(tmp_path, settings, root=ROOT) as rig:
         assert (await ask(rig))[0] == 200
-        name = await until(lambda: [path.name for path in (tmp_path / "out").glob("*.r0.usage")
-                                    if documents.read(path.read_bytes()).rows], "the period in use was not exported")
+        name = await until(
+            lambda: [
+                path.name for path in (tmp_path / "out").glob("*.r0.usage") if documents.read(path.read_bytes()).rows
+            ],
+            "the period in use was not exported",
+        )
         first = (tmp_path / "out" / name[0]).read_bytes()
-        command = [sys.executable, "-m", "flintshift.cli", "usage", "correct", "--folder", str(tmp_path / "usage"),
-                   "--id", "c-1", "--author", "op", "--reason", "counted twice", "--club", "sur-pacers", "--class",
-                   "standings", "--front", "http", "--outcome", "served", "--period", name[0].split(".", 2)[2][:20],
-                   "--by", "requests=-1"]
+        command = [
+            sys.executable,
+            "-m",
+            "flintshift.cli",
+            "usage",
+            "correct",
+            "--folder",
+            str(tmp_path / "usage"),
+            "--id",
+            "c-1",
+            "--author",
+            "op",
+            "--reason",
+            "counted twice",
+            "--club",
+            "sur-pacers",
+            "--class",
+            "standings",
+            "--front",
+            "http",
+            "--outcome",
+            "served",
+            "--period",
+            name[0].split(".", 2)[2][:20],
+            "--by",
+            "requests=-1",
+        ]
         process = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
         assert (await process.communicate())[0] == b"makes revision 1 of the period, which has closed\n"
         again = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
@@ -164,8 +202,10 @@
     shutil.copytree(tmp_path / "u", tmp_path / "copy")
     billing = Billing(tmp_path / "billing", 0.3, 7, late_s=0.05)
     url = f"http://127.0.0.1:{await billing.start()}/usage"
-    processes = [await kill_exporter.export(folder, url)
-                 for folder in (tmp_path / "u", tmp_path / "u", tmp_path / "copy", tmp_path / "copy")]
+    processes = [
+        await kill_exporter.export(folder, url)
+        for folder in (tmp_path / "u", tmp_path / "u", tmp_path / "copy", tmp_path / "copy")
+    ]
     codes = [await process.wait() for process in processes]
     assert all(code in (0, 1) for code in codes) and 0 in codes[:2] and 0 in codes[2:]
     found = [documents.read(path.read_bytes()) for path in (tmp_path / "billing").iterdir()]
@@ -177,7 +217,8 @@
     async with Rig(tmp_path, LEDGER.format("1h", "serve"), root=ROOT) as rig:
         assert (await ask(rig))[0] == 200
         other = await asyncio.create_subprocess_exec(
-            *rig.command(), cwd=ROOT, env={"LB_CONFIG": str(tmp_path / "config.json")}, stderr=asyncio.subprocess.PIPE)
+            *rig.command(), cwd=ROOT, env={"LB_CONFIG": str(tmp_path / "config.json")}, stderr=asyncio.subprocess.PIPE
+        )
         told = (await other.communicate())[1].decode()
         assert other.returncode == 2 and "another process works in this folder" in told
         assert await rig.leave() == 0
@@ -185,16 +226,25 @@
     data = bytearray(log.read_bytes())
     data[40] ^= 1
     log.write_bytes(data)
-    other = subprocess.run(rig.command(), cwd=ROOT, env={"LB_CONFIG": str(tmp_path / "config.json")},
-                           capture_output=True, text=True, check=False)
+    other = subprocess.run(
+        rig.command(),
+        cwd=ROOT,
+        env={"LB_CONFIG": str(tmp_path / "config.json")},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     assert other.returncode == 2 and f"{log}: is damaged: offset" in other.stderr
 
 
 async def test_counted_and_booked_agree_over_both_fronts_and_a_reload(tmp_path):
     async with Rig(tmp_path, LEDGER.format("1s", "serve"), uwsgi=True, root=ROOT) as rig:
         tally, stop = Tally(), asyncio.Event()
-        tasks = [asyncio.create_task(Caller(rig.ports[front], front, number, [*CLUBS], tally, number, 0.002).run(stop))
-                 for number in range(6) for front in ("http", "uwsgi")]
+        tasks = [
+            asyncio.create_task(Caller(rig.ports[front], front, number, [*CLUBS], tally, number, 0.002).run(stop))
+            for number in range(6)
+            for front in ("http", "uwsgi")
+        ]
         await asyncio.sleep(0.7)
         config = json.loads((tmp_path / "config.json").read_text())  # a club and a class come, another order too
         settings, info = config["settings"], config["settings"]["familyInfo"]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -195,15 +195,21 @@
 
 
 REPLIES = [  # how the vault replies, how the call ends, and how many connections two calls then take
-    (b"%b yes 5\r\nreply\r\n", Outcome.OK, 1), (b"%b notnow\r\n", Outcome.REJECTED, 1),
+    (b"%b yes 5\r\nreply\r\n", Outcome.OK, 1),
+    (b"%b notnow\r\n", Outcome.REJECTED, 1),
     (b"0000 yes 2\r\nno\r\n%b yes 5\r\nreply\r\n", Outcome.OK, 1),  # an unknown id ahead
     (b"%b yes 5\r\nreply\r\nff yes 5\r\nreply\r\n", Outcome.OK, 2),  # more than belongs to it
-    (b"%b yes 3\r\nreply\r\n", Outcome.INTERRUPTED, 2), (b"%b yes 9\r\nreply\r\n", Outcome.INTERRUPTED, 2),
+    (b"%b yes 3\r\nreply\r\n", Outcome.INTERRUPTED, 2),
+    (b"%b yes 9\r\nreply\r\n", Outcome.INTERRUPTED, 2),
     (b"%b yes 3000000000\r\n" + b"x" * 70_000, Outcome.INTERRUPTED, 2),
-    (b"%b tea\r\n", Outcome.INTERRUPTED, 2), (b"x" * 70_000, Outcome.INTERRUPTED, 2),
+    (b"%b tea\r\n", Outcome.INTERRUPTED, 2),
+    (b"x" * 70_000, Outcome.INTERRUPTED, 2),
     (b"\xff\x00", Outcome.INTERRUPTED, 2),
-    (b"%b yes -5\r\n", Outcome.INTERRUPTED, 2), (b"0000 notnow\r\n" * 99, Outcome.INTERRUPTED, 2),
-    (b"", Outcome.TIMED_OUT, 2), (None, Outcome.INTERRUPTED, 2)]
+    (b"%b yes -5\r\n", Outcome.INTERRUPTED, 2),
+    (b"0000 notnow\r\n" * 99, Outcome.INTERRUPTED, 2),
+    (b"", Outcome.TIMED_OUT, 2),
+    (None, Outcome.INTERRUPTED, 2),
+]
 
 
 @pytest.mark.parametrize(("reply", "outcome", "links"), REPLIES)
@@ -232,8 +238,9 @@
 async def test_a_connection_that_was_forgotten_costs_no_call():
     vault, told, counters = Vault(tells=True), Journal(), Counters()
     await vault.start()
-    link = VaultLink(("127.0.0.1", vault.port), Limits(vault_fresh_ms=60_000.0), counters, told.add,
-                     lambda: time.time() * 1000)
+    link = VaultLink(
+        ("127.0.0.1", vault.port), Limits(vault_fresh_ms=60_000.0), counters, told.add, lambda: time.time() * 1000
+    )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
         for count, (request, once) in enumerate([("a1", False), ("b2", False), ("c3", True)], 1):
@@ -250,8 +257,9 @@
 async def test_a_call_given_up_closes_its_connection_and_an_idle_one_is_closed():
     vault, told = Vault(tells=True), Journal()
     await vault.start()
-    link = VaultLink(("127.0.0.1", vault.port), Limits(vault_fresh_ms=50.0), Counters(), told.add,
-                     lambda: time.time() * 1000)
+    link = VaultLink(
+        ("127.0.0.1", vault.port), Limits(vault_fresh_ms=50.0), Counters(), told.add, lambda: time.time() * 1000
+    )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(link.run)
         assert link.ask("a1", 5000.0, b"", False)
@@ -339,8 +347,14 @@
     def __init__(self, name="http", most=3, **limits):
         self.limits, self.counters = Limits(**limits), Counters()
         self.front = {"http": HttpFront, "uwsgi": UwsgiFront}[name](
-            None, SimpleNamespace(posture=Posture(up=True)), self.limits, self.counters,
-            lambda: time.time() * 1000, most, None)
+            None,
+            SimpleNamespace(posture=Posture(up=True)),
+            self.limits,
+            self.counters,
+            lambda: time.time() * 1000,
+            most,
+            None,
+        )
         self.ping = BYTES[name]("", b"", {}, method="GET", path="/ping")
 
     async def __aenter__(self):
@@ -394,7 +408,7 @@
         half = await desk.open(desk.ping[:6])
         for place in range(6, 12):  # each piece comes in time, the whole does not
             await asyncio.sleep(0.04)
-            half.send(desk.ping[place:place + 1])
+            half.send(desk.ping[place : place + 1])
         assert (await half.reply()).status == 408 and await half.ended()
         if front == "http":
             kept.send(desk.ping)
@@ -404,6 +418,7 @@
 @pytest.mark.parametrize("front", FRONTS)
 async def test_a_caller_that_takes_no_answer_does_not_hold_its_connection(front):
     async with Desk(front, write_ms=50.0, sweep_ms=20.0, linger_ms=1.0) as desk:
+
         class Stuck:  # a stream whose peer reads nothing
             async def receive(self, most):
                 return desk.ping
@@ -423,8 +438,15 @@
         assert desk.counters[f"{front}.answers_not_taken"] == 1 and not desk.front.connections
 
 
-JUNK = [b'{"t":"finished","no":1,"rid":"x","status":"odd"}', b"[" * 9000, b"7", b"\xff", b'{"t":"tea"}',
-        b'{"t":"blocked","rid":"x","b64":""}', b"x" * 70_000]
+JUNK = [
+    b'{"t":"finished","no":1,"rid":"x","status":"odd"}',
+    b"[" * 9000,
+    b"7",
+    b"\xff",
+    b'{"t":"tea"}',
+    b'{"t":"blocked","rid":"x","b64":""}',
+    b"x" * 70_000,
+]
 
 
 async def test_junk_from_peers_is_counted_and_the_link_made_anew(rig):
@@ -441,9 +463,15 @@
     assert (counters["vault.junk"], counters["skipped"]) == (2, 1)  # called twice
 
 
-@pytest.mark.parametrize(("reply", "status", "asked"), [
-    (b"%b yes 5\r\n\x00\r\n\xffx\r\n", 200, 1), (b"%b notnow\r\n", 500, 3), (b"%b failed\r\n", 500, 1),
-    (None, 500, 1)])
+@pytest.mark.parametrize(
+    ("reply", "status", "asked"),
+    [
+        (b"%b yes 5\r\n\x00\r\n\xffx\r\n", 200, 1),
+        (b"%b notnow\r\n", 500, 3),
+        (b"%b failed\r\n", 500, 1),
+        (None, 500, 1),
+    ],
+)
 async def test_calls_go_unchanged_and_are_repeated_only_when_proven_not_run(rig, reply, status, asked):
     rig.vault.reply, rig.pool.plan = reply, {"submit-time": ("blocked", {"b64": "AP8="})}
     assert (await rig.ask("http")).status == status
@@ -484,16 +512,25 @@
     ("race-results", b"", {"X-Item": "zz"}, 400, "X-Item"),
 ]
 BROKEN = {
-    "http": [(b"what is this\r\n\r\n", 400),
-             (b"POST /call/x HTTP/1.1\r\nHost: a\r\nContent-Length: z\r\n\r\n", 400),
-             (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf", 400),
-             (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
-             (b"POST /call/race-results HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
-              b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
-              + http_bytes("race-results", b"", job("race-results")), 400),
-             (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, 400)],
-    "uwsgi": [(b"\x05\x00\x00\x00", 400), (b"\x00\xff\xff\x00", 413), (b"\x00\x02\x00\x00\x09\x00", 400),
-              (b"\x00\x09", 400), (b"\x00\x03\x00\x00\x01\x00a", 400)],
+    "http": [
+        (b"what is this\r\n\r\n", 400),
+        (b"POST /call/x HTTP/1.1\r\nHost: a\r\nContent-Length: z\r\n\r\n", 400),
+        (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf", 400),
+        (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (
+            b"POST /call/race-results HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + http_bytes("race-results", b"", job("race-results")),
+            400,
+        ),
+        (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, 400),
+    ],
+    "uwsgi": [
+        (b"\x05\x00\x00\x00", 400),
+        (b"\x00\xff\xff\x00", 413),
+        (b"\x00\x02\x00\x00\x09\x00", 400),
+        (b"\x00\x09", 400),
+        (b"\x00\x03\x00\x00\x01\x00a", 400),
+    ],
 }
 
 
@@ -512,18 +549,28 @@
     assert not rig.runs() and (await rig.ask(front)).status == 200
 
 
-
-@pytest.mark.parametrize(("config", "text"), [
-    (None, "LB_CONFIG"), ("{", "Expecting"), ('{"settings": {}, "stop_ms": 1}', "name is missing"),
-    (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n"}), "listen is missing"),
-    (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n", "listen": "nowhere"}), "listen: 'nowhere' is no"),
-])
+@pytest.mark.parametrize(
+    ("config", "text"),
+    [
+        (None, "LB_CONFIG"),
+        ("{", "Expecting"),
+        ('{"settings": {}, "stop_ms": 1}', "name is missing"),
+        (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n"}), "listen is missing"),
+        (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n", "listen": "nowhere"}), "listen: 'nowhere' is no"),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line_and_no_start(tmp_path, config, text):
     path = tmp_path / "config.json"
     path.write_text(config or "")
     env = {name: value for name, value in os.environ.items() if name != "LB_CONFIG"}
-    ended = subprocess.run([sys.executable, "-m", "flintshift"], cwd=ROOT, check=False, text=True,
-                           env=env | ({"LB_CONFIG": str(path)} if config else {}), capture_output=True)
+    ended = subprocess.run(
+        [sys.executable, "-m", "flintshift"],
+        cwd=ROOT,
+        check=False,
+        text=True,
+        env=env | ({"LB_CONFIG": str(path)} if config else {}),
+        capture_output=True,
+    )
     assert ended.returncode == 2 and text in ended.stderr and ended.stderr.count("\n") == 1
 
 
@@ -533,13 +580,12 @@
     outcomes = []
 
     async def request(turn):
-        first, other = (FRONTS if turn % 2 else FRONTS[::-1])
+        first, other = FRONTS if turn % 2 else FRONTS[::-1]
         class_name = "submit-time" if turn % 3 else "race-results"
         key = {"X-Unique": f"w{turn}"} if class_name == "submit-time" else {}
         for front, again in ((first, {}), (other, {"X-Again": "1"})):
             fields = job(class_name, **key, **again)
-            outcomes.append((key.get("X-Unique"), fields["X-Job-Id"],
-                             await rig.ask(front, class_name, fields=fields)))
+            outcomes.append((key.get("X-Unique"), fields["X-Job-Id"], await rig.ask(front, class_name, fields=fields)))
 
     async with asyncio.TaskGroup() as tasks:
         for turn in range(count):
@@ -557,8 +603,7 @@
 
 def test_the_program_runs_on_uvloop_and_a_word_of_a_new_configuration_cannot_end_its_start(monkeypatch):
     asked, before = {}, signal.getsignal(signal.SIGHUP)
-    monkeypatch.setattr(
-        anyio, "run", lambda *_, **more: asked.update(more, hup=signal.getsignal(signal.SIGHUP)))
+    monkeypatch.setattr(anyio, "run", lambda *_, **more: asked.update(more, hup=signal.getsignal(signal.SIGHUP)))
     monkeypatch.setattr(sys, "argv", ["flintshift"])
     assert main() == 0
     signal.signal(signal.SIGHUP, before)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -21,10 +21,14 @@
     def __init__(self, seed: int) -> None:
         self.draw = random.Random(seed)
         self.server = Server(
-            cores=self.draw.choice([1, 2, 6]), call_share=self.draw.choice([0.3, 2.0, 8.0]),
+            cores=self.draw.choice([1, 2, 6]),
+            call_share=self.draw.choice([0.3, 2.0, 8.0]),
             halt=self.draw.choice([api.Halt.NONE, api.Halt.ABORT]),
-            cold=self.draw.random() < 0.5, cold_from=0.3, cold_ms=5000.0,
-            memory_kb=self.draw.choice([400.0, 4000.0]), marks_repeats=self.draw.random() < 0.5,
+            cold=self.draw.random() < 0.5,
+            cold_from=0.3,
+            cold_ms=5000.0,
+            memory_kb=self.draw.choice([400.0, 4000.0]),
+            marks_repeats=self.draw.random() < 0.5,
         )
         self.stage: dict[str, str] = {}
         self.kind: dict[str, api.RequestClass] = {}
@@ -48,13 +52,17 @@
         now, settings, control = self.server.now, self.server.control.set, self.server.control
         works = list(control.work.values())  # the sums that decisions look at are those of a walk over all
         assert control.counts[1:] == [sum(work.stage is stage for work in works) for stage in Stage]
-        assert control._memory_kb() == pytest.approx(len(control.keys) * settings.key_kb + sum(
-            work.arrival.held_kb * (1 if work.stage in (Stage.HELD, Stage.FOLLOWING) else settings.run_factor)
-            for work in works))
-        assert control.must_call == sum(
-            work.must_call for work in works if work.stage in (Stage.RUNNING, Stage.LINED))
-        used = sum(10.0 * (1.0 if stage == "held" else settings.run_factor)
-                   for stage in self.stage.values() if stage != "over")
+        assert control._memory_kb() == pytest.approx(
+            len(control.keys) * settings.key_kb
+            + sum(
+                work.arrival.held_kb * (1 if work.stage in (Stage.HELD, Stage.FOLLOWING) else settings.run_factor)
+                for work in works
+            )
+        )
+        assert control.must_call == sum(work.must_call for work in works if work.stage in (Stage.RUNNING, Stage.LINED))
+        used = sum(
+            10.0 * (1.0 if stage == "held" else settings.run_factor) for stage in self.stage.values() if stage != "over"
+        )
         used += settings.key_kb * sum(end > now for end in self.kept.values())
         assert used <= settings.memory_kb, "out of memory"
         warm = min(1.0, (now - 1000.0) / settings.cold_ms) if settings.cold else 1.0
@@ -89,8 +97,10 @@
                 self.ran.add(request)
                 self.stage[request] = "running"
                 ends = not self.kind[request].calls or self.draw.random() < 0.3
-                self.soon(api.RunEnded(request, self.draw.choice(RUN_ENDS), 90.0) if ends
-                          else api.CallNeeded(request), 4000.0 if self.draw.random() < 0.1 else 300.0)
+                self.soon(
+                    api.RunEnded(request, self.draw.choice(RUN_ENDS), 90.0) if ends else api.CallNeeded(request),
+                    4000.0 if self.draw.random() < 0.1 else 300.0,
+                )
             elif isinstance(act, api.Refuse):
                 assert request not in self.ran, "refused after it ran"
                 self.answer(request)
@@ -152,8 +162,9 @@
                 self.kind[request] = self.draw.choice(list(KINDS.values()))
                 age = self.draw.choice([0.0, 5.0, 400.0])
                 self.reached[request], self.stage[request] = self.server.now - age, "held"
-                _, acts = self.server.arrive(self.kind[request].name, age_ms=age,
-                                             marked_repeat=self.draw.random() < 0.2)
+                _, acts = self.server.arrive(
+                    self.kind[request].name, age_ms=age, marked_repeat=self.draw.random() < 0.2
+                )
                 self.check(acts)
             end = self.server.now + 40.0
             while self.later and min(self.later)[0] <= end:
--- a/tests/usage/test_book.py
+++ b/tests/usage/test_book.py
@@ -107,8 +107,15 @@
         for place, value in enumerate(amounts):
             self.model[names, place] += sign * value
 
-    @rule(club=st.integers(0, 2), class_=st.integers(0, 1), front=st.integers(0, 1),
-          outcome=st.integers(0, 3), flags=st.integers(0, 3), run=st.integers(0, 9), size=st.integers(0, 9))
+    @rule(
+        club=st.integers(0, 2),
+        class_=st.integers(0, 1),
+        front=st.integers(0, 1),
+        outcome=st.integers(0, 3),
+        flags=st.integers(0, 3),
+        run=st.integers(0, 9),
+        size=st.integers(0, 9),
+    )
     def claim(self, club, class_, front, outcome, flags, run, size):
         row = self.desk.row(club, class_, front, outcome)
         sequence = self.desk.write(Claim(b"i" * 8, row, flags, run, 1, size, 2))
@@ -167,7 +174,7 @@
         self.desk.now += by
         self.desk.tell(Tick())
 
-    @rule(by=st.integers(-10**9, 10**9))
+    @rule(by=st.integers(-(10**9), 10**9))
     def clock_moves(self, by):
         self.desk.tell(ClockMoved(by))
 
@@ -186,8 +193,12 @@
         if self.desk.book.state.documents:
             self.desk.tell(DocumentsStand(self.desk.book.state.documents[-1].number))
 
-    @rule(club=st.sampled_from(["a", "b", "(other)", "nobody"]), by=st.integers(-5, 5), back=st.integers(0, 4),
-          again=st.booleans())
+    @rule(
+        club=st.sampled_from(["a", "b", "(other)", "nobody"]),
+        by=st.integers(-5, 5),
+        back=st.integers(0, 4),
+        again=st.booleans(),
+    )
     def correct(self, club, by, back, again):
         state = self.desk.book.state
         found = [documents.read(data) for data in self.desk.documents.values()]
@@ -196,9 +207,16 @@
         self.corrections += not again
         names = club, "look", "http", "served"
         closed = [one for one in found if one.period_ms == period]
-        asked = CorrectionAsked(f"c{self.corrections}", "op", "why", period, *names, (by, 0, 0, 0, 0, 0, 0),
-                                tuple(documents.totals(closed).get(names, [0] * 7)) if closed else None,
-                                closed[0].length_ms if closed else None)
+        asked = CorrectionAsked(
+            f"c{self.corrections}",
+            "op",
+            "why",
+            period,
+            *names,
+            (by, 0, 0, 0, 0, 0, 0),
+            tuple(documents.totals(closed).get(names, [0] * 7)) if closed else None,
+            closed[0].length_ms if closed else None,
+        )
         known = dict(state.corrections)
         reply = self.desk.tell(asked)
         assert isinstance(reply, Reply)
@@ -270,23 +288,41 @@
 
 
 def asked(**changes):
-    told = {"id": "c1", "author": "op", "reason": "why", "period": 10_000, "club": "a", "class_name": "look",
-            "front": "http", "outcome": "served", "amounts": (1, 0, 0, 0, 0, 0, 0), **changes}
+    told = {
+        "id": "c1",
+        "author": "op",
+        "reason": "why",
+        "period": 10_000,
+        "club": "a",
+        "class_name": "look",
+        "front": "http",
+        "outcome": "served",
+        "amounts": (1, 0, 0, 0, 0, 0, 0),
+        **changes,
+    }
     return CorrectionAsked(**told)
 
 
-@pytest.mark.parametrize(("changes", "text"), [
-    ({"id": "no spaces"}, "the id is 1 to 64"), ({"author": " "}, "author and reason"),
-    ({"reason": "x" * 501}, "author and reason"),
-    ({"club": "nobody"}, "the club 'nobody' is unknown; known are a, b"),
-    ({"class_name": "x"}, "the class 'x' is unknown"), ({"front": "x"}, "the front is one of"),
-    ({"amounts": (0,) * 7}, "nothing is corrected"), ({"period": 9000}, "no period begins at 9000 ms"),
-    ({"amounts": (-1, 0, 0, 0, 0, 0, 0)}, "requests: 0 and -1 is below zero"),
-    ({"amounts": (0, 0, 0, 2**63, 0, 0, 0)}, "run_us: 0 and .* is more than"),
-    ({"amounts": (1,)}, "nothing is corrected"),
-    ({"period": 5000, "length": 1000, "closed": (3, 0, 0, 0, 0, 0, 0), "amounts": (-4, 0, 0, 0, 0, 0, 0)},
-     "3 and -4"),
-])
+@pytest.mark.parametrize(
+    ("changes", "text"),
+    [
+        ({"id": "no spaces"}, "the id is 1 to 64"),
+        ({"author": " "}, "author and reason"),
+        ({"reason": "x" * 501}, "author and reason"),
+        ({"club": "nobody"}, "the club 'nobody' is unknown; known are a, b"),
+        ({"class_name": "x"}, "the class 'x' is unknown"),
+        ({"front": "x"}, "the front is one of"),
+        ({"amounts": (0,) * 7}, "nothing is corrected"),
+        ({"period": 9000}, "no period begins at 9000 ms"),
+        ({"amounts": (-1, 0, 0, 0, 0, 0, 0)}, "requests: 0 and -1 is below zero"),
+        ({"amounts": (0, 0, 0, 2**63, 0, 0, 0)}, "run_us: 0 and .* is more than"),
+        ({"amounts": (1,)}, "nothing is corrected"),
+        (
+            {"period": 5000, "length": 1000, "closed": (3, 0, 0, 0, 0, 0, 0), "amounts": (-4, 0, 0, 0, 0, 0, 0)},
+            "3 and -4",
+        ),
+    ],
+)
 def test_impossible_corrections_are_refused_with_the_reason(changes, text):
     desk = Desk()
     desk.open()
@@ -321,7 +357,7 @@
     desk.open()
     desk.now += 2000
     desk.tell(Tick())
-    (first, data), = desk.documents.items()
+    ((first, data),) = desk.documents.items()
     assert "revision 1" in desk.tell(asked(length=1000)).text
     assert "revision 2" in desk.tell(asked(id="c2", length=1000, closed=(1, 0, 0, 0, 0, 0, 0))).text
     assert desk.documents[first] == data
@@ -354,11 +390,30 @@
 
 
 def test_records_keep_their_kinds_and_forms():
-    assert {number: kind.__name__ for number, kind in KINDS.items()} == dict(enumerate((
-        "Opened", "Turned", "Claim", "Marked", "Late", "Closed", "Corrected", "Published", "Gap", "Stepped", "Ended",
-        "Forgotten", "Listed"), 1))
+    assert {number: kind.__name__ for number, kind in KINDS.items()} == dict(
+        enumerate(
+            (
+                "Opened",
+                "Turned",
+                "Claim",
+                "Marked",
+                "Late",
+                "Closed",
+                "Corrected",
+                "Published",
+                "Gap",
+                "Stepped",
+                "Ended",
+                "Forgotten",
+                "Listed",
+            ),
+            1,
+        )
+    )
     assert pack(Claim(b"12345678", 5, 3, 1000, 1, 7, 20)) == (
-        3, b"\x97\xc4\x0812345678\x05\x03\xcd\x03\xe8\x01\x07\x14")
+        3,
+        b"\x97\xc4\x0812345678\x05\x03\xcd\x03\xe8\x01\x07\x14",
+    )
     with pytest.raises(ValueError, match="records of kind 99 are not known"):
         unpack(99, b"")
     assert len(AMOUNTS) == 7
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -41,8 +41,16 @@
 
 
 def document(number, node="n1"):
-    return pb.UsageDocument(schema=1, node=node, life=b"l" * 16, epoch=1, number=number, period_ms=number * 1000,
-                            length_ms=1000, rows=[documents.row(("a", "look", "http", "served"), [number] * 7)])
+    return pb.UsageDocument(
+        schema=1,
+        node=node,
+        life=b"l" * 16,
+        epoch=1,
+        number=number,
+        period_ms=number * 1000,
+        length_ms=1000,
+        rows=[documents.row(("a", "look", "http", "served"), [number] * 7)],
+    )
 
 
 def folder_with(path, count):
@@ -61,8 +69,16 @@
         if said is not None:
             said.append((event, more))
 
-    return ExportRun(DiskFiles(), path, sinks, Pace(backoff_ms, 50.0, attempts), random.Random(1).random,
-                     lambda: time.monotonic() * 1000, say, until_done=True)
+    return ExportRun(
+        DiskFiles(),
+        path,
+        sinks,
+        Pace(backoff_ms, 50.0, attempts),
+        random.Random(1).random,
+        lambda: time.monotonic() * 1000,
+        say,
+        until_done=True,
+    )
 
 
 # The heart.
@@ -154,11 +170,25 @@
     assert heart.sinks["x"].known == {"b", "c", "d"}
 
 
-@pytest.mark.parametrize(("status", "answer", "kind"), [
-    (200, b'{"digest": "d"}', Delivered), (201, b'{"digest": "d"}', Delivered), (409, b'{"digest": "d"}', Delivered),
-    (409, b'{"digest": "e"}', Rejected), (409, b"", NotDelivered), (200, b'{"digest": "e"}', NotDelivered),
-    (200, b"junk", NotDelivered), (200, b"[]", NotDelivered), (412, b"", Superseded), (500, b"", NotDelivered),
-    (429, b"", NotDelivered), (404, b"", Rejected), (301, b"", Rejected), (400, b'{"digest": "d"}', Rejected)])
+@pytest.mark.parametrize(
+    ("status", "answer", "kind"),
+    [
+        (200, b'{"digest": "d"}', Delivered),
+        (201, b'{"digest": "d"}', Delivered),
+        (409, b'{"digest": "d"}', Delivered),
+        (409, b'{"digest": "e"}', Rejected),
+        (409, b"", NotDelivered),
+        (200, b'{"digest": "e"}', NotDelivered),
+        (200, b"junk", NotDelivered),
+        (200, b"[]", NotDelivered),
+        (412, b"", Superseded),
+        (500, b"", NotDelivered),
+        (429, b"", NotDelivered),
+        (404, b"", Rejected),
+        (301, b"", Rejected),
+        (400, b'{"digest": "d"}', Rejected),
+    ],
+)
 def test_what_an_answer_means(status, answer, kind):
     assert type(judged("n", "d", status, answer, "")) is kind
 
@@ -253,8 +283,11 @@
 
 
 def test_names_are_in_the_order_of_periods_and_revisions():
-    names = ["n1.e1.19700101T000002.000Z.r0.usage", "n1.e9.19700101T000001.000Z.r10.usage",
-             "n1.e1.19700101T000001.000Z.r2.usage"]
+    names = [
+        "n1.e1.19700101T000002.000Z.r0.usage",
+        "n1.e9.19700101T000001.000Z.r10.usage",
+        "n1.e1.19700101T000001.000Z.r2.usage",
+    ]
     assert order(names) == [names[2], names[1], names[0]]
 
 
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -48,8 +48,18 @@
         clock = LedgerClock(at_ms, steady_ms(), holder.book.state.last_ms)
         self.told = []
         told = CommitLimits(**{"holds": durability == "power-cut", "sync_ms": 0.0, "segment_bytes": 300, **limits})
-        self.ledger = Ledger(holder, 100, told, refuse, 0.0, ["folder"], clock, lambda: self.at_ms, steady_ms,
-                             lambda level, event, **more: self.told.append((event, more)))
+        self.ledger = Ledger(
+            holder,
+            100,
+            told,
+            refuse,
+            0.0,
+            ["folder"],
+            clock,
+            lambda: self.at_ms,
+            steady_ms,
+            lambda level, event, **more: self.told.append((event, more)),
+        )
         self.ledger.due = self.ledger.marking = True  # flushed by hand alone
         self.delivered = set()
 
@@ -106,8 +116,9 @@
     life.at_ms += 200
     await life.tick()  # closes the first period, publishes it; the segment is full: a new one
     await life.export()
-    asked = CorrectionAsked("c1", "op", "a wrong count", BEGIN, "b", "look", "http", "served",
-                            (1, 0, 0, 0, 0, 1 << 40, 0))
+    asked = CorrectionAsked(
+        "c1", "op", "a wrong count", BEGIN, "b", "look", "http", "served", (1, 0, 0, 0, 0, 1 << 40, 0)
+    )
     life.ledger.correct(to_json(asked))
     await life.tick()
     await life.answer(5, 6)
@@ -226,6 +237,7 @@
 @pytest.mark.parametrize("stretch", [1, 12])
 def test_a_refusal_at_every_operation_answers_all_and_loses_nothing(error, stretch, refuse):
     """The disk refuses one operation or many in a row, then works again: every answer left, and all is booked."""
+
     async def work(files, at):
         life = Life(files, BEGIN, refuse=refuse)
         files.refuse = dict.fromkeys(range(at, at + stretch), error)
@@ -331,6 +343,7 @@
 
         def refused(folder):
             raise OSError(errno.EIO, "refused here")
+
         files.names = refused
         await life.tick()
         await life.answer(1)
@@ -360,10 +373,17 @@
 @pytest.mark.parametrize("at", ["sync", "segment", "reopen"])
 def test_a_disk_that_hangs_holds_no_answer_past_its_bound_and_loses_nothing(at):
     """In a sync, in a new segment, and in the try to come back from a gap."""
+
     async def work():
         files, began = Hanging(), time.monotonic()
-        life = Life(files, BEGIN, steady_ms=lambda: (time.monotonic() - began) * 1000, held_ms=50.0, reopen_ms=50.0,
-                    segment_bytes=1 << 30)
+        life = Life(
+            files,
+            BEGIN,
+            steady_ms=lambda: (time.monotonic() - began) * 1000,
+            held_ms=50.0,
+            reopen_ms=50.0,
+            segment_bytes=1 << 30,
+        )
         ledger = life.ledger
         ledger.due = ledger.marking = False  # flushed by itself
         async with asyncio.TaskGroup() as tasks:
@@ -372,8 +392,9 @@
             tickets = {}
 
             def claim(number):
-                tickets[number] = ledger.claim(number.to_bytes(8, "big"), ROW, 0, 10, 1, 1 << number, 5,
-                                               lambda: life.delivered.add(number))
+                tickets[number] = ledger.claim(
+                    number.to_bytes(8, "big"), ROW, 0, 10, 1, 1 << number, 5, lambda: life.delivered.add(number)
+                )
 
             async def answered(number):
                 async with asyncio.timeout(5):
@@ -410,6 +431,7 @@
 
 def test_nothing_is_written_while_a_segment_is_begun():
     """A document ends up in its file, a clock steps and a correction comes just then: all wait for the segment."""
+
     async def work():
         files = Hanging()
         life = Life(files, BEGIN, "process-death", segment_bytes=1 << 30)
@@ -423,6 +445,7 @@
 
         async def slowly():
             return documents_written.set() or True
+
         ledger._synced = slowly
         ledger.commit.limits = replace(ledger.commit.limits, segment_bytes=1)
         await life.ledger.work()
@@ -453,6 +476,7 @@
 
 def test_a_wait_that_is_due_now_is_woken_on_the_loop_that_the_node_runs_on():
     """uvloop gives no timer for less than half a millisecond, and a second wait is told while it stands."""
+
     async def play():
         life = Life(SimFiles(), BEGIN, sync_ms=0.2)
         woken = []
--- a/tests/wire/test_control_front.py
+++ b/tests/wire/test_control_front.py
@@ -28,8 +28,10 @@
 
 async def pings(rig):
     """What checks are told: plain and deep, on both fronts."""
-    return [(await rig.ask(front, path=path, method="GET")).status
-            for front, path in (("http", "/ping"), ("http", "/ping?all=1"), ("uwsgi", "/ping"))]
+    return [
+        (await rig.ask(front, path=path, method="GET")).status
+        for front, path in (("http", "/ping"), ("http", "/ping?all=1"), ("uwsgi", "/ping"))
+    ]
 
 
 async def test_a_drained_node_fails_its_checks_at_once_and_answers_all_else_as_always(rig):
@@ -87,23 +89,26 @@
     assert await asyncio.wait_for(rig.process.wait(), 10) == 0
 
 
-@pytest.mark.parametrize(("sent", "status"), [
-    (b"GET /control/ready HTTP/1.1\r\n\r\n", 400),  # no Host
-    (b"GET /control/ready HTTP/1.1\r\nHost: n\r\n\r\n", 200),
-    (b"GET /control/ready HTTP/1.0\r\n\r\n", 200),
-    (b"GET /control/nothing HTTP/1.1\r\nHost: n\r\n\r\n", 404),
-    (b"GET / HTTP/1.1\r\nHost: n\r\n\r\n", 404),
-    (b"POST /control/ready HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n", 405),
-    (b"GET /control/out-of-service HTTP/1.1\r\nHost: n\r\n\r\n", 405),
-    (b"DELETE /control/in-service HTTP/1.1\r\nHost: n\r\n\r\n", 405),
-    (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nContent-Length: 3\r\n\r\nabc", 200),
-    (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200),
-    (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nContent-Length: 9000\r\n\r\n" + b"x" * 9000, 400),
-    (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nContent-Length: -1\r\n\r\n", 400),
-    (b"GET /control/ready HTTP/1.1\r\nHost: n\r\nX: " + b"y" * 9000, 400),
-    (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
-    (b"ready\n\n", 400),
-])
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET /control/ready HTTP/1.1\r\n\r\n", 400),  # no Host
+        (b"GET /control/ready HTTP/1.1\r\nHost: n\r\n\r\n", 200),
+        (b"GET /control/ready HTTP/1.0\r\n\r\n", 200),
+        (b"GET /control/nothing HTTP/1.1\r\nHost: n\r\n\r\n", 404),
+        (b"GET / HTTP/1.1\r\nHost: n\r\n\r\n", 404),
+        (b"POST /control/ready HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"GET /control/out-of-service HTTP/1.1\r\nHost: n\r\n\r\n", 405),
+        (b"DELETE /control/in-service HTTP/1.1\r\nHost: n\r\n\r\n", 405),
+        (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nContent-Length: 3\r\n\r\nabc", 200),
+        (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 200),
+        (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nContent-Length: 9000\r\n\r\n" + b"x" * 9000, 400),
+        (b"POST /control/in-service HTTP/1.1\r\nHost: n\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"GET /control/ready HTTP/1.1\r\nHost: n\r\nX: " + b"y" * 9000, 400),
+        (b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
+        (b"ready\n\n", 400),
+    ],
+)
 async def test_each_call_has_a_plain_answer_of_one_line_and_its_connection_ends(rig, sent, status):
     caller = await rig.connect("control")
     caller.send(sent)
@@ -159,10 +164,12 @@
     async with Rig(tmp_path) as rig:
         with pytest.raises(ConnectionRefusedError):
             await rig.connect("control")
-    text = ("import sys, anyio\nfrom flintshift.lifecycle.config import embedded\n"
-            "from flintshift.lifecycle.node import Node\n"
-            "async def made(): assert Node(embedded(), embedded).door is None\n"
-            "anyio.run(made)\nprint('flintshift.wire.control_front' in sys.modules)")
+    text = (
+        "import sys, anyio\nfrom flintshift.lifecycle.config import embedded\n"
+        "from flintshift.lifecycle.node import Node\n"
+        "async def made(): assert Node(embedded(), embedded).door is None\n"
+        "anyio.run(made)\nprint('flintshift.wire.control_front' in sys.modules)"
+    )
     assert subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True).stdout == b"False\n"
 
 
--- a/tests/wire/test_pieces.py
+++ b/tests/wire/test_pieces.py
@@ -17,7 +17,7 @@
 
 async def in_pieces(writer, data):
     for place in range(len(data)):
-        writer.write(data[place:place + 1])
+        writer.write(data[place : place + 1])
         await writer.drain()
         await asyncio.sleep(0)
 
