Start without a vault where no request calls below, and read null as not told

The platform names no vault there. At fault: the table TOP in settings/shape.py and Config.vault, which asked for one always. Ruled out: the site's other settings, as the nodes started once the vault was not asked for.

A vault is needed where a class calls below, and there alone. In the same table: null stands for what is not told (it was 'None is not a number'), and a whole number may be written as 6.0 (it passed the check and failed in int()).

--- a/flintshift/lifecycle/config.py
+++ b/flintshift/lifecycle/config.py
@@ -27,7 +27,7 @@
     control: Address | None  # where operators call; None: not at all
     pool: Address
     naming: Address
-    vault: Address
+    vault: Address | None  # None: requests call nothing below
     seed: int
     settings: api.Settings
     gauge_names: list[str | None]
@@ -74,14 +74,14 @@
             stop_ms=float(told["stop_ms"]),
         )
         settings = settings_from(pairs)
-        door = told.get("control") or control
+        door, vault = told.get("control") or control, told.get("vault")
         return Config(
             name=str(told["name"]),
             listen=address(told["listen"]),
             control=address(door) if door else None,
             pool=address(told["pool"]),
             naming=address(told["naming"]),
-            vault=address(told["vault"]),
+            vault=address(vault) if vault else None,
             seed=int(str(told["seed"]), 16),
             settings=settings,
             limits=replace(limits, key_bytes=limits.memory_mb * (1 << 20) // 6),
--- a/flintshift/settings/platform.py
+++ b/flintshift/settings/platform.py
@@ -25,6 +25,14 @@
     return value
 
 
+def count(text: str) -> int:
+    """A whole number, however JSON wrote it: 6 or 6.0."""
+    value = number(text)
+    if value != int(value):
+        raise ValueError(text)
+    return int(value)
+
+
 def flag(text: str) -> bool:
     return {"1": True, "0": False, "true": True, "false": False}[text]
 
@@ -50,7 +58,7 @@
 
 # Settings: the path on the wire, the field of the interface and its form.
 SETTINGS: dict[str, tuple[str, Callable[[str], Any]]] = {
-    "familyInfo.nCores": ("cores", int),
+    "familyInfo.nCores": ("cores", count),
     "familyInfo.ramKb": ("memory_kb", number),
     "familyInfo.runFactor": ("run_factor", number),
     "rules.fallMultiple": ("fall_multiple", number),
@@ -58,8 +66,8 @@
     "rules.coldFrom": ("cold_from", number),
     "rules.coldMs": ("cold_ms", number),
     "familyInfo.cold": ("cold", flag),
-    "groupSize": ("servers", int),
-    "familyInfo.upstreams": ("callers", int),
+    "groupSize": ("servers", count),
+    "familyInfo.upstreams": ("callers", count),
     "familyInfo.callShare": ("call_share", number),
     "familyInfo.callsOverMs": ("call_window_ms", number),
     "familyInfo.lingerMs": ("linger_ms", number),
@@ -143,6 +151,8 @@
         for key, inner in value.items():
             pairs |= flat(inner, f"{path}.{key}" if path else key)
         return pairs
+    if value is None:  # not told
+        return {}
     if isinstance(value, list):
         if any(isinstance(item, dict) for item in value):
             pairs = {f"{path}.count": str(len(value))}
--- a/flintshift/settings/shape.py
+++ b/flintshift/settings/shape.py
@@ -71,7 +71,7 @@
     ("control", _address, False),
     ("pool", _address, True),
     ("naming", _address, True),
-    ("vault", _address, True),
+    ("vault", _address, False),
     ("seed", _hex, True),
     ("stop_ms", ABOVE_0, True),
     ("limits", _table, False),
@@ -153,7 +153,7 @@
     for path, check, needed in table:
         above = path.rpartition(".")[0]
         there, value = _at(told, path)
-        if there:
+        if there and (needed or value is not None):  # null stands for what is not told
             wrong = check(value)
             if wrong is not None:
                 yield f"{before}{path}: {wrong}"
@@ -175,7 +175,9 @@
         there, values = _at(told, path)
         if there and (not isinstance(values, list) or len(values) != len(classes)):
             yield f"{path}: not one value for each of the {len(classes)} classes"
-    tenants = told["settings"].get("tenants", [])
+    if any(told["settings"]["familyInfo"].get("callsByClass") or ()) and told.get("vault") is None:
+        yield "vault is missing, and requests call below"
+    tenants = told["settings"].get("tenants") or []
     if not isinstance(tenants, list):
         yield "settings.tenants: not a list"
         return
--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -45,7 +45,7 @@
 class VaultLink:
     def __init__(
         self,
-        to: tuple[str, int],
+        to: tuple[str, int] | None,
         limits: Limits,
         counters: Counters,
         report: Callable[[Report], Awaitable[None]],
@@ -65,8 +65,8 @@
         if not self.outbox.offer(request):  # its reply will find nobody
             self.counters.add("vault.unask_dropped")
 
-    def move(self, to: tuple[str, int]) -> None:
-        """New calls go to another address; those under way stay where they are."""
+    def move(self, to: tuple[str, int] | None) -> None:
+        """New calls go to another address, or nowhere; those under way stay where they are."""
         self.to = to
 
     async def run(self) -> None:
@@ -107,10 +107,11 @@
             if word != "broken" or ask.once:
                 return by, word, reply
             self.counters.add("vault.made_again")
-        if len(self.out) > self.limits.vault_connections:  # guards the descriptors
+        to = self.to
+        if to is None or len(self.out) > self.limits.vault_connections:  # the bound guards the descriptors
             return "link", "refused", b""
         try:
-            line = await self._connect()
+            line = await self._connect(to)
         except BROKEN:
             return "link", "refused", b""
         return await self._on(line, ask)
@@ -150,10 +151,10 @@
         self.idle.remove(fit[-1])
         return fit[-1]
 
-    async def _connect(self) -> Line:
-        stream = await connect(self.to, self.limits)
+    async def _connect(self, to: tuple[str, int]) -> Line:
+        stream = await connect(to, self.limits)
         self.counters.add("vault.links")
-        return Line(self.to, stream, BufferedByteReceiveStream(stream))
+        return Line(to, stream, BufferedByteReceiveStream(stream))
 
     async def _ask(self, line: Line, ask: Ask, left_ms: int) -> tuple[str, bytes]:
         line.request = ask.request
--- a/tests/settings/test_shape.py
+++ b/tests/settings/test_shape.py
@@ -96,6 +96,27 @@
     assert path.removeprefix("settings.") in words or "classes" in words
 
 
+@pytest.mark.parametrize("vault", [NONE, None])
+def test_a_site_whose_requests_call_nothing_below_needs_no_vault(vault):
+    told = changed("vault", vault)
+    told["settings"]["familyInfo"]["callsByClass"] = [False] * len(told["settings"]["classes"])
+    assert made(told, "FILE", Operators()).vault is None
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("settings.limits.maxRetryAfterMs", None),
+        ("settings.familyInfo.idleMs", None),
+        ("settings.familyInfo.nCores", 4.0),
+        ("settings.groupSize", 12.0),
+        ("settings.tenants", None),
+    ],
+)
+def test_what_is_null_is_not_told_and_a_whole_number_may_be_written_with_a_point(path, value):
+    assert made(changed(path, value), "FILE", Operators()).settings.servers >= 1
+
+
 def test_a_file_cut_at_any_byte_is_never_taken():
     whole = json.dumps(configuration())
     made(json.loads(whole), "FILE", Operators())
