Close every caller's connection in one place: last look, half-close, bounded reading to the end

Need: bytes may come in the very moment in which the node closes a connection.

wire/connection.py now holds the states of a connection, their legal transitions and the one close. The front accepts by our own Acceptor on the platform too, and takes what is queued before the listener is closed.

--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-from anyio.abc import Listener, SocketListener, SocketStream
 
 from flintshift.core.attempts import Notice
 from flintshift.core.catalogue import Catalogue
@@ -266,7 +265,7 @@
         with anyio.open_signal_receiver(*told) as signals:
             if self.starting is not None and await self._left_before(self.starting, signals):
                 return
-            listeners: list[Listener[SocketStream] | Acceptor] = await self._listeners()
+            listeners = await self._listeners()
             doors = [listening(self.config.control, self.limits.backlog)] if self.config.control is not None else []
             async with anyio.create_task_group() as tasks:
                 if self.upgrade is not None:
@@ -450,21 +449,12 @@
             front.leave()
         self.listing.say(None)
 
-    async def _listeners(self) -> list[Listener[SocketStream] | Acceptor]:
+    async def _listeners(self) -> list[Acceptor]:
         if self.upgrade is None:
-            return [await self._listen(at) for _, at in self.fronts]
+            return [Acceptor(listening(at, self.limits.backlog)) for _, at in self.fronts]
         await self.upgrade.begin()
         return [Acceptor(raw) for raw in self.upgrade.sockets]
 
-    async def _listen(self, at: tuple[str, int]) -> SocketListener:
-        host, port = at
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=self.limits.backlog, reuse_port=False
-        )
-        one = listener.listeners[0]  # an address has one
-        assert isinstance(one, SocketListener)
-        return one
-
     async def _drain(self) -> None:
         """Answer all that was read and leave; what comes after the grace is refused, not run."""
         notice = self.now_ms()
@@ -481,9 +471,10 @@
                 await anyio.sleep(self.limits.drain_step_ms / 1000)
         for front, _ in self.fronts:
             front.finish()
-        with anyio.move_on_after(self.limits.stop_margin_ms / 2000):
-            while any(front.connections for front, _ in self.fronts):
-                await anyio.sleep(self.limits.drain_step_ms / 1000)
+        # The last answers are to be taken, and what crosses them read to its end, for as long as the kill is away.
+        gone = stop + self.limits.stop_margin_ms / 2
+        while any(front.connections for front, _ in self.fronts) and self.now_ms() < gone:
+            await anyio.sleep(self.limits.drain_step_ms / 1000)
 
     def _open(self) -> int:
         return self.decisions.open + sum(front.busy for front, _ in self.fronts)
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -1,11 +1,13 @@
 """A listener whose accepting can be stopped and taken up again without losing a connection.
 
-anyio's own drops what was accepted in the turn in which it is cancelled. Here a cancellation can only meet the wait
-for readiness: the queue stays in the socket, for this process later or for another that holds the socket too.
+anyio's own drops what was accepted in the turn in which it is cancelled, and stops for all where one accepted
+connection was reset already. Here a cancellation can only meet the wait for readiness: the queue stays in the socket,
+for this process later or for another that holds the socket too.
 """
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -28,13 +30,27 @@
         while True:
             await anyio.wait_readable(self.raw)
             for _ in range(BATCH):
-                try:
-                    accepted, _ = self.raw.accept()
-                except (BlockingIOError, ConnectionAbortedError):
-                    break  # another process that holds the socket took it, or its caller went
-                accepted.setblocking(False)
-                accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                tasks.start_soon(self._handle, handler, accepted)
+                if not self._take(handler, tasks):
+                    break
+
+    def take_queued(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> None:
+        """Take what is queued now and no more: closing the socket would reset it, though a request may stand in it."""
+        with contextlib.suppress(OSError):  # no descriptors are left: the rest is reset with the socket
+            while self._take(handler, tasks):
+                pass
+
+    def _take(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> bool:
+        """Take the next connection; False where none is queued."""
+        try:
+            accepted, _ = self.raw.accept()
+        except ConnectionAbortedError:
+            return True  # its caller went; the next one may not have
+        except BlockingIOError:
+            return False  # there is none, or another process that holds the socket took it
+        accepted.setblocking(False)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        tasks.start_soon(self._handle, handler, accepted)
+        return True
 
     @staticmethod
     async def _handle(handler: Callable[[SocketStream], Awaitable[None]], accepted: socket.socket) -> None:
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -9,7 +9,7 @@
 from urllib.parse import parse_qs
 
 import anyio
-from anyio.abc import Listener, SocketStream, TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 
 from flintshift.core.attempts import Answer, Attempt, Departed, Verdict
 from flintshift.core.counters import Counters
@@ -17,6 +17,7 @@
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Books, Log, Posture
 from flintshift.wire.acceptor import Acceptor
+from flintshift.wire.connection import Connection, ConnectionState
 from flintshift.wire.fields import Fields, UnusableError
 from flintshift.wire.link import BROKEN
 
@@ -34,23 +35,6 @@
             self.reading.cancel()
 
 
-class Connection:
-    """A caller's connection and what it is at."""
-
-    def __init__(self, stream: SocketStream, now_ms: float) -> None:
-        self.stream, self.since_ms = stream, now_ms  # since when it is open or without a request
-        self.busy = False  # a request is begun or open
-        self.spoke = False  # it has brought a request before
-        self.ending = False  # it was told that it is closed
-        self.scope = anyio.CancelScope()  # of all that is done for it
-        self.writing_ms = math.inf  # since when an answer is written
-        self.reading: anyio.CancelScope | None = None  # set while it waits for bytes
-
-    def stop_reading(self) -> None:
-        if self.reading is not None:
-            self.reading.cancel()
-
-
 class Front:
     """Serves one listener; what a connection says is the subclass's."""
 
@@ -76,6 +60,7 @@
         self.taking: anyio.Event | None = None  # there is one while another process of this node accepts
         self.others = 0  # connections that it holds
         self.closing = False  # all that is open gets its answer and is closed
+        self.takes_queue = True  # what is queued at the end is this process's
         self.last = False  # each answer is the last on its connection
 
     @property
@@ -86,7 +71,7 @@
     def busy(self) -> int:
         return sum(connection.busy for connection in self.connections)
 
-    async def serve(self, listener: Listener[SocketStream] | Acceptor, tasks: TaskGroup) -> None:
+    async def serve(self, listener: Acceptor, tasks: TaskGroup) -> None:
         """Accept until told to finish; the connections live on in the task group given."""
         while not self.closing:
             while self.taking is not None:
@@ -99,6 +84,8 @@
                     except OSError:  # one connection that can't be accepted must not end the node
                         self.counters.add(f"{self.name}.accept_failed")
                         await anyio.sleep(self.limits.backoff_ms / 1000)
+        if self.takes_queue:
+            listener.take_queued(self._accepted, tasks)
         await listener.aclose()
 
     def leave(self) -> None:
@@ -113,33 +100,38 @@
             self.taking = None
 
     async def _accepted(self, stream: SocketStream) -> None:
+        # uvloop may raise a RuntimeError where the connection is closed already: that must not end the node.
+        with contextlib.suppress(*BROKEN, RuntimeError):
+            async with stream:
+                await self._admit(stream)
+
+    async def _admit(self, stream: SocketStream) -> None:
+        """Hold a connection that was accepted until it is over, if there is room for it."""
+        most, count = self.most, len(self.connections) + self.others
+        # Past an eighth more, those that were displaced are not closed fast enough: newcomers must wait.
+        if count >= most and (count > most + most // 8 or not self._make_room()):
+            self.counters.add(f"{self.name}.connections_refused")
+            return
+        self.counters.add(f"{self.name}.connections")
         connection = Connection(stream, self.now_ms())
-        async with stream:
-            most, count = self.most, len(self.connections) + self.others
-            # Past an eighth more, those that were displaced are not closed fast enough: newcomers must wait.
-            if count >= most and (count > most + most // 8 or not self._make_room()):
-                self.counters.add(f"{self.name}.connections_refused")
-                return
-            self.counters.add(f"{self.name}.connections")
-            self.connections.add(connection)
-            self._rest(connection)
-            try:
-                with connection.scope:
-                    await self.converse(connection)
-                    if connection.busy:
-                        connection.busy = False
-                        await self._linger(connection)
-            except BROKEN:
-                self.counters.add(f"{self.name}.connections_broken")
-            except Exception as error:  # a fault met on one connection must not end the others
-                self.counters.add(f"{self.name}.faults")
-                with contextlib.suppress(OSError):
-                    traceback.print_exc()
-                if self.log is not None:
-                    self.log("error", "front.fault", front=self.name, fault=repr(error))
-            finally:
-                self.connections.discard(connection)
-                self._stir(connection)
+        self.connections.add(connection)
+        self._rest(connection)
+        try:
+            with connection.scope:
+                await self.converse(connection)
+                await self._shut(connection)
+        except BROKEN:
+            self.counters.add(f"{self.name}.connections_broken")
+        except Exception as error:  # a fault met on one connection must not end the others
+            self.counters.add(f"{self.name}.faults")
+            with contextlib.suppress(OSError):
+                traceback.print_exc()
+            if self.log is not None:
+                self.log("error", "front.fault", front=self.name, fault=repr(error))
+        finally:
+            connection.enter(ConnectionState.CLOSED)
+            self.connections.discard(connection)
+            self._stir(connection)
 
     def _rest(self, connection: Connection) -> None:
         self.idle[connection.spoke][connection] = None
@@ -164,14 +156,13 @@
     async def converse(self, connection: Connection) -> None:
         raise NotImplementedError
 
-    async def _linger(self, connection: Connection) -> None:
-        """Take what is still coming after the last answer, for a while: closing on unread bytes resets the
-        connection, and the caller might lose the answer with it."""
-        # uvloop raises a RuntimeError where the connection is closed already.
-        with contextlib.suppress(*BROKEN, RuntimeError), anyio.move_on_after(self.limits.linger_ms / 1000):
-            await connection.stream.send_eof()
-            for _ in range(self.limits.linger_reads):
-                await connection.stream.receive(self.limits.read)
+    async def _shut(self, connection: Connection) -> None:
+        """Close a connection that is answered or was idle. One that never brought a request is owed nothing, and
+        keeps no descriptor from others any longer."""
+        if connection.busy:
+            await connection.shut(self.limits, self.limits.linger_ms)
+        elif connection.spoke:
+            await connection.shut(self.limits, self.limits.crossing_ms)
 
     async def healthy(self, method: str, query: str) -> bool:
         """The answer to a health check; a deep one asks the worker pool unless it is told not to."""
@@ -193,29 +184,43 @@
             wait_s = self.limits.last_read_ms / 1000
         with anyio.move_on_after(wait_s) as connection.reading:
             try:
-                data = await connection.stream.receive(self.limits.read)
-            except anyio.EndOfStream:
-                return b""
+                return await self._receive(connection)
             finally:
                 connection.reading = None
-            self.begun(connection)
+        if connection.busy:
+            return None
+        # Guards a request that came while the close was decided: it is answered, as the last on its connection.
+        with anyio.move_on_after(self.limits.last_look_ms / 1000):
+            data = await self._receive(connection)
+            connection.last_request = True
             return data
         return None
 
+    async def _receive(self, connection: Connection) -> bytes:
+        """The next bytes of a request; b"" at their end."""
+        try:
+            data = await connection.stream.receive(self.limits.read)
+        except anyio.EndOfStream:
+            return b""
+        self.begun(connection)
+        return data
+
     def begun(self, connection: Connection) -> None:
         """Bytes of a request have come."""
         if not connection.busy:
-            connection.busy = True
+            connection.enter(ConnectionState.READING)
             self._stir(connection)
             if connection.spoke:
                 connection.since_ms = self.now_ms()
 
     def answered(self, connection: Connection) -> None:
         """The connection is free for its next request."""
-        connection.busy, connection.spoke, connection.since_ms = False, True, self.now_ms()
+        connection.enter(ConnectionState.IDLE)
+        connection.spoke, connection.since_ms = True, self.now_ms()
         self._rest(connection)
 
     async def write(self, connection: Connection, data: bytes) -> None:
+        connection.enter(ConnectionState.ANSWERING)
         connection.writing_ms = self.now_ms()
         await connection.stream.send(data)
         connection.writing_ms = math.inf
@@ -225,6 +230,7 @@
     ) -> Answer | None:
         """Hand a request over and wait for its answer; None when the caller went first."""
         self.counters.add(f"{self.name}.requests")
+        connection.enter(ConnectionState.ANSWERING)
         if self.books is not None:
             self.books.hold(attempt, self.name)
         self.decisions.submit(attempt)
@@ -282,6 +288,7 @@
     def finish(self) -> None:
         """The node stops: what is half read is answered, what is idle is closed."""
         self.closing = True
+        self.takes_queue = self.taking is None
         self.take()
         self.accepting.cancel()
         for connection in self.connections:
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -9,8 +9,9 @@
 import h11
 
 from flintshift.core.attempts import Answer
+from flintshift.wire.connection import Connection
 from flintshift.wire.fields import UnusableError, headers_of, status_of, written
-from flintshift.wire.front import STOPPING, Connection, Exchange, Front
+from flintshift.wire.front import STOPPING, Exchange, Front
 
 
 class HttpFront(Front):
@@ -111,5 +112,5 @@
 
     def _ending(self, connection: Connection, keep: bool) -> bool:
         """This answer is the connection's last. Once it was written without that word, another may be on its way."""
-        connection.ending = self.closing or self.last or not keep
+        connection.ending = self.closing or self.last or connection.last_request or not keep
         return connection.ending
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -6,8 +6,9 @@
 
 from flintshift.core.attempts import Answer
 from flintshift.wire import uwsgi
+from flintshift.wire.connection import Connection
 from flintshift.wire.fields import UnusableError, headers_of, status_of, written
-from flintshift.wire.front import STOPPING, Connection, Exchange, Front
+from flintshift.wire.front import STOPPING, Exchange, Front
 
 
 class UwsgiFront(Front):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -25,6 +25,7 @@
 from flintshift.interface import Outcome
 from flintshift.lab.peers import Journal, Names, Vault
 from flintshift.startup.listing import Listing
+from flintshift.wire.acceptor import Acceptor, listening
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
 from flintshift.wire.names import NameService
@@ -329,6 +330,9 @@
             self.again.set()
             await anyio.sleep_forever()
 
+        def take_queued(self, handler, tasks):
+            pass
+
         async def aclose(self):
             self.closed = True
 
@@ -358,8 +362,8 @@
         self.ping = BYTES[name]("", b"", {}, method="GET", path="/ping")
 
     async def __aenter__(self):
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        listener = Acceptor(listening(("127.0.0.1", 0), 64))
+        self.port = listener.raw.getsockname()[1]
         self.tasks = await anyio.create_task_group().__aenter__()
         self.tasks.start_soon(self.front.serve, listener, self.tasks)
         return self
