Hold the signals that a node heeds from its first line until it receives them, and over its exit

At fault: Node.run blocked SIGHUP alone, and only after all else was done; start() ignored SIGHUP alone.

lifecycle/signals.py holds them by the process's signal mask. A notice to leave that is held before anything is bound ends the start: the kill is counted from when it was given.

--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -19,6 +19,7 @@
 from flintshift.core.decisions import Decisions
 from flintshift.core.gauges import GaugePlanner
 from flintshift.core.ports import Log, silent
+from flintshift.lifecycle import signals
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.settings.options import CopiesOptions, PeersOptions, StartupOptions, UsageOptions
 from flintshift.settings.shape import lost
@@ -261,51 +262,57 @@
             )
 
     async def run(self) -> None:
-        told = signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP
-        with anyio.open_signal_receiver(*told) as signals:
-            if self.starting is not None and await self._left_before(self.starting, signals):
-                return
-            listeners = await self._listeners()
-            doors = [listening(self.config.control, self.limits.backlog)] if self.config.control is not None else []
-            async with anyio.create_task_group() as tasks:
-                if self.upgrade is not None:
-                    self.actors.append(self.upgrade.run)
-                for actor in self.actors:
-                    tasks.start_soon(actor)
-                tasks.start_soon(self.gauges.run, self.pool, self.decisions.report)
-                tasks.start_soon(self.listing.run)
-                for (front, _), listener in zip(self.fronts, listeners, strict=True):
-                    tasks.start_soon(front.serve, listener, tasks)
-                    tasks.start_soon(front.sweep)
-                if self.door is not None:
-                    for door in doors:
-                        tasks.start_soon(self.door.serve, door, tasks)
-                self.bound = True
-                self.log("info", "node.listening", listen=[f"{host}:{port}" for _, (host, port) in self.fronts])
-                tasks.start_soon(self._heed, signals, self.leave)
-                await self.leave.wait()
-                self.log("info", "node.leaving", stop_ms=self.limits.stop_ms)
-                if self.failed is None:
-                    await self._drain()
-                if self.upgrade is not None:
-                    await self.upgrade.close()
-                tasks.cancel_scope.cancel()
-            if self.ledger is not None:
-                await self.ledger.close()
+        """Serve until told to leave."""
+        with anyio.open_signal_receiver(*signals.HEEDED) as received:
+            try:
+                # Told to leave before it served, it does not begin: the kill follows the notice, not its reading.
+                if not signals.told_to_leave():
+                    signals.release()
+                    if self.starting is None or not await self._left_before(self.starting, received):
+                        await self._serve(received)
+            finally:
+                signals.hold()
+                if self.ledger is not None:
+                    await self.ledger.close()
             if self.failed is not None:
                 raise self.failed
             if self.starting is not None:
                 self.starting.well()
             self.log("info", "node.left", open=self._open())
-            # Nothing is left to move: a word of a new configuration must not end the process at its exit.
-            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
-    async def _left_before(self, starting: Starting, signals: AsyncIterator[signal.Signals]) -> bool:
+    async def _serve(self, received: AsyncIterator[signal.Signals]) -> None:
+        listeners = await self._listeners()
+        doors = [listening(self.config.control, self.limits.backlog)] if self.config.control is not None else []
+        async with anyio.create_task_group() as tasks:
+            if self.upgrade is not None:
+                self.actors.append(self.upgrade.run)
+            for actor in self.actors:
+                tasks.start_soon(actor)
+            tasks.start_soon(self.gauges.run, self.pool, self.decisions.report)
+            tasks.start_soon(self.listing.run)
+            for (front, _), listener in zip(self.fronts, listeners, strict=True):
+                tasks.start_soon(front.serve, listener, tasks)
+                tasks.start_soon(front.sweep)
+            if self.door is not None:
+                for door in doors:
+                    tasks.start_soon(self.door.serve, door, tasks)
+            self.bound = True
+            self.log("info", "node.listening", listen=[f"{host}:{port}" for _, (host, port) in self.fronts])
+            tasks.start_soon(self._heed, received, self.leave)
+            await self.leave.wait()
+            self.log("info", "node.leaving", stop_ms=self.limits.stop_ms)
+            if self.failed is None:
+                await self._drain()
+            if self.upgrade is not None:
+                await self.upgrade.close()
+            tasks.cancel_scope.cancel()
+
+    async def _left_before(self, starting: Starting, received: AsyncIterator[signal.Signals]) -> bool:
         """Stay away for as long as a crash loop asks for; True where the node was told to leave meanwhile."""
         async with anyio.create_task_group() as tasks:
 
             async def until_told() -> None:
-                await self._heed(signals, self.leave)
+                await self._heed(received, self.leave)
 
             async def until_left() -> None:
                 await self.leave.wait()
@@ -315,14 +322,10 @@
             tasks.start_soon(until_left)
             await starting.wait()
             tasks.cancel_scope.cancel()
-        if self.leave.is_set():
-            if self.ledger is not None:
-                await self.ledger.close()
-            starting.well()
         return self.leave.is_set()
 
-    async def _heed(self, signals: AsyncIterator[signal.Signals], leave: anyio.Event) -> None:
-        async for number in signals:  # in a drain too: the addresses may move under it
+    async def _heed(self, received: AsyncIterator[signal.Signals], leave: anyio.Event) -> None:
+        async for number in received:  # in a drain too: the addresses may move under it
             match number:
                 case signal.SIGUSR1:
                     self.print_counters()
--- a/flintshift/lifecycle/start.py
+++ b/flintshift/lifecycle/start.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import gc
-import signal
 import sys
 from collections.abc import Callable
 
 import anyio
 
+from flintshift.lifecycle import signals
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.lifecycle.node import Node
 
@@ -23,7 +23,7 @@
 
 def start(reread: Callable[[], Config]) -> int:
     """Run a node until it is told to leave; ``reread`` gives its configuration, now and on SIGHUP."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the node heeds it: it must not end the process
+    signals.hold_at_start()
     try:
         anyio.run(serve, reread, backend_options={"use_uvloop": True})
     except ConfigError as error:
--- /dev/null
+++ b/tests/lifecycle/test_signals.py
@@ -0,0 +1,122 @@
+"""Signals at each bad instant of a process: none ends it but by a drain, and its exit code is that of one."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import time
+
+import pytest
+from standins import BYTES, ROOT, SETTINGS, job, platform_file
+
+from flintshift.lab.peers import Names, Pool, Vault
+from flintshift.lab.rig import free_ports
+
+pytestmark = pytest.mark.anyio
+STORM_S = 0.0005
+
+
+async def started(config, **more):
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "flintshift",
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        stderr=asyncio.subprocess.PIPE,
+        **more,
+    )
+
+
+@pytest.fixture
+async def site(tmp_path):
+    """Stand-ins, and a configuration file that names them and a free port to listen at."""
+    peers = Pool(tells=True, ends=False), Vault(tells=True), Names(tells=True)
+    for peer in peers:
+        await peer.start()
+    text = platform_file(free_ports(1)[0], *peers, SETTINGS)
+    yield tmp_path / "config.json", text, peers
+    for peer in peers:
+        await peer.stop()
+
+
+@pytest.mark.parametrize("more", [[], [signal.SIGHUP], [signal.SIGUSR1], [signal.SIGTERM]])
+async def test_a_notice_to_leave_that_comes_before_the_listener_is_bound_ends_the_start_in_good_order(site, more):
+    config, text, (_, _, names) = site
+    os.mkfifo(config)
+    process = await started(config)
+    # Opening returns once the node has opened it to read: it has begun, and nothing is bound.
+    pipe = await asyncio.to_thread(open, config, "w")
+    for number in [signal.SIGTERM, *more]:
+        process.send_signal(number)
+    pipe.write(text)
+    pipe.close()
+    _, errors = await asyncio.wait_for(process.communicate(), 10)
+    assert process.returncode == 0 and b"Traceback" not in errors
+    assert json.loads(errors.splitlines()[-1])["node"] == "n3" and not names.log.entries
+
+
+async def test_a_new_configuration_told_before_the_listener_is_bound_is_read_once_it_serves(site):
+    config, text, (_, vault, names) = site
+    os.mkfifo(config)
+    process = await started(config)
+    pipe = await asyncio.to_thread(open, config, "w")
+    process.send_signal(signal.SIGHUP)
+    whole = config.with_suffix(".new")
+    whole.write_text(text.replace(str(vault.port), "1"))
+    whole.replace(config)
+    pipe.write(text)
+    pipe.close()
+    await names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
+    process.send_signal(signal.SIGTERM)
+    _, errors = await asyncio.wait_for(process.communicate(), 10)
+    assert process.returncode == 0
+    assert json.loads(errors.splitlines()[-1])["counters"]["reload.taken"] == 1
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT])
+async def test_signals_without_end_from_the_notice_to_leave_on_change_nothing_of_the_exit(site, number):
+    config, text, (pool, _, names) = site
+    config.write_text(text)
+    process = await started(config)
+    await names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
+    at = json.loads(text)["listen"].split(":")
+    reader, writer = await asyncio.open_connection(*at)
+    fields = job("race-results")
+    writer.write(BYTES["http"]("race-results", b"", fields))
+    await pool.log.until(lambda entry: entry["t"] == "spawn")
+    process.send_signal(signal.SIGTERM)
+    ended = asyncio.ensure_future(process.communicate())
+    pool.finish(fields["X-Job-Id"])
+    while not ended.done():  # through the drain, the end of the loop and the interpreter's
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(process.pid, number)  # not by the process object, which would reap it and lose its exit code
+        await asyncio.sleep(STORM_S)
+    _, errors = await ended
+    assert process.returncode == 0, errors
+    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+async def test_a_pause_of_the_whole_process_over_the_notice_still_answers_what_was_read(site):
+    config, text, (pool, _, names) = site
+    config.write_text(text)
+    process = await started(config)
+    await names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
+    reader, writer = await asyncio.open_connection(*json.loads(text)["listen"].split(":"))
+    fields = job("race-results")
+    writer.write(BYTES["http"]("race-results", b"", fields))
+    await pool.log.until(lambda entry: entry["t"] == "spawn")
+    process.send_signal(signal.SIGSTOP)
+    process.send_signal(signal.SIGTERM)
+    pool.finish(fields["X-Job-Id"])
+    began = time.monotonic()
+    process.send_signal(signal.SIGCONT)
+    assert (await asyncio.wait_for(reader.readline(), 5)).startswith(b"HTTP/1.1 200")
+    await asyncio.wait_for(process.communicate(), 10)
+    assert process.returncode == 0 and time.monotonic() - began < 3.0
+    writer.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -605,10 +605,15 @@
     assert not any(rid in ran for _, rid, reply in outcomes if reply.status in (429, 503))
 
 
-def test_the_program_runs_on_uvloop_and_a_word_of_a_new_configuration_cannot_end_its_start(monkeypatch):
-    asked, before = {}, signal.getsignal(signal.SIGHUP)
-    monkeypatch.setattr(anyio, "run", lambda *_, **more: asked.update(more, hup=signal.getsignal(signal.SIGHUP)))
+def test_the_program_runs_on_uvloop_and_no_signal_can_end_its_start(monkeypatch):
+    asked, before = {}, signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    monkeypatch.setattr(
+        anyio, "run", lambda *_, **more: asked.update(more, held=signal.pthread_sigmask(signal.SIG_BLOCK, ()))
+    )
     monkeypatch.setattr(sys, "argv", ["flintshift"])
-    assert main() == 0
-    signal.signal(signal.SIGHUP, before)
-    assert asked == {"backend_options": {"use_uvloop": True}, "hup": signal.SIG_IGN}
+    try:
+        assert main() == 0
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+    assert asked["backend_options"] == {"use_uvloop": True}
+    assert asked["held"] >= {signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1}
