Let a try of a key wait for its run though the window is over, where that run still goes on

Read in core/keys.py: where a window is shorter than a run (short windows beside long deadlines), a try past the window found no entry, and KeyTable.keep dropped the one of the try that still ran: its waiting repeats were never told how it ended and failed at their due time, and the second try ran beside it.

--- a/flintshift/core/keys.py
+++ b/flintshift/core/keys.py
@@ -56,9 +56,12 @@
         self.booked = 0
 
     def find(self, attempt: Attempt) -> Entry | None:
-        """The entry that this attempt repeats, by when it came to the machine and not by when it was read."""
+        """The entry that this attempt repeats, by when it came to the machine and not by when it was read. A try that
+        is still open here is repeated however long ago it came: a window may be shorter than a deadline."""
         entry = self.entries.get((attempt.class_name, attempt.unique or ""))
-        return entry if entry is not None and attempt.door_ms <= entry.live_until_ms else None
+        if entry is None or (attempt.door_ms > entry.live_until_ms and not entry.runs_here):
+            return None
+        return entry
 
     def full(self) -> bool:
         """No further keyed work may start: a live key is never forgotten to make room."""
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -5,14 +5,11 @@
 from dataclasses import replace
 
 import pytest
+from planning import Planner
 
 from flintshift import benchlink
-from flintshift import interface as api
 from flintshift.core import attempts as at
 from flintshift.core.attempts import Answer, Attempt, Verdict
-from flintshift.core.catalogue import Catalogue
-from flintshift.core.counters import Counters
-from flintshift.core.decisions import Decisions
 from flintshift.core.keys import KeyTable
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
@@ -24,80 +21,6 @@
 from flintshift.wire.words import OUTCOMES
 
 
-class Ports:
-    """Workers and what lies below, which take commands while `room` lasts."""
-
-    def __init__(self):
-        self.sent, self.room = [], True
-
-    def take(self, *command):
-        self.sent.append(command)
-        return self.room
-
-    def spawn(self, attempt):
-        return self.take("spawn", attempt.id)
-
-    def supply(self, request, no, reply):
-        return self.take("supply", request, no, reply)
-
-    def go_on(self, request, no):
-        return self.take("pass", request, no)
-
-    def ask(self, request, limit_ms, payload, once):
-        return self.take("ask", request)
-
-    def give_up(self, request):
-        self.take("unask", request)
-
-
-class Planner:
-    def __init__(self, **limits):
-        self.now, self.told, self.ports = 1_000_000.0, {}, Ports()
-        kinds = [
-            api.RequestClass("look", 500.0, 900.0, 1.0, api.Effect.SAFE, calls=True, skip_worth=0.5),
-            api.RequestClass("pay", 500.0, 900.0, 1.0, api.Effect.KEYED, repeat_window_ms=2000.0, calls=True),
-        ]
-        settings = api.Settings(
-            kinds,
-            2,
-            40_000.0,
-            8.0,
-            5.0,
-            300.0,
-            [],
-            advice_allowed=True,
-            advice_max_ms=800.0,
-            call_share=10.0,
-            call_window_ms=5000.0,
-        )
-        sizes = Limits(**limits)
-        self.planner = Decisions(
-            Catalogue(settings, sizes), 1, sizes, Counters(), lambda: self.now, lambda at_ms, token: None, lambda: None
-        )
-        self.planner.workers, self.planner.below = {"pool": self.ports}, self.ports
-        self.planner.handle(at.Up())
-
-    def submit(self, request, class_name="look", **changes):
-        attempt = Attempt(
-            request,
-            class_name,
-            changes.pop("door_ms", self.now),
-            10.0,
-            1,
-            b"",
-            **changes,
-            tell=lambda answer: self.told.setdefault(request, []).append(answer),
-        )
-        self.planner.handle(at.Submitted(attempt))
-        return attempt
-
-    def verdicts(self, request):
-        return [answer.verdict for answer in self.told.get(request, [])]
-
-    def spawned(self):
-        return [command[1] for command in self.ports.sent if command[0] == "spawn"]
-
-
 def test_there_is_one_final_answer_whatever_follows():
     node = Planner()
     node.submit("a")
