Keep descriptors for the peers beside a full table, and answer every request target plainly

Read in core/limits.py, lifecycle/config.py and wire/http_front.py, with a test for each (tests/lifecycle/ test_descriptors.py, tests/wire/test_targets.py): - With the uwsgi front on, the parts of the descriptors came to 1.06 of them: a full table of both fronts left none for the worker pool's link, the lists or a reload. The HTTP front now takes half of them there, and 5/8 alone as before. - A limit of the system under the one that is told was not looked at. - The target //[x raised a ValueError in urlsplit: a traceback in the log and a close without an answer. A target that is a whole URL, and a class name in its escaped form, were answered 404. Ruled out by the test: with 3 idle clients for each descriptor and the name service down, the pool's link is made anew, calls reach the vault, and the node uses under 0.7 of a core, before this change too.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -101,10 +101,17 @@
     record_ttl_s: int = 20
     app_run_ms: float = 30_000.0  # a run on an app server
 
+    # Descriptors by their use. Their sum, with an eighth more of each front's, leaves a sixteenth for all else: links
+    # to the worker pool and the lists, listeners, files that are read.
+
     @property
     def http_connections(self) -> int:
         return self.sockets * 5 // 8  # callers open up to half of the descriptors
 
+    @property
+    def http_connections_beside_uwsgi(self) -> int:
+        return self.sockets // 2
+
     @property
     def uwsgi_connections(self) -> int:
         return self.sockets // 8
--- a/flintshift/lifecycle/config.py
+++ b/flintshift/lifecycle/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import resource
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -49,7 +51,14 @@
         told = json.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {' '.join(str(error).split())}") from error
-    return made(told, path, operators(operators_file), env.get("LB_CONTROL"))
+    config = made(told, path, operators(operators_file), env.get("LB_CONTROL"))
+    return replace(config, limits=replace(config.limits, sockets=min(config.limits.sockets, open_files())))
+
+
+def open_files() -> int:
+    """How many descriptors the system lets this process hold: what is told may be more."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
 
 
 def embedded(operators_file: Path | None = None) -> Config:
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -77,12 +77,9 @@
         self.names = NameService(config.naming, config.name, limits, counters)
         lists: list[Listed] = [self.names]
         fields = Fields(self.catalogue, limits, now_ms)
-        self.fronts: list[tuple[Front, tuple[str, int]]] = [
-            (
-                HttpFront(fields, self.decisions, limits, counters, now_ms, limits.http_connections, self.pool.verify),
-                config.listen,
-            )
-        ]
+        most = limits.http_connections if config.operators.uwsgi is None else limits.http_connections_beside_uwsgi
+        http = HttpFront(fields, self.decisions, limits, counters, now_ms, most, self.pool.verify)
+        self.fronts: list[tuple[Front, tuple[str, int]]] = [(http, config.listen)]
         self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = [self.decisions.run, self.pool.run, self.vault.run]
         if config.operators.uwsgi is not None:
             from flintshift.lifecycle.second_front import second_front
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Callable
 from http import HTTPStatus
+from urllib.parse import unquote
 
 from flintshift.core.attempts import Answer, Attempt, Verdict
 from flintshift.core.catalogue import Catalogue
@@ -32,12 +33,16 @@
         self.catalogue, self.limits, self.now_ms = catalogue, limits, now_ms
 
     def class_of(self, method: str, target: str) -> str:
-        path = target.partition("?")[0].split("/")
-        if len(path) != 3 or path[0] or path[1] != "call" or self.catalogue.find(path[2]) is None:
+        before, separator, name = target.partition("?")[0].partition("/call/")
+        if before or not separator:
+            raise UnusableError(404, "no such class")
+        if self.catalogue.find(name) is None:
+            name = unquote(name)  # a name may hold what a path can't
+        if self.catalogue.find(name) is None:
             raise UnusableError(404, "no such class")
         if method != "POST":
             raise UnusableError(405, "only POST is taken here")
-        return path[2]
+        return name
 
     def attempt(
         self, class_name: str, body: bytes, get: Callable[[str], str | None], tell: Callable[[Answer], None]
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -4,7 +4,6 @@
 
 import json
 from collections.abc import Callable
-from urllib.parse import urlsplit
 
 import h11
 
@@ -14,6 +13,18 @@
 from flintshift.wire.front import STOPPING, Exchange, Front
 
 
+def origin_form(target: str) -> str:
+    """The path and query of a request's target, which may also be a whole URL (RFC 9112, 3.2.2).
+
+    >>> origin_form("http://api.internal/call/a?b=1")
+    '/call/a?b=1'
+    """
+    scheme, separator, rest = target.partition("://")
+    if target.startswith("/") or not separator or scheme.lower() not in ("http", "https"):
+        return target
+    return "/" + rest.partition("/")[2]
+
+
 class HttpFront(Front):
     name = "http"
 
@@ -80,9 +91,10 @@
         self, connection: Connection, keep: bool, request: h11.Request, body: bytes, more: Callable[[bytes], None]
     ) -> bool:
         """Answer a whole request; False when its caller went first."""
-        method, target = request.method.decode(), request.target.decode()
-        if urlsplit(target).path == "/ping":
-            good = await self.healthy(method, urlsplit(target).query)
+        method, target = request.method.decode(), origin_form(request.target.decode())
+        path, _, query = target.partition("?")
+        if path == "/ping":
+            good = await self.healthy(method, query)
             await self._say(connection, keep, 200 if good else 503, b"")
             return True
         class_name = self.fields.class_of(method, target)
--- /dev/null
+++ b/tests/lifecycle/test_descriptors.py
@@ -0,0 +1,86 @@
+"""Idle clients fill the descriptors while the name service is down: who has work is served, and nothing spins."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from standins import BYTES, Caller, job
+from test_signals import site, started  # noqa: F401
+
+from flintshift.core.limits import Limits
+
+pytestmark = pytest.mark.anyio
+DESCRIPTORS = 96
+RESERVED = 6  # epoll, its wake-up pair, standard streams
+
+
+def test_the_parts_of_the_descriptors_leave_some_for_all_else():
+    for sockets in (96, 128, 384, 512, 1024):
+        limits = Limits(sockets=sockets)
+        below = limits.vault_connections + limits.control_connections
+        alone = limits.http_connections * 9 // 8 + below
+        second = limits.uwsgi_connections * 9 // 8 + limits.app_connections
+        beside = limits.http_connections_beside_uwsgi * 9 // 8 + second + below
+        assert max(alone, beside) + RESERVED <= sockets
+
+
+def busy_s(process) -> float:
+    """Seconds of processor time that a process has used."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
+
+
+@pytest.mark.parametrize("told", [DESCRIPTORS, 1024], ids=["told", "the system's limit alone"])
+async def test_idle_clients_fill_the_descriptors_and_the_node_still_reaches_its_peers_and_takes_work(site, told):  # noqa: F811
+    config, text, (pool, vault, names) = site
+    config.write_text(text.replace('"sockets": 1024', f'"sockets": {told}'))
+    pool.plan = {"race-results": ("blocked", {"b64": ""})}
+    few = DESCRIPTORS, DESCRIPTORS
+    process = await started(config, preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, few))
+    await names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
+    await names.stop()
+    host, port = json.loads(text)["listen"].split(":")
+    idle = []
+    for _ in range(3 * DESCRIPTORS):
+        raw = socket.socket()
+        raw.setblocking(False)
+        raw.connect_ex((host, int(port)))
+        idle.append(raw)
+    await asyncio.sleep(1.0)  # they stay and say nothing
+    before, since = busy_s(process), time.monotonic()
+    pool.cut()  # a link that has to be opened anew among them
+    await pool.log.until(lambda entry: entry["t"] == "bind", 2)
+    for _ in range(5):  # who has work is let in, and its call reaches the vault
+        status = await asked(host, port)
+        assert status == 200
+    assert vault.log.entries
+    assert (busy_s(process) - before) / (time.monotonic() - since) < 0.7
+    await names.start()
+    count = len(names.log.entries)
+    await names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"), count)
+    assert process.returncode is None
+    process.terminate()
+    for raw in idle:
+        raw.close()
+    _, errors = await asyncio.wait_for(process.communicate(), 10)
+    assert process.returncode == 0 and b"Traceback" not in errors
+
+
+async def asked(host, port):
+    """The answer to a request, on as many new connections as it takes: a full table turns newcomers away."""
+    for _ in range(40):
+        caller = Caller(*await asyncio.open_connection(host, port))
+        caller.send(BYTES["http"]("race-results", b"", job("race-results")))
+        try:
+            return (await caller.reply()).status
+        except (asyncio.IncompleteReadError, ConnectionResetError):
+            await asyncio.sleep(0.05)
+        finally:
+            caller.writer.close()
+    return None
--- a/tests/wire/test_closing.py
+++ b/tests/wire/test_closing.py
@@ -10,107 +10,20 @@
 import socket
 import struct
 import time
-from dataclasses import dataclass, field
 
 import anyio
 import pytest
-from standins import BYTES, SETTINGS, Caller, job
-
-from flintshift.core.attempts import Answer, Attempt, Verdict
-from flintshift.core.catalogue import Catalogue
-from flintshift.core.counters import Counters
-from flintshift.core.limits import Limits
-from flintshift.core.ports import Posture
-from flintshift.settings.platform import flat, settings_from
-from flintshift.wire.acceptor import Acceptor, listening
+from fronted import PING, Fronted, calling, now_ms, whole
+from standins import job
+
+from flintshift.core.attempts import Answer, Verdict
 from flintshift.wire.connection import TRANSITIONS, Connection, ConnectionState, TransitionError
-from flintshift.wire.fields import Fields
-from flintshift.wire.http_front import HttpFront
 
 pytestmark = pytest.mark.anyio
 REPEATS = 50
-PING = BYTES["http"]("", b"", {}, method="GET", path="/ping")
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: close by a reset
 
 
-def now_ms() -> float:
-    return time.time() * 1000
-
-
-@dataclass
-class Decided:
-    """In the place of the decisions: what was handed over, answered when the test says so."""
-
-    posture: Posture = field(default_factory=lambda: Posture(up=True))
-    taken: list[Attempt] = field(default_factory=list)
-    departed: list[str] = field(default_factory=list)
-    at_once: Answer | None = None
-
-    def submit(self, attempt: Attempt) -> None:
-        self.taken.append(attempt)
-        if self.at_once is not None:
-            attempt.settle(self.at_once, now_ms())
-
-    async def report(self, report) -> None:
-        self.departed.append(report.request)
-
-
-class Fronted:
-    """An HTTP front that listens, with decisions made by the test."""
-
-    def __init__(self, **limits: float) -> None:
-        self.limits, self.counters, self.decided = Limits(**limits), Counters(), Decided()
-        fields = Fields(Catalogue(settings_from(flat(SETTINGS)), self.limits), self.limits, now_ms)
-        self.front = HttpFront(fields, self.decided, self.limits, self.counters, now_ms, 100, None)
-
-    async def __aenter__(self):
-        listener = Acceptor(listening(("127.0.0.1", 0), 64))
-        self.at = listener.raw.getsockname()
-        self.tasks = await anyio.create_task_group().__aenter__()
-        self.tasks.start_soon(self.front.serve, listener, self.tasks)
-        self.tasks.start_soon(self.front.sweep)
-        return self
-
-    async def __aexit__(self, *_):
-        self.tasks.cancel_scope.cancel()
-        await self.tasks.__aexit__(None, None, None)
-        assert not self.front.connections and not any(self.front.idle)  # nothing outlives its owner
-
-    def connect(self, **options: int) -> socket.socket:
-        """A caller's connection, open as far as the kernel goes, without a turn of the loop."""
-        raw = socket.socket()
-        for name, value in options.items():
-            raw.setsockopt(socket.SOL_SOCKET, getattr(socket, name), value)
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # its bytes are in the peer's kernel once it returns
-        raw.connect(self.at)
-        return raw
-
-    async def rested(self) -> socket.socket:
-        """A connection that has brought a request before, and rests."""
-        raw = self.connect()
-        caller = await calling(raw.dup())
-        caller.send(PING)
-        assert (await caller.reply()).status == 200
-        caller.writer.close()
-        while self.front.busy or not any(one.reading for one in self.front.connections):
-            await asyncio.sleep(0)
-        return raw
-
-    async def until(self, true) -> None:
-        with anyio.fail_after(10):
-            while not true():
-                await asyncio.sleep(0.001)
-
-
-async def calling(raw: socket.socket) -> Caller:
-    raw.setblocking(False)
-    return Caller(*await asyncio.open_connection(sock=raw))
-
-
-def whole(fields=None) -> bytes:
-    return BYTES["http"]("race-results", b"", fields or job("race-results"))
-
-
 def stopped(fronted: Fronted) -> None:
     fronted.front.finish()
 
--- /dev/null
+++ b/tests/wire/test_targets.py
@@ -0,0 +1,42 @@
+"""What a request may name in its first line, and what it gets for it."""
+
+from __future__ import annotations
+
+import pytest
+from fronted import Fronted, calling
+from standins import BYTES, job
+
+from flintshift.core.attempts import Answer, Verdict
+
+pytestmark = pytest.mark.anyio
+
+TARGETS = [
+    ("/call/race-results", 200),
+    ("/call/race-results?x=1", 200),
+    ("/call/race%2Dresults", 200),
+    ("http://api.internal/call/race-results", 200),
+    ("HTTP://api.internal:80/call/race-results", 200),
+    ("/call/", 404),
+    ("/call/race-results/", 404),
+    ("/call/nobody", 404),
+    ("/other/race-results", 404),
+    ("/", 404),
+    ("*", 404),
+    ("//[x", 404),
+    ("http://[x", 404),
+    ("ftp://api.internal/call/race-results", 404),
+    ("/call/%", 404),
+    ("/call/%ff", 404),
+]
+
+
+@pytest.mark.parametrize(("target", "status"), TARGETS)
+async def test_a_target_is_taken_or_answered_plainly_and_its_connection_goes_on(target, status):
+    async with Fronted() as fronted:
+        fronted.decided.at_once = Answer(Verdict.SERVED, b"1")
+        caller = await calling(fronted.connect())
+        for _ in range(2):
+            caller.send(BYTES["http"]("", b"", job("race-results"), path=target))
+            assert (await caller.reply()).status == status
+        assert not fronted.counters["http.faults"]
+        caller.writer.close()
