--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -94,6 +94,7 @@
     drain_step_ms: float = 10.0  # between two looks whether all is answered
     stop_margin_ms: float = 250.0  # all is answered so long before the kill
     browse_ms: float = 5000.0  # between two looks for app servers
+    browse_empty_looks: int = 3  # in a row, after which a list that names nobody is believed
     browse_again_ms: float = 500.0  # while none are known, growing up to that
     peer_silent_ms: float = 400.0  # another member that owes an answer for so long is out of reach
     peer_backoff_most_ms: float = 500.0  # the longest wait before the next try to link to another member
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -48,7 +48,8 @@
 
 
 class Browser:
-    """Knows the app servers that the resolver names; the last good answer stands while it does not reply."""
+    """Knows the app servers that the resolver names. The last good answer stands while it does not reply, and for some
+    looks more where it names none any longer without an error: a run on a server that is gone is refused there."""
 
     def __init__(
         self, resolver: Resolver, service: str, domain: str, limits: Limits, counters: Counters, uniform: Uniform
@@ -56,6 +57,7 @@
         self.resolver, self.limits, self.counters, self.uniform = resolver, limits, counters, uniform
         self.service = dns.name.from_text(service, dns.name.from_text(domain))
         self.found: list[Server] = []
+        self.empty = 0  # looks in a row that found none, while some were known
         self.turn = itertools.count()
 
     def servers(self, class_name: str) -> list[tuple[str, int]]:
@@ -68,7 +70,7 @@
         waits = Waits(self.limits.browse_again_ms, self.limits.browse_ms, self.uniform)
         while True:
             try:
-                self.found = await self._browse()
+                self._learn(await self._browse())
             except FAILED:
                 self.counters.add("dns.failed")
             if self.found:  # what is known stands, so a resolver that fails is not asked more often for it
@@ -78,6 +80,13 @@
                 wait_ms = waits.next_ms()
             await anyio.sleep(wait_ms / 1000)
 
+    def _learn(self, found: list[Server]) -> None:
+        self.empty = self.empty + 1 if self.found and not found else 0
+        if self.empty:
+            self.counters.add("dns.empty")
+        if found or self.empty >= self.limits.browse_empty_looks:
+            self.found, self.empty = found, 0
+
     async def _browse(self) -> list[Server]:
         found = []
         for pointer in await self.resolver.find(self.service, PTR):
--- /dev/null
+++ b/tests/lifecycle/test_drains.py
@@ -0,0 +1,175 @@
+"""A drain that begins at each bad instant: all that was read is answered once, and the counters say so."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import time
+from pathlib import Path
+
+import pytest
+from standins import BYTES, Caller, job
+from test_signals import site, started  # noqa: F401
+
+pytestmark = pytest.mark.anyio
+READY_S = 10.0  # for a process that starts again
+
+
+class Served:
+    """A node among stand-ins whose runs end when the test says so."""
+
+    def __init__(self, process, text, peers):
+        self.process, (self.pool, self.vault, self.names) = process, peers
+        self.host, port = json.loads(text)["listen"].split(":")
+        self.port = int(port)
+
+    async def connect(self):
+        return Caller(*await asyncio.open_connection(self.host, self.port))
+
+    async def running(self):
+        """A request whose run has begun: its caller and its id."""
+        caller, fields = await self.connect(), job("race-results")
+        caller.send(BYTES["http"]("race-results", b"", fields))
+        await self.pool.log.until(lambda entry: entry.get("rid") == fields["X-Job-Id"])
+        return caller, fields["X-Job-Id"]
+
+    def descriptors(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    async def ended(self):
+        """The counters at the exit, which has to be that of a drain."""
+        _, errors = await asyncio.wait_for(self.process.communicate(), 10)
+        assert self.process.returncode == 0 and b"Traceback" not in errors, errors
+        return json.loads(errors.splitlines()[-1])["counters"]
+
+
+@pytest.fixture
+async def served(site):  # noqa: F811
+    config, text, peers = site
+    config.write_text(text)
+    process = await started(config)
+    await peers[2].log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
+    yield Served(process, text, peers)
+    if process.returncode is None:
+        process.kill()
+        await process.wait()
+
+
+def balanced(counters):
+    """Each request that was handed over ended in one way, and each way is counted."""
+    read = sum(count for name, count in counters.items() if name.endswith(".requests"))
+    ended = sum(count for name, count in counters.items() if name.startswith("answered."))
+    return read == ended + counters.get("departed", 0)
+
+
+async def waiting_for_a_call(served):
+    served.vault.reply = b""  # it never comes
+    caller, request = await served.running()
+    served.pool.tell(request, "blocked", {"b64": ""})
+    await served.vault.log.until(lambda entry: entry[0] == "ask")
+    return caller, {200, 500}
+
+
+async def running(served):
+    caller, request = await served.running()
+    asyncio.get_running_loop().call_later(0.1, served.pool.finish, request)
+    return caller, {200}
+
+
+async def never_ending(served):
+    caller, _ = await served.running()
+    return caller, {500}
+
+
+async def in_pieces(served):
+    caller = await served.connect()
+    whole = BYTES["http"]("race-results", b"", job("race-results"))
+    caller.send(whole[:30])
+    await asyncio.sleep(0.02)
+    asyncio.get_running_loop().call_later(0.05, caller.send, whole[30:])
+    return caller, {200, 503, 500}
+
+
+async def right_after_the_accept(served):
+    caller = await served.connect()
+    caller.send(BYTES["http"]("", b"", {}, method="GET", path="/ping"))
+    return caller, {200, 503}
+
+
+async def after_a_reload(served):
+    caller, statuses = await running(served)
+    served.process.send_signal(signal.SIGHUP)
+    return caller, statuses
+
+
+INSTANTS = [waiting_for_a_call, running, never_ending, in_pieces, right_after_the_accept, after_a_reload]
+AFTER = [(), (signal.SIGHUP,), (signal.SIGTERM, signal.SIGTERM), (signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP)]
+
+
+@pytest.mark.parametrize("more", AFTER, ids=lambda more: "+".join(one.name for one in more) or "alone")
+@pytest.mark.parametrize("instant", INSTANTS, ids=lambda instant: instant.__name__)
+async def test_what_was_read_when_a_drain_begins_is_answered_once(served, instant, more):
+    caller, statuses = await instant(served)
+    for number in (signal.SIGTERM, *more):
+        served.process.send_signal(number)
+    assert (await caller.reply()).status in statuses
+    assert await caller.ended()
+    counters = await served.ended()
+    assert balanced(counters), counters
+    assert [entry for entry in served.names.log.entries if entry[1] == "no"]  # it was told that it leaves
+
+
+@pytest.mark.parametrize("instant", INSTANTS, ids=lambda instant: instant.__name__)
+async def test_a_process_that_is_killed_starts_again_at_its_address_and_serves_in_time(site, served, instant):  # noqa: F811
+    config, text, peers = site
+    await instant(served)
+    served.process.kill()
+    await served.process.wait()
+    await peers[0].stop()
+    peers[0].__init__(peers[0].port, tells=True)  # the worker pool is killed with it
+    await peers[0].start()
+    peers[0].plan = {"race-results": 0}
+    await peers[2].stop()  # and the name service is down
+    began = time.monotonic()
+    again = Served(await started(config), text, peers)
+    status = None
+    while status != 200 and time.monotonic() - began < READY_S:
+        try:
+            caller = await again.connect()
+            caller.send(BYTES["http"]("race-results", b"", job("race-results")))
+            status = (await caller.reply()).status
+        except (OSError, asyncio.IncompleteReadError):
+            await asyncio.sleep(0.02)
+    assert status == 200
+    again.process.terminate()
+    assert balanced(await again.ended())
+
+
+async def test_nothing_outlives_its_owner_and_a_flood_of_refusals_takes_no_memory(served):
+    async def burst():
+        callers = [await served.connect() for _ in range(150)]
+        for caller in callers:
+            caller.send(BYTES["http"]("race-results", b"", job("race-results")))
+        for caller in callers:
+            assert (await caller.reply()).status in (200, 429)
+            caller.writer.close()
+
+    def resident_kb():
+        status = Path(f"/proc/{served.process.pid}/status").read_text()
+        return int(status.partition("VmRSS:")[2].split()[0])
+
+    served.pool.plan = {"race-results": 100}  # two cores do 20 a second: most is refused
+    before = served.descriptors()
+    for _ in range(2):
+        await burst()
+    settled = resident_kb()
+    for _ in range(8):
+        await burst()
+    assert resident_kb() - settled < 3000
+    await asyncio.sleep(0.7)  # idle connections to the vault are closed, and so are the callers'
+    assert served.descriptors() <= before + 1
+    served.process.terminate()
+    counters = await served.ended()
+    assert balanced(counters) and counters["answered.refused"] > 800
