Let the node's clock go on at its own pace where the system's is set back

Read in lifecycle/node.py: Clock showed the latest time that it had ever seen, so after a step back by N seconds (NTP, a machine that is restored) it stood still for N seconds. Timers went on and nothing was due: open requests got no answer.

--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -6,7 +6,6 @@
 import random
 import signal
 import sys
-import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
@@ -20,6 +19,7 @@
 from flintshift.core.gauges import GaugePlanner
 from flintshift.core.ports import Log, silent
 from flintshift.lifecycle import signals
+from flintshift.lifecycle.clock import Clock
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.settings.options import CopiesOptions, PeersOptions, StartupOptions, UsageOptions
 from flintshift.settings.shape import lost
@@ -48,17 +48,6 @@
 """Of a configuration: what a running node can't change. A new one that differs in it is taken without it."""
 
 
-class Clock:
-    """Unix milliseconds that never go back, however the system's clock is set."""
-
-    def __init__(self) -> None:
-        self.last = 0.0
-
-    def __call__(self) -> float:
-        self.last = max(self.last, time.time() * 1000)
-        return self.last
-
-
 class Node:
     def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
         self.config, self.limits, self.reread = config, config.limits, reread
@@ -76,7 +65,7 @@
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
         self.names = NameService(config.naming, config.name, limits, counters)
         lists: list[Listed] = [self.names]
-        fields = Fields(self.catalogue, limits, now_ms)
+        fields = Fields(self.catalogue, limits, now_ms, now_ms.placed)
         most = limits.http_connections if config.operators.uwsgi is None else limits.http_connections_beside_uwsgi
         http = HttpFront(fields, self.decisions, limits, counters, now_ms, most, self.pool.verify)
         self.fronts: list[tuple[Front, tuple[str, int]]] = [(http, config.listen)]
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -29,8 +29,15 @@
 class Fields:
     """Makes an attempt of the fields that the decisions need."""
 
-    def __init__(self, catalogue: Catalogue, limits: Limits, now_ms: Callable[[], float]) -> None:
-        self.catalogue, self.limits, self.now_ms = catalogue, limits, now_ms
+    def __init__(
+        self,
+        catalogue: Catalogue,
+        limits: Limits,
+        now_ms: Callable[[], float],
+        placed: Callable[[float], float] = lambda unix_ms: unix_ms,
+    ) -> None:
+        """``placed`` turns a time that was told by the Unix clock into one of the node's clock."""
+        self.catalogue, self.limits, self.now_ms, self.placed = catalogue, limits, now_ms, placed
 
     def class_of(self, method: str, target: str) -> str:
         before, separator, name = target.partition("?")[0].partition("/call/")
@@ -71,7 +78,9 @@
         return Attempt(
             id=text("X-Job-Id", HEX16),
             class_name=class_name,
-            door_ms=number("X-Door-Time", now - self.limits.oldest_ms, now + self.limits.clock_skew_ms, True),
+            door_ms=self.placed(
+                number("X-Door-Time", now - self.limits.oldest_ms, now + self.limits.clock_skew_ms, True)
+            ),
             held_kb=number("X-Ram-Kb", math.nextafter(0, 1), 2000),
             caller=int(number("X-Sender", 0, 2**31, True)),
             body=body,
