--- a/flintshift/cli/copies.py
+++ b/flintshift/cli/copies.py
@@ -109,7 +109,7 @@
     from flintshift.copies.store import examined
     from flintshift.storage.files import DiskFiles
     from flintshift.storage.snapshot import DamagedError
-    from flintshift.wire.peer_words import entry_from
+    from flintshift.wire.peer_codec import entry_from
 
     try:
         state, records, keys = examined(DiskFiles(), folder, entry_from)
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -72,8 +72,8 @@
 from flintshift.storage.log import BrokenError
 from flintshift.storage.snapshot import DamagedError
 from flintshift.wire.acceptor import listening
+from flintshift.wire.peer_codec import entry_bytes, entry_from
 from flintshift.wire.peer_link import Greeting, OutLink, PeerFront
-from flintshift.wire.peer_words import entry_bytes, entry_from
 
 if TYPE_CHECKING:
     from flintshift.lifecycle.start_permits import StartPermits
--- a/flintshift/wire/peer_link.py
+++ b/flintshift/wire/peer_link.py
@@ -24,7 +24,7 @@
 from flintshift.proto import peers_pb2 as pb
 from flintshift.startup.waits import Waits
 from flintshift.wire.link import BROKEN, JunkError
-from flintshift.wire.peer_words import PEER_FRAME_MOST, Word, WordsError, batch_of, read_batch, words_of
+from flintshift.wire.peer_codec import PEER_FRAME_MOST, Word, WordsError, batch_of, read_batch, words_of
 
 SCHEMA = 1  # of `proto/peers.proto`; with a member of the schema before or after, what the lower of both has
 HEAD = 4
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -18,9 +18,9 @@
 from flintshift.startup.waits import Uniform, Waits
 from flintshift.wire import pool_codec as codec
 from flintshift.wire.link import BROKEN, JunkError, connect
+from flintshift.wire.outcomes import OUTCOMES
 from flintshift.wire.pool_codec import Command, CommandKind, NoticeError
 from flintshift.wire.pool_recovery import Unheard
-from flintshift.wire.words import OUTCOMES
 
 Told = Callable[[Report], Awaitable[None]]
 Answered = codec.Polled | codec.Verified
--- a/flintshift/wire/pool_codec.py
+++ b/flintshift/wire/pool_codec.py
@@ -12,7 +12,7 @@
 from flintshift.core.attempts import Attempt
 from flintshift.interface import Outcome
 from flintshift.wire.link import JunkError
-from flintshift.wire.words import OUTCOMES
+from flintshift.wire.outcomes import OUTCOMES
 
 NUMBER_MOST = 2**53  # notices are numbered from 1; a larger number is no number of one
 
--- a/flintshift/wire/uwsgi_apps.py
+++ b/flintshift/wire/uwsgi_apps.py
@@ -15,7 +15,7 @@
 from flintshift.interface import Outcome
 from flintshift.wire.dnssd import Browser
 from flintshift.wire.link import BROKEN, connect
-from flintshift.wire.words import OUTCOMES
+from flintshift.wire.outcomes import OUTCOMES
 
 
 class AppServers:
--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -18,7 +18,7 @@
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
 from flintshift.wire.link import BROKEN, JunkError, connect
-from flintshift.wire.words import OUTCOMES
+from flintshift.wire.outcomes import OUTCOMES
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/copies/test_member_words.py
+++ b/tests/copies/test_member_words.py
@@ -13,8 +13,8 @@
 from flintshift.peers.members import Accuse, Accused
 from flintshift.proto import peers_pb2 as pb
 from flintshift.startup.permits import Permit, PermitAsk
+from flintshift.wire.peer_codec import OUTCOMES, WordsError, batch_of, read_batch, words_of
 from flintshift.wire.peer_link import SCHEMA, Greeting
-from flintshift.wire.peer_words import OUTCOMES, WordsError, batch_of, read_batch, words_of
 
 KEYS = [("submit-time", f"k{number}") for number in range(2000)]
 VALUE = Value(Stage.CLAIMED, "r1", "n1#1", b"\0\xff" * 8, 1234.5)
--- a/tests/copies/test_store.py
+++ b/tests/copies/test_store.py
@@ -15,7 +15,7 @@
 from flintshift.interface import Outcome
 from flintshift.storage.log import BrokenError
 from flintshift.storage.snapshot import DamagedError
-from flintshift.wire.peer_words import entry_bytes, entry_from
+from flintshift.wire.peer_codec import entry_bytes, entry_from
 
 FOLDER = Path("/srv/copies")
 NOW = 1_000_000.0
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -18,7 +18,7 @@
 from flintshift.settings.units import address
 from flintshift.wire import uwsgi
 from flintshift.wire.fields import UnusableError
-from flintshift.wire.words import OUTCOMES
+from flintshift.wire.outcomes import OUTCOMES
 
 
 def test_there_is_one_final_answer_whatever_follows():
--- a/tests/handover/test_words.py
+++ b/tests/handover/test_codec.py
@@ -15,7 +15,7 @@
 from flintshift.handover.phases import Phases, WordError
 from flintshift.interface import Outcome
 from flintshift.wire.handover import Link
-from flintshift.wire.handover_words import FrameError, Unpacker, packed
+from flintshift.wire.handover_codec import FrameError, Unpacker, packed
 
 WORDS = [
     say.Hello(1),
