--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -44,6 +44,7 @@
 CALLERS_MOST = 256  # of whom give-ups are remembered
 WINDOW_ROOM, WINDOW_RISES, WINDOW_FALLS = 3.5, 1.05, 0.85  # most for each that may run; steps a tick
 STAY = 0.03  # of the aim for each server, for what is turned away for load
+LEAST_SPEED = 0.05  # of the full one, that a cold server is taken to have: settings may tell 0
 QUOTA_ROOM, QUOTA_BURST_S = 1.2, 2.0  # a tenant's part here may stray that far from even
 
 
@@ -240,7 +241,7 @@
     def _speed(self) -> float:
         """The share of its full speed that the server has at the least."""
         risen = (self.now - self.born_ms) / max(1.0, self.set.cold_ms) if self.set.cold else 1.0
-        return 1 - (1 - self.set.cold_from) * max(0.0, 1 - risen)
+        return max(LEAST_SPEED, 1 - (1 - self.set.cold_from) * max(0.0, 1 - risen))
 
     def _survived(self) -> float:
         """The survivable crowd, smaller while the server is cold."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -449,6 +449,14 @@
     assert api.Run(first) in acts and api.Run(second) not in acts
 
 
+def test_a_server_that_settings_say_starts_at_no_speed_at_all_still_decides(make):
+    server = make(cold=True, cold_from=0.0, cold_ms=4000.0)
+    request, actions = server.arrive()
+    assert api.Run(request) in actions
+    for _ in range(200):
+        server.tick(run_queue=1.0)
+
+
 def test_a_cold_server_takes_longer_before_it_counts_as_hung(make):
     """Guards against fresh servers that refuse all because their first slow runs look like a hang."""
 
