Take the node's wiring apart, and its drain into a module of its own; wait for an address in use

Node.__init__ is now a list of steps, each with one job; the three status sockets are opened in one place. Graceful shutdown stands in lifecycle/drain.py. New: an address that a process which was killed still holds is waited for, for up to 3 s, where the start failed at once.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -62,6 +62,7 @@
     claim_spare_ms: float = 150.0  # before its due time, an attempt waits for that no longer
     left_ms: float = 100.0  # for the last words to the other process
     shed_ms: float = 40.0  # between two words of a predecessor on what it uses: a tick of the decisions
+    bind_most_ms: float = 3000.0  # for an address that is in use to become free
     bind_again_ms: float = 100.0  # between two tries to listen while a process that leaves holds the address
     poll_ms: float = 25.0  # for gauges to come before a tick goes on without
     gauge_stale_ms: float = 500.0  # older gauges are none
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import random
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import replace
@@ -12,7 +14,6 @@
 
 import anyio
 
-from flintshift.core.attempts import Notice
 from flintshift.core.catalogue import Catalogue
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
@@ -21,7 +22,17 @@
 from flintshift.lifecycle import signals
 from flintshift.lifecycle.clock import Clock
 from flintshift.lifecycle.config import Config, ConfigError
-from flintshift.settings.options import CopiesOptions, PeersOptions, StartupOptions, UsageOptions
+from flintshift.lifecycle.drain import Drain
+from flintshift.settings.options import (
+    CopiesOptions,
+    DoorOptions,
+    LogOptions,
+    Operators,
+    PeersOptions,
+    StartupOptions,
+    UsageOptions,
+    UwsgiOptions,
+)
 from flintshift.settings.shape import lost
 from flintshift.startup.listing import Listed, Listing
 from flintshift.wire.acceptor import Acceptor, listening
@@ -33,6 +44,8 @@
 from flintshift.wire.vault import VaultLink
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from flintshift.lifecycle.books import Books
     from flintshift.lifecycle.copying import Copying
     from flintshift.lifecycle.fair_door import FairDoor
@@ -49,105 +62,124 @@
 
 
 class Node:
+    """One process of a results node: its parts, wired by the configuration, from its start to its end."""
+
     def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
         self.config, self.limits, self.reread = config, config.limits, reread
         self.now_ms, self.counters = Clock(), Counters()
-        limits, counters, now_ms = self.limits, self.counters, self.now_ms
+        self.log: Log = silent
+        self.leave = anyio.Event()
+        self.bound = False  # its addresses listen
+        self.failed: OSError | None = None  # why it ends before it served
+        # Of name and seed: two nodes of one configuration draw differently, and a node the same each time.
+        self.uniform: Uniform = random.Random(f"{config.name} {config.seed}").uniform
+        self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = []
+        self.lists: list[Listed] = []
+        self.fronts: list[tuple[Front, tuple[str, int]]] = []
+        self._wire_platform()
+        self._wire_operators(config.operators)
+        self.listing = Listing(self.lists, self.limits, config.settings.servers, self.uniform)
+        self.drain = Drain([front for front, _ in self.fronts], self.decisions, self.limits, self.now_ms)
+        if config.operators.startup is not None:
+            self._watch_start(config.operators.startup)
+        if config.control is not None:
+            self._open_control()
+
+    def _wire_platform(self) -> None:
+        """The parts that the platform's protocol asks for."""
+        config, limits, counters, now_ms = self.config, self.limits, self.counters, self.now_ms
         self.gauges = GaugePlanner(limits, now_ms)
         self.catalogue = Catalogue(config.settings, limits)
         self.decisions = Decisions(
             self.catalogue, config.seed, limits, counters, now_ms, self.gauges.wake_at, self._moved
         )
-        # Of name and seed: two nodes of one configuration draw differently, and a node the same each time.
-        draw = random.Random(f"{config.name} {config.seed}")
-        self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report, draw.uniform)
+        self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report, self.uniform)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
         self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
         self.names = NameService(config.naming, config.name, limits, counters)
-        lists: list[Listed] = [self.names]
-        fields = Fields(self.catalogue, limits, now_ms, now_ms.placed)
+        self.lists.append(self.names)
+        self.fields = Fields(self.catalogue, limits, now_ms, now_ms.placed)
         most = limits.http_connections if config.operators.uwsgi is None else limits.http_connections_beside_uwsgi
-        http = HttpFront(fields, self.decisions, limits, counters, now_ms, most, self.pool.verify)
-        self.fronts: list[tuple[Front, tuple[str, int]]] = [(http, config.listen)]
-        self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = [self.decisions.run, self.pool.run, self.vault.run]
-        if config.operators.uwsgi is not None:
-            from flintshift.lifecycle.second_front import second_front
-
-            second = second_front(
-                config.name,
-                config.operators.uwsgi,
-                fields,
-                self.decisions,
-                limits,
-                counters,
-                now_ms,
-                self.pool.verify,
-                draw.uniform,
-            )
-            self.decisions.workers = {"pool": self.pool, "apps": second.apps}
-            lists.append(second.listed)
-            self.fronts.append((second.front, config.operators.uwsgi.listen))
-            self.actors += second.actors
-        self.log: Log = silent
-        requests_too = False
-        if config.operators.log is not None:
-            from flintshift.lifecycle.logs import open_log
+        http = HttpFront(self.fields, self.decisions, limits, counters, now_ms, most, self.pool.verify)
+        self.fronts.append((http, config.listen))
+        self.actors += [self.decisions.run, self.pool.run, self.vault.run]
 
-            self.log, requests_too = open_log(config.operators.log, config.name)
+    def _wire_operators(self, options: Operators) -> None:
+        """The parts that the operators' file switches on; each is imported only then."""
         self.ledger: Ledger | None = None
         self.books: Books | None = None
-        if config.operators.usage is not None:
-            self._keep_books(config.operators.usage)
         self.fair: FairDoor | None = None
-        if config.operators.door is not None:
-            from flintshift.lifecycle.fair_door import FairDoor
-
-            self.fair = FairDoor(config.settings, limits, counters, now_ms)
-            self.fair.log = self.log
-            self.decisions.rank_by(self.fair)
-            if config.operators.door.socket is not None:
-                from flintshift.lifecycle.status_socket import StatusSocket
-
-                self.actors.append(
-                    StatusSocket(
-                        config.operators.door.socket,
-                        "door",
-                        self.fair.shown,
-                        "how the clubs stand",
-                        limits,
-                        counters,
-                        self.warn,
-                    ).run
-                )
         self.copying: Copying | None = None
-        if config.operators.peers is not None and config.operators.copies is not None:
-            self._keep_copies(config.operators.peers, config.operators.copies)
-        for front, _ in self.fronts:
-            front.log = self.log if requests_too else None
-        self.listing = Listing(lists, limits, config.settings.servers, draw.uniform)
-        self.bound = False  # its addresses listen
         self.starting: Starting | None = None
         self.permits: StartPermits | None = None
-        if config.operators.startup is not None:
-            self._watch_start(config.operators.startup, draw.uniform)
         self.door: ControlFront | None = None
         self.upgrade: Upgrade | None = None
-        self.leave = anyio.Event()
-        self.failed: OSError | None = None  # why it ends before it served
-        if config.control is not None:
-            from flintshift.lifecycle.upgrade import Upgrade
-            from flintshift.wire.control_front import ControlFront
+        if options.uwsgi is not None:
+            self._open_second_front(options.uwsgi)
+        if options.log is not None:
+            self._open_log(options.log)
+        if options.usage is not None:
+            self._keep_books(options.usage)
+        if options.door is not None:
+            self._rank_clubs(options.door)
+        if options.peers is not None and options.copies is not None:
+            self._keep_copies(options.peers, options.copies)
+
+    def _open_second_front(self, options: UwsgiOptions) -> None:
+        from flintshift.lifecycle.second_front import second_front
+
+        second = second_front(
+            self.config.name,
+            options,
+            self.fields,
+            self.decisions,
+            self.limits,
+            self.counters,
+            self.now_ms,
+            self.pool.verify,
+            self.uniform,
+        )
+        self.decisions.workers = {"pool": self.pool, "apps": second.apps}
+        self.lists.append(second.listed)
+        self.fronts.append((second.front, options.listen))
+        self.actors += second.actors
+
+    def _open_log(self, options: LogOptions) -> None:
+        from flintshift.lifecycle.logs import open_log
+
+        self.log, requests_too = open_log(options, self.config.name)
+        for front, _ in self.fronts:
+            front.log = self.log if requests_too else None
+
+    def _rank_clubs(self, options: DoorOptions) -> None:
+        from flintshift.lifecycle.fair_door import FairDoor
+
+        self.fair = FairDoor(self.config.settings, self.limits, self.counters, self.now_ms)
+        self.fair.log = self.log
+        self.decisions.rank_by(self.fair)
+        if options.socket is not None:
+            self._show(options.socket, "door", self.fair.shown, "how the clubs stand")
+
+    def _show(self, path: Path, name: str, shown: Callable[[], Any], what: str) -> None:
+        """Let whoever asks at a Unix socket know how a part stands."""
+        from flintshift.lifecycle.status_socket import StatusSocket
+
+        self.actors.append(StatusSocket(path, name, shown, what, self.limits, self.counters, self.warn).run)
 
-            self.door = ControlFront(self, limits, counters, now_ms)
-            self.door.log = self.log
-            self.upgrade = Upgrade(self)
-            self.decisions.claims = self.upgrade
-            if self.copying is not None:
-                from flintshift.lifecycle.agreeing import Agreeing
+    def _open_control(self) -> None:
+        from flintshift.lifecycle.upgrade import Upgrade
+        from flintshift.wire.control_front import ControlFront
 
-                self.decisions.claims = Agreeing(self.upgrade, self.copying)
-            for front, _ in self.fronts:
-                front.leave()  # until it is known that this process takes the clients
+        self.door = ControlFront(self, self.limits, self.counters, self.now_ms)
+        self.door.log = self.log
+        self.upgrade = Upgrade(self)
+        self.decisions.claims = self.upgrade
+        if self.copying is not None:
+            from flintshift.lifecycle.agreeing import Agreeing
+
+            self.decisions.claims = Agreeing(self.upgrade, self.copying)
+        for front, _ in self.fronts:
+            front.leave()  # until it is known that this process takes the clients
 
     def _keep_books(self, options: UsageOptions) -> None:
         from flintshift.lifecycle.books import UNUSABLE, Books, open_ledger
@@ -198,27 +230,15 @@
         self.copying = copying
         self.decisions.claims, self.decisions.elsewhere = copying, True
         self.actors.append(copying.run)
-        from flintshift.lifecycle.status_socket import StatusSocket
+        self._show(options.folder / SOCKET, "copies", copying.shown, "how the copies stand")
 
-        self.actors.append(
-            StatusSocket(
-                options.folder / SOCKET,
-                "copies",
-                copying.shown,
-                "how the copies stand",
-                self.limits,
-                self.counters,
-                self.warn,
-            ).run
-        )
-
-    def _watch_start(self, options: StartupOptions, uniform: Uniform) -> None:
+    def _watch_start(self, options: StartupOptions) -> None:
         from flintshift.lifecycle.starting import Starting
         from flintshift.startup.phases import Seen
 
         settings = self.config.settings
         if options.at_once is not None and self.copying is not None:
-            self.permits = self.copying.start_permits(options.at_once, uniform, self.tell_lists)
+            self.permits = self.copying.start_permits(options.at_once, self.uniform, self.tell_lists)
         permits = self.permits
         starting = self.starting = Starting(
             options,
@@ -227,25 +247,13 @@
                 self.bound, self.decisions.posture.up, self.listing.taken > 0, permits is None or permits.starter.went
             ),
             permits.done if permits is not None else lambda: None,
-            uniform,
+            self.uniform,
             self.counters,
             self.log,
         )
         self.actors.append(starting.run)
         if options.socket is not None:
-            from flintshift.lifecycle.status_socket import StatusSocket
-
-            self.actors.append(
-                StatusSocket(
-                    options.socket,
-                    "startup",
-                    starting.shown,
-                    "how the node comes up",
-                    self.limits,
-                    self.counters,
-                    self.warn,
-                ).run
-            )
+            self._show(options.socket, "startup", starting.shown, "how the node comes up")
 
     async def run(self) -> None:
         """Serve until told to leave."""
@@ -264,7 +272,7 @@
                 raise self.failed
             if self.starting is not None:
                 self.starting.well()
-            self.log("info", "node.left", open=self._open())
+            self.log("info", "node.left", open=self.drain.open())
 
     async def _serve(self, received: AsyncIterator[signal.Signals]) -> None:
         listeners = await self._listeners()
@@ -288,7 +296,9 @@
             await self.leave.wait()
             self.log("info", "node.leaving", stop_ms=self.limits.stop_ms)
             if self.failed is None:
-                await self._drain()
+                await self.drain.run(
+                    self.config.settings.drain_grace_ms, self.upgrade is not None and self.upgrade.shedding
+                )
             if self.upgrade is not None:
                 await self.upgrade.close()
             tasks.cancel_scope.cancel()
@@ -392,7 +402,7 @@
             return "the node leaves"
         if self.decisions.posture.out is serving:
             self.decisions.posture.out = not serving
-            self.log("info", "node.in_service" if serving else "node.out_of_service", open=self._open())
+            self.log("info", "node.in_service" if serving else "node.out_of_service", open=self.drain.open())
         self.tell_lists()
         if self.upgrade is not None:
             self.upgrade.serve(not serving)
@@ -440,33 +450,20 @@
 
     async def _listeners(self) -> list[Acceptor]:
         if self.upgrade is None:
-            return [Acceptor(listening(at, self.limits.backlog)) for _, at in self.fronts]
+            return [Acceptor(await self._listening(at)) for _, at in self.fronts]
         await self.upgrade.begin()
         return [Acceptor(raw) for raw in self.upgrade.sockets]
 
-    async def _drain(self) -> None:
-        """Answer all that was read and leave; what comes after the grace is refused, not run."""
-        notice = self.now_ms()
-        stop = notice + self.limits.stop_ms - self.limits.stop_margin_ms
-        await self.decisions.report(Notice(stop - notice))
-        if self.upgrade is not None and self.upgrade.shedding:
-            # A successor serves: this process stays for what is still open with it, as no connection is cut on which a
-            # request may be on its way.
-            while self.now_ms() < stop and (self._open() or any(front.connections for front, _ in self.fronts)):
-                await anyio.sleep(self.limits.drain_step_ms / 1000)
-        else:
-            grace = notice + self.config.settings.drain_grace_ms
-            while self.now_ms() < stop and (self.now_ms() < grace or self._open()):
-                await anyio.sleep(self.limits.drain_step_ms / 1000)
-        for front, _ in self.fronts:
-            front.finish()
-        # The last answers are to be taken, and what crosses them read to its end, for as long as the kill is away.
-        gone = stop + self.limits.stop_margin_ms / 2
-        while any(front.connections for front, _ in self.fronts) and self.now_ms() < gone:
-            await anyio.sleep(self.limits.drain_step_ms / 1000)
-
-    def _open(self) -> int:
-        return self.decisions.open + sum(front.busy for front, _ in self.fronts)
+    async def _listening(self, at: tuple[str, int]) -> socket.socket:
+        """Listen at an address; a process that was killed there may hold it for a moment longer."""
+        latest_ms = self.now_ms() + self.limits.bind_most_ms
+        while True:
+            try:
+                return listening(at, self.limits.backlog)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or self.now_ms() >= latest_ms:
+                    raise
+            await anyio.sleep(self.limits.bind_again_ms / 1000)
 
     def print_counters(self) -> None:
         with contextlib.suppress(OSError):  # a full disk under the log must not end the node
