--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -73,7 +73,8 @@
                 self._learn(await self._browse())
             except FAILED:
                 self.counters.add("dns.failed")
-            if self.found:  # what is known stands, so a resolver that fails is not asked more often for it
+            # What is known stands, so a resolver that fails is not asked more often for it; one that names nobody is.
+            if self.found and not self.empty:
                 waits.reset()
                 wait_ms = self.limits.browse_ms * self.uniform(0.95, 1.05)
             else:
