--- /dev/null
+++ b/tests/lifecycle/test_configuration.py
@@ -0,0 +1,91 @@
+"""The configuration at a start and in a running node."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import anyio
+import pytest
+from standins import BYTES, ROOT, SETTINGS, job
+
+from flintshift.__main__ import main
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_a_new_configuration_under_load_moves_the_links_and_runs_go_on(rig):
+    before, after = job("race-results"), job("race-results")
+    callers = [await rig.connect("http"), await rig.connect("http")]
+    callers[0].send(BYTES["http"]("race-results", b"", before))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn")
+    rig.config.write_text("{")
+    rig.process.send_signal(signal.SIGHUP)
+    assert b"configuration stays" in await asyncio.wait_for(rig.process.stderr.readline(), 10)
+    for peer in (rig.pool, rig.vault, rig.names):
+        await peer.move()
+    rig.configure()
+    old = list(rig.pool.links)
+    rig.process.send_signal(signal.SIGHUP)
+    binds = await rig.pool.log.until(lambda entry: entry["t"] == "bind", 2)
+    callers[1].send(BYTES["http"]("race-results", b"", after))
+    await rig.pool.log.until(lambda entry: entry["t"] == "spawn", 2)
+    rig.pool.tell(before["X-Job-Id"], "blocked", {"b64": ""})  # told on both links, taken once
+    await rig.vault.log.until(lambda entry: entry[0] == "ask")
+    rig.pool.finish(after["X-Job-Id"])
+    for writer in old:
+        writer.transport.abort()
+    for caller, fields in zip(callers, (before, after), strict=True):
+        assert (await caller.reply()).body == f"result of {fields['X-Job-Id']}\n".encode()
+    assert [bind["no"] for bind in binds] == [0, 0]
+    assert len({run["rid"] for run in rig.runs()}) == 2
+    assert len([entry for entry in rig.vault.log.entries if entry[0] == "ask"]) == 1
+    assert (await rig.ask("http", path="/ping", method="GET")).status == 200
+    rig.pool.plan = {}
+    (await rig.connect("http")).send(BYTES["http"]("race-results", b"", job("race-results")))
+    await rig.leave()
+    rig.process.send_signal(signal.SIGHUP)  # in a drain too
+    assert await asyncio.wait_for(rig.process.wait(), 10) == 0
+
+
+@pytest.mark.parametrize(
+    ("config", "text"),
+    [
+        (None, "LB_CONFIG"),
+        ("{", "Expecting"),
+        ('{"settings": {}, "stop_ms": 1}', "name is missing"),
+        (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n"}), "listen is missing"),
+        (json.dumps({"settings": SETTINGS, "stop_ms": 1, "name": "n", "listen": "nowhere"}), "listen: 'nowhere' is no"),
+    ],
+)
+def test_a_bad_configuration_is_one_plain_line_and_no_start(tmp_path, config, text):
+    path = tmp_path / "config.json"
+    path.write_text(config or "")
+    env = {name: value for name, value in os.environ.items() if name != "LB_CONFIG"}
+    ended = subprocess.run(
+        [sys.executable, "-m", "flintshift"],
+        cwd=ROOT,
+        check=False,
+        text=True,
+        env=env | ({"LB_CONFIG": str(path)} if config else {}),
+        capture_output=True,
+    )
+    assert ended.returncode == 2 and text in ended.stderr and ended.stderr.count("\n") == 1
+
+
+def test_the_program_runs_on_uvloop_and_no_signal_can_end_its_start(monkeypatch):
+    asked, before = {}, signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    monkeypatch.setattr(
+        anyio, "run", lambda *_, **more: asked.update(more, held=signal.pthread_sigmask(signal.SIG_BLOCK, ()))
+    )
+    monkeypatch.setattr(sys, "argv", ["flintshift"])
+    try:
+        assert main() == 0
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+    assert asked["backend_options"] == {"use_uvloop": True}
+    assert asked["held"] >= {signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1}
--- /dev/null
+++ b/tests/wire/test_bad_input.py
@@ -0,0 +1,73 @@
+"""What callers may not send, on both fronts."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from standins import BYTES, http_bytes, job
+
+pytestmark = pytest.mark.anyio
+
+
+FRONTS = list(BYTES)
+
+
+def finishing(rig):
+    rig.pool.plan = dict.fromkeys(("race-results", "submit-time"), 0)
+
+
+BAD = [  # class, body, changed fields, the status, what the answer names
+    ("nobody", b"", {}, 404, "class"),
+    ("submit-time", b"x" * 2049, {}, 413, "body"),
+    ("submit-time", b"", {"X-Job-Id": None}, 400, "X-Job-Id"),
+    ("submit-time", b"", {"X-Job-Id": "short"}, 400, "X-Job-Id"),
+    ("submit-time", b"", {"X-Door-Time": None}, 400, "X-Door-Time"),
+    ("submit-time", b"", {"X-Door-Time": "9999999999999"}, 400, "X-Door-Time"),
+    ("submit-time", b"", {"X-Sender": "-1"}, 400, "X-Sender"),
+    ("submit-time", b"", {"X-Team": "nobody"}, 400, "X-Team"),
+    ("submit-time", b"", {"X-Again": "maybe"}, 400, "X-Again"),
+    ("submit-time", b"", {"X-Ram-Kb": "0"}, 400, "X-Ram-Kb"),
+    ("submit-time", b"", {"X-Ram-Kb": "nan"}, 400, "X-Ram-Kb"),
+    ("submit-time", b"", {"X-Precedence": "1"}, 400, "X-Precedence"),
+    ("submit-time", b"", {"X-Unique": None}, 400, "X-Unique"),
+    ("race-results", b"", {"X-Item": "zz"}, 400, "X-Item"),
+]
+
+
+BROKEN = {
+    "http": [
+        (b"what is this\r\n\r\n", 400),
+        (b"POST /call/x HTTP/1.1\r\nHost: a\r\nContent-Length: z\r\n\r\n", 400),
+        (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nhalf", 400),
+        (b"POST /call/submit-time HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (
+            b"POST /call/race-results HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + http_bytes("race-results", b"", job("race-results")),
+            400,
+        ),
+        (b"GET / HTTP/1.1\r\nX: " + b"x" * 20_000, 400),
+    ],
+    "uwsgi": [
+        (b"\x05\x00\x00\x00", 400),
+        (b"\x00\xff\xff\x00", 413),
+        (b"\x00\x02\x00\x00\x09\x00", 400),
+        (b"\x00\x09", 400),
+        (b"\x00\x03\x00\x00\x01\x00a", 400),
+    ],
+}
+
+
+@pytest.mark.parametrize("front", FRONTS)
+async def test_bad_input_is_answered_plainly_runs_nothing_and_leaves_the_node_up(rig, front):
+    finishing(rig)
+    for class_name, body, changes, status, named in BAD:
+        reply = await rig.ask(front, class_name, body, job(class_name, **changes))
+        assert reply.status == status and named in json.loads(reply.body)["error"], (changes, reply)
+    for data, status in BROKEN[front]:
+        caller = await rig.connect(front)
+        caller.send(data)
+        caller.writer.write_eof()
+        assert (await caller.reply()).status == status, data
+        assert await caller.ended()
+    assert not rig.runs() and (await rig.ask(front)).status == 200
--- /dev/null
+++ b/tests/wire/test_name_service.py
@@ -0,0 +1,34 @@
+"""Reports that the name service takes without an answer."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import anyio
+import pytest
+
+from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
+from flintshift.lab.peers import Names
+from flintshift.startup.listing import Listing
+from flintshift.wire.names import NameService
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_a_report_without_an_answer_counts_and_does_not_delay_the_next():
+    names, counters, limits = Names(tells=True), Counters(), Limits(report_wait_ms=200.0, report_every_ms=200.0)
+    names.mute = True
+    await names.start()
+    service, began = NameService(("127.0.0.1", names.port), "n3", limits, counters), time.time()
+    listing = Listing([service], limits, 1, random.Random(1).uniform)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listing.run)
+        listing.say(True)
+        while counters["names.unanswered"] < 3:
+            await names.log.until(lambda _: True, counters["names.unanswered"] + 1)
+        tasks.cancel_scope.cancel()
+    await names.stop()
+    assert time.time() - began < 0.95 and not counters["names.not_taken"]  # 1.0 s with a wait after each
+    assert not await service.report(True) and counters["names.not_taken"] == 1
