Wait for what is queued at the end of a drain, and look at the socket by turns of the loop

The acceptor now counts what it holds, and a front is done when its listener is closed and all that it took is closed. - The last look at an idle connection lasted 1 ms: in a busy loop that time passes before the socket is polled. It lasts four turns of the loop now, and a reset in it is no fault of the program.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -53,7 +53,6 @@
     silent_ms: float = 250.0  # a connection that said nothing for so long may go for a new one
     rested_ms: float = 500.0  # and so may one that is idle after an answer
     last_read_ms: float = 20.0  # for the same, while the node stops
-    last_look_ms: float = 1.0  # for bytes that an idle connection holds already when it is to be closed
     linger_ms: float = 500.0  # for what still comes after a connection's last answer
     crossing_ms: float = 100.0  # for a request that crosses the close of an idle connection: 50 ms are told
     write_ms: float = 5000.0  # for an answer to be taken
--- a/flintshift/lifecycle/drain.py
+++ b/flintshift/lifecycle/drain.py
@@ -42,7 +42,7 @@
         for front in self.fronts:
             front.finish()
         # The last answers are to be taken, and what crosses them read to its end, for as long as the kill is away.
-        await self._until(lambda: not self.connections(), stop_ms + self.limits.stop_margin_ms / 2)
+        await self._until(lambda: all(front.done for front in self.fronts), stop_ms + self.limits.stop_margin_ms / 2)
 
     async def _until(self, true: Callable[[], bool], latest_ms: float) -> None:
         while self.now_ms() < latest_ms and not true():
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -20,6 +20,8 @@
 class Acceptor:
     def __init__(self, raw: socket.socket) -> None:
         self.raw = raw
+        self.held = 0  # connections that were taken and are not closed
+        self.closed = False
 
     async def serve(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> None:
         """Until cancelled.
@@ -49,20 +51,29 @@
             return False  # there is none, or another process that holds the socket took it
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.held += 1
         tasks.start_soon(self._handle, handler, accepted)
         return True
 
-    @staticmethod
-    async def _handle(handler: Callable[[SocketStream], Awaitable[None]], accepted: socket.socket) -> None:
+    async def _handle(self, handler: Callable[[SocketStream], Awaitable[None]], accepted: socket.socket) -> None:
         try:
-            stream = await SocketStream.from_socket(accepted)
-        except (OSError, ValueError):  # its caller went meanwhile
-            accepted.close()
-            return
-        await handler(stream)
+            try:
+                stream = await SocketStream.from_socket(accepted)
+            except (OSError, ValueError, RuntimeError):  # its caller went meanwhile
+                accepted.close()
+                return
+            await handler(stream)
+        finally:
+            self.held -= 1
 
     async def aclose(self) -> None:
         self.raw.close()
+        self.closed = True
+
+    @property
+    def done(self) -> bool:
+        """It is closed, and so is all that it took."""
+        return self.closed and not self.held
 
 
 def listening(at: tuple[str, int], backlog: int) -> socket.socket:
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -10,6 +10,7 @@
 
 import anyio
 from anyio.abc import SocketStream, TaskGroup
+from anyio.lowlevel import checkpoint
 
 from flintshift.core.attempts import Answer, Attempt, Departed, Verdict
 from flintshift.core.counters import Counters
@@ -21,6 +22,8 @@
 from flintshift.wire.fields import Fields, UnusableError
 from flintshift.wire.link import BROKEN
 
+LOOK_TURNS = 4  # of the loop: the socket is polled in the first, and what came is handed on in the next
+
 
 class Exchange:
     """Waits for the final answer to one request, or for its caller to go."""
@@ -56,6 +59,7 @@
         self.idle: tuple[dict[Connection, None], ...] = ({}, {})  # that never spoke, that did; idlest first
         self.books: Books | None = None
         self.log: Log | None = None  # of requests; None: not at this level
+        self.listener: Acceptor | None = None
         self.accepting = anyio.CancelScope()
         self.taking: anyio.Event | None = None  # there is one while another process of this node accepts
         self.others = 0  # connections that it holds
@@ -67,12 +71,18 @@
     def posture(self) -> Posture:
         return self.decisions.posture
 
+    @property
+    def done(self) -> bool:
+        """It was told to finish, and has closed all that it took; what was queued at its end too."""
+        return self.listener is None or self.listener.done
+
     @property
     def busy(self) -> int:
         return sum(connection.busy for connection in self.connections)
 
     async def serve(self, listener: Acceptor, tasks: TaskGroup) -> None:
         """Accept until told to finish; the connections live on in the task group given."""
+        self.listener = listener
         while not self.closing:
             while self.taking is not None:
                 await self.taking.wait()
@@ -189,12 +199,27 @@
                 connection.reading = None
         if connection.busy:
             return None
-        # Guards a request that came while the close was decided: it is answered, as the last on its connection.
-        with anyio.move_on_after(self.limits.last_look_ms / 1000):
-            data = await self._receive(connection)
-            connection.last_request = True
-            return data
-        return None
+        return await self._last_look(connection)
+
+    async def _last_look(self, connection: Connection) -> bytes | None:
+        """Bytes that an idle connection holds already when it is to be closed; None where there are none.
+
+        Guards a request that came while that was decided: it is answered, as the last on its connection. The look lasts
+        for turns of the loop and not for a time, which may pass in a busy node without a look at the socket."""
+        data: bytes | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._end_look, tasks.cancel_scope)
+            with contextlib.suppress(*BROKEN):
+                data = await self._receive(connection)
+                connection.last_request = True
+            tasks.cancel_scope.cancel()
+        return data
+
+    @staticmethod
+    async def _end_look(look: anyio.CancelScope) -> None:
+        for _ in range(LOOK_TURNS):
+            await checkpoint()
+        look.cancel()
 
     async def _receive(self, connection: Connection) -> bytes:
         """The next bytes of a request; b"" at their end."""
--- a/tests/wire/fronted.py
+++ b/tests/wire/fronted.py
@@ -10,7 +10,7 @@
 import anyio
 from standins import BYTES, SETTINGS, Caller, job
 
-from flintshift.core.attempts import Answer, Attempt
+from flintshift.core.attempts import Answer, Attempt, Departed
 from flintshift.core.catalogue import Catalogue
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
@@ -35,6 +35,7 @@
     taken: list[Attempt] = field(default_factory=list)
     departed: list[str] = field(default_factory=list)
     at_once: Answer | None = None
+    open: int = 0  # requests that it holds
 
     def submit(self, attempt: Attempt) -> None:
         self.taken.append(attempt)
@@ -42,7 +43,8 @@
             attempt.settle(self.at_once, now_ms())
 
     async def report(self, report) -> None:
-        self.departed.append(report.request)
+        if isinstance(report, Departed):
+            self.departed.append(report.request)
 
 
 class Fronted:
--- a/tests/wire/test_closing.py
+++ b/tests/wire/test_closing.py
@@ -17,6 +17,7 @@
 from standins import job
 
 from flintshift.core.attempts import Answer, Verdict
+from flintshift.lifecycle.drain import Drain
 from flintshift.wire.connection import TRANSITIONS, Connection, ConnectionState, TransitionError
 
 pytestmark = pytest.mark.anyio
@@ -215,3 +216,44 @@
             else:
                 with pytest.raises(TransitionError):
                     connection.enter(after)
+
+
+async def test_a_drain_that_finds_nothing_open_still_answers_what_is_queued_at_its_end():
+    for _ in range(REPEATS):
+        async with Fronted(stop_ms=2000.0, stop_margin_ms=200.0, last_read_ms=500.0, linger_ms=10.0) as fronted:
+            await fronted.until(lambda fronted=fronted: fronted.front.listener is not None)
+            drain = Drain([fronted.front], fronted.decided, fronted.limits, now_ms)
+            raw = fronted.connect()  # queued: the loop has no turn before the front is told to finish
+            raw.send(PING)
+            await drain.run(grace_ms=0.0, succeeded=False)
+            assert fronted.counters["http.checks"] == 1 and fronted.front.done  # the node ends its tasks next
+            caller = await calling(raw)
+            assert (await caller.reply()).status == 200
+            assert await caller.reader.read() == b""
+            caller.writer.close()
+
+
+async def test_a_busy_loop_does_not_end_the_last_look_before_the_socket_was_looked_at():
+    for closer in CLOSERS.values():
+        async with Fronted() as fronted:
+            raw = await fronted.rested()
+            raw.send(PING)
+            closer(fronted)
+            loop = asyncio.get_running_loop()
+            for turn in range(3):  # each turn of the loop is late
+                loop.call_later(turn * 1e-4, time.sleep, 0.02)
+            caller = await calling(raw)
+            assert (await caller.reply()).status == 200
+            caller.writer.close()
+
+
+@pytest.mark.parametrize("closer", CLOSERS)
+async def test_a_caller_that_resets_just_as_its_connection_is_to_be_closed_is_no_fault(closer):
+    for _ in range(REPEATS):
+        async with Fronted() as fronted:
+            raw = await fronted.rested()
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            CLOSERS[closer](fronted)
+            raw.close()
+            await fronted.until(lambda fronted=fronted: not fronted.front.connections)
+            assert not fronted.counters["http.faults"]
