Take the planner's reports and actions apart by type, and type how a call to the vault ended

Decisions._event and _apply were 80 and 70 lines of cases; each report and each action now has a method of its own, looked up by its type. CallEnd takes the place of a tuple of three texts.

--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -177,19 +177,7 @@
     result: bytes = b""
 
 
-Report = (
-    Submitted
-    | Departed
-    | RunOver
-    | CallWanted
-    | ReplyUnsure
-    | CallOver
-    | Notice
-    | Tick
-    | Up
-    | Changed
-    | Told
-    | Agreed
-    | Kept
-    | Taught
-)
+RunReport = RunOver | CallWanted | ReplyUnsure | CallOver
+"""Of a run that goes on, or has just ended."""
+
+Report = Submitted | Departed | RunReport | Notice | Tick | Up | Changed | Told | Agreed | Kept | Taught
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
+from typing import Any
 
 from anyio.lowlevel import checkpoint
 
@@ -39,6 +40,10 @@
 
 
 class Decisions:
+    """Takes reports from the mailbox one at a time, asks the controller, and applies its actions in order.
+
+    ``wake_at`` asks for a `Tick` at a time, and ``list_`` is called when what the node's lists are told changes."""
+
     def __init__(
         self,
         catalogue: Catalogue,
@@ -69,6 +74,35 @@
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
         self.closing: list[Attempt] = []
         self.purged_ms = 0.0
+        self.handlers: dict[type, Callable[[Any], api.Event | None]] = {
+            at.Submitted: self._submitted,
+            at.Tick: self._ticked,
+            at.Up: self._came_up,
+            at.Told: self._told,
+            at.Taught: self._taught,
+            at.Agreed: self._agreed,
+            at.Kept: self._kept,
+            at.Departed: self._departed,
+            at.Changed: self._changed,
+            at.Notice: self._noticed,
+        }
+        self.run_handlers: dict[type, Callable[[Attempt, Any], api.Event | None]] = {
+            at.CallWanted: self._call_wanted,
+            at.ReplyUnsure: self._reply_unsure,
+            at.CallOver: self._call_over,
+            at.RunOver: self._run_over,
+        }
+        self.action_handlers: dict[type, Callable[[Attempt, Any], None]] = {
+            api.Run: self._run,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Call: self._call,
+            api.SkipCall: self._skip_call,
+            api.Keep: self._keep,
+            api.Forget: self._forget,
+            api.AnswerFromOriginal: self._follow,
+            api.Stop: self._stop,
+        }
 
     # For the forwarders.
 
@@ -156,94 +190,110 @@
 
     def _event(self, report: at.Report) -> api.Event | None:
         """Book a report and make of it the controller's event, if it concerns it."""
-        match report:
-            case at.Submitted(new):
-                return self._submitted(new)
-            case at.Tick(token, gauges):
-                self._purge()
-                if self.claims is not None:
-                    self.claims.tick()
-                if self.ranks is not None:
-                    self.ranks.tick()
-                return api.Woken(token, gauges)
-            case at.Up():
-                if self.posture.up:  # the link came back: the controller goes on
-                    return None
-                self.posture.up = True
-                self.list()
-                return api.Started()
-            case at.Told(word):
-                if self.claims is not None:
-                    self.claims.heard(word)
-                return None
-            case at.Taught(learned):
-                return learned
-            case at.Agreed(request, granted, never_ran):
-                self._agreed(request, granted, never_ran)
-                return None
-            case at.Kept(request, outcome, result):
-                self._kept(request, outcome, result)
-                return None
-            case at.Departed(request) if request in self.keeping:
-                if not self.keeping[request].over:
-                    self.keeping[request].gone, self.keeping[request].over_ms = True, self.now_ms()
-                    self.counters.add("departed")
-                return None
-            case at.Departed(request) if request in self.awaiting:
-                gone = self.awaiting.pop(request)
-                gone.gone, gone.over_ms = True, self.now_ms()
-                self.counters.add("departed")
-                if self.claims is not None:
-                    self.claims.departed(request)
-                return None
-            case at.Changed():
-                settings = self._settings()
-                self.posture.wait_ms = settings.advice_max_ms * settings.advice_allowed
-                return api.Changed(settings)
-            case at.Notice(stops_in_ms):
-                self.posture.leaving = True
-                self.list()
-                return api.Leaving(stops_in_ms)
+        if not isinstance(report, at.RunReport):
+            return self.handlers[type(report)](report)
         attempt = self.requests.get(report.request)
         if attempt is None:  # it is over: late reports of it change nothing
             return None
-        match report:
-            case at.Departed():
-                if attempt.over:
-                    return None
-                attempt.gone, attempt.over_ms = True, self.now_ms()
-                self.counters.add("departed")
-                self.closing.append(attempt)
-                return api.CallerGone(attempt.id)
-            case at.CallWanted(_, no, payload):
-                attempt.call_no, attempt.payload = no, payload
-                return api.CallNeeded(attempt.id)
-            case at.ReplyUnsure(_, no):
-                # Without it the run would stand there for ever: where the call may be left out, it goes on
-                # poorer if the reply was lost. Elsewhere the reply can't be repeated: it might meet the next
-                # call of the run.
-                self.counters.add("replies_unsure")
-                if attempt.kind is not None and attempt.kind.skip_worth and attempt.call_no == no and not attempt.over:
-                    self._workers(attempt).go_on(attempt.id, no)
-                    attempt.poorer = True
-                return None
-            case at.CallOver(_, outcome, took_ms, reply):
-                if not attempt.calling:  # given up meanwhile
-                    return None
-                attempt.calling = False
-                if outcome is Outcome.OK and not self._workers(attempt).supply(attempt.id, attempt.call_no, reply):
-                    self.counters.add("dropped.supply")
-                return api.CallEnded(attempt.id, outcome, took_ms)
-            case at.RunOver():
-                return self._run_over(attempt, report)
-
-    def _submitted(self, attempt: Attempt) -> api.Event | None:
+        return self.run_handlers[type(report)](attempt, report)
+
+    # Reports of the node.
+
+    def _ticked(self, report: at.Tick) -> api.Event:
+        self._purge()
+        if self.claims is not None:
+            self.claims.tick()
+        if self.ranks is not None:
+            self.ranks.tick()
+        return api.Woken(report.token, report.gauges)
+
+    def _came_up(self, _: at.Up) -> api.Event | None:
+        if self.posture.up:  # the link came back: the controller goes on
+            return None
+        self.posture.up = True
+        self.list()
+        return api.Started()
+
+    def _told(self, report: at.Told) -> None:
+        if self.claims is not None:
+            self.claims.heard(report.word)
+
+    @staticmethod
+    def _taught(report: at.Taught) -> api.Event:
+        return report.learned
+
+    def _changed(self, _: at.Changed) -> api.Event:
+        settings = self._settings()
+        self.posture.wait_ms = settings.advice_max_ms * settings.advice_allowed
+        return api.Changed(settings)
+
+    def _noticed(self, report: at.Notice) -> api.Event:
+        self.posture.leaving = True
+        self.list()
+        return api.Leaving(report.stops_in_ms)
+
+    # Reports of a request, wherever it stands.
+
+    def _departed(self, report: at.Departed) -> api.Event | None:
+        kept = self.keeping.get(report.request)
+        if kept is not None:
+            if not kept.over:
+                self._leave(kept)
+            return None
+        waiting = self.awaiting.pop(report.request, None)
+        if waiting is not None:
+            self._leave(waiting)
+            if self.claims is not None:
+                self.claims.departed(report.request)
+            return None
+        attempt = self.requests.get(report.request)
+        if attempt is None or attempt.over:
+            return None
+        self._leave(attempt)
+        self.closing.append(attempt)
+        return api.CallerGone(attempt.id)
+
+    def _leave(self, attempt: Attempt) -> None:
+        """Its caller has gone: no answer is owed any longer."""
+        attempt.gone, attempt.over_ms = True, self.now_ms()
+        self.counters.add("departed")
+
+    # Reports of a run.
+
+    @staticmethod
+    def _call_wanted(attempt: Attempt, report: at.CallWanted) -> api.Event:
+        attempt.call_no, attempt.payload = report.no, report.payload
+        return api.CallNeeded(attempt.id)
+
+    def _reply_unsure(self, attempt: Attempt, report: at.ReplyUnsure) -> None:
+        """Without the reply the run would stand there for ever: where the call may be left out, it goes on poorer if
+        the reply was lost. Elsewhere the reply can't be repeated: it might meet the next call of the run."""
+        self.counters.add("replies_unsure")
+        skippable = attempt.kind is not None and attempt.kind.skip_worth
+        if skippable and attempt.call_no == report.no and not attempt.over:
+            self._workers(attempt).go_on(attempt.id, report.no)
+            attempt.poorer = True
+
+    def _call_over(self, attempt: Attempt, report: at.CallOver) -> api.Event | None:
+        if not attempt.calling:  # given up meanwhile
+            return None
+        attempt.calling = False
+        if report.outcome is Outcome.OK and not self._workers(attempt).supply(
+            attempt.id, attempt.call_no, report.reply
+        ):
+            self.counters.add("dropped.supply")
+        return api.CallEnded(attempt.id, report.outcome, report.took_ms)
+
+    # Arrivals.
+
+    def _submitted(self, report: at.Submitted) -> api.Event | None:
         self.counters.add("read")
-        return self._taken(attempt, agreed=False)
+        return self._taken(report.attempt, agreed=False)
 
-    def _agreed(self, request: str, granted: bool | None, never_ran: bool) -> None:
+    def _agreed(self, report: at.Agreed) -> None:
         """The others' word on a key has come, or can't come any more."""
-        attempt = self.awaiting.pop(request, None)
+        granted, never_ran = report.granted, report.never_ran
+        attempt = self.awaiting.pop(report.request, None)
         if attempt is None:
             return
         if granted is None and never_ran:
@@ -329,15 +379,17 @@
         self.requests.pop(attempt.id, None)
         return api.RunEnded(attempt.id, report.outcome, report.took_ms)
 
-    def _kept(self, request: str, outcome: Outcome | None, result: bytes) -> None:
-        attempt = self.keeping.get(request)
+    def _kept(self, report: at.Kept) -> None:
+        """How a run ended is kept elsewhere too, or can't be in time for its caller."""
+        outcome, result = report.outcome, report.result
+        attempt = self.keeping.get(report.request)
         if attempt is None:
             return
         if outcome is None:
             self.counters.add("claims.end_unkept")
             self._settle(attempt, Answer(Verdict.FAILED))
             return
-        del self.keeping[request]
+        del self.keeping[report.request]
         entry = self.keys.owned(attempt)
         if entry is not None:
             self._ended(entry, outcome, result)
@@ -355,76 +407,78 @@
         else:
             self._settle(attempt, Answer(Verdict.FAILED))
 
+    # Actions.
+
     def _apply(self, action: api.Action) -> None:
         match action:
             case api.WakeAt(at_ms, token):
                 self.wake_at(at_ms, token)
-                return
             case api.SetHealth(good, from_store):
                 self.posture.good, self.posture.from_store = good, from_store
-                return
             case api.SetFreeValue(value):
                 self.posture.free_value = value
-                return
             case api.CloseIdle(idle_ms):
                 self.posture.idle_ms = idle_ms
-                return
-        found = self.requests.get(action.request)
-        if found is None:  # over already: as on the simulator's wire, this harms nothing
+            case _:
+                attempt = self.requests.get(action.request)
+                if attempt is not None:  # else over already: as on the simulator's wire, this harms nothing
+                    self.action_handlers[type(action)](attempt, action)
+
+    def _run(self, attempt: Attempt, _: api.Run) -> None:
+        if attempt.ran or attempt.over:  # guards against a second run and a run that nobody wants
             return
-        attempt = found
-        match action:
-            case api.Run():
-                if attempt.ran or attempt.over:  # guards against a second run and a run that nobody wants
-                    return
-                attempt.ran = attempt.running = True
-                self.counters.add("run")
-                if self.ranks is not None:
-                    self.ranks.began(attempt.id)
-                if not self._workers(attempt).spawn(attempt):
-                    self.counters.add("dropped.spawn")
-                    self.pending.append(at.RunOver(attempt.id, Outcome.REJECTED))
-            case api.Refuse(_, stay_away_ms, not_elsewhere):
-                if self.ranks is not None and self.posture.wait_ms and not self.posture.leaving:
-                    stay_away_ms = self.ranks.come_back_ms(attempt, stay_away_ms, self.posture.wait_ms)
-                self._settle(attempt, Answer(Verdict.REFUSED, b"", stay_away_ms, not_elsewhere))
-                self.closing.append(attempt)
-            case api.Fail():
-                self._settle(attempt, Answer(Verdict.FAILED))
-                if attempt.calling:
-                    attempt.calling = False
-                    self.below.give_up(attempt.id)
-                self.closing.append(attempt)
-            case api.Call(_, limit_ms):
-                attempt.calling = True
-                attempt.calls += 1
-                self.counters.add("called")
-                if not self.below.ask(
-                    attempt.id,
-                    limit_ms,
-                    attempt.payload,
-                    attempt.kind is not None and attempt.kind.effect is not Effect.SAFE,
-                ):
-                    self.counters.add("dropped.call")
-                    self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
-            case api.SkipCall():
-                self.counters.add("skipped")
-                attempt.poorer = True
-                if not self._workers(attempt).go_on(attempt.id, attempt.call_no):
-                    self.counters.add("dropped.pass")
-            case api.Keep(_, for_ms):
-                if attempt.unique is not None:  # reads are kept only where answers may be shared
-                    self.keys.keep(attempt, self.now_ms() + for_ms)
-                    if self.claims is not None:
-                        self.claims.kept(attempt)
-            case api.Forget():
-                self._free(attempt)
-            case api.AnswerFromOriginal():
-                self._follow(attempt)
-            case api.Stop():  # the worker pool has no such command
-                self.counters.add("dropped.stop")
-
-    def _follow(self, attempt: Attempt) -> None:
+        attempt.ran = attempt.running = True
+        self.counters.add("run")
+        if self.ranks is not None:
+            self.ranks.began(attempt.id)
+        if not self._workers(attempt).spawn(attempt):
+            self.counters.add("dropped.spawn")
+            self.pending.append(at.RunOver(attempt.id, Outcome.REJECTED))
+
+    def _refuse(self, attempt: Attempt, action: api.Refuse) -> None:
+        stay_away_ms = action.stay_away_ms
+        if self.ranks is not None and self.posture.wait_ms and not self.posture.leaving:
+            stay_away_ms = self.ranks.come_back_ms(attempt, stay_away_ms, self.posture.wait_ms)
+        self._settle(attempt, Answer(Verdict.REFUSED, b"", stay_away_ms, action.not_elsewhere))
+        self.closing.append(attempt)
+
+    def _fail(self, attempt: Attempt, _: api.Fail) -> None:
+        self._settle(attempt, Answer(Verdict.FAILED))
+        if attempt.calling:
+            attempt.calling = False
+            self.below.give_up(attempt.id)
+        self.closing.append(attempt)
+
+    def _call(self, attempt: Attempt, action: api.Call) -> None:
+        attempt.calling = True
+        attempt.calls += 1
+        self.counters.add("called")
+        once = attempt.kind is not None and attempt.kind.effect is not Effect.SAFE
+        if not self.below.ask(attempt.id, action.limit_ms, attempt.payload, once):
+            self.counters.add("dropped.call")
+            self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
+
+    def _skip_call(self, attempt: Attempt, _: api.SkipCall) -> None:
+        self.counters.add("skipped")
+        attempt.poorer = True
+        if not self._workers(attempt).go_on(attempt.id, attempt.call_no):
+            self.counters.add("dropped.pass")
+
+    def _keep(self, attempt: Attempt, action: api.Keep) -> None:
+        if attempt.unique is None:  # reads are kept only where answers may be shared
+            return
+        self.keys.keep(attempt, self.now_ms() + action.for_ms)
+        if self.claims is not None:
+            self.claims.kept(attempt)
+
+    def _forget(self, attempt: Attempt, _: api.Forget) -> None:
+        self._free(attempt)
+
+    def _stop(self, attempt: Attempt, _: api.Stop) -> None:
+        self.counters.add("dropped.stop")  # the worker pool has no such command
+
+    def _follow(self, attempt: Attempt, _: api.AnswerFromOriginal) -> None:
+        """Answer with the end of the try that it repeats, now or once that has ended."""
         entry = self.keys.find(attempt)
         self.counters.add("repeats")
         attempt.kept = True
--- a/flintshift/wire/vault.py
+++ b/flintshift/wire/vault.py
@@ -17,6 +17,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
+from flintshift.interface import Outcome
 from flintshift.wire.link import BROKEN, JunkError, connect
 from flintshift.wire.outcomes import OUTCOMES
 
@@ -42,6 +43,24 @@
     used_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class CallEnd:
+    """How a call ended: ``by`` the vault's own word (`call`), or by what became of its connection (`link`)."""
+
+    by: str
+    word: str
+    reply: bytes = b""
+
+    @property
+    def outcome(self) -> Outcome:
+        return OUTCOMES[self.by, self.word]
+
+
+REFUSED = CallEnd("link", "refused")  # proves that the call never ran
+BROKEN_OFF = CallEnd("link", "broken")  # proves nothing
+SILENT = CallEnd("link", "silent")
+
+
 class VaultLink:
     def __init__(
         self,
@@ -88,58 +107,58 @@
 
     async def _call(self, ask: Ask) -> None:
         with ask.scope:
-            by, word, reply = await self._outcome(ask)
+            end = await self._end_of(ask)
             if self.out.get(ask.request) is ask:
                 del self.out[ask.request]
-            self.counters.add(f"vault.{word}")
-            await self.report(CallOver(ask.request, OUTCOMES[by, word], self.now_ms() - ask.asked_ms, reply))
+            self.counters.add(f"vault.{end.word}")
+            await self.report(CallOver(ask.request, end.outcome, self.now_ms() - ask.asked_ms, end.reply))
 
-    async def _outcome(self, ask: Ask) -> tuple[str, str, bytes]:
+    async def _end_of(self, ask: Ask) -> CallEnd:
         """How the call ended. The vault may have forgotten a connection that was used before, which it resets
         at the next call, and nothing tells that from a reset in place of a reply. So what may be made twice
         is made again on a new connection, and what must not goes on new ones alone for a while after."""
         wary = ask.once and self.now_ms() < self.wary_until_ms
         line = None if wary else self._free_line(ask.request)
         if line is not None:
-            by, word, reply = await self._on(line, ask)
-            if word == "broken":
-                self.wary_until_ms = self.now_ms() + self.limits.vault_wary_ms
-            if word != "broken" or ask.once:
-                return by, word, reply
+            end = await self._on(line, ask)
+            if end is not BROKEN_OFF:
+                return end
+            self.wary_until_ms = self.now_ms() + self.limits.vault_wary_ms
+            if ask.once:
+                return end
             self.counters.add("vault.made_again")
         to = self.to
         if to is None or len(self.out) > self.limits.vault_connections:  # the bound guards the descriptors
-            return "link", "refused", b""
+            return REFUSED
         try:
             line = await self._connect(to)
         except BROKEN:
-            return "link", "refused", b""
+            return REFUSED
         return await self._on(line, ask)
 
-    async def _on(self, line: Line, ask: Ask) -> tuple[str, str, bytes]:
+    async def _on(self, line: Line, ask: Ask) -> CallEnd:
         left_ms = ask.asked_ms + ask.limit_ms - self.now_ms()
         try:
             with anyio.fail_after(max(0.0, left_ms + self.limits.call_grace_ms) / 1000):
                 word, reply = await self._ask(line, ask, max(1, round(left_ms)))
         except TimeoutError:
-            word = "silent"  # nothing more is to be had of the connection
+            return SILENT  # nothing more is to be had of the connection
         except JunkError:
             self.counters.add("vault.junk")
-            word = "broken"
+            return BROKEN_OFF
         except BROKEN:
             self.counters.add("vault.links_lost")
-            word = "broken"
+            return BROKEN_OFF
         else:
             # What follows a reply unasked (a second copy, say) must not be taken for the next one.
             if not line.reader.buffer and line.to == self.to:
                 line.used_ms = self.now_ms()
                 self.idle.append(line)
-            return "call", word, reply
+            return CallEnd("call", word, reply)
         finally:
             if line not in self.idle:
                 with anyio.CancelScope(shield=True):
                     await line.stream.aclose()
-        return "link", word, b""
 
     def _free_line(self, request: str) -> Line | None:
         """A connection that was in use a moment ago. Guards against one that the vault closes or forgets
