Rename what startup/ holds by the field's names: backoff, registration, list services

waits.py -> backoff.py (Waits -> Backoff), listing.py -> registration.py (Listing -> Registration, Listed -> ListService); nothing else but the pool link's wait for a worker pool, whose type it names.

--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -66,8 +66,8 @@
 from flintshift.peers import members as who
 from flintshift.proto import peers_pb2 as pb
 from flintshift.settings.options import CopiesOptions, PeersOptions, UsageOptions
+from flintshift.startup.backoff import Uniform
 from flintshift.startup.permits import Permit, PermitAsk
-from flintshift.startup.waits import Uniform
 from flintshift.storage.files import DiskFiles, Files, LockedError
 from flintshift.storage.log import BrokenError
 from flintshift.storage.snapshot import DamagedError
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -34,7 +34,7 @@
     UwsgiOptions,
 )
 from flintshift.settings.shape import lost
-from flintshift.startup.listing import Listed, Listing
+from flintshift.startup.registration import ListService, Registration
 from flintshift.wire.acceptor import Acceptor, listening
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
@@ -52,7 +52,7 @@
     from flintshift.lifecycle.start_permits import StartPermits
     from flintshift.lifecycle.starting import Starting
     from flintshift.lifecycle.upgrade import Upgrade
-    from flintshift.startup.waits import Uniform
+    from flintshift.startup.backoff import Uniform
     from flintshift.usage.ledger import Ledger
     from flintshift.wire.control_front import ControlFront
 
@@ -74,11 +74,11 @@
         # Of name and seed: two nodes of one configuration draw differently, and a node the same each time.
         self.uniform: Uniform = random.Random(f"{config.name} {config.seed}").uniform
         self.actors: list[Callable[[], Coroutine[Any, Any, None]]] = []
-        self.lists: list[Listed] = []
+        self.lists: list[ListService] = []
         self.fronts: list[tuple[Front, tuple[str, int]]] = []
         self._wire_platform()
         self._wire_operators(config.operators)
-        self.listing = Listing(self.lists, self.limits, config.settings.servers, self.uniform)
+        self.registration = Registration(self.lists, self.limits, config.settings.servers, self.uniform)
         self.drain = Drain([front for front, _ in self.fronts], self.decisions, self.limits, self.now_ms)
         if config.operators.startup is not None:
             self._watch_start(config.operators.startup)
@@ -244,7 +244,10 @@
             options,
             settings.cold_ms if settings.cold else 0.0,
             lambda: Seen(
-                self.bound, self.decisions.posture.up, self.listing.taken > 0, permits is None or permits.starter.went
+                self.bound,
+                self.decisions.posture.up,
+                self.registration.taken > 0,
+                permits is None or permits.starter.went,
             ),
             permits.done if permits is not None else lambda: None,
             self.uniform,
@@ -283,7 +286,7 @@
             for actor in self.actors:
                 tasks.start_soon(actor)
             tasks.start_soon(self.gauges.run, self.pool, self.decisions.report)
-            tasks.start_soon(self.listing.run)
+            tasks.start_soon(self.registration.run)
             for (front, _), listener in zip(self.fronts, listeners, strict=True):
                 tasks.start_soon(front.serve, listener, tasks)
                 tasks.start_soon(front.sweep)
@@ -429,7 +432,7 @@
         ):
             return  # told again once it may
         if posture.up or posture.leaving:
-            self.listing.say(not (posture.leaving or posture.out), last=posture.leaving)
+            self.registration.say(not (posture.leaving or posture.out), last=posture.leaving)
 
     def give_up(self, error: OSError) -> None:
         """End at once: this process has taken no client."""
@@ -446,7 +449,7 @@
         """Another process of this node accepts from now on; what is open here goes on to its next answer."""
         for front, _ in self.fronts:
             front.leave()
-        self.listing.say(None)
+        self.registration.say(None)
 
     async def _listeners(self) -> list[Acceptor]:
         if self.upgrade is None:
--- a/flintshift/lifecycle/second_front.py
+++ b/flintshift/lifecycle/second_front.py
@@ -11,8 +11,8 @@
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Workers
 from flintshift.settings.options import UwsgiOptions
-from flintshift.startup.listing import Listed
-from flintshift.startup.waits import Uniform
+from flintshift.startup.backoff import Uniform
+from flintshift.startup.registration import ListService
 from flintshift.wire.dnssd import Browser, Record, Resolver
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
@@ -23,7 +23,7 @@
 @dataclass(frozen=True, slots=True)
 class SecondFront:
     front: Front
-    listed: Listed  # the node's own record
+    listed: ListService  # the node's own record
     apps: Workers  # where its requests run
     actors: tuple[Callable[[], Coroutine[Any, Any, None]], ...]
 
--- a/flintshift/lifecycle/start_permits.py
+++ b/flintshift/lifecycle/start_permits.py
@@ -10,8 +10,8 @@
 
 from flintshift.core.counters import Counters
 from flintshift.core.ports import Log
+from flintshift.startup.backoff import Uniform
 from flintshift.startup.permits import Action, AskPermit, Go, Granter, Permit, PermitAsk, Starter
-from flintshift.startup.waits import Uniform
 
 
 class StartPermits:
--- a/flintshift/lifecycle/starting.py
+++ b/flintshift/lifecycle/starting.py
@@ -14,9 +14,9 @@
 from flintshift.core.counters import Counters
 from flintshift.core.ports import Log
 from flintshift.settings.options import StartupOptions
+from flintshift.startup.backoff import Uniform
 from flintshift.startup.crash_loops import CrashLoop
 from flintshift.startup.phases import Entered, Late, Phase, Phases, Seen, asked
-from flintshift.startup.waits import Uniform
 from flintshift.storage import snapshot
 from flintshift.storage.files import DiskFiles, Files
 
--- a/flintshift/startup/waits.py
+++ b/flintshift/startup/backoff.py
@@ -11,12 +11,12 @@
 Uniform = Callable[[float, float], float]  # a draw between two bounds, as `random.Random.uniform` makes one
 
 
-class Waits:
+class Backoff:
     """Waits that grow by decorrelated jitter (M. Brooker, "Exponential Backoff And Jitter", 2015): each is drawn below
     three times the one before, and none is over the most. It is drawn from the upper half of that alone, as a service
     that has collapsed needs waits that are long, and not only some that are. Milliseconds.
 
-    >>> waits = Waits(100.0, 1600.0, lambda low, high: high)
+    >>> waits = Backoff(100.0, 1600.0, lambda low, high: high)
     >>> [waits.next_ms() for _ in range(4)]
     [300.0, 900.0, 1600.0, 1600.0]
     """
--- a/flintshift/startup/crash_loops.py
+++ b/flintshift/startup/crash_loops.py
@@ -10,7 +10,7 @@
 import json
 from dataclasses import dataclass
 
-from flintshift.startup.waits import Uniform
+from flintshift.startup.backoff import Uniform
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintshift/startup/permits.py
+++ b/flintshift/startup/permits.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from flintshift.startup.waits import Uniform
+from flintshift.startup.backoff import Uniform
 
 
 @dataclass(frozen=True, slots=True)
--- a/flintshift/startup/listing.py
+++ b/flintshift/startup/registration.py
@@ -11,11 +11,11 @@
 
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
+from flintshift.startup.backoff import Uniform
 from flintshift.startup.reports import Answered, Event, Report, ReportPace, Reports, Said, Tick, Wake
-from flintshift.startup.waits import Uniform
 
 
-class Listed(Protocol):
+class ListService(Protocol):
     async def report(self, serving: bool) -> bool:
         """Say it once; True when it was taken."""
         ...
@@ -25,10 +25,10 @@
     return anyio.current_time() * 1000
 
 
-class Listing:
+class Registration:
     """``nodes``: how many report to the same lists, as far as the settings tell."""
 
-    def __init__(self, lists: Sequence[Listed], limits: Limits, nodes: int, uniform: Uniform) -> None:
+    def __init__(self, lists: Sequence[ListService], limits: Limits, nodes: int, uniform: Uniform) -> None:
         pace = ReportPace(
             limits.report_every_ms,
             again_ms=limits.report_again_ms,
@@ -50,7 +50,7 @@
             for one in self.lists:
                 tasks.start_soon(self._keep, *one)
 
-    async def _keep(self, listed: Listed, reports: Reports, box: Mailbox[Said]) -> None:
+    async def _keep(self, listed: ListService, reports: Reports, box: Mailbox[Said]) -> None:
         event: Event = await box.take()
         while True:
             wait_s: float | None = None
--- a/flintshift/startup/reports.py
+++ b/flintshift/startup/reports.py
@@ -13,7 +13,7 @@
 import math
 from dataclasses import dataclass
 
-from flintshift.startup.waits import Uniform, Waits
+from flintshift.startup.backoff import Backoff, Uniform
 
 CROWD = 8  # nodes: from so many on, first reports are spread over a whole period
 
@@ -81,7 +81,7 @@
 
     def __init__(self, pace: ReportPace, uniform: Uniform) -> None:
         self.pace, self.uniform = pace, uniform
-        self.waits = Waits(pace.again_ms, pace.again_most_ms, uniform)
+        self.waits = Backoff(pace.again_ms, pace.again_most_ms, uniform)
         self.word = Said(None)
         self.began = False  # a word was given before
         self.due_ms = math.inf
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -20,7 +20,7 @@
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
-from flintshift.startup.waits import Uniform, Waits
+from flintshift.startup.backoff import Backoff, Uniform
 
 FAILED = (dns.exception.DNSException, OSError, ValueError)
 
@@ -67,7 +67,7 @@
         return [server.at for server in sorted(fit[turn:] + fit[:turn], key=lambda server: server.priority)]
 
     async def run(self) -> None:
-        waits = Waits(self.limits.browse_again_ms, self.limits.browse_ms, self.uniform)
+        waits = Backoff(self.limits.browse_again_ms, self.limits.browse_ms, self.uniform)
         while True:
             try:
                 self._learn(await self._browse())
--- a/flintshift/wire/peer_link.py
+++ b/flintshift/wire/peer_link.py
@@ -22,7 +22,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.proto import peers_pb2 as pb
-from flintshift.startup.waits import Waits
+from flintshift.startup.backoff import Backoff
 from flintshift.wire.link import BROKEN, JunkError
 from flintshift.wire.peer_codec import PEER_FRAME_MOST, Word, WordsError, batch_of, read_batch, words_of
 
@@ -210,7 +210,7 @@
             self.wire.end("an answer was owed for too long")
 
     async def run(self) -> None:
-        waits = Waits(self.limits.backoff_ms, self.limits.peer_backoff_most_ms, self.draw.uniform)
+        waits = Backoff(self.limits.backoff_ms, self.limits.peer_backoff_most_ms, self.draw.uniform)
         while True:
             wire = Wire(self.limits, self._got)
             refused = ""
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -15,7 +15,7 @@
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
 from flintshift.interface import Gauges
-from flintshift.startup.waits import Uniform, Waits
+from flintshift.startup.backoff import Backoff, Uniform
 from flintshift.wire import pool_codec as codec
 from flintshift.wire.link import BROKEN, JunkError, connect
 from flintshift.wire.outcomes import OUTCOMES
@@ -120,14 +120,14 @@
             self.resting.cancel()
 
     async def run(self) -> None:
-        backoff = Waits(self.limits.backoff_ms, self.limits.backoff_most_ms, self.uniform)
+        backoff = Backoff(self.limits.backoff_ms, self.limits.backoff_most_ms, self.uniform)
         async with anyio.create_task_group() as links:
             while True:
                 self.over = anyio.Event()
                 links.start_soon(self._link, self.over, backoff)
                 await self.over.wait()
 
-    async def _link(self, over: anyio.Event, backoff: Waits) -> None:
+    async def _link(self, over: anyio.Event, backoff: Backoff) -> None:
         try:
             async with await connect(self.to, self.limits) as stream:
                 if not over.is_set():  # guards the new link against being replaced by a late one
@@ -158,7 +158,7 @@
             self.read_no = max(self.read_no, number)
         self.junk_no = number
 
-    async def _serve(self, stream: SocketStream, over: anyio.Event, backoff: Waits) -> None:
+    async def _serve(self, stream: SocketStream, over: anyio.Event, backoff: Backoff) -> None:
         await stream.send(codec.bind(self.read_no))
         reader = BufferedByteReceiveStream(stream)
         if self.linked:  # at the start, the pool may come up long after the node
@@ -175,7 +175,12 @@
         return codec.notice_of(await reader.receive_until(b"\n", self.limits.line), self.limits.result)
 
     async def _take(
-        self, notice: codec.Notice, stream: SocketStream, over: anyio.Event, backoff: Waits, tasks: anyio.abc.TaskGroup
+        self,
+        notice: codec.Notice,
+        stream: SocketStream,
+        over: anyio.Event,
+        backoff: Backoff,
+        tasks: anyio.abc.TaskGroup,
     ) -> None:
         if not over.is_set():
             self.heard_ms, self.owed = now_ms(), False
--- a/tests/startup/test_reports.py
+++ b/tests/startup/test_reports.py
@@ -12,8 +12,8 @@
 from hypothesis import strategies as st
 
 from flintshift.lab.cold_start import LAPSE_MS, play
+from flintshift.startup.backoff import Backoff
 from flintshift.startup.reports import Answered, Report, ReportPace, Reports, Said, Tick, Wake
-from flintshift.startup.waits import Waits
 
 TRY_MS = 400.0  # a try may take so long until it is given up
 
@@ -66,7 +66,7 @@
 
 def test_waits_grow_are_drawn_and_bounded():
     draw = random.Random(3)
-    waits = Waits(100.0, 1600.0, draw.uniform)
+    waits = Backoff(100.0, 1600.0, draw.uniform)
     drawn = [waits.next_ms() for _ in range(200)]
     assert 100.0 <= drawn[0] <= 300.0 and min(drawn[10:]) >= 800.0 and max(drawn) <= 1600.0
     assert len(set(drawn)) == 200
--- a/tests/wire/test_name_service.py
+++ b/tests/wire/test_name_service.py
@@ -11,7 +11,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.lab.peers import Names
-from flintshift.startup.listing import Listing
+from flintshift.startup.registration import Registration
 from flintshift.wire.names import NameService
 
 pytestmark = pytest.mark.anyio
@@ -22,7 +22,7 @@
     names.mute = True
     await names.start()
     service, began = NameService(("127.0.0.1", names.port), "n3", limits, counters), time.time()
-    listing = Listing([service], limits, 1, random.Random(1).uniform)
+    listing = Registration([service], limits, 1, random.Random(1).uniform)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listing.run)
         listing.say(True)
