--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -43,6 +43,22 @@
     assert node.spawned() == ["early"] and node.verdicts("late") == [Verdict.REFUSED]
 
 
+@pytest.mark.parametrize(
+    ("after_ms", "runs"), [(-250.0, True), (-1.0, True), (0.0, True), (1.0, False), (50.0, False), (2000.0, False)]
+)
+@pytest.mark.parametrize("read_late_ms", [0.0, 30.0])
+def test_what_comes_on_either_side_of_the_grace_runs_or_is_refused_by_its_door_time(after_ms, runs, read_late_ms):
+    node = Planner(notice_late_ms=0.0)
+    grace_ms = 300.0  # of the planner's settings
+    notice_ms = node.now
+    node.planner.handle(at.Notice(6000.0))
+    door_ms = notice_ms + grace_ms + after_ms
+    node.now = door_ms + read_late_ms
+    node.submit("a", door_ms=door_ms)
+    assert node.spawned() == (["a"] if runs else [])
+    assert node.verdicts("a") == ([] if runs else [Verdict.REFUSED])
+
+
 def test_a_class_that_was_dropped_for_good_while_its_request_waited_is_refused_and_ends_nothing():
     node = Planner()
     late = Attempt(
