--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
 import anyio
+from anyio._backends._asyncio import SocketStream as AsyncioSocketStream
+from anyio._backends._asyncio import StreamProtocol
 from anyio.abc import SocketStream, TaskGroup
 
 BATCH = 64  # accepted in one turn
@@ -58,7 +61,7 @@
     async def _handle(self, handler: Callable[[SocketStream], Awaitable[None]], accepted: socket.socket) -> None:
         try:
             try:
-                stream = await SocketStream.from_socket(accepted)
+                stream = await _stream_of(accepted)
             except (OSError, ValueError, RuntimeError):  # its caller went meanwhile
                 accepted.close()
                 return
@@ -76,6 +79,16 @@
         return self.closed and not self.held
 
 
+async def _stream_of(accepted: socket.socket) -> SocketStream:
+    """A stream on an accepted socket, made as anyio's own listener makes one.
+
+    `SocketStream.from_socket` looks at what the socket is and connects it anew: some 0.1 ms more for each connection,
+    which is a third of what a flood of short ones costs."""
+    loop = asyncio.get_running_loop()
+    transport, protocol = await loop.connect_accepted_socket(StreamProtocol, accepted)
+    return AsyncioSocketStream(transport, protocol)
+
+
 def listening(at: tuple[str, int], backlog: int) -> socket.socket:
     """A listening socket at this address."""
     host, port = at
--- a/flintshift/wire/connection.py
+++ b/flintshift/wire/connection.py
@@ -51,6 +51,7 @@
         self.spoke = False  # it has brought a request before
         self.ending = False  # the answer that is written says that it is the last
         self.last_request = False  # the request that is read is the last that is taken
+        self.at_end = False  # its peer has sent all that it will
         self.scope = anyio.CancelScope()  # of all that is done for it
         self.writing_ms = math.inf  # since when an answer is written
         self.reading: anyio.CancelScope | None = None  # set while it waits for bytes
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -169,6 +169,8 @@
     async def _shut(self, connection: Connection) -> None:
         """Close a connection that is answered or was idle. One that never brought a request is owed nothing, and
         keeps no descriptor from others any longer."""
+        if connection.at_end:  # nothing can stand unread any more
+            return
         if connection.busy:
             await connection.shut(self.limits, self.limits.linger_ms)
         elif connection.spoke:
@@ -226,6 +228,7 @@
         try:
             data = await connection.stream.receive(self.limits.read)
         except anyio.EndOfStream:
+            connection.at_end = True
             return b""
         self.begun(connection)
         return data
