Bound what a drain takes of the listener's queue: under a flood it had no end

Read in wire/acceptor.py: take_queued accepted until nothing was queued, in one turn of the loop; callers that connect faster than it accepts would hold the node in it past its kill.

--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -38,11 +38,13 @@
                 if not self._take(handler, tasks):
                     break
 
-    def take_queued(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> None:
-        """Take what is queued now and no more: closing the socket would reset it, though a request may stand in it."""
+    def take_queued(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup, most: int) -> None:
+        """Take what is queued now, ``most`` of it, as callers may go on to connect meanwhile: closing the socket would
+        reset it, though a request may stand in it."""
         with contextlib.suppress(OSError):  # no descriptors are left: the rest is reset with the socket
-            while self._take(handler, tasks):
-                pass
+            for _ in range(most):
+                if not self._take(handler, tasks):
+                    break
 
     def _take(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> bool:
         """Take the next connection; False where none is queued."""
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -95,7 +95,7 @@
                         self.counters.add(f"{self.name}.accept_failed")
                         await anyio.sleep(self.limits.backoff_ms / 1000)
         if self.takes_queue:
-            listener.take_queued(self._accepted, tasks)
+            listener.take_queued(self._accepted, tasks, self.limits.backlog)
         await listener.aclose()
 
     def leave(self) -> None:
--- a/tests/wire/test_closing.py
+++ b/tests/wire/test_closing.py
@@ -18,6 +18,7 @@
 
 from flintshift.core.attempts import Answer, Verdict
 from flintshift.lifecycle.drain import Drain
+from flintshift.wire.acceptor import Acceptor
 from flintshift.wire.connection import TRANSITIONS, Connection, ConnectionState, TransitionError
 
 pytestmark = pytest.mark.anyio
@@ -257,3 +258,18 @@
             raw.close()
             await fronted.until(lambda fronted=fronted: not fronted.front.connections)
             assert not fronted.counters["http.faults"]
+
+
+async def test_a_flood_of_new_connections_does_not_keep_a_drain_taking_them():
+    class Flood:
+        """A listening socket at which somebody else always waits."""
+
+        taken = 0
+
+        def accept(self):
+            self.taken += 1
+            raise ConnectionAbortedError
+
+    acceptor = Acceptor(Flood())
+    acceptor.take_queued(None, None, 50)
+    assert acceptor.raw.taken == 50
--- a/tests/wire/test_connections.py
+++ b/tests/wire/test_connections.py
@@ -70,7 +70,7 @@
             self.again.set()
             await anyio.sleep_forever()
 
-        def take_queued(self, handler, tasks):
+        def take_queued(self, handler, tasks, most):
             pass
 
         async def aclose(self):
