Heed signals while a start waits for its address, and name the address that is in use

Read in lifecycle/node.py: the wait for an address in use (3 s) had no test, began before anybody heeded signals, so that a notice to leave was heard up to 3 s late and its stop counted from then, and ended in "Address already in use" without saying which.

--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -265,7 +265,9 @@
                 # Told to leave before it served, it does not begin: the kill follows the notice, not its reading.
                 if not signals.told_to_leave():
                     signals.release()
-                    if self.starting is None or not await self._left_before(self.starting, received):
+                    if self.starting is not None:
+                        await self._unless_told(received, self.starting.wait)
+                    if not self.leave.is_set():
                         await self._serve(received)
             finally:
                 signals.hold()
@@ -278,7 +280,14 @@
             self.log("info", "node.left", open=self.drain.open())
 
     async def _serve(self, received: AsyncIterator[signal.Signals]) -> None:
-        listeners = await self._listeners()
+        listeners: list[Acceptor] = []
+
+        async def listen() -> None:
+            listeners.extend(await self._listeners())
+
+        await self._unless_told(received, listen)
+        if len(listeners) != len(self.fronts):
+            return
         doors = [listening(self.config.control, self.limits.backlog)] if self.config.control is not None else []
         async with anyio.create_task_group() as tasks:
             if self.upgrade is not None:
@@ -306,22 +315,30 @@
                 await self.upgrade.close()
             tasks.cancel_scope.cancel()
 
-    async def _left_before(self, starting: Starting, received: AsyncIterator[signal.Signals]) -> bool:
-        """Stay away for as long as a crash loop asks for; True where the node was told to leave meanwhile."""
-        async with anyio.create_task_group() as tasks:
+    async def _unless_told(
+        self, received: AsyncIterator[signal.Signals], act: Callable[[], Coroutine[Any, Any, Any]]
+    ) -> None:
+        """Do a part of the start that may take long, and heed signals meanwhile; a notice to leave ends it.
 
-            async def until_told() -> None:
-                await self._heed(received, self.leave)
+        Raises:
+            OSError: as the part does.
+        """
+        failed: OSError | None = None
+        async with anyio.create_task_group() as tasks:
 
             async def until_left() -> None:
                 await self.leave.wait()
                 tasks.cancel_scope.cancel()
 
-            tasks.start_soon(until_told)
+            tasks.start_soon(self._heed, received, self.leave)
             tasks.start_soon(until_left)
-            await starting.wait()
+            try:
+                await act()
+            except OSError as error:
+                failed = error
             tasks.cancel_scope.cancel()
-        return self.leave.is_set()
+        if failed is not None:
+            raise failed
 
     async def _heed(self, received: AsyncIterator[signal.Signals], leave: anyio.Event) -> None:
         async for number in received:  # in a drain too: the addresses may move under it
@@ -465,7 +482,8 @@
                 return listening(at, self.limits.backlog)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or self.now_ms() >= latest_ms:
-                    raise
+                    text = f"{error.strerror}: {at[0]}:{at[1]}; end the process that listens there, or change `listen`"
+                    raise OSError(error.errno, text) from error
             await anyio.sleep(self.limits.bind_again_ms / 1000)
 
     def print_counters(self) -> None:
--- a/tests/lifecycle/test_signals.py
+++ b/tests/lifecycle/test_signals.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 
@@ -120,3 +121,28 @@
     await asyncio.wait_for(process.communicate(), 10)
     assert process.returncode == 0 and time.monotonic() - began < 3.0
     writer.close()
+
+
+@pytest.mark.parametrize("told", ["freed", "never freed", "told to leave"])
+async def test_an_address_in_use_is_waited_for_and_then_named_and_a_notice_to_leave_ends_the_wait(site, told):
+    config, text, (_, _, names) = site
+    config.write_text(text)
+    host, port = json.loads(text)["listen"].split(":")
+    with socket.create_server((host, int(port))):
+        process = await started(config)
+        errors = asyncio.ensure_future(process.communicate())
+        await asyncio.sleep(1.0)  # it tries, and is not ended by the first refusal
+        assert process.returncode is None and not names.log.entries
+        if told == "told to leave":
+            began = time.monotonic()
+            process.terminate()
+            await asyncio.wait_for(asyncio.shield(errors), 5)
+            assert process.returncode == 0 and time.monotonic() - began < 1.0
+        elif told == "never freed":
+            _, said = await asyncio.wait_for(errors, 10)
+            assert process.returncode == 1 and f"{host}:{port}".encode() in said and b"Traceback" not in said
+    if told == "freed":
+        await names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
+        process.terminate()
+        await asyncio.wait_for(errors, 10)
+        assert process.returncode == 0
