--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from flintshift.core.attempts import Attempt, CallWanted, ReplyUnsure, Report, RunOver, Up
@@ -20,7 +20,7 @@
 from flintshift.wire.link import BROKEN, JunkError, connect
 from flintshift.wire.outcomes import OUTCOMES
 from flintshift.wire.pool_codec import Command, CommandKind, NoticeError
-from flintshift.wire.pool_recovery import Unheard
+from flintshift.wire.pool_recovery import JunkNotices, Silence, Unheard
 
 Told = Callable[[Report], Awaitable[None]]
 Answered = codec.Polled | codec.Verified
@@ -50,13 +50,13 @@
         self.outbox: Mailbox[Command] = Mailbox(limits.outbox)
         self.unheard = Unheard(limits.unsure_ms)
         self.read_no = 0  # the last notice that was read
-        self.junk_no = 0  # the notice that was junk on the last link
+        self.junk = JunkNotices()
         self.bound = self.linked = False  # now, and ever
         self.marks = itertools.count(1)
         self.waiting: dict[str, Callable[[Answered], None]] = {}  # by mark: who asked
         self.again: tuple[str, list[Command]] | None = None  # at that mark: what is made good
         self.heard_ms = 0.0  # when something last came on the link in use
-        self.owed = False  # a question was written on it since
+        self.silence = Silence(limits.pool_quiet_looks)
         self.over = anyio.Event()  # the link in use broke, or another address is to be linked to
         self.resting: anyio.CancelScope | None = None  # its writer waits for commands
 
@@ -151,12 +151,10 @@
             over.set()
 
     def _junk(self, errors: ExceptionGroup[NoticeError]) -> None:
-        """A notice that is junk on two links in a row is passed over: told at each bind, it would end every link."""
         number = max((error.number for error in errors.exceptions if isinstance(error, NoticeError)), default=0)
-        if number and number == self.junk_no:
+        if self.junk.met(number):
             self.counters.add("pool.passed_over")
             self.read_no = max(self.read_no, number)
-        self.junk_no = number
 
     async def _serve(self, stream: SocketStream, over: anyio.Event, backoff: Backoff) -> None:
         await stream.send(codec.bind(self.read_no))
@@ -180,10 +178,11 @@
         stream: SocketStream,
         over: anyio.Event,
         backoff: Backoff,
-        tasks: anyio.abc.TaskGroup,
+        tasks: TaskGroup,
     ) -> None:
         if not over.is_set():
-            self.heard_ms, self.owed = now_ms(), False
+            self.heard_ms = now_ms()
+            self.silence.heard()
         if not isinstance(notice, codec.Bound):
             await self._read(notice)
         elif not over.is_set():
@@ -217,16 +216,12 @@
         """End a link that owes the answer to a question and says nothing. A run that takes long is no silence.
 
         Raises:
-            SilentError: it has for so many looks. Looks are counted, not time: while this process itself stands still,
-                what has come is not read.
+            SilentError: it has said nothing for too many looks.
         """
-        quiet, before_ms = 0, self.heard_ms
-        while not over.is_set() and quiet < self.limits.pool_quiet_looks:
+        while not over.is_set():
             await anyio.sleep(self.limits.pool_look_ms / 1000)
-            quiet = quiet + 1 if self.owed and self.heard_ms == before_ms else 0
-            before_ms = self.heard_ms
-        if not over.is_set():
-            raise SilentError("the worker pool does not answer")
+            if not over.is_set() and self.silence.looked():
+                raise SilentError("the worker pool does not answer")
 
     async def _write(self, stream: SocketStream, over: anyio.Event) -> None:
         while not over.is_set():
@@ -241,7 +236,8 @@
 
     def _written(self, command: Command) -> bytes:
         self.unheard.written(command, now_ms())
-        self.owed = self.owed or command.kind is CommandKind.QUESTION
+        if command.kind is CommandKind.QUESTION:
+            self.silence.asked()
         return command.line
 
     async def _read(self, notice: codec.Notice) -> None:
--- a/flintshift/wire/pool_recovery.py
+++ b/flintshift/wire/pool_recovery.py
@@ -19,6 +19,43 @@
 
 from flintshift.wire.pool_codec import Command, CommandKind
 
+
+class Silence:
+    """Whether a link that owes the answer to a question has said nothing for so many looks in a row.
+
+    Looks are counted, not time: while this process itself stands still, what has come is not read."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.owed = False
+        self.quiet = 0
+
+    def asked(self) -> None:
+        self.owed = True
+
+    def heard(self) -> None:
+        self.owed, self.quiet = False, 0
+
+    def looked(self) -> bool:
+        """One more look; True where the link is to be made anew."""
+        self.quiet = self.quiet + 1 if self.owed else 0
+        return self.quiet >= self.most
+
+
+class JunkNotices:
+    """Which numbered notice is passed over: one that is junk on two links in a row would be told at each bind, and end
+    every link."""
+
+    def __init__(self) -> None:
+        self.last = 0
+
+    def met(self, number: int) -> bool:
+        """A link ended by a notice that is junk, 0 where it has no number; True where that one is passed over."""
+        again = number != 0 and number == self.last
+        self.last = number
+        return again
+
+
 FORGET_AT_ONCE = 2  # arrived commands that are looked for with each new one, so that none costs a walk over all
 
 
--- a/tests/lifecycle/test_descriptors.py
+++ b/tests/lifecycle/test_descriptors.py
@@ -14,6 +14,8 @@
 from test_signals import site, started  # noqa: F401
 
 from flintshift.core.limits import Limits
+from flintshift.lifecycle.config import load
+from flintshift.settings.embedded import configuration
 
 pytestmark = pytest.mark.anyio
 DESCRIPTORS = 96
@@ -30,6 +32,15 @@
         assert max(alone, beside) + RESERVED <= sockets
 
 
+def test_the_lower_of_the_told_and_the_systems_limit_is_kept_to(tmp_path, monkeypatch):
+    path = tmp_path / "config.json"
+    told = configuration()
+    path.write_text(json.dumps(told))
+    for soft, sockets in ((DESCRIPTORS, DESCRIPTORS), (4096, 1024), (resource.RLIM_INFINITY, 1024)):
+        monkeypatch.setattr(resource, "getrlimit", lambda _, soft=soft: (soft, soft))
+        assert load({"LB_CONFIG": str(path)}).limits.sockets == sockets
+
+
 def busy_s(process) -> float:
     """Seconds of processor time that a process has used."""
     fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -18,7 +18,7 @@
 from flintshift.lab.peers import Journal, Pool
 from flintshift.wire import pool_codec as codec
 from flintshift.wire.pool import PoolLink
-from flintshift.wire.pool_recovery import Unheard
+from flintshift.wire.pool_recovery import JunkNotices, Silence, Unheard
 
 SPAWN = codec.spawn(Attempt("s1", "look", 0.0, 1.0, 1, b"body"))
 PASS = codec.go_on("p1", 7)
@@ -80,6 +80,38 @@
     assert len(unheard.resumed) < 20
 
 
+LOOKS = [  # what happens between two looks, and at which look the link is made anew
+    ([], None),
+    (["ask"], 3),
+    (["ask", "look", "hear"], None),
+    (["look", "look", "look", "ask"], 6),  # time in which nothing was owed does not count
+    (["ask", "look", "look", "hear", "ask"], 5),
+]
+
+
+@pytest.mark.parametrize(("before", "at"), LOOKS)
+def test_a_link_is_silent_after_so_many_looks_in_a_row_at_which_an_answer_is_owed(before, at):
+    silence, looks = Silence(3), 0
+    for step in [*before, *["look"] * 9]:
+        if step == "look":
+            looks += 1
+            if silence.looked():
+                break
+        else:
+            {"ask": silence.asked, "hear": silence.heard}[step]()
+    else:
+        looks = None
+    assert looks == at
+
+
+@pytest.mark.parametrize(
+    ("numbers", "passed"), [([5, 5], [False, True]), ([5, 6, 5], [False] * 3), ([0, 0], [False] * 2)]
+)
+def test_a_notice_is_passed_over_where_it_was_junk_on_the_link_before_too(numbers, passed):
+    junk = JunkNotices()
+    assert [junk.met(number) for number in numbers] == passed
+
+
 NOTICES = [
     ({"t": "finished", "no": 3, "rid": "a", "status": "fine", "time_ms": 4, "b64": "eA=="}, (Outcome.OK, 4.0, b"x")),
     ({"t": "finished", "no": 3, "rid": "a", "status": "fault", "time_ms": math.inf}, (Outcome.ERROR, 0.0, b"")),
