Bound the commands to the worker pool of which nothing was heard

Limits.unheard (4,096 of each kind) is the most; past it the oldest is forgotten. A test fails without it.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -26,6 +26,7 @@
     mailbox_spare: int = 512  # of these, kept free of new requests
     batch: int = 32  # reports that a planner takes in a row
     outbox: int = 2048  # commands waiting for a peer
+    unheard: int = 4096  # commands to the worker pool of each kind of which nothing was heard yet
     linger_reads: int = 16  # of what still comes after the last answer
     list_box: int = 4  # words waiting for a list
     backlog: int = 1024
--- a/flintshift/wire/pool.py
+++ b/flintshift/wire/pool.py
@@ -48,7 +48,7 @@
         self.to, self.gauge_names, self.limits = to, gauge_names, limits
         self.counters, self.report = counters, report
         self.outbox: Mailbox[Command] = Mailbox(limits.outbox)
-        self.unheard = Unheard(limits.unsure_ms)
+        self.unheard = Unheard(limits.unsure_ms, limits.unheard)
         self.read_no = 0  # the last notice that was read
         self.junk = JunkNotices()
         self.bound = self.linked = False  # now, and ever
--- a/flintshift/wire/pool_recovery.py
+++ b/flintshift/wire/pool_recovery.py
@@ -67,10 +67,11 @@
 
 class Unheard:
     """The commands of which nothing was heard yet. ``unsure_ms``: what was written so long before the last line that
-    came, on the same link, has arrived."""
+    came, on the same link, has arrived. ``most``: commands of each kind that are known; past it the oldest goes,
+    as a run of which nothing was ever heard would stand here for ever."""
 
-    def __init__(self, unsure_ms: float) -> None:
-        self.unsure_ms = unsure_ms
+    def __init__(self, unsure_ms: float, most: int) -> None:
+        self.unsure_ms, self.most = unsure_ms, most
         self.spawns: dict[str, Sent] = {}  # by request
         self.resumed: dict[str, Sent] = {}  # by request: how a run that stood at a call was last told to go on
         self.since_ms = 0.0  # what was written later may be lost with a link that broke
@@ -79,13 +80,18 @@
     def queued(self, command: Command, heard_ms: float) -> None:
         """A command waits to be written; the link was last heard of then."""
         if command.kind is CommandKind.SPAWN:
-            self.spawns[command.request] = Sent(command)
+            self._add(self.spawns, command)
         elif command.kind is not CommandKind.QUESTION:
-            self.resumed.pop(command.request, None)  # the newest stand at the end
-            self.resumed[command.request] = Sent(command)
+            self._add(self.resumed, command)
             if not self.unsettled:
                 self._forget(heard_ms)
 
+    def _add(self, known: dict[str, Sent], command: Command) -> None:
+        known.pop(command.request, None)  # the newest stand at the end
+        if len(known) >= self.most:
+            del known[next(iter(known))]
+        known[command.request] = Sent(command)
+
     def _forget(self, heard_ms: float) -> None:
         for request, sent in list(itertools.islice(self.resumed.items(), FORGET_AT_ONCE)):
             if sent.written_ms is not None and sent.written_ms < heard_ms - self.unsure_ms:
--- a/tests/lifecycle/test_descriptors.py
+++ b/tests/lifecycle/test_descriptors.py
@@ -9,12 +9,14 @@
 import time
 from pathlib import Path
 
+import anyio
 import pytest
 from standins import BYTES, Caller, job
 from test_signals import site, started  # noqa: F401
 
 from flintshift.core.limits import Limits
-from flintshift.lifecycle.config import load
+from flintshift.lifecycle.config import load, made, operators
+from flintshift.lifecycle.node import Node
 from flintshift.settings.embedded import configuration
 
 pytestmark = pytest.mark.anyio
@@ -41,6 +43,19 @@
         assert load({"LB_CONFIG": str(path)}).limits.sockets == sockets
 
 
+@pytest.mark.parametrize("uwsgi", [True, False])
+def test_the_http_front_leaves_descriptors_to_the_uwsgi_front_where_that_is_on(tmp_path, uwsgi):
+    path = tmp_path / "flintshift.yaml"
+    path.write_text(f"uwsgi:\n  enabled: {str(uwsgi).lower()}\n")
+
+    async def most() -> int:
+        config = made(configuration(), "FILE", operators(path))
+        return Node(config, lambda: config).fronts[0][0].most
+
+    limits = Limits()
+    assert anyio.run(most) == (limits.http_connections_beside_uwsgi if uwsgi else limits.http_connections)
+
+
 def busy_s(process) -> float:
     """Seconds of processor time that a process has used."""
     fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
--- a/tests/wire/test_pool.py
+++ b/tests/wire/test_pool.py
@@ -27,7 +27,7 @@
 
 
 def queued(*commands, heard_ms=0.0):
-    unheard = Unheard(UNSURE_MS)
+    unheard = Unheard(UNSURE_MS, 2000)
     for command in commands:
         unheard.queued(command, heard_ms)
     return unheard
@@ -71,8 +71,16 @@
     assert PASS not in unheard.unsure()
 
 
+def test_commands_of_which_nothing_is_ever_heard_are_known_in_a_bounded_number():
+    unheard = Unheard(UNSURE_MS, 10)
+    for count in range(50):
+        unheard.queued(codec.spawn(Attempt(f"s{count}", "look", 0.0, 1.0, 1, b"")), 0.0)
+        unheard.queued(codec.go_on(f"p{count}", count), 0.0)
+    assert list(unheard.spawns) == [f"s{count}" for count in range(40, 50)] and len(unheard.resumed) == 10
+
+
 def test_commands_that_have_arrived_are_forgotten_as_others_come():
-    unheard = Unheard(UNSURE_MS)
+    unheard = Unheard(UNSURE_MS, 2000)
     for count in range(1000):
         command = codec.go_on(f"r{count}", count)
         unheard.queued(command, heard_ms=count * 10.0)
