Have the test of a dying permit holder wait for the new life, and ask one granter

Cause, by printing why each member went on: fleet.start ran in a task that had not begun, so until_logged read the log of the life before and returned at once; both members then started in the same moment, and the assertion that the second one waits was true because it had not started. With that mended, a busy machine showed the second race: the member asks the first that it reaches, which was another one. Change: the test waits for a new life's log, names the granter, and cuts the other links; its assertions are more than before.

--- a/tests/startup/test_storms.py
+++ b/tests/startup/test_storms.py
@@ -91,6 +91,16 @@
     ]
 
 
+async def begins(fleet, name):
+    """Start a member in a task, which is returned once its new life has a log of its own: what an earlier life logged
+    must not be taken for it."""
+    lives = len(fleet.members[name].logs)
+    task = asyncio.ensure_future(fleet.start(name))
+    while len(fleet.members[name].logs) == lives:
+        await asyncio.sleep(0.01)
+    return task
+
+
 async def test_members_start_by_permits_of_whoever_is_up_and_alone_where_nobody_is(tmp_path):
     async with Fleet(
         tmp_path, {"a": 3, "b": 2}, copies="  copies: 3\n", more="startup: {enabled: true, at-once: 1}\n"
@@ -126,18 +136,23 @@
     names = fleet.names = LimitedNames(1000.0)
     async with fleet:
         await fleet.until_linked()
-        one, other = order(fleet.members)[2:4]
+        granter, second, one, other, *rest = order(fleet.members)
         for name in (one, other):
             await fleet.kill(name)
+        # On a busy machine links come up in any order, and a member asks the first that it reaches.
+        fleet.cut([one, other], [second, *rest])
+        fleet.cut([one], [other])
         names.capacity.down = True  # a start is not over until a report is taken, so its permit is held
-        begun = asyncio.ensure_future(fleet.start(one))
+        begun = await begins(fleet, one)
         await fleet.until_logged(one, "startup.goes_on")
-        waits = asyncio.ensure_future(fleet.start(other))
+        assert went(fleet, one) == [f"{granter} has granted a permit"]
+        waits = await begins(fleet, other)
         await fleet.until_logged(other, '"restored"')
         await asyncio.sleep(0.3)
         assert went(fleet, other) == []
         await fleet.kill(one)
         await fleet.until_logged(other, "startup.goes_on", within_s=4.0)
+        assert went(fleet, other) == [f"{granter} has granted a permit"]
         begun.cancel()
         names.capacity.down = False
         await waits
