Cause signals at each step of a hand-over, and requests on either side of the grace, by real processes

Change: a table of three steps by two sets of signals to both processes, with a write open at the older one and repeats at the new one, before and after its death; four requests around the grace of a drain that an open run keeps alive.

--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -235,3 +235,37 @@
     told = await measure(20, 12, uwsgi=True, steady_s=0.0)
     assert told["upgrades"] == 20 and told["lost_at_the_door"] == told["failed"] == told["second_runs"] == 0
     assert told["served"] > 400 and told["writes_served"] == told["results_of_writes"] <= told["writes_run"]
+
+
+STEPS = ["the new one copies keys", "the new one takes the clients", "the older one was told to leave"]
+
+
+@pytest.mark.parametrize("numbers", [(signal.SIGHUP,), (signal.SIGUSR1, signal.SIGHUP, signal.SIGHUP)])
+@pytest.mark.parametrize("step", STEPS)
+async def test_signals_to_both_at_each_step_change_nothing_of_an_open_write_nor_of_its_repeats(site, step, numbers):
+    old = await site.start()
+    rested = await site.connect()
+    old.pool.plan = {}
+    rid = submit(rested, "k1")
+    await old.pool.log.until(lambda entry: entry.get("rid") == rid)
+    new = await site.start(ready=step != STEPS[0])
+    if step == STEPS[0]:
+        await new.pool.stop()
+        await old.until("upgrade.giving")
+    if step == STEPS[2]:
+        old.process.send_signal(signal.SIGTERM)
+    for number in numbers:
+        for one in (old, new):
+            one.process.send_signal(number)
+    if step == STEPS[0]:
+        await new.pool.start()
+        await new.until_ready()
+    old.pool.finish(rid)
+    reply = await rested.reply()
+    assert reply.status == 200
+    again = await ask(await site.connect(), "k1", **{"X-Again": "1"})
+    assert (again.status, again.body) == (200, reply.body)
+    rested.writer.close()
+    assert (await old.leave() if step != STEPS[2] else await old.ended()) == 0
+    assert (await ask(await site.connect(), "k1", **{"X-Again": "1"})).body == reply.body  # after its death too
+    assert await new.leave() == 0 and site.runs().count(rid) == 1 and len(site.runs()) == 1
--- a/tests/lifecycle/test_drains.py
+++ b/tests/lifecycle/test_drains.py
@@ -173,3 +173,37 @@
     served.process.terminate()
     counters = await served.ended()
     assert balanced(counters) and counters["answered.refused"] > 800
+
+
+GRACE_S, HEARD_LATE_S = 2.0, 0.5  # the settings' grace, and how much shorter the decisions are told that it is
+
+
+@pytest.mark.parametrize(
+    ("after_s", "runs"), [(0.1, True), (1.3, True), (GRACE_S - HEARD_LATE_S + 0.2, False), (GRACE_S + 0.3, False)]
+)
+async def test_what_comes_on_either_side_of_the_grace_is_run_or_refused_by_a_real_process(site, after_s, runs):  # noqa: F811
+    config, text, peers = site
+    told = json.loads(text)
+    told["settings"]["rules"]["drainGraceMs"], told["stop_ms"] = GRACE_S * 1000, 4500.0
+    told["settings"]["familyInfo"]["nCores"] = 8  # so that one run without an end is no sign of a sick machine
+    for kind in told["settings"]["classes"]:
+        kind["deadlineMs"] = 4000.0
+    config.write_text(json.dumps(told))
+    process = await started(config)
+    await peers[2].log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
+    served = Served(process, text, peers)
+    waits, request = await served.running()  # an open run keeps the node past its grace
+    resting, fields = await served.connect(), job("race-results")
+    resting.send(BYTES["http"]("", b"", {}, method="GET", path="/ping"))
+    assert (await resting.reply()).status == 200
+    process.terminate()
+    await asyncio.sleep(after_s)
+    served.pool.plan = {"race-results": 0}
+    fields["X-Door-Time"] = str(int(time.time() * 1000))
+    resting.send(BYTES["http"]("race-results", b"", fields))
+    reply = await resting.reply()
+    ran = [entry for entry in served.pool.log.entries if entry.get("rid") == fields["X-Job-Id"]]
+    assert (reply.status, bool(ran)) == ((200, True) if runs else (503, False))
+    served.pool.finish(request)
+    assert (await waits.reply()).status == 200
+    assert balanced(await served.ended())
