Sum what a cold fleet lets in over twenty and thirty processes that are flooded

Need: the term that the sum over the fleet holds while all are cold was shown for calls below alone. Change: a test that floods controllers which begin cold with a limit learned on a warm machine; nothing of the module changed.

--- a/tests/control/test_fleet_sums.py
+++ b/tests/control/test_fleet_sums.py
@@ -52,3 +52,40 @@
         sum(max(0.0, min(end, to) - max(start, to - WINDOW_MS)) for start, end in calls) / WINDOW_MS for _, to in calls
     ]
     assert 0.3 * nodes * share < max(held) <= 0.95 * nodes * share  # the rest is for the told figure's rounding
+
+
+CORES, FALL_MULTIPLE, COLD_FROM, COLD_MS = 4, 5.0, 0.3, 3000.0
+
+
+def survived(since_start_ms: float) -> float:
+    """What one server's cores survive, by the settings: less while it is cold."""
+    speed = min(1.0, COLD_FROM + (1 - COLD_FROM) * since_start_ms / COLD_MS)
+    return CORES * (1 + (FALL_MULTIPLE - 1) * speed)
+
+
+@pytest.mark.parametrize("nodes", [20, 30])
+def test_a_fleet_that_is_flooded_while_it_is_cold_lets_in_what_the_sum_of_its_cores_survives_then(make, nodes):
+    draw = random.Random(nodes)
+    shape = {"cores": CORES, "fall_multiple": FALL_MULTIPLE, "cold": True, "cold_from": COLD_FROM, "cold_ms": COLD_MS}
+    fleet = [make(**shape, memory_kb=1e9, servers=nodes) for _ in range(nodes)]
+    for server in fleet:  # as after an upgrade: what the process before had learned was of a warm machine
+        server.step(api.Learned(100.0, {}))
+    born = {id(server): server.now for server in fleet}
+    running: dict[int, dict[str, float]] = {id(server): {} for server in fleet}
+    most = 0.0
+    for _ in range(150):
+        for server in fleet:
+            known = running[id(server)]
+            for request, end in list(known.items()):
+                if end <= server.now:
+                    del known[request]
+                    known.update({act.request: server.now + 400.0 for act in of(server.ends(request), api.Run)})
+            for _ in range(draw.randrange(8)):
+                request, acts = server.arrive("look")
+                known.update({act.request: server.now + 400.0 for act in of(acts, api.Run)})
+            known.update({act.request: server.now + 400.0 for act in of(server.tick(run_queue=1.0), api.Run)})
+        held = sum(map(len, running.values()))
+        room = sum(survived(server.now - born[id(server)]) for server in fleet)
+        most = max(most, held / room)
+        assert held <= room
+    assert most > 0.3  # it was flooded
