--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -20,6 +20,7 @@
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
+from flintshift.discovery.known_servers import KnownServers
 from flintshift.startup.backoff import Backoff, Uniform
 
 FAILED = (dns.exception.DNSException, OSError, ValueError)
@@ -56,13 +57,12 @@
     ) -> None:
         self.resolver, self.limits, self.counters, self.uniform = resolver, limits, counters, uniform
         self.service = dns.name.from_text(service, dns.name.from_text(domain))
-        self.found: list[Server] = []
-        self.empty = 0  # looks in a row that found none, while some were known
+        self.known = KnownServers[Server](limits.browse_empty_looks)
         self.turn = itertools.count()
 
     def servers(self, class_name: str) -> list[tuple[str, int]]:
         """Where a run of this class may go: by priority, and in turns among equals."""
-        fit = [server for server in self.found if not server.classes or class_name in server.classes]
+        fit = [server for server in self.known.servers if not server.classes or class_name in server.classes]
         turn = next(self.turn) % len(fit) if fit else 0
         return [server.at for server in sorted(fit[turn:] + fit[:turn], key=lambda server: server.priority)]
 
@@ -70,24 +70,18 @@
         waits = Backoff(self.limits.browse_again_ms, self.limits.browse_ms, self.uniform)
         while True:
             try:
-                self._learn(await self._browse())
+                if self.known.looked(await self._browse()):
+                    self.counters.add("dns.empty")
             except FAILED:
                 self.counters.add("dns.failed")
             # What is known stands, so a resolver that fails is not asked more often for it; one that names nobody is.
-            if self.found and not self.empty:
+            if self.known.servers and not self.known.doubted:
                 waits.reset()
                 wait_ms = self.limits.browse_ms * self.uniform(0.95, 1.05)
             else:
                 wait_ms = waits.next_ms()
             await anyio.sleep(wait_ms / 1000)
 
-    def _learn(self, found: list[Server]) -> None:
-        self.empty = self.empty + 1 if self.found and not found else 0
-        if self.empty:
-            self.counters.add("dns.empty")
-        if found or self.empty >= self.limits.browse_empty_looks:
-            self.found, self.empty = found, 0
-
     async def _browse(self) -> list[Server]:
         found = []
         for pointer in await self.resolver.find(self.service, PTR):
