Ask each member for its keys once on a link while a store is filled

Seen by a probe on an idle machine: right after n1 was filled, 17 of 18 first repeats at n1 took 120 to 343 ms, all others under 100 ms; at 400 ms both links count as silent and the answer is "no majority". A page took 2 s on the dripping link, and refill.py (AGAIN_MS) asked again every 500 ms, so up to four more copies of the page stood in the pipe ahead of the votes.

Change: a link keeps order and loses nothing while it stands, so a question is asked anew only when the link breaks (Refill.link_lost). The model of the copies tells the refill of a lost message as of a broken link.

--- a/flintshift/copies/refill.py
+++ b/flintshift/copies/refill.py
@@ -4,6 +4,9 @@
 The others learn its new incarnation with the first question, before they look: so what they accept later is never
 counted together with a vote of the store that is gone. A member whose own store is being filled tells what it
 has, and that does not count as having told all.
+
+A question is asked once on each link. A link keeps order and loses nothing while it stands, so an answer that has not
+come is still under way; asking again would queue a second page behind it, ahead of the votes that callers wait for.
 """
 
 from __future__ import annotations
@@ -14,7 +17,7 @@
 from flintshift.copies.registers import PAGE_BYTES, Entry, Registers
 from flintshift.copies.vocabulary import Key
 
-AGAIN_MS = 500.0  # a question that was not answered is asked again
+AGAIN_MS = 500.0  # a member whose own store is being filled is asked again, from the start
 ENTRY_BYTES = 200  # of a register in a page, beside its result
 
 
@@ -37,7 +40,8 @@
 class Source:
     after: Key | None = None
     done: bool = False
-    asked_ms: float | None = None
+    under_way: bool = False  # it was asked, on the link that stands now
+    again_ms: float = 0.0  # it is not asked before
 
 
 def page(now_ms: float, registers: Registers, member: str, ask: FillAsk) -> Page:
@@ -74,12 +78,17 @@
         asks = []
         for name in reached:
             source = self.sources.get(name)
-            if source is None or source.done or (source.asked_ms is not None and now_ms < source.asked_ms + AGAIN_MS):
+            if source is None or source.done or source.under_way or now_ms < source.again_ms:
                 continue
-            source.asked_ms = now_ms
+            source.under_way = True
             asks.append((name, FillAsk(store, source.after)))
         return asks
 
+    def link_lost(self, name: str) -> None:
+        """The link to that member broke, and with it what was asked on it; it is asked anew on the next one."""
+        if name in self.sources:
+            self.sources[name].under_way = False
+
     def told(self, now_ms: float, registers: Registers, name: str, told: Page) -> list[Entry]:
         """Take a page; returns what has to be written to the disk. The store's incarnation is raised where the teller
         knew a newer one: then all is asked anew under that."""
@@ -92,9 +101,9 @@
             self.sources = {other: Source() for other in self.sources}
             return []
         changed = [entry for entry in (registers.take(now_ms, one) for one in told.entries) if entry is not None]
-        source.after, source.asked_ms = told.after, None
+        source.after, source.under_way = told.after, False
         if told.done and not told.counts:  # ask again later, from the start: it may know more once it is filled itself
-            source.after, source.asked_ms = None, now_ms
+            source.after, source.again_ms = None, now_ms + AGAIN_MS
         elif told.done:
             source.done = True
             registers.filled(name)  # it may vote on more keys, or on all
--- a/flintshift/lab/copies_model.py
+++ b/flintshift/lab/copies_model.py
@@ -125,6 +125,8 @@
                     self._reach(other, machine, True)
 
     def _reach(self, machine: Machine, other: Machine, up: bool) -> None:
+        if not up and machine.refill is not None:
+            machine.refill.link_lost(other.name)
         self._tell(machine, Reach(other.name, up, other.registers.store if up else 0))
 
     def lives(self, identity: str) -> bool:
@@ -174,6 +176,7 @@
         member, sender = message.to.partition("#")[0], message.sender.partition("#")[0]
         machine = self.machines[member]
         if not machine.up or message.to not in (member, machine.identity) or (sender, member) in self.cut:
+            self._link_lost(message)
             return
         self.counts["delivered"] += 1
         match message.word:
@@ -197,7 +200,15 @@
                 machine.votes = machine.votes or machine.registers.full_vote
 
     def lose(self, place: int) -> None:
-        self.sent.pop(place)
+        self._link_lost(self.sent.pop(place))
+
+    def _link_lost(self, message: Message) -> None:
+        """A link loses nothing but what was under way as it broke: the store that is filled hears of that."""
+        ends = [one.partition("#")[0] for one in (message.sender, message.to)]
+        for one, other in (ends, ends[::-1]):
+            refill = self.machines[one].refill
+            if refill is not None:
+                refill.link_lost(other)
 
     def tick(self, by_ms: float) -> None:
         self.now += by_ms
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -664,6 +664,8 @@
             self.reached.discard(member)
             self.log("warning", "peers.link_down", name=member, cause=cause, reached=len(self.reached))
             self._event(Reach(member, False, 0))
+            if self.refill is not None:
+                self.refill.link_lost(member)
             if self.use is not None:
                 self.use.reach(member, False)
         elif member != self.name and self.not_linked.get(member) != cause:  # told once for each cause, not for each try
