--- a/benchmarks/kill_exporter.py
+++ b/benchmarks/kill_exporter.py
@@ -28,9 +28,9 @@
 from flintshift.usage import documents  # noqa: E402
 from flintshift.usage.folder import LedgerFolder, unacknowledged  # noqa: E402
 from flintshift.usage.keeper import Keeper  # noqa: E402
+from flintshift.usage.messages import Append, CorrectionAsked, Tick  # noqa: E402
 from flintshift.usage.reconcile import check  # noqa: E402
 from flintshift.usage.records import Claim, Ended, Marked, row_number  # noqa: E402
-from flintshift.usage.vocabulary import Append, CorrectionAsked, Tick  # noqa: E402
 
 CLUBS, CLASSES = ["muscat-striders", "sur-pacers"], ["standings", "submit-time"]
 KILLS = 4
--- a/flintshift/cli/usage.py
+++ b/flintshift/cli/usage.py
@@ -263,7 +263,7 @@
     import anyio
 
     from flintshift.usage.corrections import to_json
-    from flintshift.usage.vocabulary import CorrectionAsked
+    from flintshift.usage.messages import CorrectionAsked
 
     amounts = [0] * len(AMOUNTS)
     for text in by:
--- a/flintshift/copies/vocabulary.py
+++ b/flintshift/copies/messages.py
@@ -1,4 +1,4 @@
-"""The words of the copies: what holders keep, what is asked of them, and what the hearts are told and answer.
+"""Messages between members on their copies, and events and actions of the state machines that hold and agree on them.
 
 A keyed write makes some sixty of them over the fleet, so they are `msgspec` structs: made in a tenth of the time that a
 frozen dataclass takes, and as immutable.
--- a/flintshift/copies/proposals.py
+++ b/flintshift/copies/proposals.py
@@ -1,7 +1,7 @@
 """What this process proposes for keys, and how it comes to the holders' word. Without I/O.
 
 One proposal for a key is under way at a time; what else is wanted of that key waits behind it. A proposal runs
-through the steps of `vocabulary.Step`, and ends when a value is *chosen*: no majority can ever hold another one
+through the steps of `messages.Step`, and ends when a value is *chosen*: no majority can ever hold another one
 in its place but by going on from it. `_chosen` is the one place that says so.
 
     FIRST ----- all accepted ------------------------------> chosen
@@ -20,8 +20,7 @@
 
 from msgspec.structs import replace
 
-from flintshift.copies.placement import Placement
-from flintshift.copies.vocabulary import (
+from flintshift.copies.messages import (
     FIRST_CLASSIC,
     NO_BALLOT,
     Action,
@@ -52,6 +51,7 @@
     Vote,
     Voted,
 )
+from flintshift.copies.placement import Placement
 from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 
--- a/flintshift/copies/registers.py
+++ b/flintshift/copies/registers.py
@@ -16,8 +16,8 @@
 
 from msgspec import Struct
 
+from flintshift.copies.messages import NO_BALLOT, Ask, Ballot, Key, Step, Value, Verdict, Vote
 from flintshift.copies.placement import Placement
-from flintshift.copies.vocabulary import NO_BALLOT, Ask, Ballot, Key, Step, Value, Verdict, Vote
 from flintshift.core.keys import Stage
 
 PAGE_BYTES = 64_000  # of what a store that is filled is told at once
--- a/flintshift/door/vocabulary.py
+++ b/flintshift/door/messages.py
@@ -1,4 +1,4 @@
-"""What the door is told and answers. Times and costs are milliseconds; a cost is time on a core.
+"""Events and actions of the fair queues. Times and costs are milliseconds; a cost is time on a core.
 
 What comes with each request is not frozen: that would cost more to make than the door takes to hear it.
 """
--- a/flintshift/handover/claims.py
+++ b/flintshift/handover/claims.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 
-from flintshift.handover.vocabulary import Answered, Claimed, Freed, Key, Known, Word
+from flintshift.handover.messages import Answered, Claimed, Freed, Key, Known, Word
 
 
 @dataclass(slots=True)
--- a/flintshift/handover/vocabulary.py
+++ b/flintshift/handover/messages.py
@@ -1,4 +1,4 @@
-"""The words that the two processes exchange, and what their phase machine is told and answers.
+"""Messages between the two processes of an upgrade, and events and actions of their phase machine.
 
 A key is scoped by its class. Times are Unix milliseconds: both processes read one clock.
 """
--- a/flintshift/handover/phases.py
+++ b/flintshift/handover/phases.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from flintshift.handover.vocabulary import (
+from flintshift.handover.messages import (
     VERSION,
     Action,
     Copied,
--- a/flintshift/handover/shared_keys.py
+++ b/flintshift/handover/shared_keys.py
@@ -14,7 +14,7 @@
 from flintshift.core.keys import Entry, KeyTable, fingerprint
 from flintshift.core.limits import Limits
 from flintshift.handover.claims import Adopt, Agreement, GiveUp, GoOn, Say
-from flintshift.handover.vocabulary import Answered, Claimed, Freed, Key, Known, Over, Word
+from flintshift.handover.messages import Answered, Claimed, Freed, Key, Known, Over, Word
 from flintshift.interface import Outcome
 
 
--- a/flintshift/lab/copies_model.py
+++ b/flintshift/lab/copies_model.py
@@ -12,11 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from flintshift.copies.placement import Placement
-from flintshift.copies.proposals import Pace, Proposals
-from flintshift.copies.refill import FillAsk, Page, Refill, page
-from flintshift.copies.registers import Entry, HolderBounds, Registers
-from flintshift.copies.vocabulary import (
+from flintshift.copies.messages import (
     Action,
     Ask,
     Claim,
@@ -39,6 +35,10 @@
     Vote,
     Voted,
 )
+from flintshift.copies.placement import Placement
+from flintshift.copies.proposals import Pace, Proposals
+from flintshift.copies.refill import FillAsk, Page, Refill, page
+from flintshift.copies.registers import Entry, HolderBounds, Registers
 from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -23,12 +23,7 @@
 from msgspec import structs
 
 from flintshift.copies import logs
-from flintshift.copies.placement import Placement
-from flintshift.copies.proposals import Proposals
-from flintshift.copies.refill import FillAsk, Page, Refill, page
-from flintshift.copies.registers import Entry, HolderBounds, Registers
-from flintshift.copies.store import CopiesFolder, boot_id
-from flintshift.copies.vocabulary import (
+from flintshift.copies.messages import (
     NO_BALLOT,
     Action,
     Ask,
@@ -54,6 +49,11 @@
     Vote,
     Voted,
 )
+from flintshift.copies.placement import Placement
+from flintshift.copies.proposals import Proposals
+from flintshift.copies.refill import FillAsk, Page, Refill, page
+from flintshift.copies.registers import Entry, HolderBounds, Registers
+from flintshift.copies.store import CopiesFolder, boot_id
 from flintshift.core import attempts as at
 from flintshift.core.attempts import Attempt
 from flintshift.core.counters import Counters
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -16,10 +16,7 @@
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log, silent
-from flintshift.door.promises import CalendarBounds
-from flintshift.door.shares import FIRST_MS, PLACE_BYTES, Bounds, Shares
-from flintshift.door.surges import Surges, Told
-from flintshift.door.vocabulary import (
+from flintshift.door.messages import (
     Arrived,
     Began,
     Ended,
@@ -30,6 +27,9 @@
     TurnedAway,
     Weighed,
 )
+from flintshift.door.promises import CalendarBounds
+from flintshift.door.shares import FIRST_MS, PLACE_BYTES, Bounds, Shares
+from flintshift.door.surges import Surges, Told
 
 
 def weighed(settings: api.Settings) -> Weighed:
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -20,9 +20,7 @@
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log
 from flintshift.handover.claims import GiveUp, GoOn, Say
-from flintshift.handover.phases import Phases, WordError
-from flintshift.handover.shared_keys import End, SharedKeys, Step, key_of
-from flintshift.handover.vocabulary import (
+from flintshift.handover.messages import (
     Action,
     Answered,
     Claimed,
@@ -50,6 +48,8 @@
     Used,
     Word,
 )
+from flintshift.handover.phases import Phases, WordError
+from flintshift.handover.shared_keys import End, SharedKeys, Step, key_of
 from flintshift.interface import Outcome
 from flintshift.lifecycle.config import Config
 from flintshift.wire.acceptor import listening
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -29,9 +29,9 @@
 from flintshift.usage.folder import unacknowledged
 from flintshift.usage.keeper import Keeper
 from flintshift.usage.ledger import HELD_MS, RETIRE_MS, Ledger
+from flintshift.usage.messages import Append, WriterGone
 from flintshift.usage.records import Entry, Opened, Published
 from flintshift.usage.replica import CopyState, Replica
-from flintshift.usage.vocabulary import Append, WriterGone
 
 AGAIN_MS = 2000.0  # between two looks for members that are in reach and do not follow
 SPARE_MS = 100.0  # before its due time, an answer waits for copies no longer: a tick may be late
--- a/flintshift/usage/corrections.py
+++ b/flintshift/usage/corrections.py
@@ -10,8 +10,8 @@
 from flintshift.usage import documents
 from flintshift.usage.book import Book
 from flintshift.usage.folder import read_documents
+from flintshift.usage.messages import CorrectionAsked
 from flintshift.usage.records import AMOUNTS
-from flintshift.usage.vocabulary import CorrectionAsked
 
 TEXTS = ("id", "author", "reason", "club", "class_name", "front", "outcome")
 
--- a/flintshift/usage/export.py
+++ b/flintshift/usage/export.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from flintshift.usage.vocabulary import (
+from flintshift.usage.messages import (
     Acknowledge,
     Alarm,
     Deliver,
--- a/flintshift/usage/exporting.py
+++ b/flintshift/usage/exporting.py
@@ -20,8 +20,7 @@
 from flintshift.usage.export import Exporter, Pace
 from flintshift.usage.folder import unacknowledged
 from flintshift.usage.ledger import Say
-from flintshift.usage.sinks import Sink
-from flintshift.usage.vocabulary import (
+from flintshift.usage.messages import (
     Acknowledge,
     Alarm,
     Deliver,
@@ -34,6 +33,7 @@
     Tick,
     WakeAt,
 )
+from flintshift.usage.sinks import Sink
 
 EPOCH_KIND = 33
 LOOK_MS = 5000.0  # between two looks for new documents, if nobody tells of one
--- a/flintshift/usage/keeper.py
+++ b/flintshift/usage/keeper.py
@@ -15,6 +15,19 @@
 import re
 
 from flintshift.usage.book import Book, content_of
+from flintshift.usage.messages import (
+    Append,
+    ClockMoved,
+    CorrectionAsked,
+    DiskBack,
+    DocumentsStand,
+    KeeperAction,
+    KeeperEvent,
+    Reply,
+    Retired,
+    Tick,
+    WriterGone,
+)
 from flintshift.usage.periods import period_of
 from flintshift.usage.records import (
     AMOUNTS,
@@ -29,19 +42,6 @@
     Stepped,
     Turned,
 )
-from flintshift.usage.vocabulary import (
-    Append,
-    ClockMoved,
-    CorrectionAsked,
-    DiskBack,
-    DocumentsStand,
-    KeeperAction,
-    KeeperEvent,
-    Reply,
-    Retired,
-    Tick,
-    WriterGone,
-)
 
 MOST = 2**63 - 1
 IDENTIFIER = re.compile(r"[A-Za-z0-9._-]{1,64}")
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -48,9 +48,7 @@
 from flintshift.usage.corrections import base_of, from_json
 from flintshift.usage.folder import LedgerFolder, retire
 from flintshift.usage.keeper import Keeper
-from flintshift.usage.periods import LedgerClock
-from flintshift.usage.records import Claim, Ended, Entry, Late, Listed, Marked, Published, pack, renumbered
-from flintshift.usage.vocabulary import (
+from flintshift.usage.messages import (
     Append,
     ClockMoved,
     DiskBack,
@@ -60,6 +58,8 @@
     Retired,
     Tick,
 )
+from flintshift.usage.periods import LedgerClock
+from flintshift.usage.records import Claim, Ended, Entry, Late, Listed, Marked, Published, pack, renumbered
 
 TICK_S = 0.25
 HELD_MS = 250.0  # an answer waits no longer for a disk that hangs: it has a due time, and what ran is answered
--- a/flintshift/usage/vocabulary.py
+++ b/flintshift/usage/messages.py
@@ -1,4 +1,4 @@
-"""What the keeper and the exporter are told and what they answer: the events and actions of the ledger's hearts."""
+"""Events and actions of the ledger's state machines: keeper and exporter."""
 
 from __future__ import annotations
 
--- a/flintshift/usage/sinks.py
+++ b/flintshift/usage/sinks.py
@@ -21,7 +21,7 @@
 from flintshift.storage import snapshot
 from flintshift.storage.files import Files
 from flintshift.usage import documents
-from flintshift.usage.vocabulary import Delivered, NotDelivered, Rejected, Superseded
+from flintshift.usage.messages import Delivered, NotDelivered, Rejected, Superseded
 
 Outcome = Delivered | NotDelivered | Rejected | Superseded
 ANSWER_MOST = 65_536
--- a/flintshift/wire/handover.py
+++ b/flintshift/wire/handover.py
@@ -17,7 +17,7 @@
 
 from flintshift.core.limits import Limits
 from flintshift.core.mailbox import Mailbox
-from flintshift.handover.vocabulary import VERSION, Copied, Hello, Known, Left, Welcome, Word
+from flintshift.handover.messages import VERSION, Copied, Hello, Known, Left, Welcome, Word
 from flintshift.wire.handover_codec import FrameError, Unpacker, packed
 from flintshift.wire.link import BROKEN
 from flintshift.wire.unix import short
--- a/flintshift/wire/handover_codec.py
+++ b/flintshift/wire/handover_codec.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from flintshift.handover.vocabulary import Word
+from flintshift.handover.messages import Word
 
 SIZE = struct.Struct("!I")
 MOST = 65_536  # bytes of a frame: a result has 4 KiB at most
--- a/flintshift/wire/peer_codec.py
+++ b/flintshift/wire/peer_codec.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 
 from flintshift.copies import logs
+from flintshift.copies.messages import NO_BALLOT, Ask, Ballot, Ended, Key, Step, Value, Verdict, Vote
 from flintshift.copies.refill import FillAsk, Page
 from flintshift.copies.registers import Entry
-from flintshift.copies.vocabulary import NO_BALLOT, Ask, Ballot, Ended, Key, Step, Value, Verdict, Vote
 from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 from flintshift.peers.members import Accuse, Accused
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -14,8 +14,8 @@
 from flintshift.storage.files import DiskFiles
 from flintshift.usage.folder import LedgerFolder
 from flintshift.usage.keeper import Keeper
+from flintshift.usage.messages import Tick
 from flintshift.usage.records import FINAL, Claim, row_number
-from flintshift.usage.vocabulary import Tick
 
 ROOT = Path(__file__).parent.parent.parent
 
--- a/tests/copies/mutants.py
+++ b/tests/copies/mutants.py
@@ -4,9 +4,9 @@
 
 from msgspec.structs import replace
 
+from flintshift.copies.messages import Step, Verdict
 from flintshift.copies.proposals import Proposals
 from flintshift.copies.registers import Registers
-from flintshift.copies.vocabulary import Step, Verdict
 
 
 class VotesWhileEmpty(Registers):
--- a/tests/copies/test_agreement.py
+++ b/tests/copies/test_agreement.py
@@ -15,10 +15,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from msgspec import structs
 
+from flintshift.copies.messages import Claim, Finish, Overdue, Reach, Tick
 from flintshift.copies.placement import Placement
 from flintshift.copies.proposals import Proposals
 from flintshift.copies.refill import FillAsk, Page
-from flintshift.copies.vocabulary import Claim, Finish, Overdue, Reach, Tick
 from flintshift.interface import Outcome
 from flintshift.lab.copies_model import Message, World
 
--- a/tests/copies/test_member_words.py
+++ b/tests/copies/test_member_words.py
@@ -5,9 +5,9 @@
 import pytest
 from copies.test_store import entry
 
+from flintshift.copies.messages import NO_BALLOT, Ask, Ended, Step, Value, Verdict, Vote
 from flintshift.copies.placement import Placement
 from flintshift.copies.refill import FillAsk, Page
-from flintshift.copies.vocabulary import NO_BALLOT, Ask, Ended, Step, Value, Verdict, Vote
 from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 from flintshift.peers.members import Accuse, Accused
--- a/tests/copies/test_store.py
+++ b/tests/copies/test_store.py
@@ -8,9 +8,9 @@
 import pytest
 from storage.sim_files import SimFiles, StoppedError
 
+from flintshift.copies.messages import NO_BALLOT, Value
 from flintshift.copies.registers import Entry
 from flintshift.copies.store import CopiesFolder, examined, found_store
-from flintshift.copies.vocabulary import NO_BALLOT, Value
 from flintshift.core.keys import Stage
 from flintshift.interface import Outcome
 from flintshift.storage.log import BrokenError
--- a/tests/door/test_surges.py
+++ b/tests/door/test_surges.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from flintshift.door.messages import SurgeBegan, SurgeEnded, SurgeGoesOn
 from flintshift.door.surges import CALM, TOLD_MS, Surges
-from flintshift.door.vocabulary import SurgeBegan, SurgeEnded, SurgeGoesOn
 
 
 class Clubs:
--- a/tests/handover/test_codec.py
+++ b/tests/handover/test_codec.py
@@ -10,7 +10,7 @@
 from anyio.abc import UNIXSocketStream
 
 from flintshift.core.limits import Limits
-from flintshift.handover import vocabulary as say
+from flintshift.handover import messages as say
 from flintshift.handover.claims import Agreement, GiveUp, Say
 from flintshift.handover.phases import Phases, WordError
 from flintshift.interface import Outcome
--- a/tests/handover/test_model.py
+++ b/tests/handover/test_model.py
@@ -13,7 +13,7 @@
 from flintshift.core.attempts import Attempt
 from flintshift.core.keys import KeyTable
 from flintshift.core.limits import Limits
-from flintshift.handover import vocabulary as say
+from flintshift.handover import messages as say
 from flintshift.handover.claims import GiveUp, GoOn, Say
 from flintshift.handover.phases import Phases
 from flintshift.handover.shared_keys import End, SharedKeys, key_of
--- a/tests/usage/test_book.py
+++ b/tests/usage/test_book.py
@@ -13,6 +13,7 @@
 from flintshift.usage import documents
 from flintshift.usage.book import Book, Bounds
 from flintshift.usage.keeper import Keeper
+from flintshift.usage.messages import Append, ClockMoved, CorrectionAsked, DocumentsStand, Reply, Tick
 from flintshift.usage.periods import CONFIRM_MS, LedgerClock, period_of
 from flintshift.usage.reconcile import check
 from flintshift.usage.records import (
@@ -31,7 +32,6 @@
     row_number,
     unpack,
 )
-from flintshift.usage.vocabulary import Append, ClockMoved, CorrectionAsked, DocumentsStand, Reply, Tick
 
 CLUBS, CLASSES = ["a", "b"], ["look", "pay"]
 BOUNDS = Bounds(doubted=5, documents=3, periods=4)
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -22,8 +22,7 @@
 from flintshift.usage.export import Exporter, Pace
 from flintshift.usage.exporting import ExportRun, order
 from flintshift.usage.folder import unacknowledged
-from flintshift.usage.sinks import FolderSink, HttpSink, judged
-from flintshift.usage.vocabulary import (
+from flintshift.usage.messages import (
     Acknowledge,
     Alarm,
     Deliver,
@@ -36,6 +35,7 @@
     Tick,
     WakeAt,
 )
+from flintshift.usage.sinks import FolderSink, HttpSink, judged
 
 HOUR = 3_600_000.0
 
--- a/tests/usage/test_folder.py
+++ b/tests/usage/test_folder.py
@@ -13,8 +13,8 @@
 from flintshift.usage import documents
 from flintshift.usage.folder import LedgerFolder, load, read_documents, retire, snapshots
 from flintshift.usage.keeper import Keeper
+from flintshift.usage.messages import Tick
 from flintshift.usage.records import FINAL, Claim
-from flintshift.usage.vocabulary import Tick
 
 FOLDER = Path("/u")
 DAY = 86_400_000.0
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -25,11 +25,11 @@
 from flintshift.usage.corrections import to_json
 from flintshift.usage.folder import LedgerFolder, load, read_documents, retire
 from flintshift.usage.ledger import Ledger
+from flintshift.usage.messages import CorrectionAsked, Delivered, Tick
 from flintshift.usage.periods import LedgerClock
 from flintshift.usage.reconcile import check
 from flintshift.usage.records import FINAL, GONE, OUTCOMES, row_number
 from flintshift.usage.sinks import FolderSink
-from flintshift.usage.vocabulary import CorrectionAsked, Delivered, Tick
 
 FOLDER, OUT = Path("/u"), Path("/out")
 CLUBS, CLASSES = ["a", "b"], ["look", "pay"]
