--- /dev/null
+++ b/flintshift/core/agreement.py
@@ -0,0 +1,101 @@
+"""Keyed attempts that wait for others: for their word on the key before a run, and for them to keep its end after it.
+
+Who the others are is known by the port `Claims`: the other process of an upgrade, or further members of the fleet.
+Without such a port nothing ever waits here.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from flintshift.core.attempts import Attempt
+from flintshift.core.ports import Claims
+from flintshift.interface import Outcome
+
+
+class Asked(Enum):
+    """What became of the question whether an attempt may run."""
+
+    NOT_NEEDED = "not_needed"  # this process decides alone
+    WAITING = "waiting"  # the report `Agreed` will tell
+    UNSURE = "unsure"  # it may have run where nobody can be asked any more
+
+
+class Agreement:
+    """The attempts that wait, and the port at which they do; one attempt a connection at most."""
+
+    def __init__(self) -> None:
+        self.claims: Claims | None = None
+        self.elsewhere = False  # a further try may be of a request that ran at another member of the fleet
+        self.awaiting: dict[str, Attempt] = {}  # the others' word on their keys
+        self.keeping: dict[str, Attempt] = {}  # they ran, and are answered once their end is kept elsewhere too
+
+    def __contains__(self, request: str) -> bool:
+        return request in self.awaiting or request in self.keeping
+
+    @property
+    def open(self) -> int:
+        """Requests that wait here and are owed an answer."""
+        return len(self.awaiting) + sum(not attempt.over for attempt in self.keeping.values())
+
+    def may_have_run(self, attempt: Attempt, marks_repeats: bool) -> bool:
+        """An earlier try of it may have run where this process can't see it; ``marks_repeats``: callers mark tries."""
+        return self.elsewhere and (attempt.again or not marks_repeats)
+
+    # Before a run.
+
+    def ask(self, attempt: Attempt) -> Asked:
+        """Have the others say whether this attempt, of whose key nothing is known here, may run."""
+        if self.claims is None:
+            return Asked.NOT_NEEDED
+        if self.claims.unsure(attempt):
+            return Asked.UNSURE
+        if not self.claims.needed:
+            return Asked.NOT_NEEDED
+        self.awaiting[attempt.id] = attempt
+        self.claims.ask(attempt)
+        return Asked.WAITING
+
+    def agreed(self, request: str) -> Attempt | None:
+        """Their word on it has come, or can't come any more; None where nobody waits for it."""
+        return self.awaiting.pop(request, None)
+
+    def departed(self, request: str) -> Attempt | None:
+        """The caller of a waiting attempt went; None where none waits under this id. What has run stays until its end
+        is kept: its repeats are to get it."""
+        attempt = self.awaiting.pop(request, None)
+        if attempt is None:
+            return self.keeping.get(request)
+        if self.claims is not None:
+            self.claims.departed(request)
+        return attempt
+
+    # What becomes of a key here.
+
+    def claimed(self, attempt: Attempt) -> None:
+        """The table holds the entry of its key."""
+        if self.claims is not None:
+            self.claims.kept(attempt)
+
+    def freed(self, attempt: Attempt) -> None:
+        """It never ran, and the table holds nothing of it."""
+        if self.claims is not None:
+            self.claims.freed(attempt)
+
+    def ended(self, attempt: Attempt) -> None:
+        """Its run has ended, and the table holds how."""
+        if self.claims is not None:
+            self.claims.over(attempt)
+
+    def keeps(self, attempt: Attempt, outcome: Outcome, result: bytes) -> bool:
+        """The others are to keep how it ended before it is answered: the report `Kept` will tell."""
+        if self.claims is None or not self.claims.keeps(attempt, outcome, result):
+            return False
+        self.keeping[attempt.id] = attempt
+        return True
+
+    def kept(self, request: str, outcome: Outcome | None) -> Attempt | None:
+        """They keep it, or (no outcome) can't in time for its caller, and go on trying."""
+        if outcome is None:
+            return self.keeping.get(request)
+        return self.keeping.pop(request, None)
--- /dev/null
+++ b/flintshift/core/open_attempts.py
@@ -0,0 +1,82 @@
+"""The table of attempts that were read and are not over, and the one way in which each of them gets its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from flintshift.core.attempts import NEVER_RAN, Answer, Attempt, Verdict
+from flintshift.core.counters import Counters
+from flintshift.core.ports import Posture, Ranks
+from flintshift.interface import Outcome
+
+
+class OpenAttempts:
+    """By id. An attempt stays after its answer for as long as its run goes on: the end of that is still to be told."""
+
+    def __init__(self, counters: Counters, now_ms: Callable[[], float], posture: Posture) -> None:
+        self.counters, self.now_ms, self.posture = counters, now_ms, posture
+        self.ranks: Ranks | None = None
+        self.table: dict[str, Attempt] = {}
+        self.closing: list[Attempt] = []  # that may be over, looked at once all is decided of them
+
+    def __contains__(self, request: str) -> bool:
+        return request in self.table
+
+    def __iter__(self) -> Iterator[Attempt]:
+        return iter(self.table.values())
+
+    def __len__(self) -> int:
+        return len(self.table)
+
+    @property
+    def unanswered(self) -> int:
+        return sum(not attempt.over for attempt in self.table.values())
+
+    def get(self, request: str) -> Attempt | None:
+        return self.table.get(request)
+
+    def add(self, attempt: Attempt) -> None:
+        self.table[attempt.id] = attempt
+        if self.ranks is not None:
+            self.ranks.arrived(attempt)
+
+    def remove(self, attempt: Attempt) -> None:
+        self.table.pop(attempt.id, None)
+
+    def close(self, attempt: Attempt) -> None:
+        """Remove it with the next `sweep`, unless its run goes on."""
+        self.closing.append(attempt)
+
+    def sweep(self) -> None:
+        """Only now, after all that was decided of them: out of the table go those that are over."""
+        for attempt in self.closing:
+            if attempt.over and not attempt.running:
+                self.remove(attempt)
+                if self.ranks is not None:
+                    self.ranks.left(attempt.id)
+        self.closing.clear()
+
+    # Answers.
+
+    def settle(self, attempt: Attempt, answer: Answer) -> None:
+        """Give an attempt its final answer, unless it has one or its caller went."""
+        if attempt.settle(answer, self.now_ms()) and attempt.answer is not None:
+            self.counters.add(f"answered.{attempt.answer.verdict.value}")
+
+    def settle_end(self, attempt: Attempt, outcome: Outcome, result: bytes) -> None:
+        """Answer with how a run ended: its own, or that of the try which it repeats."""
+        if outcome is Outcome.OK:
+            self.settle(attempt, Answer(Verdict.SERVED, result))
+        elif outcome in NEVER_RAN:
+            self.settle(attempt, self.refusal())
+        else:
+            self.settle(attempt, Answer(Verdict.FAILED))
+
+    def refusal(self) -> Answer:
+        """A refusal that no decision was asked for: it tells the time that the settings name."""
+        return Answer(Verdict.REFUSED, wait_ms=self.posture.wait_ms)
+
+    def leave(self, attempt: Attempt) -> None:
+        """Its caller has gone: no answer is owed any longer."""
+        attempt.gone, attempt.over_ms = True, self.now_ms()
+        self.counters.add("departed")
--- /dev/null
+++ b/flintshift/core/runs.py
@@ -0,0 +1,217 @@
+"""What becomes of attempts that run: the worker pool's and the vault's reports of them, and the controller's actions.
+
+An attempt runs at most once. How the run of a keyed one ended is kept in the key table before it is told to anybody.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from flintshift import interface as api
+from flintshift.core import attempts as at
+from flintshift.core.agreement import Agreement
+from flintshift.core.attempts import NEVER_RAN, Answer, Attempt, Verdict
+from flintshift.core.counters import Counters
+from flintshift.core.keys import Entry, KeyTable
+from flintshift.core.open_attempts import OpenAttempts
+from flintshift.core.ports import Below, Books, Posture, Workers
+from flintshift.interface import Effect, Outcome
+
+
+class Runs:
+    """``pending`` takes the reports that an action brings about; they are handled once the action is applied."""
+
+    def __init__(
+        self,
+        attempts: OpenAttempts,
+        keys: KeyTable,
+        agreement: Agreement,
+        pending: deque[at.Report],
+        posture: Posture,
+        counters: Counters,
+        now_ms: Callable[[], float],
+    ) -> None:
+        self.attempts, self.keys, self.agreement = attempts, keys, agreement
+        self.pending, self.posture, self.counters, self.now_ms = pending, posture, counters, now_ms
+        self.workers: Mapping[str, Workers] = {}
+        self.below: Below
+        self.books: Books | None = None
+        self.handlers: dict[type, Callable[[Attempt, Any], api.Event | None]] = {
+            at.CallWanted: self._call_wanted,
+            at.ReplyUnsure: self._reply_unsure,
+            at.CallOver: self._call_over,
+            at.RunOver: self._run_over,
+        }
+        self.action_handlers: dict[type, Callable[[Attempt, Any], None]] = {
+            api.Run: self._run,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Call: self._call,
+            api.SkipCall: self._skip_call,
+            api.Keep: self._keep,
+            api.Forget: self._forget,
+            api.AnswerFromOriginal: self._follow,
+            api.Stop: self._stop,
+        }
+
+    def event(self, report: at.RunReport) -> api.Event | None:
+        """Book a report of a run and make of it the controller's event, if it concerns it."""
+        attempt = self.attempts.get(report.request)
+        if attempt is None:  # it is over: late reports of it change nothing
+            return None
+        return self.handlers[type(report)](attempt, report)
+
+    def apply(self, action: api.RequestAction) -> None:
+        """Do what the controller has decided of an attempt."""
+        attempt = self.attempts.get(action.request)
+        if attempt is not None:  # else over already: as on the simulator's wire, this harms nothing
+            self.action_handlers[type(action)](attempt, action)
+
+    def _workers(self, attempt: Attempt) -> Workers:
+        return self.workers[attempt.workers]
+
+    # Reports.
+
+    @staticmethod
+    def _call_wanted(attempt: Attempt, report: at.CallWanted) -> api.Event:
+        attempt.call_no, attempt.payload = report.no, report.payload
+        return api.CallNeeded(attempt.id)
+
+    def _reply_unsure(self, attempt: Attempt, report: at.ReplyUnsure) -> None:
+        """Without the reply the run would stand there for ever: where the call may be left out, it goes on poorer if
+        the reply was lost. Elsewhere the reply can't be repeated: it might meet the next call of the run."""
+        self.counters.add("replies_unsure")
+        skippable = attempt.kind is not None and attempt.kind.skip_worth
+        if skippable and attempt.call_no == report.no and not attempt.over:
+            self._workers(attempt).go_on(attempt.id, report.no)
+            attempt.poorer = True
+
+    def _call_over(self, attempt: Attempt, report: at.CallOver) -> api.Event | None:
+        if not attempt.calling:  # given up meanwhile
+            return None
+        attempt.calling = False
+        if report.outcome is Outcome.OK and not self._workers(attempt).supply(
+            attempt.id, attempt.call_no, report.reply
+        ):
+            self.counters.add("dropped.supply")
+        return api.CallEnded(attempt.id, report.outcome, report.took_ms)
+
+    def _run_over(self, attempt: Attempt, report: at.RunOver) -> api.Event:
+        attempt.running = False
+        attempt.run_ms += report.took_ms
+        if self.attempts.ranks is not None:
+            self.attempts.ranks.ended(attempt.id, report.took_ms)
+        if attempt.over and self.books is not None:
+            self.books.ran_on(attempt, report.took_ms)
+        if attempt.calling:
+            attempt.calling = False
+            self.below.give_up(attempt.id)
+        entry = self.keys.owned(attempt)
+        if report.outcome in NEVER_RAN:
+            attempt.ran = False
+            self._free(attempt)
+        elif entry is not None and attempt.ran:
+            if self.agreement.keeps(attempt, report.outcome, report.result):
+                self.attempts.remove(attempt)
+                return api.RunEnded(attempt.id, report.outcome, report.took_ms)
+            self._ended(entry, report.outcome, report.result)
+            self.agreement.ended(attempt)
+        self.attempts.settle_end(attempt, report.outcome, report.result)
+        self.attempts.remove(attempt)
+        return api.RunEnded(attempt.id, report.outcome, report.took_ms)
+
+    def kept(self, report: at.Kept) -> None:
+        """How a run ended is kept elsewhere too, or can't be in time for its caller."""
+        outcome, result = report.outcome, report.result
+        attempt = self.agreement.kept(report.request, outcome)
+        if attempt is None:
+            return
+        if outcome is None:
+            self.counters.add("claims.end_unkept")
+            self.attempts.settle(attempt, Answer(Verdict.FAILED))
+            return
+        entry = self.keys.owned(attempt)
+        if entry is not None:
+            self._ended(entry, outcome, result)
+        self.attempts.settle_end(attempt, outcome, result)
+
+    def _ended(self, entry: Entry, outcome: Outcome, result: bytes) -> None:
+        for follower in self.keys.end(entry, outcome, result):
+            self.pending.append(at.RunOver(follower, outcome, 0.0, result))
+
+    # Actions.
+
+    def _run(self, attempt: Attempt, _: api.Run) -> None:
+        if attempt.ran or attempt.over:  # guards against a second run and a run that nobody wants
+            return
+        attempt.ran = attempt.running = True
+        self.counters.add("run")
+        if self.attempts.ranks is not None:
+            self.attempts.ranks.began(attempt.id)
+        if not self._workers(attempt).spawn(attempt):
+            self.counters.add("dropped.spawn")
+            self.pending.append(at.RunOver(attempt.id, Outcome.REJECTED))
+
+    def _refuse(self, attempt: Attempt, action: api.Refuse) -> None:
+        stay_away_ms = action.stay_away_ms
+        if self.attempts.ranks is not None and self.posture.wait_ms and not self.posture.leaving:
+            stay_away_ms = self.attempts.ranks.come_back_ms(attempt, stay_away_ms, self.posture.wait_ms)
+        self.attempts.settle(attempt, Answer(Verdict.REFUSED, b"", stay_away_ms, action.not_elsewhere))
+        self.attempts.close(attempt)
+
+    def _fail(self, attempt: Attempt, _: api.Fail) -> None:
+        self.attempts.settle(attempt, Answer(Verdict.FAILED))
+        if attempt.calling:
+            attempt.calling = False
+            self.below.give_up(attempt.id)
+        self.attempts.close(attempt)
+
+    def _call(self, attempt: Attempt, action: api.Call) -> None:
+        attempt.calling = True
+        attempt.calls += 1
+        self.counters.add("called")
+        once = attempt.kind is not None and attempt.kind.effect is not Effect.SAFE
+        if not self.below.ask(attempt.id, action.limit_ms, attempt.payload, once):
+            self.counters.add("dropped.call")
+            self.pending.append(at.CallOver(attempt.id, Outcome.REJECTED))
+
+    def _skip_call(self, attempt: Attempt, _: api.SkipCall) -> None:
+        self.counters.add("skipped")
+        attempt.poorer = True
+        if not self._workers(attempt).go_on(attempt.id, attempt.call_no):
+            self.counters.add("dropped.pass")
+
+    def _keep(self, attempt: Attempt, action: api.Keep) -> None:
+        if attempt.unique is None:  # reads are kept only where answers may be shared
+            return
+        self.keys.keep(attempt, self.now_ms() + action.for_ms)
+        self.agreement.claimed(attempt)
+
+    def _forget(self, attempt: Attempt, _: api.Forget) -> None:
+        self._free(attempt)
+
+    def _stop(self, attempt: Attempt, _: api.Stop) -> None:
+        self.counters.add("dropped.stop")  # the worker pool has no such command
+
+    def _follow(self, attempt: Attempt, _: api.AnswerFromOriginal) -> None:
+        """Answer with the end of the try that it repeats, now or once that has ended."""
+        entry = self.keys.find(attempt)
+        self.counters.add("repeats")
+        attempt.kept = True
+        if self.attempts.ranks is not None:
+            self.attempts.ranks.left(attempt.id)
+        if entry is None:
+            self.pending.append(at.RunOver(attempt.id, Outcome.ERROR))
+        elif entry.outcome is not None:
+            self.pending.append(at.RunOver(attempt.id, entry.outcome, 0.0, entry.result))
+        else:
+            entry.followers.append(attempt.id)
+
+    def _free(self, attempt: Attempt) -> None:
+        """It never ran, so its key is free; those that waited for it never ran either."""
+        if not attempt.ran and self.keys.owned(attempt) is not None:
+            for follower in self.keys.forget(attempt):
+                self.pending.append(at.RunOver(follower, Outcome.REJECTED))
+            self.agreement.freed(attempt)
--- a/flintshift/interface.py
+++ b/flintshift/interface.py
@@ -266,18 +266,5 @@
     token: str
 
 
-Action = (
-    Run
-    | Stop
-    | Refuse
-    | Fail
-    | Call
-    | SkipCall
-    | Keep
-    | Forget
-    | AnswerFromOriginal
-    | SetHealth
-    | SetFreeValue
-    | CloseIdle
-    | WakeAt
-)
+RequestAction = Run | Stop | Refuse | Fail | Call | SkipCall | Keep | Forget | AnswerFromOriginal
+Action = RequestAction | SetHealth | SetFreeValue | CloseIdle | WakeAt
--- a/flintshift/lab/model.py
+++ b/flintshift/lab/model.py
@@ -62,7 +62,7 @@
         self.decisions = Decisions(
             Catalogue(settings, limits), 1, limits, self.counters, self.clock, self._wake_at, lambda: None
         )
-        self.decisions.workers = {"pool": self}
+        self.decisions.runs.workers = {"pool": self}
         self.fair: FairDoor | None = None
         if fair:
             self.fair = FairDoor(settings, limits, self.counters, self.clock)
@@ -135,7 +135,7 @@
             self.now = max(self.now, at_ms)
             if run:
                 self.busy -= 1
-                took_ms = self.took_ms[self.decisions.requests[name].class_name]
+                took_ms = self.took_ms[self.decisions.attempts.table[name].class_name]
                 self.decisions.handle(RunOver(name, api.Outcome.OK, took_ms, b"done"))
                 self._begin()
             else:
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -95,7 +95,7 @@
         )
         self.pool = PoolLink(config.pool, config.gauge_names, limits, counters, self.decisions.report, self.uniform)
         self.vault = VaultLink(config.vault, limits, counters, self.decisions.report, now_ms)
-        self.decisions.workers, self.decisions.below = {"pool": self.pool}, self.vault
+        self.decisions.runs.workers, self.decisions.runs.below = {"pool": self.pool}, self.vault
         self.names = NameService(config.naming, config.name, limits, counters)
         self.lists.append(self.names)
         self.fields = Fields(self.catalogue, limits, now_ms, now_ms.placed)
@@ -139,7 +139,7 @@
             self.pool.verify,
             self.uniform,
         )
-        self.decisions.workers = {"pool": self.pool, "apps": second.apps}
+        self.decisions.runs.workers = {"pool": self.pool, "apps": second.apps}
         self.lists.append(second.listed)
         self.fronts.append((second.front, options.listen))
         self.actors += second.actors
@@ -173,11 +173,11 @@
         self.door = ControlFront(self, self.limits, self.counters, self.now_ms)
         self.door.log = self.log
         self.upgrade = Upgrade(self)
-        self.decisions.claims = self.upgrade
+        self.decisions.agreement.claims = self.upgrade
         if self.copying is not None:
             from flintshift.lifecycle.agreeing import Agreeing
 
-            self.decisions.claims = Agreeing(self.upgrade, self.copying)
+            self.decisions.agreement.claims = Agreeing(self.upgrade, self.copying)
         for front, _ in self.fronts:
             front.leave()  # until it is known that this process takes the clients
 
@@ -196,7 +196,7 @@
         except UNUSABLE as error:
             raise ConfigError(f"the ledger of use can't be opened: {error}") from error
         books = self.books = Books(self.ledger, self.config.settings)
-        self.decisions.books = books
+        self.decisions.runs.books = books
         for front, _ in self.fronts:
             front.books = books
         self.actors.append(self.ledger.run)
@@ -228,7 +228,7 @@
         except UNUSABLE as error:
             raise ConfigError(f"the folder of copies can't be used: {error}") from error
         self.copying = copying
-        self.decisions.claims, self.decisions.elsewhere = copying, True
+        self.decisions.agreement.claims, self.decisions.agreement.elsewhere = copying, True
         self.actors.append(copying.run)
         self._show(options.folder / SOCKET, "copies", copying.shown, "how the copies stand")
 
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -16,7 +16,8 @@
 from flintshift.core import attempts as at
 from flintshift.core.attempts import Attempt
 from flintshift.core.counters import Counters
-from flintshift.core.decisions import Decisions, Part
+from flintshift.core.decisions import Decisions
+from flintshift.core.limit_share import LimitShare
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log
 from flintshift.handover.claims import GiveUp, GoOn, Say
@@ -283,7 +284,7 @@
             case LeaveClients():
                 self.node.leave_clients()
             case Keep(crowd, memory, calls, others):
-                self.decisions.keep_to(Part(crowd, memory, calls))
+                self.decisions.keep_to(LimitShare(crowd, memory, calls))
                 for front, _ in self.node.fronts:
                     front.others = others
             case Learn(learned):
--- a/tests/planning.py
+++ b/tests/planning.py
@@ -61,7 +61,7 @@
         self.planner = Decisions(
             Catalogue(settings, sizes), 1, sizes, Counters(), lambda: self.now, lambda at_ms, token: None, lambda: None
         )
-        self.planner.workers, self.planner.below = {"pool": self.ports}, self.ports
+        self.planner.runs.workers, self.planner.runs.below = {"pool": self.ports}, self.ports
         self.planner.handle(at.Up())
 
     def submit(self, request, class_name="look", **changes):
