Tell the planner which attempt's caller went, not which id: two may be open under one

Found by reading (the same id twice, docs/design/races.md): a second request under an id that is open is answered 409, but where its caller goes before the planner has taken it from the mailbox, front.exchange reported Departed(id), and Decisions._departed found the first attempt under that id and took its caller for gone. Caused by hand: submitted, submitted, departed, run over; the first was told nothing and counted as departed, though its caller waited.

Ruled out: the same by a waiting claim (agreement) and by a kept end had the same fault and are mended by the same line; reports of runs name ids that the worker pool has open once only.

Departed carries the attempt. The test in tests/core/test_repeats.py told no verdict before, now SERVED. FATES in that file are told by outcomes in place of reports, with the same six rows.

--- a/flintshift/core/agreement.py
+++ b/flintshift/core/agreement.py
@@ -60,15 +60,15 @@
         """Their word on it has come, or can't come any more; None where nobody waits for it."""
         return self.awaiting.pop(request, None)
 
-    def departed(self, request: str) -> Attempt | None:
-        """The caller of a waiting attempt went; None where none waits under this id. What has run stays until its end
-        is kept: its repeats are to get it."""
-        attempt = self.awaiting.pop(request, None)
-        if attempt is None:
-            return self.keeping.get(request)
+    def departed(self, attempt: Attempt) -> bool:
+        """The caller of an attempt went; False where it does not wait here. What has run stays until its end is kept:
+        its repeats are to get it."""
+        if self.awaiting.get(attempt.id) is not attempt:
+            return self.keeping.get(attempt.id) is attempt
+        del self.awaiting[attempt.id]
         if self.claims is not None:
-            self.claims.departed(request)
-        return attempt
+            self.claims.departed(attempt.id)
+        return True
 
     # What becomes of a key here.
 
--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -85,9 +85,9 @@
 
 @dataclass(slots=True)
 class Departed:
-    """The caller stopped waiting."""
+    """The caller stopped waiting. It names the attempt itself: two that are open may bear the same id."""
 
-    request: str
+    attempt: Attempt
 
 
 @dataclass(slots=True)
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -197,15 +197,12 @@
     # Reports of a request, wherever it stands.
 
     def _departed(self, report: at.Departed) -> api.Event | None:
-        waiting = self.agreement.departed(report.request)
-        if waiting is not None:
-            if not waiting.over:
-                self.attempts.leave(waiting)
-            return None
-        attempt = self.attempts.get(report.request)
-        if attempt is None or attempt.over:
+        attempt = report.attempt
+        if attempt.over:
             return None
         self.attempts.leave(attempt)
+        if self.agreement.departed(attempt) or self.attempts.get(attempt.id) is not attempt:
+            return None
         self.attempts.close(attempt)
         return api.CallerGone(attempt.id)
 
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -272,7 +272,7 @@
                 except BROKEN:
                     if self.books is not None:
                         self.books.departed(attempt, self.name)
-                    await self.decisions.report(Departed(attempt.id))
+                    await self.decisions.report(Departed(attempt))
                     return None
                 early += len(data)
                 more(data)
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -26,10 +26,10 @@
     node.submit("a")
     node.planner.handle(at.RunOver("a", Outcome.OK, 1.0, b"x"))
     node.planner.handle(at.RunOver("a", Outcome.ERROR))
-    node.planner.handle(at.Departed("a"))
+    node.leave("a")
     assert node.told["a"] == [Answer(Verdict.SERVED, b"x")]
     attempt = node.submit("b")
-    node.planner.handle(at.Departed("b"))
+    node.leave("b")
     node.planner.handle(at.RunOver("b", Outcome.OK))
     assert "b" not in node.told and not attempt.settle(Answer(Verdict.FAILED), 0.0)
 
@@ -113,7 +113,7 @@
     for request in held:
         node.submit(request, "pay", unique=request)
     waiting = next(request for request in held if request not in node.spawned())
-    node.planner.handle(at.Departed(waiting))
+    node.leave(waiting)
     assert ("pay", waiting) not in node.planner.keys.entries and not node.verdicts(waiting)
 
 
@@ -171,10 +171,11 @@
 def test_a_full_mailbox_refuses_new_work_and_keeps_room_for_the_rest():
     node = Planner(mailbox=4, mailbox_spare=2)
     told = []
-    for request in "abcd":
-        node.planner.submit(Attempt(request, "look", node.now, 1.0, 1, b"", tell=told.append))
+    attempts = [Attempt(request, "look", node.now, 1.0, 1, b"", tell=told.append) for request in "abcd"]
+    for attempt in attempts:
+        node.planner.submit(attempt)
     assert [answer.verdict for answer in told] == [Verdict.REFUSED, Verdict.REFUSED]
-    assert told[0].wait_ms == 800.0 and node.planner.mailbox.offer(at.Departed("a"))
+    assert told[0].wait_ms == 800.0 and node.planner.mailbox.offer(at.Departed(attempts[0]))
     box = Mailbox(1)
     assert (box.offer(1), box.offer(2), box.take_now(), box.take_now()) == (True, False, 1, None)
 
--- a/tests/core/test_repeats.py
+++ b/tests/core/test_repeats.py
@@ -26,29 +26,27 @@
     assert all(node.told[name][0].body == b"x" for name in ("a", "b", "c"))
 
 
-# What becomes of the first try while a repeat waits for it: events, and the verdicts of both.
+# What becomes of the first try while a repeat waits for it: how its run ends, whether its caller goes before, and the
+# verdicts of both.
 FATES = {
-    "it is served": ([at.RunOver("a", Outcome.OK, 1.0, b"x")], Verdict.SERVED, Verdict.SERVED),
-    "its run fails": ([at.RunOver("a", Outcome.ERROR)], Verdict.FAILED, Verdict.FAILED),
-    "its run is stopped": ([at.RunOver("a", Outcome.STOPPED)], Verdict.FAILED, Verdict.FAILED),
-    "it never ran": ([at.RunOver("a", Outcome.REJECTED)], Verdict.REFUSED, Verdict.REFUSED),
-    "its caller goes, and its run ends": (
-        [at.Departed("a"), at.RunOver("a", Outcome.OK, 1.0, b"x")],
-        None,
-        Verdict.SERVED,
-    ),
-    "its caller goes, and its run fails": ([at.Departed("a"), at.RunOver("a", Outcome.ERROR)], None, Verdict.FAILED),
+    "it is served": (Outcome.OK, False, Verdict.SERVED, Verdict.SERVED),
+    "its run fails": (Outcome.ERROR, False, Verdict.FAILED, Verdict.FAILED),
+    "its run is stopped": (Outcome.STOPPED, False, Verdict.FAILED, Verdict.FAILED),
+    "it never ran": (Outcome.REJECTED, False, Verdict.REFUSED, Verdict.REFUSED),
+    "its caller goes, and its run ends": (Outcome.OK, True, None, Verdict.SERVED),
+    "its caller goes, and its run fails": (Outcome.ERROR, True, None, Verdict.FAILED),
 }
 
 
 @pytest.mark.parametrize("fate", FATES)
 def test_a_repeat_shares_the_fate_of_the_first_try_that_it_waits_for(fate):
-    events, first, repeat = FATES[fate]
+    outcome, goes, first, repeat = FATES[fate]
     node = Planner()
     node.submit("a", "pay", unique="k")
     node.submit("b", "pay", unique="k", again=True)
-    for event in events:
-        node.planner.handle(event)
+    if goes:
+        node.leave("a")
+    ended(node, "a", outcome)
     assert node.spawned() == ["a"]
     assert node.verdicts("a") == ([first] if first else []) and node.verdicts("b") == [repeat]
 
@@ -84,7 +82,7 @@
     node.submit("a", "pay", unique="k")
     node.submit("b", "pay", unique="k", again=True)  # waits for the run of the first
     if gone:
-        node.planner.handle(at.Departed("a"))
+        node.leave("a")
     node.now += WINDOW_MS + MARGIN_MS + 1.0
     node.submit("c", "pay", unique="k")  # past the window, while the run goes on
     assert node.spawned() == ["a"]
@@ -129,3 +127,26 @@
         node.told["a"] = told
         node.submit("a", "pay", unique="k")
         assert [answer.verdict for answer in told] == [Verdict.CONFLICT] and not first.over
+
+
+@pytest.mark.parametrize("class_name", ["look", "pay"])
+@pytest.mark.parametrize("first_running", [True, False])
+def test_the_caller_of_a_second_try_under_an_open_id_goes_and_the_first_is_answered_all_the_same(
+    class_name, first_running
+):
+    node, unique = Planner(), "k" if class_name == "pay" else None
+    node.ports.room = first_running  # else its spawn finds no room, and it is refused once that is told
+    told: list[Verdict] = []
+
+    def attempt(tell):
+        return at.Attempt("a", class_name, node.now, 10.0, 1, b"", unique=unique, tell=tell)
+
+    first, second = attempt(lambda answer: told.append(answer.verdict)), attempt(lambda answer: None)
+    # All three are read before the planner has its turn, as it happens while its mailbox is not empty.
+    for report in (at.Submitted(first), at.Submitted(second), at.Departed(second)):
+        node.planner.handle(report)
+    if first_running:
+        assert second.answer is not None and second.answer.verdict is Verdict.CONFLICT and not first.gone
+        ended(node, "a")
+    assert told == [Verdict.SERVED if first_running else Verdict.REFUSED]
+    assert node.planner.open == 0
--- a/tests/planning.py
+++ b/tests/planning.py
@@ -40,6 +40,7 @@
 class Planner:
     def __init__(self, **limits):
         self.now, self.told, self.ports = 1_000_000.0, {}, Ports()
+        self.attempts = {}  # by id, the one submitted last
         kinds = [
             api.RequestClass("look", 500.0, 900.0, 1.0, api.Effect.SAFE, calls=True, skip_worth=0.5),
             api.RequestClass("pay", 500.0, 900.0, 1.0, api.Effect.KEYED, repeat_window_ms=2000.0, calls=True),
@@ -75,9 +76,14 @@
             **changes,
             tell=lambda answer: self.told.setdefault(request, []).append(answer),
         )
+        self.attempts[request] = attempt
         self.planner.handle(at.Submitted(attempt))
         return attempt
 
+    def leave(self, request):
+        """The caller of that attempt goes."""
+        self.planner.handle(at.Departed(self.attempts[request]))
+
     def verdicts(self, request):
         return [answer.verdict for answer in self.told.get(request, [])]
 
--- a/tests/wire/fronted.py
+++ b/tests/wire/fronted.py
@@ -44,7 +44,7 @@
 
     async def report(self, report) -> None:
         if isinstance(report, Departed):
-            self.departed.append(report.request)
+            self.departed.append(report.attempt.id)
 
 
 class Fronted:
