--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -298,5 +298,11 @@
 
     @property
     def open(self) -> int:
-        """Requests read and not over."""
+        """Requests read and not over, and reports of which some may bring about an answer."""
         return self.attempts.unanswered + self.agreement.open + len(self.mailbox)
+
+    @property
+    def unanswered(self) -> int:
+        """Requests read and not over."""
+        submitted = sum(isinstance(report, at.Submitted) for report in self.mailbox.items)
+        return self.attempts.unanswered + self.agreement.open + submitted
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 from collections.abc import AsyncIterator, Callable, Coroutine
-from dataclasses import replace
+from dataclasses import asdict, replace
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -23,6 +23,7 @@
 from flintshift.lifecycle.clock import Clock
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.lifecycle.drain import Drain
+from flintshift.lifecycle.leftovers import leftovers
 from flintshift.settings.options import (
     CopiesOptions,
     DoorOptions,
@@ -277,7 +278,17 @@
                 raise self.failed
             if self.starting is not None:
                 self.starting.well()
-            self.log("info", "node.left", open=self.drain.open())
+            self._leave_nothing()
+            self.log("info", "node.left", open=self.decisions.unanswered)
+
+    def _leave_nothing(self) -> None:
+        """Tell of what outlives its owner at the exit: it is a fault of the program, or the kill was near."""
+        left = leftovers([front for front, _ in self.fronts], self.decisions)
+        for name, count in asdict(left).items():
+            if count:
+                self.counters.add(f"left.{name}", count)
+        if not left.none:
+            self.log("error", "node.left_behind", **asdict(left))
 
     async def _serve(self, received: AsyncIterator[signal.Signals]) -> None:
         listeners: list[Acceptor] = []
--- a/tests/lifecycle/test_drains.py
+++ b/tests/lifecycle/test_drains.py
@@ -58,7 +58,9 @@
 
 
 def balanced(counters):
-    """Each request that was handed over ended in one way, and each way is counted."""
+    """Each request that was handed over ended in one way, each way is counted, and nothing is left at the exit."""
+    if any(name.startswith("left.") for name in counters):
+        return False
     read = sum(count for name, count in counters.items() if name.endswith(".requests"))
     ended = sum(count for name, count in counters.items() if name.startswith("answered."))
     return read == ended + counters.get("departed", 0)
