Turn down numbers past the range of a float, and escape a node's name in its reports

Found by trying 23 bad values at each of the 87 places of a platform's file: 10**400 raised an OverflowError in shape._number (math.isfinite takes it for a float) at 34 places, which is no ConfigError, so SIGHUP with such a file ended a serving node.

A name with a space made h11 raise in the reports' task, and one that is not printable can't be sent at all: the first is escaped, the second told as a fault.

--- a/flintshift/settings/shape.py
+++ b/flintshift/settings/shape.py
@@ -20,12 +20,20 @@
     return text if len(text) <= 40 else f"{text[:37]}..."
 
 
+def _finite(value: float) -> bool:
+    """Also of a whole number, which JSON may bring with more digits than a float can hold."""
+    try:
+        return isfinite(value)
+    except OverflowError:
+        return False
+
+
 def _number(least: float, above: bool = False, whole: bool = False) -> Check:
     bound = f"{'above' if above else 'of at least'} {least:g}"
     expected = f"a {'whole ' * whole}number {bound}"
 
     def check(value: Any) -> str | None:
-        fits = isinstance(value, int | float) and not isinstance(value, bool) and isfinite(value)
+        fits = isinstance(value, int | float) and not isinstance(value, bool) and _finite(value)
         fits = fits and (value > least if above else value >= least) and (not whole or value == int(value))
         return None if fits else f"{_shown(value)} is not {expected}"
 
@@ -46,7 +54,8 @@
 
 
 def _text(value: Any) -> str | None:
-    return None if isinstance(value, str) and value else f"{_shown(value)} is not a text"
+    fits = isinstance(value, str) and value and value.isprintable()
+    return None if fits else f"{_shown(value)} is not a text"
 
 
 def _address(value: Any) -> str | None:
--- a/flintshift/wire/names.py
+++ b/flintshift/wire/names.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from urllib.parse import quote
 
 import anyio
 import h11
@@ -40,7 +41,7 @@
     async def _put(self, stream: SocketStream, body: bytes, sent: anyio.Event) -> bool:
         conn = h11.Connection(h11.CLIENT)
         headers = [("Host", f"{self.to[0]}:{self.to[1]}"), ("Content-Length", str(len(body))), ("Connection", "close")]
-        request = h11.Request(method="PUT", target=f"/ns/hosts/{self.name}", headers=headers)
+        request = h11.Request(method="PUT", target=f"/ns/hosts/{quote(self.name)}", headers=headers)
         await stream.send(
             b"".join(conn.send(event) or b"" for event in (request, h11.Data(data=body), h11.EndOfMessage()))
         )
--- a/tests/wire/test_name_service.py
+++ b/tests/wire/test_name_service.py
@@ -32,3 +32,11 @@
     await names.stop()
     assert time.time() - began < 0.95 and not counters["names.not_taken"]  # 1.0 s with a wait after each
     assert not await service.report(True) and counters["names.not_taken"] == 1
+
+
+async def test_a_name_that_no_target_may_hold_is_reported_in_its_escaped_form():
+    names, counters = Names(tells=True), Counters()
+    await names.start()
+    assert await NameService(("127.0.0.1", names.port), "desk 3/a", Limits(), counters).report(True)
+    assert names.log.entries[-1] == ("/ns/hosts/desk%203/a", "yes")
+    await names.stop()
