Take reconfiguration and the wait for an address out of the node's wiring

What a SIGHUP does stands in lifecycle/reconfiguration.py, given the parts it changes; parts that follow the settings (ledger of use, fair queues) say refuses() and change(). Waiting for an address in use stands beside listening(). No behaviour changes.

--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -56,7 +56,7 @@
             [*classes, *(kind.name for kind in settings.classes if kind.name not in classes)],
         )
 
-    def too_many(self, settings: api.Settings) -> str | None:
+    def refuses(self, settings: api.Settings) -> str | None:
         """Why these settings can't be booked in this life."""
         clubs, classes = self._with(settings)
         rows = (len(clubs) + 1) * len(classes)
--- a/flintshift/lifecycle/fair_door.py
+++ b/flintshift/lifecycle/fair_door.py
@@ -68,6 +68,10 @@
             "bytes_at_most": self.shares.places * PLACE_BYTES,
         }
 
+    def refuses(self, settings: api.Settings) -> str | None:
+        """It can go by any settings that the decisions take."""
+        return None
+
     def change(self, settings: api.Settings) -> None:
         self.shares.handle(self.now_ms(), weighed(settings))
         self._tell(self.surges.weigh(self.now_ms(), self.shares.weights))
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import random
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator, Callable, Coroutine
-from dataclasses import asdict, replace
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -24,6 +22,7 @@
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.lifecycle.drain import Drain
 from flintshift.lifecycle.leftovers import leftovers
+from flintshift.lifecycle.reconfiguration import Reconfiguration
 from flintshift.settings.options import (
     CopiesOptions,
     DoorOptions,
@@ -34,9 +33,8 @@
     UsageOptions,
     UwsgiOptions,
 )
-from flintshift.settings.shape import lost
 from flintshift.startup.registration import ListService, Registration
-from flintshift.wire.acceptor import Acceptor, listening
+from flintshift.wire.acceptor import Acceptor, listening, listening_once_free
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
@@ -58,15 +56,11 @@
     from flintshift.wire.control_front import ControlFront
 
 
-STANDING = ("name", "listen", "control", "seed", "limits", "gauge_names", "operators")
-"""Of a configuration: what a running node can't change. A new one that differs in it is taken without it."""
-
-
 class Node:
     """One process of a results node: its parts, wired by the configuration, from its start to its end."""
 
     def __init__(self, config: Config, reread: Callable[[], Config]) -> None:
-        self.config, self.limits, self.reread = config, config.limits, reread
+        self.config, self.limits = config, config.limits
         self.now_ms, self.counters = Clock(), Counters()
         self.log: Log = silent
         self.leave = anyio.Event()
@@ -79,6 +73,7 @@
         self.fronts: list[tuple[Front, tuple[str, int]]] = []
         self._wire_platform()
         self._wire_operators(config.operators)
+        self.reconfiguration = self._reconfiguration(reread)
         self.registration = Registration(self.lists, self.limits, config.settings.servers, self.uniform)
         self.drain = Drain([front for front, _ in self.fronts], self.decisions, self.limits, self.now_ms)
         if config.operators.startup is not None:
@@ -126,6 +121,21 @@
         if options.peers is not None and options.copies is not None:
             self._keep_copies(options.peers, options.copies)
 
+    def _reconfiguration(self, reread: Callable[[], Config]) -> Reconfiguration:
+        reconfiguration = Reconfiguration(
+            reread,
+            self.decisions,
+            self.pool,
+            self.vault,
+            self.names,
+            self.tell_lists,
+            self.counters,
+            self.log,
+            self.warn,
+        )
+        reconfiguration.followers += [part for part in (self.books, self.fair) if part is not None]
+        return reconfiguration
+
     def _open_second_front(self, options: UwsgiOptions) -> None:
         from flintshift.lifecycle.second_front import second_front
 
@@ -357,54 +367,10 @@
                 case signal.SIGUSR1:
                     self.print_counters()
                 case signal.SIGHUP:
-                    self._reload()
+                    self.config = self.reconfiguration.reload(self.config)
                 case _:
                     leave.set()
 
-    def _reload(self) -> None:
-        """Take the configuration as it stands now, the whole of it or nothing; what is open goes on as it was."""
-        try:
-            config = self.reread()
-            self._change(config)
-        except ConfigError as error:
-            self.warn(f"the configuration stays: {error}")
-            self.log("error", "node.configuration_stays", cause=str(error))
-            self.counters.add("reload.unreadable")
-            return
-        self.counters.add("reload.taken")
-        self.log("info", "node.configuration_taken", classes=sorted(self.catalogue.kinds))
-        if config.pool != self.pool.to:
-            self.pool.move(config.pool)
-        self.vault.move(config.vault)
-        if config.naming != self.names.to:
-            self.names.move(config.naming)
-            if self.decisions.posture.up:
-                self.tell_lists()
-
-    def _change(self, config: Config) -> None:
-        """Go by other settings.
-
-        Raises:
-            ConfigError: they can't be taken, and nothing of them was.
-        """
-        missing = lost(config.told, self.config.told)
-        if missing is not None:
-            raise ConfigError(missing)
-        wrong = self.books.too_many(config.settings) if self.books is not None else None
-        wrong = wrong or self.decisions.change(config.settings)
-        if wrong is not None:
-            raise ConfigError(wrong)
-        if self.books is not None:
-            self.books.change(config.settings)
-        if self.fair is not None:
-            self.fair.change(config.settings)
-        for name in STANDING:
-            if getattr(config, name) != getattr(self.config, name):
-                text = f"{name} stays as it was at the start: it can't change while the node runs"
-                self.warn(text)
-                self.log("warning", "node.setting_stays", setting=name)
-        self.config = replace(config, **{name: getattr(self.config, name) for name in STANDING})
-
     @staticmethod
     def warn(text: str) -> None:
         with contextlib.suppress(OSError):  # a full disk under the log must not end the node
@@ -481,22 +447,10 @@
 
     async def _listeners(self) -> list[Acceptor]:
         if self.upgrade is None:
-            return [Acceptor(await self._listening(at)) for _, at in self.fronts]
+            return [Acceptor(await listening_once_free(at, self.limits, self.now_ms)) for _, at in self.fronts]
         await self.upgrade.begin()
         return [Acceptor(raw) for raw in self.upgrade.sockets]
 
-    async def _listening(self, at: tuple[str, int]) -> socket.socket:
-        """Listen at an address; a process that was killed there may hold it for a moment longer."""
-        latest_ms = self.now_ms() + self.limits.bind_most_ms
-        while True:
-            try:
-                return listening(at, self.limits.backlog)
-            except OSError as error:
-                if error.errno != errno.EADDRINUSE or self.now_ms() >= latest_ms:
-                    text = f"{error.strerror}: {at[0]}:{at[1]}; end the process that listens there, or change `listen`"
-                    raise OSError(error.errno, text) from error
-            await anyio.sleep(self.limits.bind_again_ms / 1000)
-
     def print_counters(self) -> None:
         with contextlib.suppress(OSError):  # a full disk under the log must not end the node
             print(self.counters.line(self.config.name), file=sys.stderr, flush=True)
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -17,6 +18,8 @@
 from anyio._backends._asyncio import StreamProtocol
 from anyio.abc import SocketStream, TaskGroup
 
+from flintshift.core.limits import Limits
+
 BATCH = 64  # accepted in one turn
 
 
@@ -104,3 +107,20 @@
         raw.close()
         raise
     return raw
+
+
+async def listening_once_free(at: tuple[str, int], limits: Limits, now_ms: Callable[[], float]) -> socket.socket:
+    """Listen at an address; a process that was killed there may hold it for a moment longer.
+
+    Raises:
+        OSError: it can't be listened at, or is not free in time.
+    """
+    latest_ms = now_ms() + limits.bind_most_ms
+    while True:
+        try:
+            return listening(at, limits.backlog)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or now_ms() >= latest_ms:
+                text = f"{error.strerror}: {at[0]}:{at[1]}; end the process that listens there, or change `listen`"
+                raise OSError(error.errno, text) from error
+        await anyio.sleep(limits.bind_again_ms / 1000)
