--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -1,4 +1,4 @@
-"""What all links to peers share: an address that nothing can be reached at is a broken link, whatever is wrong with it."""
+"""What all links to peers share: where an address can't be reached, the link is broken, whatever is wrong with it."""
 
 from __future__ import annotations
 
