--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -1,9 +1,8 @@
 """The copies at the node's side: the hearts of `copies/` and `peers/`, their disk, their links, their clock, and the
 decision planner's port. Imported only where copies are on.
 
-Everything happens in turns of one event loop. What holders are asked in one turn is written by one call of the
-system and voted on after it (and after a sync, with durability power-cut); what the planner is to hear goes
-through its mailbox.
+Everything happens in turns of one event loop; what the planner is to hear goes through its mailbox. This member's own
+store is held by `lifecycle/replica_store.py`.
 """
 
 from __future__ import annotations
@@ -20,11 +19,9 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
-from msgspec import structs
 
 from flintshift.copies import logs
 from flintshift.copies.messages import (
-    NO_BALLOT,
     Action,
     Ask,
     Claim,
@@ -45,15 +42,13 @@
     Tick,
     Told,
     TookOver,
-    Verdict,
     Vote,
     Voted,
 )
 from flintshift.copies.placement import Placement
 from flintshift.copies.proposals import Proposals
-from flintshift.copies.refill import FillAsk, Page, Refill, page
-from flintshift.copies.registers import Entry, HolderBounds, Registers
-from flintshift.copies.store import CopiesFolder, boot_id
+from flintshift.copies.refill import FillAsk, Page
+from flintshift.copies.store import boot_id
 from flintshift.core import attempts as at
 from flintshift.core.attempts import Attempt
 from flintshift.core.counters import Counters
@@ -63,16 +58,15 @@
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log
 from flintshift.interface import Outcome
+from flintshift.lifecycle.replica_store import ReplicaStore
 from flintshift.peers import members as who
 from flintshift.proto import peers_pb2 as pb
 from flintshift.settings.options import CopiesOptions, PeersOptions, UsageOptions
 from flintshift.startup.backoff import Uniform
 from flintshift.startup.permits import Permit, PermitAsk
 from flintshift.storage.files import DiskFiles, Files, LockedError
-from flintshift.storage.log import BrokenError
 from flintshift.storage.snapshot import DamagedError
 from flintshift.wire.acceptor import listening
-from flintshift.wire.peer_codec import entry_bytes, entry_from
 from flintshift.wire.peer_link import Greeting, OutLink, PeerFront
 
 if TYPE_CHECKING:
@@ -83,10 +77,7 @@
 UNUSABLE = (OSError, LockedError, DamagedError)
 SOON_MS = 5.0  # a proposal's time may be passed by so much
 TICK_MS = 50.0  # of who lives, takeovers and refills
-PURGE_MS = 1000.0
 STAGGER_MS = 400.0  # between two holders' takeover of one claim
-TURN_MS = 30_000.0  # a segment of the log is used for so long at the most
-REOPEN_MS = 1000.0  # between two tries to write again after the disk refused
 
 
 def members_digest(options: PeersOptions) -> bytes:
@@ -121,12 +112,9 @@
         self.draw = random.Random()
         halls = {member: hall for member, (hall, _) in peers.members.items()}
         self.placement = Placement(halls, options.copies)
-        self.files, now = files or DiskFiles(), self._now()
-        others = [member for member in halls if member != name]
-        self.refill: Refill | None = None
-        self.folder: CopiesFolder | None = None  # None: another process of this member has it
-        self.registers = Registers(name, 0, self.placement, self._bounds(), False, math.inf)
-        self.members = who.Members(self.identity, halls, who.Pace(peers.beat_ms, peers.lease_ms), now)
+        self.files = files or DiskFiles()
+        self.store = ReplicaStore(self, name, self.placement, options, self.files, self._now, counters, log)
+        self.members = who.Members(self.identity, halls, who.Pace(peers.beat_ms, peers.lease_ms), self._now())
         self.proposals = Proposals(self.identity, self.placement, self._lives, self.draw)
         greeting = self.greeting = Greeting(name, self.identity, peers.epoch, members_digest(peers))
         self.links = {
@@ -136,7 +124,7 @@
                 limits,
                 counters,
                 greeting,
-                self._stores,
+                self.store.known_stores,
                 self._answered,
                 self._up,
                 self._down,
@@ -145,31 +133,22 @@
             for member, (_, address) in {**peers.members, name: (halls[name], peers.listen)}.items()
         }
         self.front = PeerFront(
-            limits, counters, greeting, list(halls), self._stores, self._asked, self._met, self._refused
+            limits, counters, greeting, list(halls), self.store.known_stores, self._asked, self._met, self._refused
         )
         self.listen = peers.listen
-        self.entries: list[Entry] = []  # not written yet
-        self.votes: list[tuple[str, Vote, Key]] = []  # that leave once these are
-        self.flushing = False
-        self.unsynced: deque[tuple[str, Vote, Key]] = deque()
-        self.sync_wanted = anyio.Event()
         self.timer: asyncio.TimerHandle | None = None
         self.timer_ms = math.inf
         self.words: deque[Action] = deque()  # for the planner
         self.worded = anyio.Event()
         self.keys: dict[str, Key] = {}  # of tries that wait for the holders' word
         self.in_turn = False  # of the planner
-        self.sick_ms: float | None = None  # when the disk was last tried after it refused
-        self.turned_ms = self.purged_ms = now
         self.reached: set[str] = set()
         self.not_linked: dict[str, str] = {}  # why, last
         self.taken_over: dict[Key, str] = {}  # claims of dead runners, settled here: they may have run
-        self.others = others
-        self.holding = anyio.Event()  # this process holds the copies
         self.use: UseCopies | None = None  # the ledgers of use
         self.permits: StartPermits | None = None
         try:
-            self._hold_copies()
+            self.store.open()
         except LockedError:
             if not guest:
                 raise
@@ -227,52 +206,6 @@
         )
         return permits
 
-    def _bounds(self) -> HolderBounds:
-        return HolderBounds(self.options.keys, self.options.bytes, self._window_ms())
-
-    def _hold_copies(self) -> None:
-        """Hold what stands in the folder.
-
-        Raises:
-            OSError, LockedError: it can't be used.
-        """
-        self.folder = CopiesFolder(
-            self.files,
-            self.options.folder,
-            self.name,
-            time.time() * 1000,
-            boot_id(),
-            self.options.durability == "power-cut",
-            entry_bytes,
-            self._unpacked,
-        )
-        found, state, now = self.folder.found, self.folder.state, self._now()
-        before = self.registers.stores
-        self.registers = Registers(
-            self.name,
-            state.incarnation,
-            self.placement,
-            self._bounds(),
-            state.votes,
-            now + self._window_ms() if not state.votes else 0.0,
-        )
-        self.registers.stores |= {member: store for member, store in before.items() if member != self.name}
-        for entry in found.entries:
-            self.registers.take(now, entry)
-        self.refill = None if state.votes else Refill(self.others)
-        self.log(
-            "info",
-            "copies.opened",
-            folder=str(self.options.folder),
-            identity=self.identity,
-            store=state.incarnation,
-            keys=len(found.entries),
-            votes=state.votes,
-            cause=found.why_empty,
-        )
-        self._event(Reach(self.name, True, state.incarnation))
-        self.holding.set()
-
     @staticmethod
     def _now() -> float:
         return time.monotonic() * 1000
@@ -280,11 +213,18 @@
     def _lives(self, runner: str) -> bool:
         return self.members.lives(runner, self._now())
 
-    def _unpacked(self, data: bytes) -> tuple[Entry, float]:
-        return entry_from(data)
+    # What the store needs of its host.
+
+    def tell(self, event: Event) -> None:
+        """The proposals of this process hear of this."""
+        self._event(event)
 
-    def _window_ms(self) -> float:
-        """From a try's arrival until nothing is promised of it any more."""
+    def send(self, identity: str, word: Vote | Ended) -> None:
+        """Send to another process that asked."""
+        self.front.send(identity, word)
+
+    def keep_for_ms(self) -> float:
+        """From a try's arrival until nothing is promised of it any more, for the longest class."""
         settings = self.decisions.catalogue.decided
         longest = max((kind.repeat_window_ms + kind.deadline_ms for kind in settings.classes), default=0.0)
         return longest + self.limits.key_margin_ms + self.limits.key_late_ms + self.limits.clock_skew_ms
@@ -399,7 +339,7 @@
 
     def shown(self) -> dict[str, Any]:
         """How the copies and the other members stand, for operators."""
-        now, registers = self._now(), self.registers
+        now, registers = self._now(), self.store.registers
         processes: dict[str, list[dict[str, Any]]] = {}
         for identity, one in self.members.processes.items():
             processes.setdefault(who.member_of(identity), []).append(
@@ -413,10 +353,10 @@
             "member": self.name,
             "identity": self.identity,
             "epoch": self.greeting.epoch,
-            "holds": self.folder is not None,
+            "holds": self.store.folder is not None,
             "store": registers.store,
             "votes": registers.full_vote,
-            "disk": "refuses" if self.sick_ms else "takes",
+            "disk": "refuses" if self.store.sick_ms else "takes",
             "votes_in_ms": 0 if registers.full_vote else max(0, round(registers.voting_from_ms - now)),
             "filled_by": sorted(registers.filled_by),
             "keys": len(registers.table),
@@ -454,8 +394,8 @@
     def _event(self, event: Event) -> None:
         for action in self.proposals.handle(self._now(), event):
             match action:
-                case Send(to, ask) if to == self.name and self.folder is not None:
-                    self._hold(self.identity, ask)
+                case Send(to, ask) if to == self.name and self.store.folder is not None:
+                    self.store.vote(self.identity, ask)
                 case Send(to, ask):
                     self.links[to].send(ask, self._now(), True)
                 case TookOver(key, value):
@@ -518,36 +458,12 @@
 
     # What others ask, and what they answer.
 
-    def _stores(self, member: str) -> tuple[int, int]:
-        return self.registers.store, self.registers.stores.get(member, 0)
-
     def _met(self, member: str, told: pb.Hello) -> None:
         """Either end of a link said hello."""
-        if told.store > self.registers.stores.get(member, 0):
-            self.registers.stores[member] = told.store
-        if self.folder is not None and told.known_store > self.registers.store and member != self.name:
-            self._outlived(member, told.known_store)
+        self.store.met(member, told.store, told.known_store)
         self._members(who.Heard(told.identity))
         self.links[member].hurry()
 
-    def _outlived(self, member: str, known: int) -> None:
-        """Another knows this member by a newer store: what stands here is older than what it promised since."""
-        self.log(
-            "error",
-            "copies.store_outlived",
-            store=self.registers.store,
-            known=known,
-            by=member,
-            cause="this disk is not the one that this member used last; it is emptied and filled again",
-        )
-        self.registers = Registers(
-            self.name, known + 1, self.placement, self.registers.bounds, False, self._now() + self._window_ms()
-        )
-        self.refill = Refill(self.others)
-        assert self.folder is not None
-        self.folder.write_state(structs.replace(self.folder.state, incarnation=known + 1, votes=False))
-        self._event(Reach(self.name, True, known + 1))
-
     def _refused(self, cause: str) -> None:
         self.log("warning", "peers.link_refused", cause=cause)
 
@@ -556,11 +472,9 @@
         for word in words:
             match word:
                 case Ask():
-                    self._hold(identity, word)
+                    self.store.vote(identity, word)
                 case FillAsk():
-                    told = page(self._now(), self.registers, member, word)
-                    self.counters.add("copies.pages")
-                    self.front.send(identity, told)
+                    self.front.send(identity, self.store.page_for(member, word))
                 case who.Accused():
                     self._members(word)
                 case PermitAsk() if self.permits is not None:
@@ -570,67 +484,6 @@
                 case _ if self.use is not None:
                     self.use.asked(identity, word)
 
-    def _hold(self, identity: str, ask: Ask) -> None:
-        """Vote; what changes is written before the vote leaves."""
-        vote, entry = self.registers.vote(self._now(), ask)
-        if self.sick_ms is not None:  # no vote leaves that does not stand on the disk
-            vote, entry = absent(vote), None
-        if entry is not None:
-            self.entries.append(entry)
-        self.votes.append((identity, vote, ask.key))
-        self._flush_soon()
-
-    def _flush_soon(self) -> None:
-        if not self.flushing:
-            self.flushing = True
-            asyncio.get_running_loop().call_soon(self._flush)
-
-    def _flush(self) -> None:
-        self.flushing = False
-        entries, self.entries = self.entries, []
-        votes, self.votes = self.votes, []
-        if entries and not self._written(entries):
-            votes = [(identity, absent(vote), key) for identity, vote, key in votes]
-            entries = []
-        if entries and self.options.durability == "power-cut":
-            self.unsynced.extend(votes)
-            self.sync_wanted.set()
-        else:
-            self._let_go(votes)
-
-    def _written(self, entries: list[Entry]) -> bool:
-        assert self.folder is not None
-        try:
-            self.folder.write(entries, time.time() * 1000)
-        except (OSError, BrokenError) as error:
-            self._refuses(error)
-            return False
-        return True
-
-    def _refuses(self, error: Exception) -> None:
-        if self.sick_ms is None:
-            self.counters.add("copies.disk_refused")
-            self.log(
-                "error",
-                "copies.disk_refuses",
-                cause=str(error),
-                text="this member does not vote until its disk takes what it promises",
-            )
-            self.sick_ms = self._now()
-            self._event(Reach(self.name, False, 0))
-
-    def _let_go(self, votes: list[tuple[str, Vote, Key]]) -> None:
-        for identity, vote, key in votes:
-            if identity == self.identity:
-                self._event(Voted(self.name, vote))
-            else:
-                self.front.send(identity, vote)
-            for follower in self.registers.ended(key):
-                if follower == self.identity:
-                    self._event(Ended(key))
-                else:
-                    self.front.send(follower, Ended(key))
-
     def _answered(self, member: str, identity: str, words: list[Any]) -> None:
         self._members(who.Heard(identity))
         for word in words:
@@ -639,8 +492,8 @@
                     self._event(Voted(member, word))
                 case Ended():
                     self._event(word)
-                case Page() if self.refill is not None:
-                    self._fill(member, word)
+                case Page():
+                    self.store.fill(member, word)
                 case logs.At() if self.use is not None:
                     self.use.answered(member, word)
                 case Permit() if self.permits is not None:
@@ -658,43 +511,19 @@
             self.use.reach(member, True)
 
     def _down(self, member: str, cause: str) -> None:
-        if member == self.name and self.folder is not None:
+        if member == self.name and self.store.folder is not None:
             return
         if member in self.reached:
             self.reached.discard(member)
             self.log("warning", "peers.link_down", name=member, cause=cause, reached=len(self.reached))
             self._event(Reach(member, False, 0))
-            if self.refill is not None:
-                self.refill.link_lost(member)
+            self.store.link_lost(member)
             if self.use is not None:
                 self.use.reach(member, False)
         elif member != self.name and self.not_linked.get(member) != cause:  # told once for each cause, not for each try
             self.not_linked[member] = cause
             self.log("warning", "peers.not_linked", name=member, cause=cause)
 
-    def _fill(self, member: str, told: Page) -> None:
-        assert self.refill is not None and self.folder is not None
-        before = self.registers.store
-        changed = self.refill.told(self._now(), self.registers, member, told)
-        self.counters.add("copies.filled_keys", len(changed))
-        if changed and not self._written(changed):
-            return
-        if self.registers.store != before:
-            self.folder.write_state(structs.replace(self.folder.state, incarnation=self.registers.store))
-            self._event(Reach(self.name, True, self.registers.store))
-        if told.done and told.counts:
-            self.log("info", "copies.filled_by", name=member, keys=len(self.registers.table))
-        if self.registers.full_vote:
-            self._filled("a majority of the holders of each of its keys has told what it knows")
-
-    def _filled(self, cause: str) -> None:
-        assert self.folder is not None
-        self.refill = None
-        self.registers.full_vote = True
-        self.folder.log.sync()
-        self.folder.write_state(structs.replace(self.folder.state, votes=True))
-        self.log("info", "copies.votes", keys=len(self.registers.table), cause=cause)
-
     # The actor.
 
     async def run(self) -> None:
@@ -703,11 +532,11 @@
             for member, link in self.links.items():
                 if member != self.name:
                     tasks.start_soon(link.run)
-            if self.folder is None:
+            if self.store.folder is None:
                 tasks.start_soon(self._visit)
             tasks.start_soon(self._bring)
             if self.options.durability == "power-cut":
-                tasks.start_soon(self._sync)
+                tasks.start_soon(self.store.sync)
             if self.use is not None:
                 tasks.start_soon(self.use.run)
             try:
@@ -719,12 +548,11 @@
                     self.timer.cancel()
                 if self.use is not None:
                     self.use.close()
-                if self.folder is not None:
-                    self.folder.close()
+                self.store.close()
 
     async def _listen(self) -> None:
         """Where the others ask, once this process holds the copies."""
-        await self.holding.wait()
+        await self.store.holding.wait()
         while True:
             try:
                 raw = listening(self.listen, self.limits.backlog)
@@ -739,11 +567,11 @@
         """Ask the process that holds the copies, until it has ended; then hold them."""
         async with anyio.create_task_group() as visit:
             visit.start_soon(self.links[self.name].run)
-            while self.folder is None:
+            while self.store.folder is None:
                 await anyio.sleep(self.limits.bind_again_ms / 1000)
                 if self.name not in self.reached:
                     try:
-                        self._hold_copies()
+                        self.store.open()
                     except LockedError:  # it has not ended yet
                         pass
                     except OSError as error:
@@ -760,21 +588,6 @@
                 await self.worded.wait()
             await self.decisions.report(at.Told(self.words.popleft()))
 
-    async def _sync(self) -> None:
-        while True:
-            while not self.unsynced:
-                self.sync_wanted = anyio.Event()
-                await self.sync_wanted.wait()
-            votes = list(self.unsynced)
-            self.unsynced.clear()
-            try:
-                assert self.folder is not None
-                await anyio.to_thread.run_sync(self.folder.log.sync)
-            except (OSError, BrokenError) as error:
-                self._refuses(error)
-                votes = [(identity, absent(vote), key) for identity, vote, key in votes]
-            self._let_go(votes)
-
     def _tick(self) -> None:
         now = self._now()
         for link in self.links.values():
@@ -784,47 +597,14 @@
             self.use.tick()
         if self.permits is not None:
             self.permits.tick()
-        if self.folder is None:
-            return
-        if self.sick_ms is not None:
-            if now >= self.sick_ms + REOPEN_MS:
-                self._reopen(now)
+        if self.store.folder is None or not self.store.usable(now):
             return
-        if self.refill is not None:
-            if now >= self.registers.voting_from_ms:
-                self._filled("a whole window has passed: nothing from before is still promised")
-            else:
-                for member, ask in self.refill.due(now, self.registers.store, self.reached):
-                    self.links[member].send(ask, now, False)
-        for key, owner in self.registers.orphans(now, self._lives, STAGGER_MS):
+        for member, ask in self.store.asks(now, self.reached):
+            self.links[member].send(ask, now, False)
+        for key, owner in self.store.registers.orphans(now, self._lives, STAGGER_MS):
             if key not in self.proposals.under_way:
                 self._event(TakeOver(key, owner))
-        if now >= self.purged_ms + PURGE_MS:
-            self.purged_ms = now
-            self.registers.purge(now)
-            if self.folder.log.size >= self.options.segment_bytes or now >= self.turned_ms + TURN_MS:
-                self.turned_ms = now
-                try:
-                    self.folder.turn(time.time() * 1000)
-                except (OSError, BrokenError) as error:
-                    self._refuses(error)
-
-    def _reopen(self, now: float) -> None:
-        assert self.folder is not None
-        self.sick_ms = now
-        try:
-            self.folder.reopen(self.registers.entries(now), time.time() * 1000)
-        except (OSError, BrokenError) as error:
-            self.log("error", "copies.disk_still_refuses", cause=str(error))
-            return
-        self.sick_ms = None
-        self.log("warning", "copies.disk_takes_again", keys=len(self.registers.table))
-        self._event(Reach(self.name, True, self.registers.store))
-
-
-def absent(vote: Vote) -> Vote:
-    """In its place, where this holder can't vote."""
-    return Vote(vote.number, Verdict.ABSENT, NO_BALLOT, NO_BALLOT, None, vote.stores)
+        self.store.purge(now)
 
 
 def key_of(attempt: Attempt) -> Key:
--- /dev/null
+++ b/flintshift/lifecycle/replica_store.py
@@ -0,0 +1,331 @@
+"""This member's store of copies at the node's side: its registers, its disk, its refill. It votes on what is asked.
+
+What a vote changes stands on the disk before the vote leaves. What is asked in one turn of the event loop is written by
+one call of the system and voted on after it (and after a sync, with durability power-cut).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+from msgspec import structs
+
+from flintshift.copies.messages import NO_BALLOT, Ask, Ended, Event, Key, Reach, Verdict, Vote, Voted
+from flintshift.copies.placement import Placement
+from flintshift.copies.refill import FillAsk, Page, Refill, page
+from flintshift.copies.registers import Entry, HolderBounds, Registers
+from flintshift.copies.store import CopiesFolder, boot_id
+from flintshift.core.counters import Counters
+from flintshift.core.ports import Log
+from flintshift.settings.options import CopiesOptions
+from flintshift.storage.files import Files
+from flintshift.storage.log import BrokenError
+from flintshift.wire.peer_codec import entry_bytes, entry_from
+
+PURGE_MS = 1000.0
+TURN_MS = 30_000.0  # a segment of the log is used for so long at the most
+REOPEN_MS = 1000.0  # between two tries to write again after the disk refused
+
+PendingVote = tuple[str, Vote, Key]  # for this process, about that key
+
+
+class Host(Protocol):
+    """Whoever the store votes for, and tells of what it becomes."""
+
+    identity: str
+
+    def tell(self, event: Event) -> None:
+        """The proposals of this process hear of this."""
+
+    def send(self, identity: str, word: Vote | Ended) -> None:
+        """Send to another process that asked."""
+
+    def keep_for_ms(self) -> float:
+        """From a try's arrival until nothing is promised of it any more, for the longest class."""
+
+
+def unpacked(data: bytes) -> tuple[Entry, float]:
+    return entry_from(data)
+
+
+def absent(vote: Vote) -> Vote:
+    """In its place, where this holder can't vote."""
+    return Vote(vote.number, Verdict.ABSENT, NO_BALLOT, NO_BALLOT, None, vote.stores)
+
+
+class ReplicaStore:
+    """Held by one process of the member: ``folder`` is None while another one has it. Times are those of the monotonic
+    clock, in milliseconds."""
+
+    def __init__(
+        self,
+        host: Host,
+        name: str,
+        placement: Placement,
+        options: CopiesOptions,
+        files: Files,
+        now_ms: Callable[[], float],
+        counters: Counters,
+        log: Log,
+    ) -> None:
+        self.host, self.name, self.placement, self.options, self.files = host, name, placement, options, files
+        self.now_ms, self.counters, self.log = now_ms, counters, log
+        self.folder: CopiesFolder | None = None
+        self.registers = Registers(name, 0, placement, self._bounds(), False, math.inf)
+        self.refill: Refill | None = None
+        self.entries: list[Entry] = []  # not written yet
+        self.votes: list[PendingVote] = []  # that leave once these are
+        self.flushing = False
+        self.unsynced: deque[PendingVote] = deque()
+        self.sync_wanted = anyio.Event()
+        self.sick_ms: float | None = None  # when the disk was last tried after it refused
+        self.turned_ms = self.purged_ms = now_ms()
+        self.holding = anyio.Event()  # this process holds the copies
+
+    def _bounds(self) -> HolderBounds:
+        return HolderBounds(self.options.keys, self.options.bytes, self.host.keep_for_ms())
+
+    # Which store it is.
+
+    def open(self) -> None:
+        """Hold what stands in the folder.
+
+        Raises:
+            OSError, LockedError, DamagedError: it can't be used, or another process has it.
+        """
+        self.folder = CopiesFolder(
+            self.files,
+            self.options.folder,
+            self.name,
+            time.time() * 1000,
+            boot_id(),
+            self.options.durability == "power-cut",
+            entry_bytes,
+            unpacked,
+        )
+        found, state, now = self.folder.found, self.folder.state, self.now_ms()
+        before = self.registers.stores
+        self.registers = Registers(
+            self.name,
+            state.incarnation,
+            self.placement,
+            self._bounds(),
+            state.votes,
+            now + self.host.keep_for_ms() if not state.votes else 0.0,
+        )
+        self.registers.stores |= {member: store for member, store in before.items() if member != self.name}
+        for entry in found.entries:
+            self.registers.take(now, entry)
+        self.refill = None if state.votes else self._new_refill()
+        self.log(
+            "info",
+            "copies.opened",
+            folder=str(self.options.folder),
+            identity=self.host.identity,
+            store=state.incarnation,
+            keys=len(found.entries),
+            votes=state.votes,
+            cause=found.why_empty,
+        )
+        self.host.tell(Reach(self.name, True, state.incarnation))
+        self.holding.set()
+
+    def close(self) -> None:
+        if self.folder is not None:
+            self.folder.close()
+
+    def _new_refill(self) -> Refill:
+        return Refill(member for member in self.placement.halls if member != self.name)
+
+    def known_stores(self, member: str) -> tuple[int, int]:
+        """The incarnations of this store, and of that member's as far as it is known."""
+        return self.registers.store, self.registers.stores.get(member, 0)
+
+    def met(self, member: str, store: int, known_store: int) -> None:
+        """Another member says which store it has, and by which it knows this one."""
+        if store > self.registers.stores.get(member, 0):
+            self.registers.stores[member] = store
+        if self.folder is not None and known_store > self.registers.store and member != self.name:
+            self._outlived(member, known_store)
+
+    def _outlived(self, member: str, known: int) -> None:
+        """Another knows this member by a newer store: what stands here is older than what it promised since."""
+        self.log(
+            "error",
+            "copies.store_outlived",
+            store=self.registers.store,
+            known=known,
+            by=member,
+            cause="this disk is not the one that this member used last; it is emptied and filled again",
+        )
+        self.registers = Registers(
+            self.name, known + 1, self.placement, self.registers.bounds, False, self.now_ms() + self.host.keep_for_ms()
+        )
+        self.refill = self._new_refill()
+        assert self.folder is not None
+        self.folder.write_state(structs.replace(self.folder.state, incarnation=known + 1, votes=False))
+        self.host.tell(Reach(self.name, True, known + 1))
+
+    # Votes.
+
+    def vote(self, identity: str, ask: Ask) -> None:
+        """Vote for that process; what changes is written before the vote leaves."""
+        vote, entry = self.registers.vote(self.now_ms(), ask)
+        if self.sick_ms is not None:  # no vote leaves that does not stand on the disk
+            vote, entry = absent(vote), None
+        if entry is not None:
+            self.entries.append(entry)
+        self.votes.append((identity, vote, ask.key))
+        if not self.flushing:
+            self.flushing = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self.flushing = False
+        entries, self.entries = self.entries, []
+        votes, self.votes = self.votes, []
+        if entries and not self._written(entries):
+            votes = [(identity, absent(vote), key) for identity, vote, key in votes]
+            entries = []
+        if entries and self.options.durability == "power-cut":
+            self.unsynced.extend(votes)
+            self.sync_wanted.set()
+        else:
+            self._let_go(votes)
+
+    def _let_go(self, votes: list[PendingVote]) -> None:
+        for identity, vote, key in votes:
+            if identity == self.host.identity:
+                self.host.tell(Voted(self.name, vote))
+            else:
+                self.host.send(identity, vote)
+            for follower in self.registers.ended(key):
+                if follower == self.host.identity:
+                    self.host.tell(Ended(key))
+                else:
+                    self.host.send(follower, Ended(key))
+
+    # The disk.
+
+    def _written(self, entries: list[Entry]) -> bool:
+        assert self.folder is not None
+        try:
+            self.folder.write(entries, time.time() * 1000)
+        except (OSError, BrokenError) as error:
+            self._refuses(error)
+            return False
+        return True
+
+    def _refuses(self, error: Exception) -> None:
+        if self.sick_ms is None:
+            self.counters.add("copies.disk_refused")
+            self.log(
+                "error",
+                "copies.disk_refuses",
+                cause=str(error),
+                text="this member does not vote until its disk takes what it promises",
+            )
+            self.sick_ms = self.now_ms()
+            self.host.tell(Reach(self.name, False, 0))
+
+    async def sync(self) -> None:
+        """Let votes go once what they changed is synced; until cancelled."""
+        while True:
+            while not self.unsynced:
+                self.sync_wanted = anyio.Event()
+                await self.sync_wanted.wait()
+            votes = list(self.unsynced)
+            self.unsynced.clear()
+            try:
+                assert self.folder is not None
+                await anyio.to_thread.run_sync(self.folder.log.sync)
+            except (OSError, BrokenError) as error:
+                self._refuses(error)
+                votes = [(identity, absent(vote), key) for identity, vote, key in votes]
+            self._let_go(votes)
+
+    def usable(self, now: float) -> bool:
+        """The disk takes what is promised, as far as is known; one that refused is tried again from time to time."""
+        if self.sick_ms is None:
+            return True
+        if now >= self.sick_ms + REOPEN_MS:
+            self._reopen(now)
+        return False
+
+    def _reopen(self, now: float) -> None:
+        assert self.folder is not None
+        self.sick_ms = now
+        try:
+            self.folder.reopen(self.registers.entries(now), time.time() * 1000)
+        except (OSError, BrokenError) as error:
+            self.log("error", "copies.disk_still_refuses", cause=str(error))
+            return
+        self.sick_ms = None
+        self.log("warning", "copies.disk_takes_again", keys=len(self.registers.table))
+        self.host.tell(Reach(self.name, True, self.registers.store))
+
+    def purge(self, now: float) -> None:
+        """Forget what is past, here and on the disk; does nothing where that was done a moment ago."""
+        if now < self.purged_ms + PURGE_MS or self.folder is None:
+            return
+        self.purged_ms = now
+        self.registers.purge(now)
+        if self.folder.log.size < self.options.segment_bytes and now < self.turned_ms + TURN_MS:
+            return
+        self.turned_ms = now
+        try:
+            self.folder.turn(time.time() * 1000)
+        except (OSError, BrokenError) as error:
+            self._refuses(error)
+
+    # Its refill, and that of others.
+
+    def page_for(self, member: str, ask: FillAsk) -> Page:
+        """What this store tells a member whose own is filled."""
+        self.counters.add("copies.pages")
+        return page(self.now_ms(), self.registers, member, ask)
+
+    def asks(self, now: float, reached: set[str]) -> list[tuple[str, FillAsk]]:
+        """Whom to ask now for what this store lacks."""
+        if self.refill is None:
+            return []
+        if now >= self.registers.voting_from_ms:
+            self._filled("a whole window has passed: nothing from before is still promised")
+            return []
+        return self.refill.due(now, self.registers.store, reached)
+
+    def link_lost(self, member: str) -> None:
+        """What was asked of that member for the refill will not be answered."""
+        if self.refill is not None:
+            self.refill.link_lost(member)
+
+    def fill(self, member: str, told: Page) -> None:
+        """Take what another store tells this one."""
+        if self.refill is None or self.folder is None:
+            return
+        before = self.registers.store
+        changed = self.refill.told(self.now_ms(), self.registers, member, told)
+        self.counters.add("copies.filled_keys", len(changed))
+        if changed and not self._written(changed):
+            return
+        if self.registers.store != before:
+            self.folder.write_state(structs.replace(self.folder.state, incarnation=self.registers.store))
+            self.host.tell(Reach(self.name, True, self.registers.store))
+        if told.done and told.counts:
+            self.log("info", "copies.filled_by", name=member, keys=len(self.registers.table))
+        if self.registers.full_vote:
+            self._filled("a majority of the holders of each of its keys has told what it knows")
+
+    def _filled(self, cause: str) -> None:
+        assert self.folder is not None
+        self.refill = None
+        self.registers.full_vote = True
+        self.folder.log.sync()
+        self.folder.write_state(structs.replace(self.folder.state, votes=True))
+        self.log("info", "copies.votes", keys=len(self.registers.table), cause=cause)
