--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -41,6 +42,7 @@
     again: bool = False
     unique: str | None = None  # in keyed classes, and there alone: the same for all tries
     subject: int | None = None
+    allow_ms: float | None = None  # how long its caller waits from then on, where it tells
     kind: RequestClass | None = None  # as the settings held it when the request was taken
     workers: str = "pool"  # where it is run
     head: bytes = b""  # what goes before the body there, as it came
@@ -63,6 +65,13 @@
     def over(self) -> bool:
         return self.gone or self.answer is not None
 
+    @property
+    def due_ms(self) -> float:
+        """When its final answer is due, by the clock of ``door_ms``: its class's deadline, or sooner where its caller
+        waits for less. Without a class there is none."""
+        deadline_ms = self.kind.deadline_ms if self.kind is not None else math.inf
+        return self.door_ms + (deadline_ms if self.allow_ms is None else min(self.allow_ms, deadline_ms))
+
     def settle(self, answer: Answer, now_ms: float) -> bool:
         """Give the final answer. Guards against a second one, against an answer to a caller that went, and
         against a refusal of what has run: that becomes a failure."""
--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -30,6 +30,8 @@
 from flintshift.core.runs import Runs
 from flintshift.interface import Outcome
 
+LEAST_PATIENCE_MS = 1e-3
+
 
 class Decisions:
     """Takes reports from the mailbox one at a time, asks the controller, and applies its actions in order.
@@ -266,16 +268,18 @@
         return None
 
     def _arrived(self, attempt: Attempt, entry: Entry | None) -> api.Event:
+        now = self.now_ms()
         return api.Arrived(
             attempt.id,
             attempt.class_name,
             attempt.held_kb,
-            self.now_ms() - attempt.door_ms,
+            now - attempt.door_ms,
             attempt.caller,
             attempt.tenant,
             entry.owner if entry else None,
             attempt.again,
-            None,
+            # Past its due time already, it is answered at once: no time left would stand for a caller that tells none.
+            None if attempt.allow_ms is None else max(attempt.due_ms - now, LEAST_PATIENCE_MS),
             attempt.subject,
         )
 
--- a/flintshift/handover/shared_keys.py
+++ b/flintshift/handover/shared_keys.py
@@ -48,7 +48,7 @@
 
     def ask(self, now_ms: float, attempt: Attempt) -> list[Step]:
         kind, limits = attempt.kind, self.limits
-        window, deadline = (kind.repeat_window_ms, kind.deadline_ms) if kind is not None else (0.0, math.inf)
+        window = kind.repeat_window_ms if kind is not None else 0.0
         claim = Claimed(
             key_of(attempt),
             attempt.id,
@@ -57,7 +57,7 @@
             fingerprint(attempt),
         )
         # Its answer has a due time too: it is given up a few ticks before.
-        until = min(now_ms + limits.claim_ms, attempt.door_ms + deadline - limits.claim_spare_ms)
+        until = min(now_ms + limits.claim_ms, attempt.due_ms - limits.claim_spare_ms)
         return self._done(self.agreement.ask(claim, until))
 
     def told_entry(self, attempt: Attempt) -> list[Step]:
--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import os
 import time
 from collections.abc import Callable
@@ -99,7 +98,7 @@
             len(attempt.body),
             len(answer.body),
             partial(tell, answer),
-            attempt.door_ms + attempt.kind.deadline_ms if attempt.kind is not None else math.inf,
+            attempt.due_ms,
         )
 
     def delivered(self, attempt: Attempt, arrived: bool) -> None:
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -237,7 +237,7 @@
     def ask(self, attempt: Attempt) -> None:
         kind = attempt.kind
         assert kind is not None
-        spare = attempt.door_ms + kind.deadline_ms - self.limits.claim_spare_ms - self.wall_ms()
+        spare = attempt.due_ms - self.limits.claim_spare_ms - self.wall_ms()
         key = key_of(attempt)
         self.keys[attempt.id] = key
         self._from_planner(
@@ -267,7 +267,7 @@
     def keeps(self, attempt: Attempt, outcome: Outcome, result: bytes) -> bool:
         kind = attempt.kind
         assert kind is not None
-        due = attempt.door_ms + kind.deadline_ms - self.limits.claim_spare_ms - self.wall_ms()
+        due = attempt.due_ms - self.limits.claim_spare_ms - self.wall_ms()
         self._from_planner(
             Finish(
                 key_of(attempt),
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -75,12 +75,15 @@
         now, item, kind = self.now_ms(), get("X-Item"), self.catalogue.find(class_name)
         keyed = kind is not None and kind.effect is Effect.KEYED
         number("X-Precedence", 0, 1)  # no decision uses it, but one that is no rank is a fault of the caller
+        if get("X-Size-Ms") is not None:
+            number("X-Size-Ms", 0, self.limits.oldest_ms)  # the same holds for this one
         return Attempt(
             id=text("X-Job-Id", HEX16),
             class_name=class_name,
             door_ms=self.placed(
                 number("X-Door-Time", now - self.limits.oldest_ms, now + self.limits.clock_skew_ms, True)
             ),
+            allow_ms=number("X-Allow-Ms", 0, self.limits.oldest_ms) if get("X-Allow-Ms") is not None else None,
             held_kb=number("X-Ram-Kb", math.nextafter(0, 1), 2000),
             caller=int(number("X-Sender", 0, 2**31, True)),
             body=body,
--- a/tests/wire/test_bad_input.py
+++ b/tests/wire/test_bad_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 
 import pytest
 from standins import BYTES, http_bytes, job
@@ -35,6 +36,45 @@
 ]
 
 
+# What a caller may tell of the time that it still waits and of the work to expect, and the status that it gets: of a
+# request that came 60 ms ago.
+TOLD = [
+    ("X-Allow-Ms", None, 200),
+    ("X-Allow-Ms", "1400", 200),
+    ("X-Allow-Ms", "1400.25", 200),
+    ("X-Allow-Ms", "80000000", 200),  # its class's deadline holds
+    ("X-Allow-Ms", "0", 429),  # already past: it is refused at once
+    ("X-Allow-Ms", "50", 429),
+    ("X-Allow-Ms", "-5", 400),
+    ("X-Allow-Ms", "soon", 400),
+    ("X-Allow-Ms", "", 400),
+    ("X-Allow-Ms", "nan", 400),
+    ("X-Allow-Ms", "inf", 400),
+    ("X-Allow-Ms", "1e999", 400),
+    ("X-Allow-Ms", "1_400", 400),
+    ("X-Allow-Ms", "99999999999999999999999", 400),
+    ("X-Size-Ms", None, 200),
+    ("X-Size-Ms", "0", 200),
+    ("X-Size-Ms", "12.50", 200),
+    ("X-Size-Ms", "5000000", 200),  # it is rough: nothing is turned away for it alone
+    ("X-Size-Ms", "-1", 400),
+    ("X-Size-Ms", "much", 400),
+    ("X-Size-Ms", "nan", 400),
+    ("X-Size-Ms", "99999999999999999999999", 400),
+]
+
+
+@pytest.mark.parametrize("front", FRONTS)
+async def test_what_a_caller_tells_of_its_patience_and_of_the_cost_has_a_status_in_each_form(rig, front):
+    finishing(rig)
+    for name, value, status in TOLD:
+        fields = job("race-results", **{name: value, "X-Door-Time": str(int(time.time() * 1000) - 60)})
+        reply = await rig.ask(front, "race-results", fields=fields)
+        assert reply.status == status, (name, value, reply)
+        assert status != 400 or name in json.loads(reply.body)["error"]
+    assert len(rig.runs()) == sum(status == 200 for _, _, status in TOLD)
+
+
 BROKEN = {
     "http": [
         (b"what is this\r\n\r\n", 400),
