Know a customer by its name in UTF-8: beyond ASCII all its requests were answered 400

Found by reading for settings of other customers: header bytes are read as Latin-1 (http_front.py, get), so a name of the settings with a letter beyond ASCII never matched what a caller wrote in UTF-8. A name that is not known is read as UTF-8 once more. The table has four rows; one fails without the change.

--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -95,11 +95,22 @@
         )
 
     def _tenant(self, team: str | None) -> str | None:
+        if team is not None and not self.catalogue.knows_club(team):
+            team = _utf8(team)
         if not self.catalogue.knows_club(team):
             raise UnusableError(400, "X-Team is missing" if team is None else "X-Team is impossible")
         return team
 
 
+def _utf8(text: str) -> str:
+    """A field's bytes, which were read as Latin-1, read as UTF-8 where they can be: settings may name what no ASCII
+    can."""
+    try:
+        return text.encode("latin-1").decode("utf-8")
+    except UnicodeError:
+        return text
+
+
 STATUS = {Verdict.SERVED: 200, Verdict.FAILED: 500, Verdict.CONFLICT: 409}
 
 
--- /dev/null
+++ b/tests/wire/test_fields.py
@@ -0,0 +1,33 @@
+"""Customers are named by the settings, in letters of any language, and callers write them in some encoding."""
+
+from __future__ import annotations
+
+import pytest
+from fronted import Fronted, calling
+from standins import BYTES, job
+
+from flintshift.core.attempts import Answer, Verdict
+
+pytestmark = pytest.mark.anyio
+NAME = "l\u00e4ufer-z\u00fcrich"
+
+
+@pytest.mark.parametrize(
+    ("encoding", "told", "status"),
+    [
+        ("utf-8", NAME, 200),
+        ("latin-1", NAME, 200),
+        ("utf-8", NAME + "x", 400),
+        ("latin-1", "\u00ff", 400),
+    ],
+)
+async def test_a_customer_is_known_in_the_encodings_that_callers_write(encoding, told, status):
+    async with Fronted() as fronted:
+        fronted.front.fields.catalogue.clubs.add(NAME)
+        fronted.decided.at_once = Answer(Verdict.SERVED, b"1")
+        caller = await calling(fronted.connect())
+        fields = job("race-results", **{"X-Team": "TEAM"})
+        caller.send(BYTES["http"]("race-results", b"", fields).replace(b"TEAM", told.encode(encoding)))
+        assert (await caller.reply()).status == status
+        assert [attempt.tenant for attempt in fronted.decided.taken] == ([NAME] if status == 200 else [])
+        caller.writer.close()
