Let a class of which four fifths are turned away go first: a dear class could starve it

Probe: one core, a dear class that fills it, a cheap one beside: 4 of 600 of the cheap were begun (1 of 600 at twice the dear load). At fault: control.py ranks what is held by value alone (Work.order), so what comes dearer always passes. Ruled out: the ladder and the memory watermark, both idle there.

The test has two rows; both fail without.

--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -31,7 +31,7 @@
 FIRST_RUN, LEARN = 0.15, 0.1  # share of the aim that a run is taken to last at first; weight of a sample
 RUN_FADES = 0.97  # a tick with free cores, for what is thought of a class of which nothing runs
 SICK, SICK_LEARN, PROBE_EVERY = 0.3, 0.2, 0.1  # failing share, its weight, and a probe's spacing in aims
-STORM, STORM_LEARN = 0.1, 0.03  # share of further tries that is a storm, its weight
+STORM, STARVED, STORM_LEARN = 0.1, 0.8, 0.03  # share of further tries, of a class turned away; weight
 STALL = 3.0  # run times without progress: the cores stand still
 CALL_MOST, CALL_YOUNG, CALL_LEAST = 0.65, 0.3, 0.2  # of the told share: the most, when new, when slow
 SLOW_BELOW, TOO_SLOW = 4.0, 16.0  # against the best time seen, and the usual
@@ -40,8 +40,7 @@
 SKIPPABLE = 0.5  # part of the calls in hand open to skippable ones while calls are slow
 CONNECTIONS, FLOOD = 5.0, 3.0  # open per core past which idle ones close early; run queue past all runs
 IDLE_FALLS, IDLE_RISES, COMES_BACK_MS = 0.9, 1.2, 5000.0  # of the idle time, a tick; soon enough to wait for
-GONE_MOST, GONE_SPREAD = 24, 0.1  # give-ups remembered for a caller; how alike with a limit
-CALLERS_MOST = 256  # of whom give-ups are remembered
+GONE_MOST, GONE_SPREAD, CALLERS_MOST = 24, 0.1, 256  # give-ups of a caller; how alike; of how many
 WINDOW_ROOM, WINDOW_RISES, WINDOW_FALLS = 3.5, 1.05, 0.85  # most for each that may run; steps a tick
 STAY = 0.03  # of the aim for each server, for what is turned away for load
 LEAST_SPEED = 0.05  # of the full one, that a cold server is taken to have: settings may tell 0
@@ -99,12 +98,12 @@
         self.full = self.turned_away = False  # the memory watermark is up; load was refused this tick
         self.limit = 1.25 * settings.cores
         self.run_ms: dict[str, float] = {}
+        self.refused: dict[str, float] = {}  # by class: share turned away lately; past STARVED it goes first
         self.quota: dict[str, tuple[float, float, float]] = {}  # by tenant: its rate here, use, and when
         self.failing = self.storm = 0.0  # share of runs; share of further tries read, unmarked: of refusals
         self.call_ms = self.best_call_ms = self.gap_ms = 0.0  # a call lately, at best; between two arrivals
         self.calls: list[list[float]] = []  # below: start, end (or how long it may last), whether it is over
-        self.past: deque[tuple[float, float]] = deque()  # those over and past their end; their sum
-        self.past_ms = 0.0
+        self.past, self.past_ms = deque[tuple[float, float]](), 0.0  # those over and past their end; their sum
         self.keys: dict[str, float] = {}  # remembered request: when its entry runs out
         self.released: set[str] = set()  # let go unrun at this very moment
         self.given_up: dict[int, deque[float]] = {}  # by caller: ages at which it gave up
@@ -131,6 +130,7 @@
         self.run_ms = {name: run_ms for name, run_ms in self.run_ms.items() if name in known}
         for kind in settings.classes:
             self.run_ms.setdefault(kind.name, FIRST_RUN * kind.aim_ms)
+        self.refused = {name: self.refused.get(name, 0.0) for name in known}
         self.call_room_ms = settings.call_share * settings.call_window_ms or math.inf  # untold: no bound
         self.call_share = settings.call_share or math.inf
         self.call_limit = CALL_MOST * self.call_share  # less while calls are slow, may be under 1
@@ -214,8 +214,7 @@
     def _changed(self, event: api.Changed) -> None:
         idle_ms, call_limit = self.idle_ms, self.call_limit
         self._settle(event.settings)
-        self.idle_ms = min(idle_ms, self.idle_ms)
-        self.call_limit = min(call_limit, self.call_limit)  # it rises again as calls go well
+        self.idle_ms, self.call_limit = min(idle_ms, self.idle_ms), min(call_limit, self.call_limit)
 
     def learned(self) -> api.Learned:
         return api.Learned(self.limit, dict(self.run_ms))
@@ -306,7 +305,8 @@
         due = self.now + event.patience_ms if event.patience_ms else reached + kind.deadline_ms
         aim = min(reached + min(kind.aim_ms, self._patience(event.caller)), due)
         value, must_call = self._value(kind, event.tenant), kind.calls and not kind.skip_worth
-        work = Work(event.request, event, kind, reached, aim, due, value, must_call, (0.0, -value, aim))
+        order = (0.0, -math.inf if self.refused[kind.name] > STARVED else -value, aim)
+        work = Work(event.request, event, kind, reached, aim, due, value, must_call, order)
         self.work[work.id] = work
         self._book(work, 1)
         if event.repeat_of and event.repeat_of not in self.released:
@@ -392,6 +392,7 @@
         if (self.gauges.run_queue or 0.0) > QUEUE_GATE * self.set.cores:
             busy = self.gauges.busy or 0.0
             work.level = next(level for level, threshold in LADDER if busy <= threshold)
+        self.refused[work.kind.name] *= 1 - STORM_LEARN
         self._place(work, Stage.RUNNING)
         self.out.append(api.Run(work.id))
 
@@ -406,6 +407,7 @@
             most_ms = math.inf if own else STAY * self.set.servers * work.kind.aim_ms
             stay = part * min(most_ms, self.set.advice_max_ms) * self.set.advice_allowed
             self.turned_away = True
+            self.refused[work.kind.name] += STORM_LEARN * (1 - self.refused[work.kind.name])
             self.storm += STORM_LEARN * (not self.set.marks_repeats)
             # A further try was refused elsewhere too, and in a storm the next will be: that costs reading.
             storm = self.storm > STORM
--- a/tests/control/test_admission.py
+++ b/tests/control/test_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from conftest import KEYED, SAFE
 from steps import answers, of
@@ -208,3 +210,27 @@
         if len(started) >= 3:
             break
     assert started[:3] == [dear, late, early]
+
+
+@pytest.mark.parametrize("dear_each", [1, 2])
+def test_a_cheap_class_is_not_starved_by_a_dear_one_that_could_fill_the_cores(make, dear_each):
+    server = make(cores=1, classes=[SAFE, replace(SAFE, name="dear", worth=5.0)])
+    running: list[tuple[str, str]] = []
+    begun = {"look": 0, "dear": 0}
+
+    def take(name_of, actions):
+        for request in (act.request for act in of(actions, api.Run)):
+            running.append((request, name_of[request]))
+            begun[name_of[request]] += 1
+
+    name_of: dict[str, str] = {}
+    for _ in range(600):
+        for name in ["look", *["dear"] * dear_each]:
+            request, actions = server.arrive(name)
+            name_of[request] = name
+            take(name_of, actions)
+        server.now += 60.0
+        if running:  # one ends at a time: the cores do as much as the dear class brings at least
+            take(name_of, server.ends(running.pop(0)[0], took_ms=60.0))
+        take(name_of, server.tick(after_ms=40.0, run_queue=1.0))
+    assert begun["look"] >= 0.15 * 600 and begun["dear"] > begun["look"]
