--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -103,7 +103,7 @@
         self.failing = self.storm = 0.0  # share of runs; share of further tries read, unmarked: of refusals
         self.call_ms = self.best_call_ms = self.gap_ms = 0.0  # a call lately, at best; between two arrivals
         self.calls: list[list[float]] = []  # below: start, end (or how long it may last), whether it is over
-        self.past, self.past_ms = deque[tuple[float, float]](), 0.0  # those over and past their end; their sum
+        self.past, self.past_ms = deque[tuple[float, float]](), 0.0  # those past their end; their sum
         self.keys: dict[str, float] = {}  # remembered request: when its entry runs out
         self.released: set[str] = set()  # let go unrun at this very moment
         self.given_up: dict[int, deque[float]] = {}  # by caller: ages at which it gave up
