Count and lift inside tenants' shares alone where a class is turned away over and over

Guess, measured: what is over its tenant's share, worth a twentieth, was counted as turned away and then went first.

--- a/flintshift/control.py
+++ b/flintshift/control.py
@@ -31,7 +31,7 @@
 FIRST_RUN, LEARN = 0.15, 0.1  # share of the aim that a run is taken to last at first; weight of a sample
 RUN_FADES = 0.97  # a tick with free cores, for what is thought of a class of which nothing runs
 SICK, SICK_LEARN, PROBE_EVERY = 0.3, 0.2, 0.1  # failing share, its weight, and a probe's spacing in aims
-STORM, STARVED, STORM_LEARN = 0.1, 0.8, 0.03  # share of further tries, of a class turned away; weight
+STORM, STARVED, STORM_LEARN = 0.1, 0.7, 0.03  # share of further tries, of a class turned away; weight
 STALL = 3.0  # run times without progress: the cores stand still
 CALL_MOST, CALL_YOUNG, CALL_LEAST = 0.65, 0.3, 0.2  # of the told share: the most, when new, when slow
 SLOW_BELOW, TOO_SLOW = 4.0, 16.0  # against the best time seen, and the usual
@@ -66,6 +66,7 @@
     aim_ms: float
     due_ms: float
     value: float  # worth for a unit of work
+    in_share: bool  # of its tenant
     must_call: bool  # it may call and can't go on without
     order: tuple[float, float, float]  # among what is held: by fair rank, then the dearest first, then by aim
     stage: Stage = Stage.HELD
@@ -90,8 +91,7 @@
         self.healthy, self.stuck = True, False  # what checks are told; nothing has moved for long
         self.out: list[api.Action] = []
         self.work: dict[str, Work] = {}
-        self.counts = [0] * (len(Stage) + 1)  # of it, by stage
-        self.kb = [0.0, 0.0]  # what it holds: begun, not begun
+        self.counts, self.kb = [0] * (len(Stage) + 1), [0.0, 0.0]  # of it, by stage; its KB: begun, not begun
         self.must_call = 0  # runs that may call and can't go on without
         self.gauges, self.run_queue = api.Gauges(0.0, 0.0), 0.0  # as last seen; smoothed
         self.window = math.inf  # for each caller
@@ -131,14 +131,13 @@
         for kind in settings.classes:
             self.run_ms.setdefault(kind.name, FIRST_RUN * kind.aim_ms)
         self.refused = {name: self.refused.get(name, 0.0) for name in known}
-        self.call_room_ms = settings.call_share * settings.call_window_ms or math.inf  # untold: no bound
-        self.call_share = settings.call_share or math.inf
+        self.call_share = settings.call_share or math.inf  # untold: no bound
+        self.call_room_ms = settings.call_share * settings.call_window_ms or math.inf
         self.call_limit = CALL_MOST * self.call_share  # less while calls are slow, may be under 1
         even = QUOTA_ROOM / max(1, settings.servers)  # of a quota: what an even spread would bring here
-        known_use = {name: (used, then) for name, (_, used, then) in self.quota.items()}
-        self.quota = {}
-        for tenant in settings.tenants:
-            self.quota[tenant.name] = (even * tenant.quota_per_s, *known_use.get(tenant.name, (0.0, 0.0)))
+        before, self.quota = self.quota, {}
+        for name, rate in ((tenant.name, even * tenant.quota_per_s) for tenant in settings.tenants):
+            self.quota[name] = (rate, *before.get(name, (0.0, 0.0, 0.0))[1:])
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         if now_ms > self.now:
@@ -305,8 +304,9 @@
         due = self.now + event.patience_ms if event.patience_ms else reached + kind.deadline_ms
         aim = min(reached + min(kind.aim_ms, self._patience(event.caller)), due)
         value, must_call = self._value(kind, event.tenant), kind.calls and not kind.skip_worth
-        order = (0.0, -math.inf if self.refused[kind.name] > STARVED else -value, aim)
-        work = Work(event.request, event, kind, reached, aim, due, value, must_call, order)
+        fair = value >= self._value(kind, None)  # it is inside its tenant's share
+        order = (0.0, -math.inf if fair and self.refused[kind.name] > STARVED else -value, aim)
+        work = Work(event.request, event, kind, reached, aim, due, value, fair, must_call, order)
         self.work[work.id] = work
         self._book(work, 1)
         if event.repeat_of and event.repeat_of not in self.released:
@@ -392,7 +392,7 @@
         if (self.gauges.run_queue or 0.0) > QUEUE_GATE * self.set.cores:
             busy = self.gauges.busy or 0.0
             work.level = next(level for level, threshold in LADDER if busy <= threshold)
-        self.refused[work.kind.name] *= 1 - STORM_LEARN
+        self.refused[work.kind.name] *= 1 - STORM_LEARN * work.in_share
         self._place(work, Stage.RUNNING)
         self.out.append(api.Run(work.id))
 
@@ -407,7 +407,7 @@
             most_ms = math.inf if own else STAY * self.set.servers * work.kind.aim_ms
             stay = part * min(most_ms, self.set.advice_max_ms) * self.set.advice_allowed
             self.turned_away = True
-            self.refused[work.kind.name] += STORM_LEARN * (1 - self.refused[work.kind.name])
+            self.refused[work.kind.name] += STORM_LEARN * (1 - self.refused[work.kind.name]) * work.in_share
             self.storm += STORM_LEARN * (not self.set.marks_repeats)
             # A further try was refused elsewhere too, and in a storm the next will be: that costs reading.
             storm = self.storm > STORM
--- a/tests/control/test_admission.py
+++ b/tests/control/test_admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 import pytest
@@ -233,4 +234,22 @@
         if running:  # one ends at a time: the cores do as much as the dear class brings at least
             take(name_of, server.ends(running.pop(0)[0], took_ms=60.0))
         take(name_of, server.tick(after_ms=40.0, run_queue=1.0))
-    assert begun["look"] >= 0.15 * 600 and begun["dear"] > begun["look"]
+    assert begun["look"] >= 0.25 * 600 and begun["dear"] > begun["look"]
+
+
+def test_what_is_over_its_tenant_s_share_neither_makes_a_class_starve_nor_goes_first_for_it(make):
+    server = make(cores=1, tenants=[api.Tenant("greedy", 0.5)], over_share_worth=0.05, classes=[SAFE])
+    for _ in range(3):  # more than two seconds of its share
+        server.arrive(tenant="greedy")
+    server.control.refused["look"] = 0.9  # a class that starves
+
+    def first(tenant):
+        request, actions = server.arrive(tenant=tenant)
+        assert not of(actions, api.Run), "it has to be held to have a place"
+        return server.control.work[request].order[1] == -math.inf
+
+    assert first(None) and not first("greedy")
+    server.control.refused["look"] = 0.0
+    for _ in range(200):
+        server.arrive(tenant="greedy")
+    assert server.control.refused["look"] == 0.0
