Give the planner's waiting claims a name of their own, and drop what nothing needs

Cause: two classes were named Agreement, this one and the hand-over's rule on keys; the diff's reading also found an identity check that no order of events reaches, an unused __len__, and a function that only called another.

Change: core/waiting_claims.py (WaitingClaims), those three taken out.

--- a/flintshift/core/decisions.py
+++ b/flintshift/core/decisions.py
@@ -17,7 +17,6 @@
 from flintshift import interface as api
 from flintshift.control import Controller
 from flintshift.core import attempts as at
-from flintshift.core.agreement import Agreement, Asked
 from flintshift.core.attempts import Answer, Attempt, Verdict
 from flintshift.core.catalogue import Catalogue
 from flintshift.core.counters import Counters
@@ -28,6 +27,7 @@
 from flintshift.core.open_attempts import OpenAttempts
 from flintshift.core.ports import Posture, Ranks
 from flintshift.core.runs import Runs
+from flintshift.core.waiting_claims import Asked, WaitingClaims
 from flintshift.interface import Outcome
 
 LEAST_PATIENCE_MS = 1e-3
@@ -57,9 +57,9 @@
         self.posture = Posture(wait_ms=settings.advice_max_ms * settings.advice_allowed)
         self.attempts = OpenAttempts(counters, now_ms, self.posture)
         self.keys = KeyTable(limits)
-        self.agreement = Agreement()
+        self.waiting = WaitingClaims()
         self.pending: deque[at.Report] = deque()  # what applying an action has brought about
-        self.runs = Runs(self.attempts, self.keys, self.agreement, self.pending, self.posture, counters, now_ms)
+        self.runs = Runs(self.attempts, self.keys, self.waiting, self.pending, self.posture, counters, now_ms)
         self.purged_ms = 0.0
         self.handlers: dict[type, Callable[[Any], api.Event | None]] = {
             at.Submitted: self._submitted,
@@ -165,8 +165,8 @@
 
     def _ticked(self, report: at.Tick) -> api.Event:
         self._purge()
-        if self.agreement.claims is not None:
-            self.agreement.claims.tick()
+        if self.waiting.claims is not None:
+            self.waiting.claims.tick()
         if self.attempts.ranks is not None:
             self.attempts.ranks.tick()
         return api.Woken(report.token, report.gauges)
@@ -179,8 +179,8 @@
         return api.Started()
 
     def _told(self, report: at.Told) -> None:
-        if self.agreement.claims is not None:
-            self.agreement.claims.heard(report.word)
+        if self.waiting.claims is not None:
+            self.waiting.claims.heard(report.word)
 
     @staticmethod
     def _taught(report: at.Taught) -> api.Event:
@@ -203,7 +203,7 @@
         if attempt.over:
             return None
         self.attempts.leave(attempt)
-        if self.agreement.departed(attempt) or self.attempts.get(attempt.id) is not attempt:
+        if self.waiting.departed(attempt):
             return None
         self.attempts.close(attempt)
         return api.CallerGone(attempt.id)
@@ -217,7 +217,7 @@
     def _agreed(self, report: at.Agreed) -> None:
         """The others' word on a key has come, or can't come any more."""
         granted, never_ran = report.granted, report.never_ran
-        attempt = self.agreement.agreed(report.request)
+        attempt = self.waiting.agreed(report.request)
         if attempt is None:
             return
         if granted is None and never_ran:
@@ -232,7 +232,7 @@
         if event is not None:
             self._decide(event)
         if granted and self.keys.owned(attempt) is None:
-            self.agreement.freed(attempt)  # it was turned away
+            self.waiting.freed(attempt)  # it was turned away
 
     def _taken(self, attempt: Attempt, agreed: bool) -> api.Event | None:
         """Hand an attempt to the controller, unless it is settled without it. ``agreed``: the others were asked."""
@@ -243,7 +243,7 @@
             self.attempts.settle(attempt, answer)
             return None
         if entry is None and attempt.unique is not None and not agreed:
-            asked = self.agreement.ask(attempt)
+            asked = self.waiting.ask(attempt)
             if asked is Asked.UNSURE:
                 self.counters.add("claims.unsure")
                 self.attempts.settle(attempt, Answer(Verdict.FAILED))
@@ -256,7 +256,7 @@
         """The answer to an attempt that can't be taken, whatever the load; ``entry`` is that of its key."""
         # An id is new with every try: answers could not be told apart. And the key of a request must never
         # get its result to another one.
-        known = attempt.id in self.attempts or attempt.id in self.agreement
+        known = attempt.id in self.attempts or attempt.id in self.waiting
         if known or (entry is not None and entry.print != fingerprint(attempt)):
             return Answer(Verdict.CONFLICT)
         if attempt.kind is None:  # dropped for good while it waited here
@@ -284,7 +284,7 @@
         )
 
     def _may_have_run(self, attempt: Attempt) -> bool:
-        return self.agreement.may_have_run(attempt, self.catalogue.settings.marks_repeats)
+        return self.waiting.may_have_run(attempt, self.catalogue.settings.marks_repeats)
 
     def _purge(self) -> None:
         now = self.now_ms()
@@ -296,17 +296,17 @@
             if attempt.running and attempt.over and now > attempt.over_ms + self.limits.lost_run_ms:
                 self.counters.add("lost_runs")
                 self.pending.append(at.RunOver(attempt.id, Outcome.STOPPED))
-        self.keys.purge(now, itertools.chain(self.attempts.table, self.agreement.keeping))
+        self.keys.purge(now, itertools.chain(self.attempts.table, self.waiting.keeping))
         if self.catalogue.purge(now):
             self.pending.append(at.Changed())
 
     @property
     def open(self) -> int:
         """Requests read and not over, and reports of which some may bring about an answer."""
-        return self.attempts.unanswered + self.agreement.open + len(self.mailbox)
+        return self.attempts.unanswered + self.waiting.open + len(self.mailbox)
 
     @property
     def unanswered(self) -> int:
         """Requests read and not over."""
         submitted = sum(isinstance(report, at.Submitted) for report in self.mailbox.items)
-        return self.attempts.unanswered + self.agreement.open + submitted
+        return self.attempts.unanswered + self.waiting.open + submitted
--- a/flintshift/core/open_attempts.py
+++ b/flintshift/core/open_attempts.py
@@ -25,9 +25,6 @@
     def __iter__(self) -> Iterator[Attempt]:
         return iter(self.table.values())
 
-    def __len__(self) -> int:
-        return len(self.table)
-
     @property
     def unanswered(self) -> int:
         return sum(not attempt.over for attempt in self.table.values())
--- a/flintshift/core/runs.py
+++ b/flintshift/core/runs.py
@@ -11,12 +11,12 @@
 
 from flintshift import interface as api
 from flintshift.core import attempts as at
-from flintshift.core.agreement import Agreement
 from flintshift.core.attempts import NEVER_RAN, Answer, Attempt, Verdict
 from flintshift.core.counters import Counters
 from flintshift.core.keys import Entry, KeyTable
 from flintshift.core.open_attempts import OpenAttempts
 from flintshift.core.ports import Below, Books, Posture, Workers
+from flintshift.core.waiting_claims import WaitingClaims
 from flintshift.interface import Effect, Outcome
 
 
@@ -27,13 +27,13 @@
         self,
         attempts: OpenAttempts,
         keys: KeyTable,
-        agreement: Agreement,
+        waiting: WaitingClaims,
         pending: deque[at.Report],
         posture: Posture,
         counters: Counters,
         now_ms: Callable[[], float],
     ) -> None:
-        self.attempts, self.keys, self.agreement = attempts, keys, agreement
+        self.attempts, self.keys, self.waiting = attempts, keys, waiting
         self.pending, self.posture, self.counters, self.now_ms = pending, posture, counters, now_ms
         self.workers: Mapping[str, Workers] = {}
         self.below: Below
@@ -113,11 +113,11 @@
             attempt.ran = False
             self._free(attempt)
         elif entry is not None and attempt.ran:
-            if self.agreement.keeps(attempt, report.outcome, report.result):
+            if self.waiting.keeps(attempt, report.outcome, report.result):
                 self.attempts.remove(attempt)
                 return api.RunEnded(attempt.id, report.outcome, report.took_ms)
             self._ended(entry, report.outcome, report.result)
-            self.agreement.ended(attempt)
+            self.waiting.ended(attempt)
         self.attempts.settle_end(attempt, report.outcome, report.result)
         self.attempts.remove(attempt)
         return api.RunEnded(attempt.id, report.outcome, report.took_ms)
@@ -125,7 +125,7 @@
     def kept(self, report: at.Kept) -> None:
         """How a run ended is kept elsewhere too, or can't be in time for its caller."""
         outcome, result = report.outcome, report.result
-        attempt = self.agreement.kept(report.request, outcome)
+        attempt = self.waiting.kept(report.request, outcome)
         if attempt is None:
             return
         if outcome is None:
@@ -187,7 +187,7 @@
         if attempt.unique is None:  # reads are kept only where answers may be shared
             return
         self.keys.keep(attempt, self.now_ms() + action.for_ms)
-        self.agreement.claimed(attempt)
+        self.waiting.claimed(attempt)
 
     def _forget(self, attempt: Attempt, _: api.Forget) -> None:
         self._free(attempt)
@@ -214,4 +214,4 @@
         if not attempt.ran and self.keys.owned(attempt) is not None:
             for follower in self.keys.forget(attempt):
                 self.pending.append(at.RunOver(follower, Outcome.REJECTED))
-            self.agreement.freed(attempt)
+            self.waiting.freed(attempt)
--- a/flintshift/core/agreement.py
+++ b/flintshift/core/waiting_claims.py
@@ -21,7 +21,7 @@
     UNSURE = "unsure"  # it may have run where nobody can be asked any more
 
 
-class Agreement:
+class WaitingClaims:
     """The attempts that wait, and the port at which they do; one attempt a connection at most."""
 
     def __init__(self) -> None:
@@ -63,9 +63,8 @@
     def departed(self, attempt: Attempt) -> bool:
         """The caller of an attempt went; False where it does not wait here. What has run stays until its end is kept:
         its repeats are to get it."""
-        if self.awaiting.get(attempt.id) is not attempt:
-            return self.keeping.get(attempt.id) is attempt
-        del self.awaiting[attempt.id]
+        if self.awaiting.pop(attempt.id, None) is None:
+            return attempt.id in self.keeping
         if self.claims is not None:
             self.claims.departed(attempt.id)
         return True
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -184,11 +184,11 @@
         self.door = ControlFront(self, self.limits, self.counters, self.now_ms)
         self.door.log = self.log
         self.upgrade = Upgrade(self)
-        self.decisions.agreement.claims = self.upgrade
+        self.decisions.waiting.claims = self.upgrade
         if self.copying is not None:
             from flintshift.lifecycle.agreeing import Agreeing
 
-            self.decisions.agreement.claims = Agreeing(self.upgrade, self.copying)
+            self.decisions.waiting.claims = Agreeing(self.upgrade, self.copying)
         for front, _ in self.fronts:
             front.leave()  # until it is known that this process takes the clients
 
@@ -239,7 +239,7 @@
         except UNUSABLE as error:
             raise ConfigError(f"the folder of copies can't be used: {error}") from error
         self.copying = copying
-        self.decisions.agreement.claims, self.decisions.agreement.elsewhere = copying, True
+        self.decisions.waiting.claims, self.decisions.waiting.elsewhere = copying, True
         self.actors.append(copying.run)
         self._show(options.folder / SOCKET, "copies", copying.shown, "how the copies stand")
 
--- a/flintshift/lifecycle/replica_store.py
+++ b/flintshift/lifecycle/replica_store.py
@@ -50,10 +50,6 @@
         """From a try's arrival until nothing is promised of it any more, for the longest class."""
 
 
-def unpacked(data: bytes) -> tuple[Entry, float]:
-    return entry_from(data)
-
-
 def absent(vote: Vote) -> Vote:
     """In its place, where this holder can't vote."""
     return Vote(vote.number, Verdict.ABSENT, NO_BALLOT, NO_BALLOT, None, vote.stores)
@@ -107,7 +103,7 @@
             boot_id(),
             self.options.durability == "power-cut",
             entry_bytes,
-            unpacked,
+            entry_from,
         )
         found, state, now = self.folder.found, self.folder.state, self.now_ms()
         before = self.registers.stores
--- a/tests/core/test_waiting_claims.py
+++ b/tests/core/test_waiting_claims.py
@@ -51,7 +51,7 @@
 def asking():
     """A planner whose claims are asked, and the first of two attempts under one id, which waits for the word."""
     node, told = Planner(), []
-    node.claims = node.planner.agreement.claims = Claims()
+    node.claims = node.planner.waiting.claims = Claims()
     first, second = attempt(node, told), attempt(node, [])
     for report in (at.Submitted(first), at.Submitted(second)):
         node.planner.handle(report)
@@ -75,7 +75,7 @@
 @pytest.mark.parametrize("again_before", [True, False])
 def test_the_caller_of_a_try_that_waits_for_a_claim_goes_and_nothing_of_it_runs(again_before):
     node, told, second = asking()
-    first = node.planner.agreement.awaiting["a"]
+    first = node.planner.waiting.awaiting["a"]
     if again_before:
         node.planner.handle(at.Departed(second))
     node.planner.handle(at.Departed(first))
