Test what ends the wait of a store that is filled and that nobody answers

Cause: since a member is asked once on a link, a link that stands silent is waited on; the window that bounds this had no test.

Change: tests/copies/test_replica_store.py, the store alone on a simulated disk.

--- /dev/null
+++ b/tests/copies/test_replica_store.py
@@ -0,0 +1,64 @@
+"""A member's own store at the node's side: what ends the wait of one that is filled, and what it tells its host."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from storage.sim_files import SimFiles
+
+from flintshift.copies.messages import Reach
+from flintshift.copies.placement import Placement
+from flintshift.copies.refill import FillAsk
+from flintshift.core.counters import Counters
+from flintshift.lifecycle.replica_store import ReplicaStore
+from flintshift.settings.options import CopiesOptions
+
+WINDOW_MS = 9000.0
+REACHED = {"n2", "n3"}
+
+
+class Host:
+    identity = "n1#1"
+
+    def __init__(self):
+        self.told, self.now = [], 1000.0
+
+    def tell(self, event):
+        self.told.append(event)
+
+    def send(self, identity, word):
+        raise AssertionError("nobody asked")
+
+    def keep_for_ms(self):
+        return WINDOW_MS
+
+
+@pytest.fixture
+def host():
+    return Host()
+
+
+@pytest.fixture
+def store(host):
+    """One whose disk is empty."""
+    placement = Placement({"n1": "ruwi-hall", "n2": "ruwi-hall", "n3": "seeb-hall"}, 3)
+    options = CopiesOptions(Path("/srv/copies"), 3, "process-death", 1000, 1 << 20, 1 << 20)
+    store = ReplicaStore(
+        host, "n1", placement, options, SimFiles(), lambda: host.now, Counters(), lambda *_, **__: None
+    )
+    store.open()
+    yield store
+    store.close()
+
+
+def test_a_store_that_nobody_answers_votes_once_its_window_has_passed_and_not_before(host, store):
+    number = store.registers.store
+    assert host.told == [Reach("n1", True, number)]
+    begun = host.now
+    assert sorted(store.asks(begun, REACHED)) == [(name, FillAsk(number, None)) for name in sorted(REACHED)]
+    assert store.asks(begun + WINDOW_MS - 1.0, REACHED) == [] and not store.registers.full_vote  # asked once a link
+    store.link_lost("n2")
+    assert [name for name, _ in store.asks(begun + WINDOW_MS - 0.5, REACHED)] == ["n2"]
+    assert store.asks(begun + WINDOW_MS, REACHED) == [] and store.registers.full_vote
+    assert store.folder.state.votes and store.refill is None
