Test what nothing would have missed: refused settings, no share, what outlasts a change

Cause: ten lines of the diff were taken out one at a time. Four went unseen: a part that refuses new settings, the least memory of a process without a share, the share turned away by class over new settings, and the place of what has run.

Change: tests of those four, by tables where there are several cases.

No code of a node changes.

--- a/tests/control/test_admission.py
+++ b/tests/control/test_admission.py
@@ -253,3 +253,17 @@
     for _ in range(200):
         server.arrive(tenant="greedy")
     assert server.control.refused["look"] == 0.0
+
+
+def test_how_much_of_a_class_is_turned_away_outlasts_new_settings_and_goes_with_its_class(make):
+    server = make(classes=[SAFE, replace(SAFE, name="gone")])
+    held, _ = next((one, acts) for one, acts in (server.arrive("gone") for _ in range(99)) if not of(acts, api.Run))
+    server.control.refused.update(look=0.9, gone=0.5)
+    server.step(api.Changed(replace(server.control.set, classes=[SAFE])))
+    assert server.control.refused == {"look": 0.9, "gone": 0.5}  # one of its requests is open
+    while held in server.control.work:
+        server.tick(after_ms=1000.0)
+        for request in list(server.control.work):
+            server.ends(request)
+    server.step(api.Changed(server.control.set))
+    assert server.control.refused.keys() == {"look"}
--- /dev/null
+++ b/tests/core/test_limit_share.py
@@ -0,0 +1,34 @@
+"""What a process decides by while it has no share of the node's limits, or all of it."""
+
+from __future__ import annotations
+
+import pytest
+from planning import Planner
+
+from flintshift.core import attempts as at
+from flintshift.core.attempts import Verdict
+from flintshift.core.limit_share import WHOLE, LimitShare, scaled
+
+DEADLINE_MS = 900.0  # of both classes, as the planner's settings tell
+
+
+@pytest.mark.parametrize("class_name", ["look", "pay"])
+def test_a_process_with_no_share_at_all_turns_away_and_goes_on_once_it_has_one(class_name):
+    node = Planner()
+    node.planner.keep_to(LimitShare(0.0, 0.0, 0.0))
+    node.planner.handle(at.Tick("tick"))
+    node.submit("a", class_name, unique="k" if class_name == "pay" else None)
+    began = node.now
+    while not node.verdicts("a") and node.now < began + DEADLINE_MS:  # it is held, as room may come in its time
+        node.now += 40.0
+        node.planner.handle(at.Tick("tick"))
+    assert node.verdicts("a") == [Verdict.REFUSED] and node.spawned() == []
+    node.planner.keep_to(WHOLE)
+    node.planner.handle(at.Tick("tick"))
+    node.submit("b", class_name, unique="l" if class_name == "pay" else None)
+    assert node.spawned() == ["b"]
+
+
+def test_the_whole_of_the_limits_is_what_the_settings_tell():
+    settings = Planner().planner.catalogue.decided
+    assert scaled(settings, WHOLE) is settings
--- a/tests/core/test_waiting_claims.py
+++ b/tests/core/test_waiting_claims.py
@@ -72,6 +72,40 @@
     assert told == [Verdict.SERVED] and node.planner.open == 0
 
 
+class Ranks:
+    """Takes note of what the planner tells of a request's place."""
+
+    def __init__(self):
+        self.told = []
+
+    def rank_ms(self, request):
+        return 0.0
+
+    def arrived(self, attempt):
+        self.told.append("arrived")
+
+    def began(self, request):
+        self.told.append("began")
+
+    def ended(self, request, took_ms):
+        self.told.append("ended")
+
+    def left(self, request):
+        self.told.append("left")
+
+
+def test_the_caller_of_what_has_run_goes_before_its_end_is_kept_and_its_place_is_given_up_once():
+    node, told, _ = asking()
+    ranks = Ranks()
+    node.planner.rank_by(ranks)
+    node.planner.handle(at.Agreed("a", True))
+    node.planner.handle(at.RunOver("a", Outcome.OK, 1.0, b"x"))
+    node.planner.handle(at.Departed(node.planner.waiting.keeping["a"]))
+    assert ranks.told == ["arrived", "began", "ended"] and told == []
+    node.planner.handle(at.Kept("a", Outcome.OK, b"x"))
+    assert told == [] and node.planner.counters["departed"] == 1 and not node.planner.waiting.keeping
+
+
 @pytest.mark.parametrize("again_before", [True, False])
 def test_the_caller_of_a_try_that_waits_for_a_claim_goes_and_nothing_of_it_runs(again_before):
     node, told, second = asking()
