Tell why each connection of a caller was closed, and what came after its end was decided

Cause: the saved counters can't tell which closes left a request without an answer. Change: a reason for every close, counted and logged with the last request's id; bytes that are thrown away are counted.

--- a/flintshift/wire/connection.py
+++ b/flintshift/wire/connection.py
@@ -37,6 +37,20 @@
 }
 
 
+class CloseReason(Enum):
+    """Why a connection is closed; counted as ``<front>.closed.<reason>`` and told in the log at level debug."""
+
+    CALLER_GONE = "caller_gone"  # its peer ended or reset it
+    LAST_ANSWER = "last_answer"  # the answer on it said `Connection: close`
+    UNFINISHED = "unfinished"  # the rest of a request did not come in time
+    IDLE = "idle"  # no request came for as long as was decided
+    DISPLACED = "displaced"  # it was idle, and a new one needed its place
+    DRAINED = "drained"  # it was idle when the node stopped
+    NOT_TAKEN = "not_taken"  # its peer took no answer
+    CUT = "cut"  # the node ended under it
+    FAULT = "fault"  # a fault of the program was met on it
+
+
 class TransitionError(RuntimeError):
     """A connection was to enter a state that does not follow on the one it is in."""
 
@@ -55,6 +69,9 @@
         self.scope = anyio.CancelScope()  # of all that is done for it
         self.writing_ms = math.inf  # since when an answer is written
         self.reading: anyio.CancelScope | None = None  # set while it waits for bytes
+        self.reason: CloseReason | None = None  # why it is closed, once that is decided
+        self.request = ""  # the id of the last one that was handed over
+        self.discarded = 0  # bytes that came after its end was decided
 
     @property
     def busy(self) -> bool:
@@ -73,6 +90,11 @@
             raise TransitionError(f"a connection can't go from {self.state.value} to {state.value}")
         self.state = state
 
+    def close_for(self, reason: CloseReason) -> None:
+        """Note why it is closed; the first reason stays."""
+        if self.reason is None:
+            self.reason = reason
+
     def stop_reading(self) -> None:
         """End the wait for bytes, if it is in one."""
         if self.reading is not None:
@@ -85,4 +107,4 @@
         with contextlib.suppress(*BROKEN, RuntimeError), anyio.move_on_after(linger_ms / 1000):
             await self.stream.send_eof()
             for _ in range(limits.linger_reads):
-                await self.stream.receive(limits.read)
+                self.discarded += len(await self.stream.receive(limits.read))
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -18,7 +18,7 @@
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Books, Log, Posture
 from flintshift.wire.acceptor import Acceptor
-from flintshift.wire.connection import Connection, ConnectionState
+from flintshift.wire.connection import CloseReason, Connection, ConnectionState
 from flintshift.wire.fields import Fields, UnusableError
 from flintshift.wire.link import BROKEN
 
@@ -131,8 +131,10 @@
                 await self.converse(connection)
                 await self._shut(connection)
         except BROKEN:
+            connection.close_for(CloseReason.CALLER_GONE)
             self.counters.add(f"{self.name}.connections_broken")
         except Exception as error:  # a fault met on one connection must not end the others
+            connection.close_for(CloseReason.FAULT)
             self.counters.add(f"{self.name}.faults")
             with contextlib.suppress(OSError):
                 traceback.print_exc()
@@ -142,6 +144,22 @@
             connection.enter(ConnectionState.CLOSED)
             self.connections.discard(connection)
             self._stir(connection)
+            self._tell_of_close(connection)
+
+    def _tell_of_close(self, connection: Connection) -> None:
+        reason = connection.reason or CloseReason.CUT
+        self.counters.add(f"{self.name}.closed.{reason.value}")
+        if connection.discarded:
+            self.counters.add(f"{self.name}.bytes_discarded", connection.discarded)
+        if self.log is not None:
+            self.log(
+                "debug",
+                "connection.closed",
+                front=self.name,
+                reason=reason.value,
+                bytes_discarded=connection.discarded,
+                last_request=connection.request,
+            )
 
     def _rest(self, connection: Connection) -> None:
         self.idle[connection.spoke][connection] = None
@@ -158,6 +176,7 @@
             connection = next(iter(idle), None)
             if connection is not None and self.now_ms() - connection.since_ms >= least_ms:
                 self._stir(connection)
+                connection.close_for(CloseReason.DISPLACED)
                 connection.stop_reading()
                 self.counters.add(f"{self.name}.connections_displaced")
                 return True
@@ -170,7 +189,9 @@
         """Close a connection that is answered or was idle. One that never brought a request is owed nothing, and
         keeps no descriptor from others any longer."""
         if connection.at_end:  # nothing can stand unread any more
+            connection.close_for(CloseReason.CALLER_GONE)
             return
+        connection.close_for(CloseReason.LAST_ANSWER if connection.busy else CloseReason.IDLE)
         if connection.busy:
             await connection.shut(self.limits, self.limits.linger_ms)
         elif connection.spoke:
@@ -259,6 +280,7 @@
         """Hand a request over and wait for its answer; None when the caller went first."""
         self.counters.add(f"{self.name}.requests")
         connection.enter(ConnectionState.ANSWERING)
+        connection.request = attempt.id
         if self.books is not None:
             self.books.hold(attempt, self.name)
         self.decisions.submit(attempt)
@@ -310,6 +332,7 @@
                 if idle_ms and not connection.busy and now - connection.since_ms >= idle_ms:
                     connection.stop_reading()
                 if now - connection.writing_ms >= self.limits.write_ms:
+                    connection.close_for(CloseReason.NOT_TAKEN)
                     self.counters.add(f"{self.name}.answers_not_taken")
                     connection.scope.cancel()
 
@@ -320,6 +343,8 @@
         self.take()
         self.accepting.cancel()
         for connection in self.connections:
+            if not connection.busy:
+                connection.close_for(CloseReason.DRAINED)
             connection.stop_reading()
 
 
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -8,7 +8,7 @@
 import h11
 
 from flintshift.core.attempts import Answer
-from flintshift.wire.connection import Connection
+from flintshift.wire.connection import CloseReason, Connection
 from flintshift.wire.fields import UnusableError, headers_of, status_of, written
 from flintshift.wire.front import STOPPING, Exchange, Front
 
@@ -67,6 +67,7 @@
                 data = await self.read(connection)
                 if data is None:
                     if connection.busy:  # half read: nothing of it was run
+                        connection.close_for(CloseReason.UNFINISHED)
                         status = 503 if self.posture.leaving else 408
                         await self._say(connection, False, status, b"", STOPPING)
                     return None
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -6,7 +6,7 @@
 
 from flintshift.core.attempts import Answer
 from flintshift.wire import uwsgi
-from flintshift.wire.connection import Connection
+from flintshift.wire.connection import CloseReason, Connection
 from flintshift.wire.fields import UnusableError, headers_of, status_of, written
 from flintshift.wire.front import STOPPING, Exchange, Front
 
@@ -43,6 +43,7 @@
             body = await take(uwsgi.body_size(variables, self.limits.body))
         except StoppedError:
             if connection.busy:  # half read: nothing of it was run
+                connection.close_for(CloseReason.UNFINISHED)
                 await self._say(connection, 503 if self.posture.leaving else 408, b"", STOPPING)
             return
         method, path = variables.get("REQUEST_METHOD", ""), variables.get("PATH_INFO", "")
