Reproduce the incident: soak of drains, clock steps and failing calls, as failing tests

Cause: under a drain resting connections are ended while their callers write, busy ones keep it from ending, the clock follows steps, a start gives up on a failing call, a full pipe on standard error blocks the process.

--- a/flintshift/lab/rig.py
+++ b/flintshift/lab/rig.py
@@ -77,7 +77,9 @@
         root: Path | None = None,
         platform: dict[str, Any] | None = None,
         control: bool = False,
+        environment: dict[str, str] | None = None,
     ) -> None:
+        self.environment = environment or {}  # of the node's processes, beside this one's own
         self.folder, self.settings, self.uwsgi, self.root, self.platform = folder, settings, uwsgi, root, platform
         self.control = control  # there is a control door, at ports["control"]
         self.pool, self.vault, self.names, self.apps = pool or Pool(), Vault(), Names(), Apps()
@@ -152,7 +154,7 @@
             *command,
             cwd=self.root or Path.cwd(),
             stderr=stderr,
-            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.folder)},
+            env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.folder), **self.environment},
         )
 
     async def beside(self, pool: Pool | None = None) -> asyncio.subprocess.Process:
--- /dev/null
+++ b/flintshift/lab/syscall_faults.c
@@ -0,0 +1,221 @@
+/* System calls that fail, a wall clock that is stepped, and a record of what is read after a connection's end.
+ *
+ * Preloaded into a process under test (LD_PRELOAD). Everything is told by one shared file, named by
+ * FLINTSHIFT_SYSCALL_FAULTS, whose layout is `struct control`; syscall_faults.py writes and reads it while the process
+ * runs. Without that variable nothing is changed. Rates are in calls of 1,000.
+ */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/time.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+#define DESCRIPTORS 65536
+
+struct control {
+    int64_t clock_step_ns;          /* added to the wall clock */
+    uint64_t seed;
+    uint32_t socket_fails, accept_fails, connect_fails, short_io, interrupted, disk_fails;
+    uint32_t reads_after_end;       /* reads of bytes from a connection after its end was sent */
+    uint32_t requests_after_end;    /* of these, that began with a request line */
+    uint32_t reserved[8];
+};
+
+static struct control *control;
+static uint64_t state;
+static unsigned char ended[DESCRIPTORS]; /* by descriptor: 1 once its end was sent */
+
+__attribute__((constructor)) static void begin(void) {
+    const char *path = getenv("FLINTSHIFT_SYSCALL_FAULTS");
+    int file = path ? open(path, O_RDWR) : -1;
+    if (file < 0) return;
+    void *mapped = mmap(NULL, sizeof *control, PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
+    close(file);
+    if (mapped == MAP_FAILED) return;
+    control = mapped;
+    state = control->seed * 2 + 1;
+}
+
+#define REAL(name) \
+    static __typeof__(&name) real; \
+    if (!real) real = (__typeof__(&name))dlsym(RTLD_NEXT, #name)
+
+static uint32_t drawn(void) { /* xorshift64*; a race between threads changes only the draw */
+    state ^= state >> 12;
+    state ^= state << 25;
+    state ^= state >> 27;
+    return (uint32_t)((state * 2685821657736338717ull) >> 33);
+}
+
+static int hit(uint32_t rate) { return rate && drawn() % 1000 < rate; }
+
+static int fails(uint32_t rate, const int *errors, int count) {
+    if (!control || !hit(rate)) return 0;
+    errno = errors[drawn() % (uint32_t)count];
+    return 1;
+}
+
+static int is_kind(int descriptor, mode_t kind) {
+    struct stat found;
+    int before = errno, is = fstat(descriptor, &found) == 0 && (found.st_mode & S_IFMT) == kind;
+    errno = before;
+    return is;
+}
+
+static size_t shortened(int descriptor, size_t size) {
+    if (control && size > 1 && hit(control->short_io) && is_kind(descriptor, S_IFSOCK)) return 1 + drawn() % (size - 1);
+    return size;
+}
+
+static int interrupted(int descriptor) {
+    if (!control || !hit(control->interrupted) || !is_kind(descriptor, S_IFSOCK)) return 0;
+    errno = EINTR;
+    return 1;
+}
+
+static ssize_t came(int descriptor, const void *data, ssize_t size) {
+    if (control && size > 0 && descriptor >= 0 && descriptor < DESCRIPTORS && ended[descriptor]) {
+        control->reads_after_end++;
+        if (size >= 5 && memcmp(data, "POST ", 5) == 0) control->requests_after_end++;
+    }
+    return size;
+}
+
+static const int SOCKET_ERRORS[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
+static const int ACCEPT_ERRORS[] = {ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EPROTO};
+static const int CONNECT_ERRORS[] = {EADDRNOTAVAIL, ENETUNREACH, ETIMEDOUT, EHOSTUNREACH, ECONNREFUSED};
+static const int DISK_ERRORS[] = {ENOSPC, EIO};
+#define COUNT(array) ((int)(sizeof(array) / sizeof *(array)))
+
+int socket(int domain, int type, int protocol) {
+    REAL(socket);
+    if (control && domain != AF_UNIX && fails(control->socket_fails, SOCKET_ERRORS, COUNT(SOCKET_ERRORS))) return -1;
+    return real(domain, type, protocol);
+}
+
+static int taken(int descriptor) {
+    if (descriptor >= 0 && descriptor < DESCRIPTORS) ended[descriptor] = 0;
+    return descriptor;
+}
+
+int accept(int listener, struct sockaddr *address, socklen_t *size) {
+    REAL(accept);
+    if (control && fails(control->accept_fails, ACCEPT_ERRORS, COUNT(ACCEPT_ERRORS))) return -1;
+    return taken(real(listener, address, size));
+}
+
+int accept4(int listener, struct sockaddr *address, socklen_t *size, int flags) {
+    REAL(accept4);
+    if (control && fails(control->accept_fails, ACCEPT_ERRORS, COUNT(ACCEPT_ERRORS))) return -1;
+    return taken(real(listener, address, size, flags));
+}
+
+int connect(int descriptor, const struct sockaddr *address, socklen_t size) {
+    REAL(connect);
+    if (control && address->sa_family != AF_UNIX &&
+        fails(control->connect_fails, CONNECT_ERRORS, COUNT(CONNECT_ERRORS)))
+        return -1;
+    return real(descriptor, address, size);
+}
+
+int shutdown(int descriptor, int how) {
+    REAL(shutdown);
+    if (how != SHUT_RD && descriptor >= 0 && descriptor < DESCRIPTORS) ended[descriptor] = 1;
+    return real(descriptor, how);
+}
+
+int close(int descriptor) {
+    REAL(close);
+    if (descriptor >= 0 && descriptor < DESCRIPTORS) ended[descriptor] = 0;
+    return real(descriptor);
+}
+
+ssize_t read(int descriptor, void *data, size_t size) {
+    REAL(read);
+    if (interrupted(descriptor)) return -1;
+    return came(descriptor, data, real(descriptor, data, shortened(descriptor, size)));
+}
+
+ssize_t recv(int descriptor, void *data, size_t size, int flags) {
+    REAL(recv);
+    if (interrupted(descriptor)) return -1;
+    ssize_t got = real(descriptor, data, shortened(descriptor, size), flags);
+    return flags & MSG_PEEK ? got : came(descriptor, data, got);
+}
+
+static int disk_refuses(int descriptor) {
+    return control && control->disk_fails && descriptor > 2 && is_kind(descriptor, S_IFREG) &&
+           fails(control->disk_fails, DISK_ERRORS, COUNT(DISK_ERRORS));
+}
+
+ssize_t write(int descriptor, const void *data, size_t size) {
+    REAL(write);
+    if (disk_refuses(descriptor) || interrupted(descriptor)) return -1;
+    return real(descriptor, data, shortened(descriptor, size));
+}
+
+ssize_t pwrite64(int descriptor, const void *data, size_t size, off64_t at) {
+    REAL(pwrite64);
+    if (disk_refuses(descriptor)) return -1;
+    return real(descriptor, data, size, at);
+}
+
+ssize_t send(int descriptor, const void *data, size_t size, int flags) {
+    REAL(send);
+    if (interrupted(descriptor)) return -1;
+    return real(descriptor, data, shortened(descriptor, size), flags);
+}
+
+ssize_t writev(int descriptor, const struct iovec *parts, int count) {
+    REAL(writev);
+    if (disk_refuses(descriptor) || interrupted(descriptor)) return -1;
+    if (count > 1 && control && hit(control->short_io) && is_kind(descriptor, S_IFSOCK)) count = 1;
+    return real(descriptor, parts, count);
+}
+
+int fsync(int descriptor) {
+    REAL(fsync);
+    return disk_refuses(descriptor) ? -1 : real(descriptor);
+}
+
+int fdatasync(int descriptor) {
+    REAL(fdatasync);
+    return disk_refuses(descriptor) ? -1 : real(descriptor);
+}
+
+static int wait_interrupted(void) {
+    if (!control || !hit(control->interrupted)) return 0;
+    errno = EINTR;
+    return 1;
+}
+
+int epoll_wait(int epoll, struct epoll_event *events, int most, int timeout) {
+    REAL(epoll_wait);
+    return wait_interrupted() ? -1 : real(epoll, events, most, timeout);
+}
+
+int epoll_pwait(int epoll, struct epoll_event *events, int most, int timeout, const sigset_t *mask) {
+    REAL(epoll_pwait);
+    return wait_interrupted() ? -1 : real(epoll, events, most, timeout, mask);
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    REAL(clock_gettime);
+    int result = real(clock, now);
+    if (result == 0 && control && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE)) {
+        int64_t ns = (int64_t)now->tv_sec * 1000000000 + now->tv_nsec + control->clock_step_ns;
+        now->tv_sec = ns / 1000000000;
+        now->tv_nsec = ns % 1000000000;
+    }
+    return result;
+}
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from pathlib import Path
 
 import pytest
 from standins import Rig
@@ -14,6 +15,32 @@
 if "PYTEST_XDIST_WORKER" in os.environ:  # workers run beside each other: each starts processes at ports of its own
     os.environ[PART] = f"{os.environ['PYTEST_XDIST_WORKER'][2:]}/{os.environ['PYTEST_XDIST_WORKER_COUNT']}"
 
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+MOST_KNOWN_RED = 3
+
+
+def known_red():
+    """The lines of KNOWN-RED.txt, by the test or file of tests that each names."""
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    return {line.partition(": ")[0]: line for line in lines if line.strip()}
+
+
+def pytest_collection_modifyitems(items):
+    """Tests that are known to fail run, and their failures are told apart from others."""
+    known = known_red()
+    if len(known) > MOST_KNOWN_RED:
+        raise pytest.UsageError(f"KNOWN-RED.txt holds {len(known)} lines, {MOST_KNOWN_RED} at the most")
+    for item in items:
+        for test, line in known.items():
+            if item.nodeid == test or item.nodeid.startswith((f"{test}::", f"{test}[")):
+                item.add_marker(pytest.mark.xfail(reason=line, strict=False))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for line in known_red().values():
+        terminalreporter.write_line(f"known red: {line}")
+
+
 SAFE = api.RequestClass("look", 1000.0, 3000.0, 1.0, api.Effect.SAFE)
 DEAR = api.RequestClass("buy", 1000.0, 3000.0, 5.0, api.Effect.UNSAFE, calls=True)
 KEYED = api.RequestClass("pay", 1000.0, 3000.0, 3.0, api.Effect.KEYED, repeat_window_ms=8000.0, calls=True)
--- /dev/null
+++ b/tests/lifecycle/test_failing_system_calls.py
@@ -0,0 +1,46 @@
+"""System calls that fail for a moment, and a standard error that nobody reads: neither stops a node."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import os
+import signal
+
+import pytest
+
+from flintshift.lab.rig import Rig
+from flintshift.lab.syscall_faults import NO_FAULTS, Rates, SyscallFaults
+
+pytestmark = pytest.mark.anyio
+
+PIPE_BYTES = 4096  # the smallest pipe there is
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+async def test_a_start_outlasts_calls_of_socket_that_fail_for_a_moment(seed, tmp_path):
+    faults = SyscallFaults(tmp_path / "faults", seed=seed)
+    async with Rig(tmp_path, uwsgi=True, control=True, environment=faults.environment) as rig:
+        await rig.kill()
+        faults.set(Rates(socket=200))
+        process = await asyncio.wait_for(rig.start(), 15)
+        faults.set(NO_FAULTS)
+        assert process.returncode is None
+
+
+async def test_a_standard_error_that_nobody_reads_stops_nothing(tmp_path):
+    async with Rig(tmp_path) as rig:
+        await rig.kill()
+        read, write = os.pipe()
+        fcntl.fcntl(write, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        process = await rig.start(write)
+        for _ in range(100):
+            process.send_signal(signal.SIGUSR1)
+            await asyncio.sleep(0.01)
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.ports["http"])
+        writer.write(b"GET /ping HTTP/1.1\r\nHost: n1\r\n\r\n")
+        assert b" 200 " in await asyncio.wait_for(reader.readline(), 2)
+        writer.close()
+        assert await rig.leave() == 0
+        os.close(read)
+        os.close(write)
--- /dev/null
+++ b/tests/soak/test_drain_soak.py
@@ -0,0 +1,18 @@
+"""Drains of a real node under load and faults, by seed: the short run of `benchmarks/drain_soak.py`."""
+
+from __future__ import annotations
+
+import pytest
+
+from flintshift.lab.drain_soak import play
+
+pytestmark = pytest.mark.anyio
+
+SEEDS = (1, 5, 8, 11, 12, 15, 18, 24, 30, 36, 101, 102)
+"""The first ten are those which broke a rule each on the version that failed its trial."""
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_a_drain_under_load_and_faults_breaks_no_rule(seed, tmp_path):
+    told = await play(seed, tmp_path / "node")
+    assert not told["broken"], told
