End connections of a drain by agreement, in the time that the protocol gives, unread bytes aside

Cause: drain.py waited for a moment with nothing open while answers kept connections alive (http_front.py _ending), counted on stop_ms alone, then ended what rested after a look that awaited (front.py _last_look), and read and threw away what came (connection.py shut). SIGTERM behind SIGHUPs was heard one turn of the loop later for each of them (node.py _heed). Change: from the notice on each answer says close; the kill is expected at the longest deadline plus 0.7 s; look and end of a resting connection are one turn, and nothing is read after it; no connection is made between the last accept and the close; the notice is taken before other signals, which count once.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -30,6 +30,7 @@
     linger_reads: int = 16  # of what still comes after the last answer
     list_box: int = 4  # words waiting for a list
     backlog: int = 1024
+    queued: int = 4096  # connections that are taken from the listener's queue at its end, and tries that fail
     strays: int = 8  # replies to nothing that was asked, before a call's own
     dropped_classes: int = 64  # that a new configuration left out, and whose repeats may still come
     claims: int = 1024  # on keys, that the other process of an upgrade has not answered
@@ -94,6 +95,7 @@
     notice_late_ms: float = 500.0  # a busy node may hear of the notice to leave so late
     drain_step_ms: float = 10.0  # between two looks whether all is answered
     stop_margin_ms: float = 250.0  # all is answered so long before the kill
+    unlisten_ms: float = 300.0  # no new connection is taken from so long before then on: what was taken is answered
     browse_ms: float = 5000.0  # between two looks for app servers
     browse_empty_looks: int = 3  # in a row, after which a list that names nobody is believed
     browse_again_ms: float = 500.0  # while none are known, growing up to that
--- a/flintshift/lifecycle/drain.py
+++ b/flintshift/lifecycle/drain.py
@@ -1,48 +1,100 @@
-"""Graceful shutdown: all that was read is answered, and each connection closed, before the kill after the notice."""
+"""Graceful shutdown: all that was read is answered, and each connection closed, before the kill after the notice.
+
+Connections end by agreement, not by time. From the notice on each answer says that it is the last on its connection,
+and its caller ends that connection while no request is on its way. Only what rests until the last moment is ended by
+the node, since a caller's request may cross that.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import anyio
 
 from flintshift.core.attempts import Notice
 from flintshift.core.decisions import Decisions
 from flintshift.core.limits import Limits
+from flintshift.core.ports import Log, silent
+from flintshift.interface import RequestClass
 from flintshift.wire.front import Front
 
+# The kill comes `stop_ms` after the notice, or sooner: once the longest deadline, which counts as the first of these at
+# the most, and the second have passed (protocol page, and the operators' terms).
+LONGEST_DEADLINE_MS = 3000.0
+AFTER_DEADLINE_MS = 700.0
+
+
+def kill_after_ms(stop_ms: float, classes: Iterable[RequestClass]) -> float:
+    """The earliest moment of the kill, in ms after the notice.
+
+    >>> from flintshift.interface import Effect
+    >>> look = RequestClass("look", aim_ms=900.0, deadline_ms=1500.0, worth=1.0, effect=Effect.SAFE)
+    >>> kill_after_ms(3000.0, [look])
+    2200.0
+    """
+    longest_ms = max((kind.deadline_ms for kind in classes), default=LONGEST_DEADLINE_MS)
+    return min(stop_ms, min(longest_ms, LONGEST_DEADLINE_MS) + AFTER_DEADLINE_MS)
+
 
 class Drain:
-    """Of one process. ``grace_ms``: how long after the notice new work may still be run, as the settings tell."""
+    """Of one process. ``alone``: no other process holds its listeners."""
 
     def __init__(
-        self, fronts: Sequence[Front], decisions: Decisions, limits: Limits, now_ms: Callable[[], float]
+        self,
+        fronts: Sequence[Front],
+        decisions: Decisions,
+        limits: Limits,
+        now_ms: Callable[[], float],
+        alone: Callable[[], bool] = lambda: True,
+        log: Log = silent,
     ) -> None:
-        self.fronts, self.decisions, self.limits, self.now_ms = fronts, decisions, limits, now_ms
+        self.fronts, self.decisions, self.limits = fronts, decisions, limits
+        self.now_ms, self.alone, self.log = now_ms, alone, log
 
     def open(self) -> int:
         """Requests read and not answered."""
         return self.decisions.open + sum(front.busy for front in self.fronts)
 
     def connections(self) -> int:
-        return sum(len(front.connections) for front in self.fronts)
+        """Connections that were accepted and are not closed."""
+        return sum(front.held for front in self.fronts)
 
-    async def run(self, grace_ms: float, succeeded: bool) -> None:
-        """``succeeded``: another process of this node takes the clients already."""
+    def done(self) -> bool:
+        """No connection is taken any more, and all that were are closed."""
+        return all(front.done for front in self.fronts)
+
+    async def run(self, grace_ms: float, kill_ms: float, succeeded: bool) -> None:
+        """Until all that was read is answered and all connections are closed, ``kill_ms`` after the notice at the
+        latest. ``grace_ms``: how long after the notice new work may still be run, as the settings tell. ``succeeded``:
+        another process of this node takes the clients already."""
         notice_ms = self.now_ms()
-        stop_ms = notice_ms + self.limits.stop_ms - self.limits.stop_margin_ms
-        await self.decisions.report(Notice(stop_ms - notice_ms))
-        if succeeded:
-            # This process stays for what is still open with it, as no connection is cut on which a request may be on
-            # its way.
-            await self._until(lambda: not (self.open() or self.connections()), stop_ms)
-        else:
-            # What comes after the grace is refused, not run.
-            await self._until(lambda: self.now_ms() >= notice_ms + grace_ms and not self.open(), stop_ms)
+        last_ms = notice_ms + kill_ms - self.limits.stop_margin_ms
+        for front in self.fronts:
+            front.drain()
+        await self.decisions.report(Notice(last_ms - notice_ms))
+        self._tell("drain.began", notice_ms, kill_ms=kill_ms)
+        if not succeeded:
+            await self._until(lambda: False, min(notice_ms + grace_ms, last_ms - self.limits.unlisten_ms))
+        for front in self.fronts:
+            front.stop_listening(self.alone())
+        self._tell("drain.listens_no_more", notice_ms)
+        await self._until(lambda: self.done() and not self.decisions.open, last_ms)
+        self._tell("drain.closes", notice_ms)
         for front in self.fronts:
             front.finish()
         # The last answers are to be taken, and what crosses them read to its end, for as long as the kill is away.
-        await self._until(lambda: all(front.done for front in self.fronts), stop_ms + self.limits.stop_margin_ms / 2)
+        await self._until(self.done, last_ms + self.limits.stop_margin_ms / 2)
+        self._tell("drain.ended", notice_ms)
+
+    def _tell(self, event: str, notice_ms: float, **more: float) -> None:
+        self.log(
+            "info",
+            event,
+            after_ms=round(self.now_ms() - notice_ms),
+            open=self.open(),
+            connections=self.connections(),
+            **more,
+        )
 
     async def _until(self, true: Callable[[], bool], latest_ms: float) -> None:
         while self.now_ms() < latest_ms and not true():
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -6,7 +6,7 @@
 import random
 import signal
 import sys
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
@@ -20,9 +20,10 @@
 from flintshift.lifecycle import signals
 from flintshift.lifecycle.clock import Clock
 from flintshift.lifecycle.config import Config, ConfigError
-from flintshift.lifecycle.drain import Drain
+from flintshift.lifecycle.drain import Drain, kill_after_ms
 from flintshift.lifecycle.leftovers import leftovers
 from flintshift.lifecycle.reconfiguration import Reconfiguration
+from flintshift.lifecycle.signal_queue import SignalQueue
 from flintshift.settings.options import (
     CopiesOptions,
     DoorOptions,
@@ -75,7 +76,9 @@
         self._wire_operators(config.operators)
         self.reconfiguration = self._reconfiguration(reread)
         self.registration = Registration(self.lists, self.limits, config.settings.servers, self.uniform)
-        self.drain = Drain([front for front, _ in self.fronts], self.decisions, self.limits, self.now_ms)
+        self.drain = Drain(
+            [front for front, _ in self.fronts], self.decisions, self.limits, self.now_ms, self.alone, self.log
+        )
         if config.operators.startup is not None:
             self._watch_start(config.operators.startup)
         if config.control is not None:
@@ -271,7 +274,8 @@
 
     async def run(self) -> None:
         """Serve until told to leave."""
-        with anyio.open_signal_receiver(*signals.HEEDED) as received:
+        received = SignalQueue()
+        with received.receiving():
             try:
                 # Told to leave before it served, it does not begin: the kill follows the notice, not its reading.
                 if not signals.told_to_leave():
@@ -300,7 +304,7 @@
         if not left.none:
             self.log("error", "node.left_behind", **asdict(left))
 
-    async def _serve(self, received: AsyncIterator[signal.Signals]) -> None:
+    async def _serve(self, received: SignalQueue) -> None:
         listeners: list[Acceptor] = []
 
         async def listen() -> None:
@@ -330,15 +334,15 @@
             self.log("info", "node.leaving", stop_ms=self.limits.stop_ms)
             if self.failed is None:
                 await self.drain.run(
-                    self.config.settings.drain_grace_ms, self.upgrade is not None and self.upgrade.shedding
+                    self.config.settings.drain_grace_ms,
+                    kill_after_ms(self.limits.stop_ms, self.decisions.catalogue.decided.classes),
+                    self.upgrade is not None and self.upgrade.shedding,
                 )
             if self.upgrade is not None:
                 await self.upgrade.close()
             tasks.cancel_scope.cancel()
 
-    async def _unless_told(
-        self, received: AsyncIterator[signal.Signals], act: Callable[[], Coroutine[Any, Any, Any]]
-    ) -> None:
+    async def _unless_told(self, received: SignalQueue, act: Callable[[], Coroutine[Any, Any, Any]]) -> None:
         """Do a part of the start that may take long, and heed signals meanwhile; a notice to leave ends it.
 
         Raises:
@@ -361,9 +365,9 @@
         if failed is not None:
             raise failed
 
-    async def _heed(self, received: AsyncIterator[signal.Signals], leave: anyio.Event) -> None:
-        async for number in received:  # in a drain too: the addresses may move under it
-            match number:
+    async def _heed(self, received: SignalQueue, leave: anyio.Event) -> None:
+        while True:  # in a drain too: the addresses may move under it
+            match await received.take():
                 case signal.SIGUSR1:
                     self.print_counters()
                 case signal.SIGHUP:
@@ -376,6 +380,10 @@
         with contextlib.suppress(OSError):  # a full disk under the log must not end the node
             print(f"flintshift: {text}", file=sys.stderr, flush=True)
 
+    def alone(self) -> bool:
+        """No other process of this node holds its listeners."""
+        return self.upgrade is None or self.upgrade.phases.alone
+
     # What operators ask for at the control door.
 
     def not_ready(self) -> str | None:
@@ -421,7 +429,7 @@
             self.permits is not None
             and posture.up
             and not posture.leaving
-            and (self.upgrade is None or self.upgrade.phases.alone)
+            and self.alone()
             and not self.permits.may_go()
         ):
             return  # told again once it may
--- /dev/null
+++ b/flintshift/lifecycle/signal_queue.py
@@ -0,0 +1,46 @@
+"""Signals as messages: received by the event loop, and handled by the one task that takes them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import Iterator
+
+import anyio
+
+from flintshift.lifecycle.signals import HEEDED, NOTICES
+
+
+class SignalQueue:
+    """The signals that were received and not handled yet. One that comes again before it is handled counts once, and
+    the notice to leave comes before all others: the kill follows it, however many came first."""
+
+    def __init__(self) -> None:
+        self.pending: dict[signal.Signals, None] = {}
+        self.come = anyio.Event()
+
+    @contextlib.contextmanager
+    def receiving(self) -> Iterator[None]:
+        """Receive them in the running event loop."""
+        loop = asyncio.get_running_loop()
+        for number in HEEDED:
+            loop.add_signal_handler(number, self.add, number)
+        try:
+            yield
+        finally:
+            for number in HEEDED:
+                loop.remove_signal_handler(number)
+
+    def add(self, number: signal.Signals) -> None:
+        self.pending[number] = None
+        self.come.set()
+
+    async def take(self) -> signal.Signals:
+        """The next one; all that are pending can be taken in one turn of the event loop."""
+        while not self.pending:
+            self.come = anyio.Event()
+            await self.come.wait()
+        first = next((number for number in self.pending if number in NOTICES), next(iter(self.pending)))
+        del self.pending[first]
+        return first
--- a/flintshift/lifecycle/signals.py
+++ b/flintshift/lifecycle/signals.py
@@ -2,7 +2,8 @@
 
 The default action of each of them ends the process: at once, without an answer to what was read, and with an exit code
 that looks like a crash. So they are held from the first line of a start until the node receives them as messages, and
-again once it has left; what is sent meanwhile is received late, or finds the process gone.
+again once it has left; what is sent meanwhile is received late, or finds the process gone. This module is imported
+before all others, so it imports nothing that takes long.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import signal
 
 HEEDED = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
+NOTICES = (signal.SIGTERM, signal.SIGINT)  # to leave
 AT_START = (signal.SIGTERM, signal.SIGUSR1, signal.SIGHUP)  # SIGINT: a person may give up a start that does not begin
 
 
@@ -20,7 +22,7 @@
 
 def told_to_leave() -> bool:
     """The notice to leave is held: it came before the process could receive it."""
-    return bool(signal.sigpending() & {signal.SIGTERM, signal.SIGINT})
+    return not signal.sigpending().isdisjoint(NOTICES)
 
 
 def release() -> None:
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -7,26 +7,42 @@
 
 from __future__ import annotations
 
-import asyncio
+import array
 import contextlib
 import errno
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import anyio
-from anyio._backends._asyncio import SocketStream as AsyncioSocketStream
-from anyio._backends._asyncio import StreamProtocol
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import TaskGroup
 
 from flintshift.core.limits import Limits
+from flintshift.wire.caller_stream import CallerStream, caller_stream
 
 BATCH = 64  # accepted in one turn
+HANDSHAKE_S = 0.001  # for a connection that is being made on this machine to be whole
+
+# A filter in the system's classic packet language (linux/filter.h): a segment of a TCP connection that is to be made,
+# SYN without ACK, is dropped, and any other is kept.
+SO_ATTACH_FILTER = 26
+FILTER_STEP = struct.Struct("HBBI")  # code, steps to skip where true, where false, operand
+FILTER = struct.Struct("HP")  # number of steps, address of the first
+DROP_NEW = (
+    (0x30, 0, 0, 13),  # load the byte of the TCP flags
+    (0x54, 0, 0, 0x12),  # keep SYN and ACK of them
+    (0x15, 0, 1, 0x02),  # SYN alone:
+    (0x06, 0, 0, 0),  # drop it
+    (0x06, 0, 0, 0xFFFFFFFF),  # else keep all of it
+)
 ADVICE = {  # by why an address can't be listened at
     errno.EADDRINUSE: "end the process that listens there, or change `listen`",
     errno.EADDRNOTAVAIL: "no interface of this machine has that address: change `listen`",
     errno.EACCES: "this user may not listen at that port: change `listen`",
 }
 
+Handler = Callable[[CallerStream], Awaitable[None]]
+
 
 class Acceptor:
     def __init__(self, raw: socket.socket) -> None:
@@ -34,7 +50,7 @@
         self.held = 0  # connections that were taken and are not closed
         self.closed = False
 
-    async def serve(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> None:
+    async def serve(self, handler: Handler, tasks: TaskGroup) -> None:
         """Until cancelled.
 
         Raises:
@@ -46,15 +62,29 @@
                 if not self._take(handler, tasks):
                     break
 
-    def take_queued(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup, most: int) -> None:
-        """Take what is queued now, ``most`` of it, as callers may go on to connect meanwhile: closing the socket would
-        reset it, though a request may stand in it."""
-        with contextlib.suppress(OSError):  # no descriptors are left: the rest is reset with the socket
-            for _ in range(most):
+    async def refuse_new(self) -> None:
+        """Have the system drop what asks for a new connection, so that none is made between the last look at the queue
+        and the close; its caller's system asks again, and finds nobody listening. For a socket that no other process
+        listens at. Where the system can't, nothing is changed."""
+        steps = array.array("B", b"".join(FILTER_STEP.pack(*step) for step in DROP_NEW))
+        with contextlib.suppress(OSError):
+            self.raw.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, FILTER.pack(len(DROP_NEW), steps.buffer_info()[0]))
+            await anyio.sleep(HANDSHAKE_S)
+
+    def take_queued(self, handler: Handler, tasks: TaskGroup, most: int) -> None:
+        """Take what is queued, ``most`` of it: closing the socket would reset it, though a request may stand in it. The
+        caller closes the socket in this turn.
+
+        What the system refuses to accept for a moment is tried again at once: a turn of the event loop would begin all
+        that was taken, and callers that are answered there connect anew."""
+        for _ in range(most):
+            try:
                 if not self._take(handler, tasks):
                     break
+            except OSError:  # it counts as one of the tries
+                continue
 
-    def _take(self, handler: Callable[[SocketStream], Awaitable[None]], tasks: TaskGroup) -> bool:
+    def _take(self, handler: Handler, tasks: TaskGroup) -> bool:
         """Take the next connection; False where none is queued."""
         try:
             accepted, _ = self.raw.accept()
@@ -63,15 +93,16 @@
         except BlockingIOError:
             return False  # there is none, or another process that holds the socket took it
         accepted.setblocking(False)
-        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with contextlib.suppress(OSError):  # its caller went meanwhile
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.held += 1
         tasks.start_soon(self._handle, handler, accepted)
         return True
 
-    async def _handle(self, handler: Callable[[SocketStream], Awaitable[None]], accepted: socket.socket) -> None:
+    async def _handle(self, handler: Handler, accepted: socket.socket) -> None:
         try:
             try:
-                stream = await _stream_of(accepted)
+                stream = await caller_stream(accepted)
             except (OSError, ValueError, RuntimeError):  # its caller went meanwhile
                 accepted.close()
                 return
@@ -79,7 +110,7 @@
         finally:
             self.held -= 1
 
-    async def aclose(self) -> None:
+    def close(self) -> None:
         self.raw.close()
         self.closed = True
 
@@ -89,16 +120,6 @@
         return self.closed and not self.held
 
 
-async def _stream_of(accepted: socket.socket) -> SocketStream:
-    """A stream on an accepted socket, made as anyio's own listener makes one.
-
-    `SocketStream.from_socket` looks at what the socket is and connects it anew: some 0.1 ms more for each connection,
-    which is a third of what a flood of short ones costs."""
-    loop = asyncio.get_running_loop()
-    transport, protocol = await loop.connect_accepted_socket(StreamProtocol, accepted)
-    return AsyncioSocketStream(transport, protocol)
-
-
 def listening(at: tuple[str, int], backlog: int) -> socket.socket:
     """A listening socket at this address."""
     host, port = at
--- a/flintshift/wire/connection.py
+++ b/flintshift/wire/connection.py
@@ -1,8 +1,13 @@
 """The life of one caller's connection: its states, and the one way in which it is closed.
 
-Closing a socket that holds unread bytes resets the connection, and a reset can take the last answer with it. So every
-close goes through `Connection.shut`: nothing more is sent, what still comes is read and thrown away for a bounded time,
-and only then is the socket closed. Nothing that is read after `shut` has begun is handed on.
+A connection ends in one of two ways:
+
+- After an answer that says so, or half way through a request (`shut`): nothing more is sent, what still comes is read
+  and thrown away for a bounded time, and only then is the socket closed. Closing it over unread bytes would reset the
+  connection, and a reset can take the last answer with it.
+- While it rests (`end`, in the turn in which nothing was found unread, and `await_peer`): nothing is owed on it, and
+  nothing is read any more. A request that crosses this end stays in the system, unread; its caller sees the end, and
+  sends it once more on a new connection, as the protocol says.
 """
 
 from __future__ import annotations
@@ -12,11 +17,13 @@
 from enum import Enum
 
 import anyio
-from anyio.abc import SocketStream
 
 from flintshift.core.limits import Limits
+from flintshift.wire.caller_stream import CallerStream
 from flintshift.wire.link import BROKEN
 
+LOOK_S = 0.01  # between two looks whether a peer has ended too, or has taken what was written
+
 
 class ConnectionState(Enum):
     IDLE = "idle"  # no byte of a request has come since the last answer
@@ -58,7 +65,7 @@
 class Connection:
     """A caller's connection and what it is at; all times are milliseconds of the node's clock."""
 
-    def __init__(self, stream: SocketStream, now_ms: float) -> None:
+    def __init__(self, stream: CallerStream, now_ms: float) -> None:
         self.stream = stream
         self.state = ConnectionState.IDLE
         self.since_ms = now_ms  # since when it is open, idle, or in its request
@@ -100,11 +107,27 @@
         if self.reading is not None:
             self.reading.cancel()
 
+    def end(self) -> None:
+        """Send the end of a resting connection, at once."""
+        self.enter(ConnectionState.HALF_CLOSED)
+        self.stream.end()
+
+    async def await_peer(self, most_ms: float) -> None:
+        """Wait for the peer's end, for at most so long, and read nothing."""
+        with anyio.move_on_after(most_ms / 1000):
+            while not self.stream.peer_ended:
+                await anyio.sleep(LOOK_S)
+
     async def shut(self, limits: Limits, linger_ms: float) -> None:
-        """Send nothing more, and read for at most so long what still comes, until the peer closes too."""
+        """Send nothing more, and read for at most so long what still comes, until the peer closes too. The time counts
+        from when the system has taken all that was written."""
         self.enter(ConnectionState.HALF_CLOSED)
         # uvloop raises a RuntimeError where the connection is closed already.
-        with contextlib.suppress(*BROKEN, RuntimeError), anyio.move_on_after(linger_ms / 1000):
+        with contextlib.suppress(*BROKEN, RuntimeError):
             await self.stream.send_eof()
-            for _ in range(limits.linger_reads):
-                self.discarded += len(await self.stream.receive(limits.read))
+            with anyio.move_on_after(limits.write_ms / 1000):
+                while self.stream.unsent:
+                    await anyio.sleep(LOOK_S)
+            with anyio.move_on_after(linger_ms / 1000):
+                for _ in range(limits.linger_reads):
+                    self.discarded += len(await self.stream.receive(limits.read))
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -9,8 +9,7 @@
 from urllib.parse import parse_qs
 
 import anyio
-from anyio.abc import SocketStream, TaskGroup
-from anyio.lowlevel import checkpoint
+from anyio.abc import TaskGroup
 
 from flintshift.core.attempts import Answer, Attempt, Departed, Verdict
 from flintshift.core.counters import Counters
@@ -18,12 +17,11 @@
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Books, Log, Posture
 from flintshift.wire.acceptor import Acceptor
+from flintshift.wire.caller_stream import CallerStream
 from flintshift.wire.connection import CloseReason, Connection, ConnectionState
 from flintshift.wire.fields import Fields, UnusableError
 from flintshift.wire.link import BROKEN
 
-LOOK_TURNS = 4  # of the loop: the socket is polled in the first, and what came is handed on in the next
-
 
 class Exchange:
     """Waits for the final answer to one request, or for its caller to go."""
@@ -63,9 +61,12 @@
         self.accepting = anyio.CancelScope()
         self.taking: anyio.Event | None = None  # there is one while another process of this node accepts
         self.others = 0  # connections that it holds
-        self.closing = False  # all that is open gets its answer and is closed
+        self.listening = True  # it takes new connections, now or once it may
         self.takes_queue = True  # what is queued at the end is this process's
-        self.last = False  # each answer is the last on its connection
+        self.alone = True  # and nobody listens there any more
+        self.last = False  # each answer is the last on its connection, until `take`
+        self.draining = False  # so it is from now on
+        self.closing = False  # all that is open gets its answer and is closed
 
     @property
     def posture(self) -> Posture:
@@ -76,6 +77,16 @@
         """It was told to finish, and has closed all that it took; what was queued at its end too."""
         return self.listener is None or self.listener.done
 
+    @property
+    def held(self) -> int:
+        """Connections that were accepted and are not closed."""
+        return len(self.connections) if self.listener is None else self.listener.held
+
+    @property
+    def last_answers(self) -> bool:
+        """Each answer is the last on its connection."""
+        return self.last or self.draining or self.closing
+
     @property
     def busy(self) -> int:
         return sum(connection.busy for connection in self.connections)
@@ -83,20 +94,22 @@
     async def serve(self, listener: Acceptor, tasks: TaskGroup) -> None:
         """Accept until told to finish; the connections live on in the task group given."""
         self.listener = listener
-        while not self.closing:
+        while self.listening:
             while self.taking is not None:
                 await self.taking.wait()
             self.accepting = anyio.CancelScope()
             with self.accepting:
-                while not self.closing:
+                while self.listening:
                     try:
                         await listener.serve(self._accepted, tasks)
                     except OSError:  # one connection that can't be accepted must not end the node
                         self.counters.add(f"{self.name}.accept_failed")
                         await anyio.sleep(self.limits.backoff_ms / 1000)
         if self.takes_queue:
-            listener.take_queued(self._accepted, tasks, self.limits.backlog)
-        await listener.aclose()
+            if self.alone:
+                await listener.refuse_new()
+            listener.take_queued(self._accepted, tasks, self.limits.queued)
+        listener.close()
 
     def leave(self) -> None:
         """Accept no more until `take`, and end connections with their next answer."""
@@ -109,13 +122,13 @@
             self.taking.set()
             self.taking = None
 
-    async def _accepted(self, stream: SocketStream) -> None:
+    async def _accepted(self, stream: CallerStream) -> None:
         # uvloop may raise a RuntimeError where the connection is closed already: that must not end the node.
         with contextlib.suppress(*BROKEN, RuntimeError):
             async with stream:
                 await self._admit(stream)
 
-    async def _admit(self, stream: SocketStream) -> None:
+    async def _admit(self, stream: CallerStream) -> None:
         """Hold a connection that was accepted until it is over, if there is room for it."""
         most, count = self.most, len(self.connections) + self.others
         # Past an eighth more, those that were displaced are not closed fast enough: newcomers must wait.
@@ -186,16 +199,17 @@
         raise NotImplementedError
 
     async def _shut(self, connection: Connection) -> None:
-        """Close a connection that is answered or was idle. One that never brought a request is owed nothing, and
-        keeps no descriptor from others any longer."""
+        """See a connection off that is answered, or that was ended while it rested. One that never brought a request
+        is owed nothing, and keeps no descriptor from others any longer."""
         if connection.at_end:  # nothing can stand unread any more
             connection.close_for(CloseReason.CALLER_GONE)
-            return
-        connection.close_for(CloseReason.LAST_ANSWER if connection.busy else CloseReason.IDLE)
-        if connection.busy:
+        elif connection.state is ConnectionState.HALF_CLOSED:
+            connection.close_for(CloseReason.IDLE)
+            if connection.spoke or self.draining:
+                await connection.await_peer(self.limits.crossing_ms)
+        else:
+            connection.close_for(CloseReason.LAST_ANSWER)
             await connection.shut(self.limits, self.limits.linger_ms)
-        elif connection.spoke:
-            await connection.shut(self.limits, self.limits.crossing_ms)
 
     async def healthy(self, method: str, query: str) -> bool:
         """The answer to a health check; a deep one asks the worker pool unless it is told not to."""
@@ -220,30 +234,19 @@
                 return await self._receive(connection)
             finally:
                 connection.reading = None
-        if connection.busy:
+        return None if connection.busy else self._end_or_take(connection)
+
+    def _end_or_take(self, connection: Connection) -> bytes | None:
+        """End a resting connection, unless bytes of a request have come: these are returned, and answered as the last
+        on it. Nothing is awaited between the look and the end, so that nothing is read there."""
+        data = connection.stream.unread(self.limits.read)
+        if not data:
+            connection.end()
             return None
-        return await self._last_look(connection)
-
-    async def _last_look(self, connection: Connection) -> bytes | None:
-        """Bytes that an idle connection holds already when it is to be closed; None where there are none.
-
-        Guards a request that came while that was decided: it is answered, as the last on its connection. The look lasts
-        for turns of the loop and not for a time, which may pass in a busy node without a look at the socket."""
-        data: bytes | None = None
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._end_look, tasks.cancel_scope)
-            with contextlib.suppress(*BROKEN):
-                data = await self._receive(connection)
-                connection.last_request = True
-            tasks.cancel_scope.cancel()
+        connection.last_request, connection.reason = True, None
+        self.begun(connection)
         return data
 
-    @staticmethod
-    async def _end_look(look: anyio.CancelScope) -> None:
-        for _ in range(LOOK_TURNS):
-            await checkpoint()
-        look.cancel()
-
     async def _receive(self, connection: Connection) -> bytes:
         """The next bytes of a request; b"" at their end."""
         try:
@@ -336,12 +339,25 @@
                     self.counters.add(f"{self.name}.answers_not_taken")
                     connection.scope.cancel()
 
+    # The end, in three steps.
+
+    def drain(self) -> None:
+        """The node leaves: each answer says from now on that it is the last on its connection, so that callers end
+        their connections themselves, while none of their requests is on its way."""
+        self.draining = True
+
+    def stop_listening(self, alone: bool = True) -> None:
+        """Take what is queued, and nothing after it. ``alone``: no other process goes on listening at the socket."""
+        if self.listening:
+            self.listening, self.takes_queue, self.alone = False, self.taking is None, alone
+            self.take()
+            self.accepting.cancel()
+
     def finish(self) -> None:
-        """The node stops: what is half read is answered, what is idle is closed."""
+        """What is half read is answered, what rests is ended."""
+        self.drain()
+        self.stop_listening()
         self.closing = True
-        self.takes_queue = self.taking is None
-        self.take()
-        self.accepting.cancel()
         for connection in self.connections:
             if not connection.busy:
                 connection.close_for(CloseReason.DRAINED)
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -125,5 +125,5 @@
 
     def _ending(self, connection: Connection, keep: bool) -> bool:
         """This answer is the connection's last. Once it was written without that word, another may be on its way."""
-        connection.ending = self.closing or self.last or connection.last_request or not keep
+        connection.ending = self.last_answers or connection.last_request or not keep
         return connection.ending
--- a/tests/lifecycle/test_drains.py
+++ b/tests/lifecycle/test_drains.py
@@ -13,6 +13,9 @@
 from standins import BYTES, Caller, job
 from test_signals import site, started  # noqa: F401
 
+from flintshift import interface as api
+from flintshift.lifecycle.drain import kill_after_ms
+
 pytestmark = pytest.mark.anyio
 READY_S = 10.0  # for a process that starts again
 
@@ -209,3 +212,40 @@
     served.pool.finish(request)
     assert (await waits.reply()).status == 200
     assert balanced(await served.ended())
+
+
+KILLS = {  # stop_ms and deadlines, against the earliest moment of the kill
+    "the longest deadline and 0.7 s": (3500.0, (500.0, 1500.0), 2200.0),
+    "a deadline counts as 3 s at the most": (9000.0, (500.0, 9200.0), 3700.0),
+    "stop_ms, where that is sooner": (1000.0, (1500.0,), 1000.0),
+}
+
+
+@pytest.mark.parametrize(("stop_ms", "deadlines", "kill_ms"), KILLS.values(), ids=list(KILLS))
+def test_the_kill_is_expected_at_its_earliest(stop_ms, deadlines, kill_ms):
+    classes = [api.RequestClass(f"class{at}", 100.0, at, 1.0, api.Effect.SAFE) for at in deadlines]
+    assert kill_after_ms(stop_ms, classes) == kill_ms
+
+
+async def test_callers_that_ask_again_and_again_do_not_keep_a_node_from_leaving(served):
+    """Each answer after the notice is the last on its connection, so the node is soon left alone."""
+    last = []
+
+    async def ask_again():
+        caller, reply = await served.connect(), None
+        while reply is None or "connection" not in reply.headers:
+            caller.send(BYTES["http"]("", b"", {}, method="GET", path="/ping"))
+            reply = await caller.reply()
+        last.append(time.monotonic())
+        assert await caller.ended()
+        caller.writer.close()
+
+    callers = [asyncio.create_task(ask_again()) for _ in range(10)]
+    await asyncio.sleep(0.2)
+    assert not last
+    noticed = time.monotonic()
+    served.process.send_signal(signal.SIGTERM)
+    await asyncio.gather(*callers)
+    assert max(last) - noticed < 1.0
+    counters = await served.ended()
+    assert time.monotonic() - noticed < 1.5 and balanced(counters)  # the grace of 300 ms, and no wait for the kill
--- a/tests/lifecycle/test_signals.py
+++ b/tests/lifecycle/test_signals.py
@@ -16,6 +16,7 @@
 
 from flintshift.lab.peers import Names, Pool, Vault
 from flintshift.lab.rig import free_ports
+from flintshift.lifecycle.signal_queue import SignalQueue
 
 pytestmark = pytest.mark.anyio
 STORM_S = 0.0005
@@ -190,3 +191,23 @@
         process.terminate()
         await asyncio.wait_for(errors, 10)
         assert process.returncode == 0
+
+
+async def test_the_notice_to_leave_is_taken_before_all_signals_that_came_first():
+    """In one turn of the event loop, however many others wait: a busy node's turns are long, and the kill is near."""
+    queue = SignalQueue()
+    with queue.receiving():
+        for number in (signal.SIGHUP, signal.SIGUSR1, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            os.kill(os.getpid(), number)
+        while len(queue.pending) < 3:
+            await asyncio.sleep(0)
+        taken, turns = [], []
+        asyncio.get_running_loop().call_soon(turns.append, 1)
+        while queue.pending:
+            taken.append(await queue.take())
+        assert taken[0] is signal.SIGTERM and set(taken[1:]) == {signal.SIGHUP, signal.SIGUSR1} and len(taken) == 3
+        assert not turns
+        waiting = asyncio.create_task(queue.take())
+        await asyncio.sleep(0)
+        os.kill(os.getpid(), signal.SIGUSR1)
+        assert await asyncio.wait_for(waiting, 5) is signal.SIGUSR1
