Let the node's clock go at the pace of real time, whatever steps the wall clock makes

Cause: lifecycle/clock.py followed a step forward at once, so that all was due and each window past; a time told before a step back was read as one of the future (fields.py placed), past the window of the key that it repeats.

--- a/flintshift/core/attempts.py
+++ b/flintshift/core/attempts.py
@@ -34,7 +34,7 @@
 
     id: str
     class_name: str
-    door_ms: float  # when it came to the machine, on the Unix clock
+    door_ms: float  # when it came to the machine, by the node's clock
     held_kb: float
     caller: int
     body: bytes
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -97,7 +97,7 @@
         self.decisions.runs.workers, self.decisions.runs.below = {"pool": self.pool}, self.vault
         self.names = NameService(config.naming, config.name, limits, counters)
         self.lists.append(self.names)
-        self.fields = Fields(self.catalogue, limits, now_ms, now_ms.placed)
+        self.fields = Fields(self.catalogue, limits, now_ms, now_ms.age_ms)
         most = limits.http_connections if config.operators.uwsgi is None else limits.http_connections_beside_uwsgi
         http = HttpFront(self.fields, self.decisions, limits, counters, now_ms, most, self.pool.verify)
         self.fronts.append((http, config.listen))
--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -16,6 +16,7 @@
 
 HEX16 = re.compile(r"[0-9a-fA-F]{16}")
 TOKEN = re.compile(r"[!-~]{1,64}")
+UNIX_MS_MOST = 2.0**53
 
 
 class UnusableError(Exception):
@@ -34,10 +35,11 @@
         catalogue: Catalogue,
         limits: Limits,
         now_ms: Callable[[], float],
-        placed: Callable[[float], float] = lambda unix_ms: unix_ms,
+        age_ms: Callable[[float], float] | None = None,
     ) -> None:
-        """``placed`` turns a time that was told by the Unix clock into one of the node's clock."""
-        self.catalogue, self.limits, self.now_ms, self.placed = catalogue, limits, now_ms, placed
+        """``age_ms`` tells how long ago the wall clock showed a Unix time; None: ``now_ms`` goes by the wall clock."""
+        self.catalogue, self.limits, self.now_ms = catalogue, limits, now_ms
+        self.age_ms = age_ms or (lambda unix_ms: now_ms() - unix_ms)
 
     def class_of(self, method: str, target: str) -> str:
         before, separator, name = target.partition("?")[0].partition("/call/")
@@ -72,7 +74,7 @@
 
         if len(body) > self.limits.body:
             raise UnusableError(413, "the body is too large")
-        now, item, kind = self.now_ms(), get("X-Item"), self.catalogue.find(class_name)
+        item, kind = get("X-Item"), self.catalogue.find(class_name)
         keyed = kind is not None and kind.effect is Effect.KEYED
         number("X-Precedence", 0, 1)  # no decision uses it, but one that is no rank is a fault of the caller
         if get("X-Size-Ms") is not None:
@@ -80,9 +82,7 @@
         return Attempt(
             id=text("X-Job-Id", HEX16),
             class_name=class_name,
-            door_ms=self.placed(
-                number("X-Door-Time", now - self.limits.oldest_ms, now + self.limits.clock_skew_ms, True)
-            ),
+            door_ms=self._door_ms(number("X-Door-Time", 0, UNIX_MS_MOST, True)),
             allow_ms=number("X-Allow-Ms", 0, self.limits.oldest_ms) if get("X-Allow-Ms") is not None else None,
             held_kb=number("X-Ram-Kb", math.nextafter(0, 1), 2000),
             caller=int(number("X-Sender", 0, 2**31, True)),
@@ -94,6 +94,13 @@
             tell=tell,
         )
 
+    def _door_ms(self, unix_ms: float) -> float:
+        """When a request came to the machine, by the node's clock: no later than now, whatever its caller's says."""
+        age_ms = self.age_ms(unix_ms)
+        if not -self.limits.clock_skew_ms < age_ms <= self.limits.oldest_ms:
+            raise UnusableError(400, "X-Door-Time is impossible")
+        return self.now_ms() - max(0.0, age_ms)
+
     def _tenant(self, team: str | None) -> str | None:
         if team is not None and not self.catalogue.knows_club(team):
             team = _utf8(team)
