--- a/flintshift/lab/drain_soak.py
+++ b/flintshift/lab/drain_soak.py
@@ -9,6 +9,7 @@
 import base64
 import contextlib
 import json
+import os
 import random
 import signal
 import time
@@ -80,6 +81,21 @@
     return time.monotonic() * 1000
 
 
+class LoopLag:
+    """How late the callers' own event loop was at the most: so late they may have seen what came."""
+
+    LOOK_S = 0.005
+
+    def __init__(self) -> None:
+        self.most_ms = 0.0
+
+    async def watch(self) -> None:
+        while True:
+            due_ms = now_ms() + self.LOOK_S * 1000
+            await asyncio.sleep(self.LOOK_S)
+            self.most_ms = max(self.most_ms, now_ms() - due_ms)
+
+
 class CheckedPool(Pool):
     """A worker pool that knows what callers have sent: ``strangers`` counts commands to run anything else."""
 
@@ -252,7 +268,7 @@
         self.rig = Rig(folder, uwsgi=plan.uwsgi, pool=self.pool, environment=self.faults.environment)
         self.callers = Callers(plan, self.rig, self.pool)
         self.draw = random.Random(plan.seed + 2)
-        self.notice_ms = 0.0
+        self.notice_ms, self.lag = 0.0, LoopLag()
 
     async def run(self) -> Verdict:
         plan, errors = self.plan, self.folder / "stderr"
@@ -260,7 +276,7 @@
             async with self.rig:
                 await self.rig.kill()
                 process = await self.rig.start(stderr)
-                tasks = self._start_callers()
+                tasks = [asyncio.create_task(self.lag.watch()), *self._start_callers()]
                 await asyncio.sleep(0.6)
                 self.faults.set(plan.rates)
                 await self._hurt()
@@ -269,8 +285,11 @@
                 for task in tasks:
                     task.cancel()
                 await asyncio.gather(*tasks, return_exceptions=True)
-        ended = Process(exit_code, left_ms, self.faults.requests_after_end, counters_of(errors))
-        verdict = judge(self.callers.tries, self.pool.spawned, self.pool.strangers, ended, self.notice_ms)
+        ended = Process(exit_code, left_ms, self.faults.requests_after_end, self.pool.torn, counters_of(errors))
+        verdict = judge(
+            self.callers.tries, self.pool.spawned, self.pool.strangers, ended, self.notice_ms, self.lag.most_ms
+        )
+        verdict.seen["callers_lag_ms"] = round(self.lag.most_ms)
         verdict.seen["left_ms"] = round(ended.left_ms or -1)
         verdict.seen["reads_after_end"] = self.faults.reads_after_end
         return verdict
@@ -325,7 +344,8 @@
             self._step()
         with contextlib.suppress(ProcessLookupError):
             for _ in range(self.plan.signals_in_drain):
-                process.send_signal(self.draw.choice((signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)))
+                # Not by `send_signal`: it reaps a process that has ended, and its exit code is lost for whoever waits.
+                os.kill(process.pid, self.draw.choice((signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM)))
                 await asyncio.sleep(0.05 * self.draw.random())
 
 
--- a/flintshift/lab/peers.py
+++ b/flintshift/lab/peers.py
@@ -107,6 +107,7 @@
         super().__init__(port, tells)
         self.took_ms, self.calling, self.ends = took_ms or {}, calling, ends
         self.plan: dict[str, float | tuple[str, dict[str, Any]]] = {}
+        self.torn = 0  # commands in whose middle the node ended a link
         self.deaf = False  # what is sent to runs that stand at a call is lost
         self.spawned: Counter[str] = Counter()
         self.routes: dict[str, str] = {}
@@ -118,6 +119,9 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
+            if not line.endswith(b"\n"):  # the link ended in the middle of a command: by whom?
+                self.torn += not writer.transport.is_closing()
+                return
             command = json.loads(line)
             await self.came(command)
             match command["t"]:
--- a/tests/lifecycle/test_failing_system_calls.py
+++ b/tests/lifecycle/test_failing_system_calls.py
@@ -6,8 +6,10 @@
 import fcntl
 import os
 import signal
+import sys
 
 import pytest
+from standins import ROOT
 
 from flintshift.lab.rig import Rig
 from flintshift.lab.syscall_faults import NO_FAULTS, Rates, SyscallFaults
@@ -44,3 +46,43 @@
         assert await rig.leave() == 0
         os.close(read)
         os.close(write)
+
+
+async def test_members_are_linked_to_after_calls_of_accept_that_fail(tmp_path):
+    """By the event loop's own server, the first such failure closed the listener for good."""
+    faults = SyscallFaults(tmp_path / "faults", seed=3)
+    environment = {**os.environ, **faults.environment}
+    faults.set(Rates(accept=500))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", MEMBER, cwd=ROOT, env=environment, stdout=asyncio.subprocess.PIPE
+    )
+    port = int(await asyncio.wait_for(process.stdout.readline(), 10))
+    try:
+        for _ in range(30):
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", port), 2)
+            writer.write(b"\0\0\0\1x")  # no hello: the front ends the link, so it took it
+            assert await asyncio.wait_for(reader.read(), 5) == b""
+            writer.close()
+    finally:
+        process.kill()
+        await process.wait()
+
+
+MEMBER = """
+import asyncio, uvloop
+from flintshift.core.counters import Counters
+from flintshift.core.limits import Limits
+from flintshift.wire.acceptor import listening
+from flintshift.wire.peer_link import PeerFront
+
+def nothing(*_):
+    return None
+
+async def main():
+    raw = listening(("127.0.0.1", 0), 16)
+    front = PeerFront(Limits(), Counters(), None, ["n1"], nothing, nothing, nothing, nothing)
+    print(raw.getsockname()[1], flush=True)
+    await front.serve(raw)
+
+uvloop.run(main())
+"""
