Outlast calls that fail for a moment and a full pipe; one steady clock in upgrades and on disks

Cause: listening_once_free tried again on EADDRINUSE alone and the control door not at all; one refused socket of five ended a look at the app servers; print to a full standard error blocked the process in pipe_write; the processes of an upgrade and the copies' store (store.py _recover) counted windows by wall clocks that had been stepped, the ledger its due times. Change: what fails for a moment is tried again for the time of a start; standard error is written as far as it needs no wait; the welcome of an upgrade tells the node's clock; spans on the disk are the monotonic clock's, by boot.

--- a/flintshift/copies/store.py
+++ b/flintshift/copies/store.py
@@ -55,7 +55,8 @@
 
 
 class CopiesFolder:
-    """The folder as the one process that writes in it holds it.
+    """The folder as the one process that writes in it holds it. Times are those of the machine's monotonic clock, but
+    for ``unix_ms``, from which a new store gets its number.
 
     Raises:
         OSError, LockedError: it can't be used.
@@ -67,6 +68,7 @@
         folder: Path,
         member: str,
         now_ms: float,
+        unix_ms: float,
         boot: str,
         synced: bool,
         packed: Packed,
@@ -79,22 +81,22 @@
         self.lasting: dict[int, float] = {}  # by first sequence of a segment: until when something in it counts
         try:
             snapshot.sweep(files, folder)
-            self.found = self._open(now_ms, synced)
+            self.found = self._open(now_ms, unix_ms, synced)
         except BaseException:
             self.lock.close()
             raise
 
-    def _open(self, now_ms: float, synced: bool) -> Found:
-        state, why = self._state(now_ms)
+    def _open(self, now_ms: float, unix_ms: float, synced: bool) -> Found:
+        state, why = self._state()
         entries: list[Entry] = []
         if not why:
             try:
-                entries = self._recover(now_ms)
+                entries = self._recover(now_ms, self.boot != "" and state.boot == self.boot)
             except DamagedError as error:
                 why = f"its disk is damaged: {error}"
         if why:
             self._empty()
-            state, entries = StoreState(max(int(now_ms), state.incarnation + 1), False, self.member, self.boot), []
+            state, entries = StoreState(max(int(unix_ms), state.incarnation + 1), False, self.member, self.boot), []
         elif state.boot != self.boot and not synced and state.votes:
             why = "the machine was started anew, and what it promised last may not have reached the disk"
             state = StoreState(state.incarnation + 1, False, self.member, self.boot)
@@ -102,7 +104,7 @@
         self.write_state(msgspec.structs.replace(state, boot=self.boot, member=self.member))
         return Found(entries, why or ("" if state.votes else "it was not filled when it ended"))
 
-    def _state(self, now_ms: float) -> tuple[StoreState, str]:
+    def _state(self) -> tuple[StoreState, str]:
         empty = StoreState(0, False, self.member, self.boot)
         if STORE not in self.files.names(self.folder):
             return empty, "its disk is empty"
@@ -115,15 +117,17 @@
             return empty, f"its disk is that of {state.member}"
         return state, ""
 
-    def _recover(self, now_ms: float) -> list[Entry]:
+    def _recover(self, now_ms: float, same_boot: bool) -> list[Entry]:
+        """``same_boot``: the steady clock goes on since these were written; else how long ago that was is not known,
+        and each counts for the whole of its time: for longer than told, never for shorter."""
         found = segments(self.files, self.folder / "log")
         first = found[0][0] if found else 1
         reach, latest = Reach(first, 0), dict[tuple[str, str], Entry]()
         for record in records(self.files, self.folder / "log", first, reach):
             if record.kind == ENTRY_KIND:
                 entry, at_ms = self.unpacked(record.payload)
-                left = min(at_ms, now_ms) + entry.for_ms - now_ms  # a clock set back keeps it for longer, never shorter
-                latest[entry.key] = msgspec.structs.replace(entry, for_ms=left)
+                passed_ms = max(0.0, now_ms - at_ms) if same_boot else 0.0
+                latest[entry.key] = msgspec.structs.replace(entry, for_ms=entry.for_ms - passed_ms)
         self.log = Log(self.files, self.folder / "log", reach.epoch + 1, reach.following)
         self.log.resume(reach)
         kept = [entry for entry in latest.values() if entry.for_ms > 0]
--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -97,6 +97,7 @@
     stop_margin_ms: float = 250.0  # all is answered so long before the kill
     unlisten_ms: float = 300.0  # no new connection is taken from so long before then on: what was taken is answered
     browse_ms: float = 5000.0  # between two looks for app servers
+    dns_tries: int = 4  # of one DNS exchange that the own system refuses
     browse_empty_looks: int = 3  # in a row, after which a list that names nobody is believed
     browse_again_ms: float = 500.0  # while none are known, growing up to that
     peer_silent_ms: float = 400.0  # another member that owes an answer for so long is out of reach
--- a/flintshift/handover/messages.py
+++ b/flintshift/handover/messages.py
@@ -1,6 +1,7 @@
 """Messages between the two processes of an upgrade, and events and actions of their phase machine.
 
-A key is scoped by its class. Times are Unix milliseconds: both processes read one clock.
+A key is scoped by its class. Times are milliseconds of the node's clock: the welcome tells the successor how far that
+is ahead of the machine's monotonic clock, so that both processes go by one, whatever steps the wall clock made.
 """
 
 from __future__ import annotations
@@ -44,6 +45,7 @@
 
     version: int
     out: bool  # of service
+    ahead_ms: float | None = None  # the node's clock, of the monotonic one; None: an older version does not tell
 
 
 class Known(_Word, frozen=True):
--- a/flintshift/lifecycle/books.py
+++ b/flintshift/lifecycle/books.py
@@ -31,10 +31,11 @@
 
 
 class Books:
-    """Makes a claim of each final answer, and a mark once it was written."""
+    """Makes a claim of each final answer, and a mark once it was written. ``steady_ms`` turns a time of the node's
+    clock into one of the ledger's steady clock, by which held answers are due."""
 
-    def __init__(self, ledger: Ledger, settings: api.Settings) -> None:
-        self.ledger = ledger
+    def __init__(self, ledger: Ledger, settings: api.Settings, steady_ms: Callable[[float], float]) -> None:
+        self.ledger, self.steady_ms = ledger, steady_ms
         self.lists = [tenant.name for tenant in settings.tenants], [kind.name for kind in settings.classes]
         self._number()
 
@@ -98,7 +99,7 @@
             len(attempt.body),
             len(answer.body),
             partial(tell, answer),
-            attempt.due_ms,
+            self.steady_ms(attempt.due_ms),
         )
 
     def delivered(self, attempt: Attempt, arrived: bool) -> None:
--- a/flintshift/lifecycle/clock.py
+++ b/flintshift/lifecycle/clock.py
@@ -34,13 +34,21 @@
     ) -> None:
         self.unix_s, self.monotonic_s = unix_s, monotonic_s
         self.looked_s = monotonic_s()
-        self.ahead_s = self.wall_ahead_s = unix_s() - self.looked_s
+        self.ahead_s = self.wall_ahead_s = unix_s() - self.looked_s  # of the monotonic clock: this one, the wall's
         self.began_s = -float("inf")  # the epoch of the wall clock that goes on
         self.past: deque[WallEpoch] = deque(maxlen=STEPS_KEPT)  # newest first
 
     def __call__(self) -> float:
         return (self._look() + self.ahead_s) * 1000
 
+    def steady_ms(self, at_ms: float) -> float:
+        """A time of this clock by the monotonic one, which all processes of the machine share."""
+        return at_ms - self.ahead_s * 1000
+
+    def join(self, ahead_ms: float) -> None:
+        """Go on as the clock of another process of this machine, which is ahead of the monotonic one by so much."""
+        self.ahead_s = ahead_ms / 1000
+
     def _look(self) -> float:
         """The monotonic clock; a step of the wall clock since the last look is noted."""
         now_s = self.monotonic_s()
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -66,7 +66,7 @@
 from flintshift.startup.permits import Permit, PermitAsk
 from flintshift.storage.files import DiskFiles, Files, LockedError
 from flintshift.storage.snapshot import DamagedError
-from flintshift.wire.acceptor import listening
+from flintshift.wire.acceptor import FOR_A_MOMENT, listening
 from flintshift.wire.peer_link import Greeting, OutLink, PeerFront
 
 if TYPE_CHECKING:
@@ -558,7 +558,8 @@
                 raw = listening(self.listen, self.limits.backlog)
                 break
             except OSError as error:
-                if error.errno != errno.EADDRINUSE or not self.guest:
+                held = error.errno == errno.EADDRINUSE and not self.guest
+                if held or error.errno not in FOR_A_MOMENT:
                     raise
             await anyio.sleep(self.limits.bind_again_ms / 1000)
         await self.front.serve(raw)
--- a/flintshift/lifecycle/logs.py
+++ b/flintshift/lifecycle/logs.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import sys
 import time
 from collections.abc import Callable, MutableMapping
-from typing import Any
+from typing import Any, TextIO, cast
 
 import structlog
 
 from flintshift.core.ports import Log
 from flintshift.settings.options import LogOptions
+from flintshift.wire.standard_error import StandardError
 
 LEVELS = ("debug", "info", "warning", "error")
 MOST_KNOWN = 1000  # kinds of events whose repeats are counted
@@ -48,7 +48,7 @@
         else structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "node", "event"])
     )
     logger = structlog.wrap_logger(
-        structlog.PrintLogger(sink or sys.stderr),
+        structlog.PrintLogger(sink or cast(TextIO, StandardError())),
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper("iso", utc=True),
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import contextlib
 import random
 import signal
-import sys
+import socket
 from collections.abc import Callable, Coroutine
 from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
@@ -35,7 +34,8 @@
     UwsgiOptions,
 )
 from flintshift.startup.registration import ListService, Registration
-from flintshift.wire.acceptor import Acceptor, listening, listening_once_free
+from flintshift.wire import standard_error
+from flintshift.wire.acceptor import Acceptor, listening_once_free
 from flintshift.wire.fields import Fields
 from flintshift.wire.front import Front
 from flintshift.wire.http_front import HttpFront
@@ -209,7 +209,7 @@
             )
         except UNUSABLE as error:
             raise ConfigError(f"the ledger of use can't be opened: {error}") from error
-        books = self.books = Books(self.ledger, self.config.settings)
+        books = self.books = Books(self.ledger, self.config.settings, self.now_ms.steady_ms)
         self.decisions.runs.books = books
         for front, _ in self.fronts:
             front.books = books
@@ -306,14 +306,16 @@
 
     async def _serve(self, received: SignalQueue) -> None:
         listeners: list[Acceptor] = []
+        doors: list[socket.socket] = []
 
         async def listen() -> None:
             listeners.extend(await self._listeners())
+            if self.config.control is not None:
+                doors.append(await listening_once_free(self.config.control, self.limits, self.now_ms))
 
         await self._unless_told(received, listen)
-        if len(listeners) != len(self.fronts):
+        if len(listeners) != len(self.fronts) or (self.config.control is not None and not doors):
             return
-        doors = [listening(self.config.control, self.limits.backlog)] if self.config.control is not None else []
         async with anyio.create_task_group() as tasks:
             if self.upgrade is not None:
                 self.actors.append(self.upgrade.run)
@@ -377,8 +379,7 @@
 
     @staticmethod
     def warn(text: str) -> None:
-        with contextlib.suppress(OSError):  # a full disk under the log must not end the node
-            print(f"flintshift: {text}", file=sys.stderr, flush=True)
+        standard_error.say(f"flintshift: {text}")
 
     def alone(self) -> bool:
         """No other process of this node holds its listeners."""
@@ -460,5 +461,4 @@
         return [Acceptor(raw) for raw in self.upgrade.sockets]
 
     def print_counters(self) -> None:
-        with contextlib.suppress(OSError):  # a full disk under the log must not end the node
-            print(self.counters.line(self.config.name), file=sys.stderr, flush=True)
+        standard_error.say(self.counters.line(self.config.name))
--- a/flintshift/lifecycle/replica_store.py
+++ b/flintshift/lifecycle/replica_store.py
@@ -99,6 +99,7 @@
             self.files,
             self.options.folder,
             self.name,
+            self.now_ms(),
             time.time() * 1000,
             boot_id(),
             self.options.durability == "power-cut",
@@ -212,7 +213,7 @@
     def _written(self, entries: list[Entry]) -> bool:
         assert self.folder is not None
         try:
-            self.folder.write(entries, time.time() * 1000)
+            self.folder.write(entries, self.now_ms())
         except (OSError, BrokenError) as error:
             self._refuses(error)
             return False
@@ -258,7 +259,7 @@
         assert self.folder is not None
         self.sick_ms = now
         try:
-            self.folder.reopen(self.registers.entries(now), time.time() * 1000)
+            self.folder.reopen(self.registers.entries(now), self.now_ms())
         except (OSError, BrokenError) as error:
             self.log("error", "copies.disk_still_refuses", cause=str(error))
             return
@@ -276,7 +277,7 @@
             return
         self.turned_ms = now
         try:
-            self.folder.turn(time.time() * 1000)
+            self.folder.turn(self.now_ms())
         except (OSError, BrokenError) as error:
             self._refuses(error)
 
--- a/flintshift/lifecycle/start.py
+++ b/flintshift/lifecycle/start.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import sys
 from collections.abc import Callable
 
 import anyio
@@ -11,6 +10,7 @@
 from flintshift.lifecycle import signals
 from flintshift.lifecycle.config import Config, ConfigError
 from flintshift.lifecycle.node import Node
+from flintshift.wire.standard_error import say
 
 
 async def serve(reread: Callable[[], Config]) -> None:
@@ -27,9 +27,9 @@
     try:
         anyio.run(serve, reread, backend_options={"use_uvloop": True})
     except ConfigError as error:
-        print(f"flintshift: {error}", file=sys.stderr)
+        say(f"flintshift: {error}")
         return 2
     except OSError as error:
-        print(f"flintshift: cannot start: {error}", file=sys.stderr)
+        say(f"flintshift: cannot start: {error}")
         return 1
     return 0
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -4,9 +4,7 @@
 
 from __future__ import annotations
 
-import errno
 import socket
-from collections.abc import Callable
 from typing import Protocol
 
 import anyio
@@ -47,13 +45,15 @@
     Serve,
     TakeClients,
     Used,
+    Welcome,
     Word,
 )
 from flintshift.handover.phases import Phases, WordError
 from flintshift.handover.shared_keys import End, SharedKeys, Step, key_of
 from flintshift.interface import Outcome
+from flintshift.lifecycle.clock import Clock
 from flintshift.lifecycle.config import Config
-from flintshift.wire.acceptor import listening
+from flintshift.wire.acceptor import FOR_A_MOMENT, listening
 from flintshift.wire.front import Front
 from flintshift.wire.handover import Link, UpgradeError, join, meeting_path
 from flintshift.wire.link import BROKEN
@@ -71,7 +71,7 @@
     fronts: list[tuple[Front, tuple[str, int]]]
 
     @property
-    def now_ms(self) -> Callable[[], float]: ...
+    def now_ms(self) -> Clock: ...
     def take_clients(self) -> None: ...
     def leave_clients(self) -> None: ...
     def tell_lists(self) -> None: ...
@@ -112,6 +112,7 @@
             if self.link is not None:
                 self.phases = Phases(True, runs_ms, calls_ms)
                 self.sockets = self.link.sockets
+                self._join_clock(self.link)
                 if len(self.sockets) != len(self.node.fronts):
                     raise UpgradeError(
                         f"the process that serves has {len(self.sockets)} fronts, this one "
@@ -121,8 +122,8 @@
             self.phases = Phases(False, runs_ms, calls_ms)
             try:
                 self.sockets = [listening(at_, self.limits.backlog) for _, at_ in self.node.fronts]
-            except OSError as error:  # held by one that leaves: it gives no word any more
-                if error.errno != errno.EADDRINUSE or anyio.current_time() > until:
+            except OSError as error:  # held by one that leaves and gives no word any more, or refused for a moment
+                if error.errno not in FOR_A_MOMENT or anyio.current_time() > until:
                     raise
                 await anyio.sleep(self.limits.bind_again_ms / 1000)
         if self.phases.phase is Phase.ALONE:
@@ -131,6 +132,12 @@
                 front.take()
         self.log("info", "upgrade.began", phase=self.phases.phase.value, path=str(self.path))
 
+    def _join_clock(self, link: Link) -> None:
+        """Go by the clock of the process that serves: windows are told by it."""
+        for word in link.early:
+            if isinstance(word, Welcome) and word.ahead_ms is not None:
+                self.now_ms.join(word.ahead_ms)
+
     async def run(self) -> None:
         async with anyio.create_task_group() as links:
             if self.link is not None:
@@ -274,6 +281,8 @@
 
     def _act(self, action: Action) -> None:
         match action:
+            case Send(Welcome(version, out)):
+                self._send(Welcome(version, out, -self.now_ms.steady_ms(0.0)))
             case Send(word):
                 self._send(word)
             case SendCopy():
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -202,7 +202,7 @@
         self._hold(self.heart.tick(now))
         again = now >= self.again_ms + AGAIN_MS
         for writer in self._writers():
-            self._write(writer, writer.tick(now, self._due_ms(now) if writer is self.writer else math.inf))
+            self._write(writer, writer.tick(now, self._due_ms() if writer is self.writer else math.inf))
             if again:
                 self._write(writer, writer.again())
         if again:
@@ -219,10 +219,10 @@
             self.retired_ms = now
             self._retire()
 
-    def _due_ms(self, now: float) -> float:
-        """When an answer that waits must leave, by the clock of ``now``."""
+    def _due_ms(self) -> float:
+        """When an answer that waits must leave, by the steady clock."""
         assert self.ledger is not None
-        return now + self.ledger.due_ms() - time.time() * 1000 - SPARE_MS
+        return self.ledger.due_ms() - SPARE_MS
 
     # What the writers answer.
 
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -98,7 +98,7 @@
     __slots__ = ("book", "due_ms", "lists", "marked", "period", "row", "sequence")
 
     def __init__(self, row: int, lists: Lists, due_ms: float) -> None:
-        self.due_ms = due_ms  # of its answer, by the system's clock
+        self.due_ms = due_ms  # of its answer, by the steady clock
         self.row, self.lists, self.sequence, self.period, self.marked = row, lists, 0, 0, False
         self.book: Book | None = None  # that it was written to
 
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -35,6 +35,17 @@
     (0x06, 0, 0, 0),  # drop it
     (0x06, 0, 0, 0xFFFFFFFF),  # else keep all of it
 )
+FOR_A_MOMENT = frozenset(  # why a call fails now that may go well soon
+    {
+        errno.EADDRINUSE,
+        errno.EAGAIN,
+        errno.EINTR,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+    }
+)
 ADVICE = {  # by why an address can't be listened at
     errno.EADDRINUSE: "end the process that listens there, or change `listen`",
     errno.EADDRNOTAVAIL: "no interface of this machine has that address: change `listen`",
@@ -136,17 +147,18 @@
 
 
 async def listening_once_free(at: tuple[str, int], limits: Limits, now_ms: Callable[[], float]) -> socket.socket:
-    """Listen at an address; a process that was killed there may hold it for a moment longer.
+    """Listen at an address; a process that was killed there may hold it for a moment longer, and the system may refuse
+    a call for a moment.
 
     Raises:
-        OSError: it can't be listened at, or is not free in time.
+        OSError: it can't be listened at, or not in time.
     """
     latest_ms = now_ms() + limits.bind_most_ms
     while True:
         try:
             return listening(at, limits.backlog)
         except OSError as error:
-            if error.errno != errno.EADDRINUSE or now_ms() >= latest_ms:
+            if error.errno not in FOR_A_MOMENT or now_ms() >= latest_ms:
                 advice = ADVICE.get(error.errno or 0, "change `listen`")
                 raise OSError(error.errno, f"{error.strerror}: {at[0]}:{at[1]}; {advice}") from error
         await anyio.sleep(limits.bind_again_ms / 1000)
--- a/flintshift/wire/dnssd.py
+++ b/flintshift/wire/dnssd.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import ipaddress
 import itertools
 from collections.abc import Callable
@@ -38,11 +39,23 @@
         self.at, self.limits = at, limits
 
     async def exchange(self, message: dns.message.Message) -> dns.message.Message:
-        reply = await dns.asyncquery.udp(message, self.at[0], port=self.at[1], timeout=self.limits.dns_ms / 1000)
+        reply = await self._asked(message)
         if reply.rcode() not in (dns.rcode.NOERROR, dns.rcode.NXDOMAIN):
             raise dns.exception.DNSException(dns.rcode.to_text(reply.rcode()))
         return reply
 
+    async def _asked(self, message: dns.message.Message) -> dns.message.Message:
+        """One exchange. What this machine's own system refuses for a moment, a socket, say, is tried again: one look at
+        the app servers is several exchanges, and all of them must go well."""
+        for _ in range(self.limits.dns_tries - 1):
+            with contextlib.suppress(OSError):
+                return await self._ask(message)
+            await anyio.sleep(self.limits.backoff_ms / 1000)
+        return await self._ask(message)
+
+    async def _ask(self, message: dns.message.Message) -> dns.message.Message:
+        return await dns.asyncquery.udp(message, self.at[0], port=self.at[1], timeout=self.limits.dns_ms / 1000)
+
     async def find(self, name: dns.name.Name, kind: RdataType) -> list[Any]:
         reply = await self.exchange(dns.message.make_query(name, kind))
         return [data for found in reply.answer if found.name == name and found.rdtype == kind for data in found]
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -16,6 +16,7 @@
 from flintshift.core.decisions import Decisions
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Books, Log, Posture
+from flintshift.wire import standard_error
 from flintshift.wire.acceptor import Acceptor
 from flintshift.wire.caller_stream import CallerStream
 from flintshift.wire.connection import CloseReason, Connection, ConnectionState
@@ -149,8 +150,7 @@
         except Exception as error:  # a fault met on one connection must not end the others
             connection.close_for(CloseReason.FAULT)
             self.counters.add(f"{self.name}.faults")
-            with contextlib.suppress(OSError):
-                traceback.print_exc()
+            standard_error.say(traceback.format_exc())
             if self.log is not None:
                 self.log("error", "front.fault", front=self.name, fault=repr(error))
         finally:
--- a/flintshift/wire/link.py
+++ b/flintshift/wire/link.py
@@ -33,3 +33,10 @@
             return await anyio.connect_tcp(*to)
     except UnicodeError as error:
         raise OSError(f"{to[0]} is no name of a host") from error
+    except RuntimeError as error:  # uvloop: it was closed in the moment in which it was made
+        raise ConnectionError(f"{to[0]}:{to[1]}: {error}") from error
+    except ExceptionGroup as errors:  # the same, of the tasks that connected
+        known, others = errors.split((OSError, RuntimeError))
+        if others is not None:
+            raise
+        raise ConnectionError(f"{to[0]}:{to[1]}: {known}") from errors
--- a/tests/copies/test_store.py
+++ b/tests/copies/test_store.py
@@ -26,8 +26,9 @@
     return Entry(("submit-time", f"k{number}"), (2, "n1#1"), (1, "n1#1"), value, for_ms)
 
 
-def opened(files, now=NOW, member="n1", boot="b1", synced=False):
-    return CopiesFolder(files, FOLDER, member, now, boot, synced, entry_bytes, entry_from)
+def opened(files, now=NOW, member="n1", boot="b1", synced=False, unix_ms=None):
+    unix_ms = now if unix_ms is None else unix_ms
+    return CopiesFolder(files, FOLDER, member, now, unix_ms, boot, synced, entry_bytes, entry_from)
 
 
 def founded(files=None):
