--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -488,3 +488,24 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(play())
+
+
+def test_a_wait_for_the_disk_ends_with_the_ledger_that_it_waited_for():
+    """Another member has taken the ledger over meanwhile: the new one may never come to a sequence of the old."""
+
+    async def work():
+        life = Life(SimFiles(), BEGIN)
+        ledger, going_on = life.ledger, threading.Event()
+        for _ in range(5):
+            ledger.write_nothing()
+        sync = ledger.folder.log.sync
+        ledger.folder.log.sync = lambda: (going_on.wait(), sync())
+        waiting = asyncio.create_task(ledger._synced())
+        await asyncio.sleep(0.02)
+        holder = LedgerFolder(SimFiles(), FOLDER)
+        holder.open("n1", b"m" * 16, 1000, CLUBS, CLASSES, BEGIN)
+        ledger.begin_anew(holder)
+        going_on.set()
+        assert not await asyncio.wait_for(waiting, 5)
+
+    asyncio.run(work())
