End the wait for a ledger's disk with the ledger that it waited for

Cause: Ledger._synced (usage/ledger.py) compared the sequence wanted of the ledger that was taken over with the commit of the one that began meanwhile, which may never come so far; the task that closes periods stood there for ever. Change: the wait ends where the commit is another one; a late operation leaves the new one's backlog alone.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PROTO = flintshift/proto/usage.proto flintshift/proto/peers.proto
 
-.PHONY: build check lint test run demo proto proto-fresh clean kill-exporter kill-node chaos-copies bench sites
+.PHONY: build check lint test run demo proto proto-fresh clean kill-exporter kill-node chaos-copies drain-soak bench sites
 build: $(DEPS)
 
 $(DEPS): requirements.txt requirements-dev.txt pyproject.toml
@@ -44,6 +44,9 @@
 kill-node: $(DEPS)
 	$(PY) benchmarks/kill_node.py --runs 50 --out benchmarks/results/kill_node.json
 
+drain-soak: $(DEPS)
+	$(PY) benchmarks/drain_soak.py --runs 60 --seed 1001 --out benchmarks/results/drain_soak.json
+
 chaos-copies: $(DEPS)
 	$(PY) benchmarks/chaos_copies.py --rounds 200 --out benchmarks/results/chaos_copies.json
 
--- a/flintshift/lab/rig.py
+++ b/flintshift/lab/rig.py
@@ -84,6 +84,7 @@
         self.control = control  # there is a control door, at ports["control"]
         self.pool, self.vault, self.names, self.apps = pool or Pool(), Vault(), Names(), Apps()
         self.process: asyncio.subprocess.Process | None = None
+        self.started: list[asyncio.subprocess.Process] = []  # all of them: none outlives the rig
         self.ports: dict[str, int] = {}
         self.pools: list[Pool] = []  # of processes that were relieved: their runs are told from there
         self.lives = 0  # of the node
@@ -150,12 +151,14 @@
         return process
 
     async def _spawn(self, command: list[str], stderr: int | IO[bytes] | None = None) -> asyncio.subprocess.Process:
-        return await asyncio.create_subprocess_exec(
+        process = await asyncio.create_subprocess_exec(
             *command,
             cwd=self.root or Path.cwd(),
             stderr=stderr,
             env={**os.environ, "LB_CONFIG": str(self.config), "TMPDIR": str(self.folder), **self.environment},
         )
+        self.started.append(process)
+        return process
 
     async def beside(self, pool: Pool | None = None) -> asyncio.subprocess.Process:
         """Start a new version beside the node, with a pool and a control address of its own; returns the older process
@@ -209,7 +212,10 @@
         return await asyncio.wait_for(self.process.wait(), 10)
 
     async def __aexit__(self, *_: object) -> None:
-        await self.kill()
+        for process in self.started:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         for peer in (*self.peers, *self.pools):
             await peer.stop()
         self.dns.transport.close()
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -362,9 +362,9 @@
                     await self._reopen()
         except (OSError, BrokenError) as error:
             event = Refused(str(error))
-        self.backlog = None
         if commit is not self.commit:
             return  # of a ledger that another member has
+        self.backlog = None
         self._do(self.commit.handle(self.steady_ms(), event))
         self._disk_changed()
 
@@ -402,12 +402,12 @@
             await self._operation_ends()
 
     async def _synced(self) -> bool:
-        """All that is written is synced; False in a gap."""
-        wanted = self.book.state.sequence
-        self._do(self.commit.handle(self.steady_ms(), SyncWanted(wanted)))
-        while self.commit.gap is None and self.commit.synced < wanted:
+        """All that is written is synced; False in a gap, and where another ledger has begun meanwhile."""
+        wanted, commit = self.book.state.sequence, self.commit
+        self._do(commit.handle(self.steady_ms(), SyncWanted(wanted)))
+        while commit is self.commit and commit.gap is None and commit.synced < wanted:
             await self._operation_ends()
-        return self.commit.gap is None
+        return commit is self.commit and commit.gap is None
 
     def _now(self) -> float:
         now, step = self.clock.read(self.wall_ms(), self.steady_ms())
