--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -509,3 +509,21 @@
         assert not await asyncio.wait_for(waiting, 5)
 
     asyncio.run(work())
+
+
+@pytest.mark.parametrize("stretch", [1, 3, 8])
+def test_a_disk_that_refuses_while_the_node_leaves_is_tried_again(stretch):
+    async def work(files):
+        life = Life(files, BEGIN)
+        await life.answer(1, 2, 3)
+        files.refuse = dict.fromkeys(range(files.count, files.count + stretch), errno.EIO)
+        await life.answer(4, 5, 6)
+        await life.ledger.close()
+        files.refuse = {}
+        return life
+
+    files = SimFiles()
+    life = asyncio.run(work(files))
+    assert life.delivered == {1, 2, 3, 4, 5, 6}
+    assert verify(files, life) == {1, 2, 3, 4, 5, 6}
+    assert load(files, FOLDER)[0].state.ended
