End a ledger's gap before the node leaves, however often its disk refuses

Cause: Ledger.close (usage/ledger.py) neither tried to end a gap nor tried a refused last record again; what was booked in memory went with the process. Change: close tries to end the gap at once and again (Commit event Leaving), for its 2 s at the most.

--- a/flintshift/storage/commit.py
+++ b/flintshift/storage/commit.py
@@ -57,7 +57,12 @@
     """The operation that was under way has ended well."""
 
 
-CommitEvent = Woken | Stalled | SyncWanted | Refused | Done
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The process is about to end: a gap is to be ended now, not after the usual wait."""
+
+
+CommitEvent = Woken | Stalled | SyncWanted | Refused | Done | Leaving
 
 
 # Answered.
@@ -178,6 +183,9 @@
                 return self._begin_gap(now_ms, cause)
             case Done():
                 return self._done(now_ms, self._over())
+            case Leaving():
+                self.tried_ms = -math.inf
+                return self._next(now_ms)
 
     def _over(self) -> Operation | None:
         over, self.under_way = self.under_way, None
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -31,6 +31,7 @@
     Done,
     GapBegan,
     GapEnded,
+    Leaving,
     Operation,
     Refused,
     Release,
@@ -66,6 +67,7 @@
 MARK_S = 0.01  # a mark waits so long for claims to be written with; until then its request would be in doubt
 BACKLOG_MOST = 100_000  # records that come while a segment is begun after a gap
 REOPEN_MS = 1000.0  # between two tries to write again after the disk refused
+CLOSE_AGAIN_S = 0.005  # between two tries at a disk that refuses then
 CLOSE_S = 2.0  # for the disk, when the node leaves: what hangs then is in doubt at the next start
 RETIRE_MS = 600_000.0
 INBOX_MOST = 100  # corrections taken in one tick
@@ -551,6 +553,13 @@
         self._flush_soon()
         self.began_anew()
 
+    async def _end_gap(self) -> None:
+        """Have what was booked in memory stand on the disk, however often that refuses."""
+        while self.commit.gap is not None:
+            self._do(self.commit.handle(self.steady_ms(), Leaving()))
+            await self._operation_ends()
+            await anyio.sleep(CLOSE_AGAIN_S)
+
     async def _retire(self) -> None:
         try:
             gone = await anyio.to_thread.run_sync(
@@ -577,8 +586,12 @@
             while self.commit.under_way is not None:
                 await self._operation_ends()
         self._flush()
+        with anyio.move_on_after(CLOSE_S):
+            await self._end_gap()
         if self.commit.gap is None:
             self._write([Ended(int(self._now()))])
+        with anyio.move_on_after(CLOSE_S):  # the disk may have refused that record: the snapshot that follows holds it
+            await self._end_gap()
         if self.timer is not None:
             self.timer.cancel()
         with anyio.move_on_after(CLOSE_S):
