--- a/flintshift/lab/syscall_faults.c
+++ b/flintshift/lab/syscall_faults.c
@@ -97,17 +97,17 @@
 static const int DISK_ERRORS[] = {ENOSPC, EIO};
 #define COUNT(array) ((int)(sizeof(array) / sizeof *(array)))
 
-int socket(int domain, int type, int protocol) {
-    REAL(socket);
-    if (control && domain != AF_UNIX && fails(control->socket_fails, SOCKET_ERRORS, COUNT(SOCKET_ERRORS))) return -1;
-    return real(domain, type, protocol);
-}
-
 static int taken(int descriptor) {
     if (descriptor >= 0 && descriptor < DESCRIPTORS) ended[descriptor] = 0;
     return descriptor;
 }
 
+int socket(int domain, int type, int protocol) {
+    REAL(socket);
+    if (control && domain != AF_UNIX && fails(control->socket_fails, SOCKET_ERRORS, COUNT(SOCKET_ERRORS))) return -1;
+    return taken(real(domain, type, protocol)); /* the event loop closes descriptors by the system call itself */
+}
+
 int accept(int listener, struct sockaddr *address, socklen_t *size) {
     REAL(accept);
     if (control && fails(control->accept_fails, ACCEPT_ERRORS, COUNT(ACCEPT_ERRORS))) return -1;
