Give an upgrade's test a grace: it asked after the notice, where nothing is run any more

The test's grace of 300 ms is none after the 500 ms for a late notice, so a request after SIGTERM was served only where it came before the notice was heard, which is sooner now. Change: a grace of 1.5 s, and the request is sent once the notice is heard: no race is left, and 200 is still asked.

--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -30,6 +30,8 @@
 
 async def test_the_successor_takes_the_clients_and_the_older_leaves_with_nothing_cut(site):
     patient(site)
+    # 500 ms of the grace go for a notice that is heard late: with the 300 of other tests nothing is run after it.
+    site.settings["rules"] = {**site.settings["rules"], "drainGraceMs": 1500.0}
     old = await site.start()
     rested = [await site.connect() for _ in range(3)]
     old.pool.plan = {}
@@ -44,6 +46,7 @@
     reply = await ask(rested[0], "k3")  # what is open with the older is answered by it, and told to come to the new one
     assert reply.status == 200 and reply.headers["connection"] == "close" and len(old.pool.spawns()) == 2
     old.process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(0.1)  # the notice is heard
     assert (await ask(rested[1], "k4")).status == 200
     old.pool.finish(rid)
     assert (await open_.reply()).status == 200
