Give the ports of test processes a module of their own

Need: stand-ins are to take their ports there too, and they can't import the rig, which imports them. Change: lab/ports.py holds what stood in lab/rig.py; nothing else.

--- a/benchmarks/chaos_copies.py
+++ b/benchmarks/chaos_copies.py
@@ -23,7 +23,7 @@
 sys.path.insert(0, str(ROOT))
 
 from flintshift.lab.chaos_copies import rounds  # noqa: E402
-from flintshift.lab.rig import PART  # noqa: E402
+from flintshift.lab.ports import PART  # noqa: E402
 
 
 def play(part: int, parts: int, count: int, seed: int, copies: bool) -> dict[str, Any]:
--- a/benchmarks/peer_link.py
+++ b/benchmarks/peer_link.py
@@ -26,7 +26,7 @@
 import uvloop  # noqa: E402
 
 from flintshift.core.limits import Limits  # noqa: E402
-from flintshift.lab.rig import free_ports  # noqa: E402
+from flintshift.lab.ports import free_ports  # noqa: E402
 from flintshift.proto import peers_pb2 as pb  # noqa: E402
 from flintshift.wire.peer_link import Wire  # noqa: E402
 
--- a/benchmarks/readiness.py
+++ b/benchmarks/readiness.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 
 from flintshift.lab.peers import Pool
-from flintshift.lab.rig import free_ports
+from flintshift.lab.ports import free_ports
 from flintshift.settings.embedded import configuration
 
 PING = b"GET /ping HTTP/1.1\r\nHost: node\r\n\r\n"
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -31,7 +31,7 @@
 from flintshift.lab.faults import FaultProxy
 from flintshift.lab.history import Answered, Asked, Broke, Died, Event, Ran, Result, judge
 from flintshift.lab.peers import Names, Pool, Vault
-from flintshift.lab.rig import free_ports
+from flintshift.lab.ports import free_ports
 from flintshift.settings.embedded import CLUBS, configuration
 from flintshift.usage import documents
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
 
 from flintshift import interface as api
 from flintshift.control import Controller
-from flintshift.lab.rig import PART
+from flintshift.lab.ports import PART
 
 if "PYTEST_XDIST_WORKER" in os.environ:  # workers run beside each other: each starts processes at ports of its own
     os.environ[PART] = f"{os.environ['PYTEST_XDIST_WORKER'][2:]}/{os.environ['PYTEST_XDIST_WORKER_COUNT']}"
--- a/tests/handover/site.py
+++ b/tests/handover/site.py
@@ -14,7 +14,7 @@
 from standins import BYTES, ROOT, SETTINGS, Caller, control_call, job, platform_file, scripted_pool
 
 from flintshift.lab.peers import Names, Vault
-from flintshift.lab.rig import free_ports
+from flintshift.lab.ports import free_ports
 
 
 class Process:
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -8,7 +8,7 @@
 import pytest
 
 from flintshift.lab.faults import Fault, FaultProxy
-from flintshift.lab.rig import free_ports
+from flintshift.lab.ports import free_ports
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/lab/test_rig.py
+++ b/tests/lab/test_rig.py
@@ -11,14 +11,14 @@
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
 from flintshift.lab.billing import Billing
-from flintshift.lab.rig import free_ports, port_range
+from flintshift.lab.ports import free_ports, port_range
 from flintshift.wire.names import NameService
 
 CODE = """
-from flintshift.lab import rig
-rig.port_range = lambda: range({first}, {first} + 1)
+from flintshift.lab import ports
+ports.port_range = lambda: range({first}, {first} + 1)
 try:
-    print(rig.free_ports(1))
+    print(ports.free_ports(1))
 except OSError:
     print("taken")
 """
--- a/tests/lifecycle/test_signals.py
+++ b/tests/lifecycle/test_signals.py
@@ -16,7 +16,7 @@
 
 from flintshift.core.limits import Limits
 from flintshift.lab.peers import Names, Pool, Vault
-from flintshift.lab.rig import free_ports
+from flintshift.lab.ports import free_ports
 from flintshift.lifecycle.signal_queue import SignalQueue
 
 pytestmark = pytest.mark.anyio
--- a/tests/lifecycle/test_starts_under_faults.py
+++ b/tests/lifecycle/test_starts_under_faults.py
@@ -27,7 +27,8 @@
 from standins import ROOT
 
 from flintshift.lab.faulty_start import UNGUARDED, Fault, Start, play
-from flintshift.lab.rig import Rig, free_ports
+from flintshift.lab.ports import free_ports
+from flintshift.lab.rig import Rig
 from flintshift.lab.syscall_faults import Call
 
 pytestmark = pytest.mark.anyio
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 from flintshift.lab.peers import Apps, Dns, Names, Pool, Vault
-from flintshift.lab.rig import free_ports
+from flintshift.lab.ports import free_ports
 from flintshift.wire import uwsgi
 
 ROOT = Path(__file__).parent.parent
--- a/tests/startup/test_reconnects.py
+++ b/tests/startup/test_reconnects.py
@@ -7,7 +7,7 @@
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
-from flintshift.lab.rig import free_ports
+from flintshift.lab.ports import free_ports
 from flintshift.wire import dnssd
 from flintshift.wire.dnssd import Browser
 from flintshift.wire.pool import PoolLink
