Keep the ports of stand-ins for their process, tell who sent them junk, end nodes of failed starts

Cause: lab/peers.py listened at a port of the system's choice. A node whose pool or name service a test has stopped goes on linking to that port, as it should, and the system gives it to any other process's stand-in. Rigs whose start failed never ended their node (lab/rig.py, lab/fleet.py, tests/standins.py, __aenter__). Change: stand-ins take ports that this process keeps for its life, locked by blocks; what a stand-in can't read is told with its first bytes and its sender; a failed start ends all it began; each test fails that leaves a process. No check is narrowed: junk fails a test as before. Why it holds: no two processes of a run share a port, and within one a port comes again only once all others were used.

--- a/flintshift/lab/billing.py
+++ b/flintshift/lab/billing.py
@@ -16,6 +16,8 @@
 
 import h11
 
+from flintshift.lab.ports import free_ports
+
 FAULTS = (
     "late",
     "silent",
@@ -50,8 +52,8 @@
         folder.mkdir(parents=True, exist_ok=True)
 
     async def start(self, port: int = 0) -> int:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port: int = self.server.sockets[0].getsockname()[1]
+        self.port = port or free_ports(1)[0]
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         return self.port
 
     def stop(self) -> None:
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -154,11 +154,22 @@
 
     async def __aenter__(self) -> Fleet:
         (self.folder / "logs").mkdir(parents=True, exist_ok=True)
-        for part in self._parts():
-            await part.start()
-        await asyncio.gather(*(self.start(name, founding=True) for name in self.members))
+        try:
+            for part in self._parts():
+                await part.start()
+            await self._start_all()
+        except BaseException:  # nobody else ends what was started
+            await self.__aexit__()
+            raise
         return self
 
+    async def _start_all(self) -> None:
+        """All members at once; where one does not serve, after the others were waited for too."""
+        ends = await asyncio.gather(*(self.start(name, founding=True) for name in self.members), return_exceptions=True)
+        for end in ends:
+            if isinstance(end, BaseException):
+                raise end
+
     async def __aexit__(self, *_: object) -> None:
         for member in self.members.values():
             if member.up:
--- a/flintshift/lab/peers.py
+++ b/flintshift/lab/peers.py
@@ -20,8 +20,12 @@
 import dns.rdatatype
 import dns.rrset
 
+from flintshift.lab.ports import free_ports
+from flintshift.lab.senders import sender
 from flintshift.wire import uwsgi
 
+FIRST_BYTES = 80  # kept of what a connection brought
+
 
 class Journal:
     """What a stand-in was told, in order. Tests wait for an entry, not for time to pass."""
@@ -46,25 +50,61 @@
         return [entry for entry in self.entries if wanted(entry)]
 
 
+class UnreadableError(Exception):
+    """A stand-in was sent what its protocol does not know; the text tells by whom."""
+
+
+class HeardReader:
+    """What a stand-in reads of one connection, with its first bytes kept for whoever must find out who sent them."""
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        self.reader, self.first = reader, b""
+
+    def _heard(self, data: bytes) -> bytes:
+        if len(self.first) < FIRST_BYTES:
+            self.first = (self.first + data)[:FIRST_BYTES]
+        return data
+
+    async def readline(self) -> bytes:
+        return self._heard(await self.reader.readline())
+
+    async def readexactly(self, count: int) -> bytes:
+        return self._heard(await self.reader.readexactly(count))
+
+    async def readuntil(self, separator: bytes) -> bytes:
+        return self._heard(await self.reader.readuntil(separator))
+
+    async def read(self) -> bytes:
+        return self._heard(await self.reader.read())
+
+
 class Peer:
-    """A TCP stand-in on a loopback port, of the system's choice where none is named. ``tells``: it keeps a journal of
+    """A TCP stand-in on a loopback port; 0: on one that no other process is given. ``tells``: it keeps a journal of
     what it was sent and of links that ended; off for loads, which would fill it."""
 
     def __init__(self, port: int = 0, tells: bool = False) -> None:
         self.port, self.tells, self.links = port, tells, set[asyncio.StreamWriter]()
         self.log, self.ended = Journal(), Journal()
+        self.server: asyncio.Server | None = None  # until it is started
 
     async def start(self) -> None:
+        # A port of the system's choice is given to another process once this one has left it, and the node goes on
+        # linking to it there.
+        self.port = self.port or free_ports(1)[0]
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
+
+    def leave_port(self) -> None:
+        """Take nothing new; what is open stays open."""
+        if self.server is not None:
+            self.server.close()
 
     async def stop(self) -> None:
-        self.server.close()
+        self.leave_port()
         self.cut()
 
     async def move(self) -> None:
         """Take what is new at another address alone; what is open stays open."""
-        self.server.close()
+        self.leave_port()
         self.port = 0
         await self.start()
 
@@ -78,14 +118,25 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.links.add(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-            await self.serve(reader, writer)
-        self.links.discard(writer)
-        writer.close()
+        heard = HeardReader(reader)
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+                await self.serve(heard, writer)
+        except Exception as error:
+            raise self._unreadable(heard, writer, error) from error
+        finally:
+            self.links.discard(writer)
+            writer.close()
         if self.tells:
             await self.ended.add("link")
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _unreadable(self, heard: HeardReader, writer: asyncio.StreamWriter, error: Exception) -> UnreadableError:
+        """What came, and who holds the other end, while that can still be found out."""
+        _, port = writer.get_extra_info("peername")
+        who = sender(port, self.port)
+        return UnreadableError(f"{type(self).__name__} at port {self.port}: {error}; {heard.first!r} was sent by {who}")
+
+    async def serve(self, reader: HeardReader, writer: asyncio.StreamWriter) -> None:
         raise NotImplementedError
 
 
@@ -117,7 +168,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.size = cores
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: HeardReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
             if not line.endswith(b"\n"):  # the link ended in the middle of a command: by whom?
                 self.torn += not writer.transport.is_closing()
@@ -212,7 +263,7 @@
         self.reply: bytes | None = b"%b yes 5\r\nreply\r\n"
         self.forgets: set[asyncio.StreamWriter] = set()
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: HeardReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
             if writer in self.forgets:
                 return writer.transport.abort()
@@ -235,7 +286,7 @@
         self.listed: dict[str, str] = {}
         self.mute = False
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: HeardReader, writer: asyncio.StreamWriter) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
         size = int(head.lower().split(b"content-length:")[1].split(b"\r\n")[0])
         told = json.loads(await reader.readexactly(size))
@@ -261,7 +312,7 @@
         self.beside = beside
         self.took_ms = 0.0
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: HeardReader, writer: asyncio.StreamWriter) -> None:
         size = uwsgi.block_size(await reader.readexactly(4), 65536)
         variables = uwsgi.unpack(await reader.readexactly(size))
         body = await reader.readexactly(int(variables["CONTENT_LENGTH"]))
@@ -294,8 +345,8 @@
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, ("127.0.0.1", 0))
-        self.port: int = self.transport.get_extra_info("sockname")[1]
+        self.port = free_ports(1)[0]
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, ("127.0.0.1", self.port))
 
     def put(self, name: str, kind: str, text: str) -> None:
         rrset = dns.rrset.from_text(name, 5, "IN", kind, text)
--- a/flintshift/lab/ports.py
+++ b/flintshift/lab/ports.py
@@ -13,6 +13,7 @@
 from typing import IO
 
 PORTS = range(20_000, 32_000)  # below those that systems draw a caller's own port from: no caller takes one of these
+BLOCK = 20  # ports that are locked as one, so that a process holds some hundred locks open and not thousands
 PART = "FLINTSHIFT_LAB_PORTS"  # as "2/8": this process takes the third of eight parts, so that eight can run beside
 
 
@@ -23,18 +24,19 @@
 
 
 def _ours(port: int) -> bool:
-    """This process has the port for its whole life. Guards a rig against another one beside it, which would take the
-    port of a member that is down, and answer its callers."""
-    if port not in _locks:
+    """This process has the port for its whole life, and those about it. Guards a rig against another one beside it,
+    which would take the port of a member or a stand-in that is down, and answer its callers."""
+    block = port // BLOCK * BLOCK
+    if block not in _locks:
         folder = Path(tempfile.gettempdir()) / "flintshift-ports"
         folder.mkdir(exist_ok=True)
-        lock = (folder / str(port)).open("w")
+        lock = (folder / str(block)).open("w")
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             lock.close()
             return False
-        _locks[port] = lock
+        _locks[block] = lock
     return True
 
 
--- a/flintshift/lab/rig.py
+++ b/flintshift/lab/rig.py
@@ -53,7 +53,11 @@
             await peer.start()
         self.dns = Dns(self.apps.port)
         await self.dns.start()
-        await self.start()
+        try:
+            await self.start()
+        except BaseException:  # nobody else ends what was started: a node left behind goes on reporting
+            await self.__aexit__()
+            raise
         return self
 
     @property
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
+import signal
 from pathlib import Path
 
 import pytest
@@ -38,6 +40,30 @@
         terminalreporter.write_line(f"known red: {line}")
 
 
+def child_processes():
+    """Those of this process that run, by number, with their command."""
+    found = {}
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        with contextlib.suppress(OSError):  # it has ended meanwhile
+            state, parent = stat.read_text().rpartition(")")[2].split()[:2]
+            if int(parent) == os.getpid() and state != "Z":
+                command = (stat.parent / "cmdline").read_bytes().decode(errors="replace")
+                found[int(stat.parent.name)] = command.replace("\0", " ").strip()
+    return found
+
+
+@pytest.fixture(autouse=True)
+def no_process_outlives_its_test():
+    """A node that a test left behind would go on reporting, and meet the stand-ins of others."""
+    before = child_processes()
+    yield
+    left = {pid: command for pid, command in child_processes().items() if pid not in before}
+    for pid in left:
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(pid, signal.SIGKILL)
+    assert not left, f"left running by this test: {left}"
+
+
 SAFE = api.RequestClass("look", 1000.0, 3000.0, 1.0, api.Effect.SAFE)
 DEAR = api.RequestClass("buy", 1000.0, 3000.0, 5.0, api.Effect.UNSAFE, calls=True)
 KEYED = api.RequestClass("pay", 1000.0, 3000.0, 3.0, api.Effect.KEYED, repeat_window_ms=8000.0, calls=True)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -167,6 +167,7 @@
     stop_ms: float = 3000.0
     more_settings: str = ""  # of the operators' file
     control: bool = False  # there is a control door
+    within_s: float = 10.0  # it serves
 
     async def __aenter__(self):
         self.pool, self.vault, self.names = scripted_pool(), Vault(tells=True), Names(tells=True)
@@ -200,11 +201,19 @@
             env={**os.environ, "LB_CONFIG": str(self.config)},
             stderr=asyncio.subprocess.PIPE,
         )
-        await self.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"))
-        await self.dns.log.until(lambda entry: entry[0] == "update")
-        await self.dns.log.until(lambda entry: entry == ("query", "app1.desks.example. IN AAAA"))
+        try:
+            await self._until_served()
+        except BaseException:  # nobody else ends what was started: a node left behind goes on reporting
+            await self.__aexit__()
+            raise
         return self
 
+    async def _until_served(self):
+        await self.names.log.until(lambda entry: entry == ("/ns/hosts/n3", "yes"), within_s=self.within_s)
+        await self.dns.log.until(lambda entry: entry[0] == "update", within_s=self.within_s)
+        found = "query", "app1.desks.example. IN AAAA"
+        await self.dns.log.until(lambda entry: entry == found, within_s=self.within_s)
+
     def configure(self):
         self.config.write_text(
             platform_file(
