Have a fleet's processes refuse writes at a rate, and each single write of a start fail in turn

Need: a fleet whose disks refuse was seen from outside alone, and one red start is to be made to fail at each single call. Change: the shim counts writes and syncs, fails a span of them, and takes half of a write now and then; Fleet.refuse_writes; DiskRefusal in the chaos of the copies. Measured: starts with each of their eight writes and syncs failing pass.

--- a/flintshift/lab/chaos_copies.py
+++ b/flintshift/lab/chaos_copies.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import json
+import math
 import random
 import sys
 import time
@@ -95,6 +96,15 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class DiskRefusal:
+    """Of each member's writes and syncs some fail, for a span of the play."""
+
+    rate: int  # of 1,000
+    from_s: float = 0.0  # after the fleet is linked
+    lasts_s: float = math.inf
+
+
 @dataclass
 class Tally:
     """What the rounds came to."""
@@ -205,6 +215,14 @@
         member.pool.spawned.clear()
 
 
+async def _refuse(fleet: Fleet, disks: DiskRefusal) -> None:
+    await asyncio.sleep(disks.from_s)
+    fleet.refuse_writes(disks.rate)
+    if disks.lasts_s != math.inf:
+        await asyncio.sleep(disks.lasts_s)
+        fleet.refuse_writes(0)
+
+
 async def all_billed(fleet: Fleet, tally: Tally) -> None:
     """Wait until all that is booked is exported, and judge it. What a machine booked while it told that no copy
     answered, and lost with its disk, is counted apart: no two machines had it."""
@@ -233,13 +251,21 @@
     callers: int = 8,
     said: Callable[[str], None] = lambda text: None,
     root: Path | None = None,
+    disks: DiskRefusal | None = None,
 ) -> Tally:
     """Play so many rounds on one fleet. ``copies`` False: the members share nothing, to see what is lost then."""
     tally, began = Tally(), time.monotonic()
     async with Fleet(
-        folder, HALLS, COPIES if copies else None, seed=seed, root=root, more=booking(folder, PERIOD)
+        folder,
+        HALLS,
+        COPIES if copies else None,
+        seed=seed,
+        root=root,
+        more=booking(folder, PERIOD),
+        disks_refuse=disks is not None,
     ) as fleet:
         await fleet.until_linked()
+        refusing = asyncio.ensure_future(_refuse(fleet, disks)) if disks is not None else None
         try:
             for number in range(count):
                 known = len(tally.texts)
@@ -256,6 +282,8 @@
             await all_billed(fleet, tally)
         finally:
             tally.took_s = time.monotonic() - began
+            if refusing is not None:
+                refusing.cancel()
             if tally.texts or sys.exc_info()[0] is not None:  # a fleet that never is whole again, too
                 (folder / "story.txt").write_text("\n".join(map(json.dumps, fleet.story())))
     return tally
--- a/flintshift/lab/faulty_start.py
+++ b/flintshift/lab/faulty_start.py
@@ -60,9 +60,11 @@
     settings: str | None = None,
     disk: int = 0,
     host: str = "127.0.0.1",
+    disk_span: tuple[int, int] = (0, 0),
 ) -> Start:
     """Start a node under these faults, let it serve for a moment, and tell it to leave. ``disk``: of 1,000 writes and
-    syncs of files so many fail for ``DISK_S``. ``host``: as its configuration names the machine."""
+    syncs of files so many fail for ``DISK_S``. ``disk_span``: of these calls, counted from 0, so many fail from that
+    one on. ``host``: as its configuration names the machine."""
     folder.mkdir(parents=True, exist_ok=True)
     shared, errors = SyscallFaults(folder / "faults", seed=seed), folder / "stderr"
     rig = Rig(
@@ -79,6 +81,7 @@
         for fault in faults:
             shared.fail(fault.call, fault.rate, fault.error)
         shared.set(Rates(disk=disk))
+        shared.fail_disk_calls(*disk_span)
         began, ready_s = time.monotonic(), None
         taking_back = asyncio.create_task(_take_back(shared, faults, DISK_S if disk else 0.0))
         with errors.open("wb") as stderr:
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -32,6 +32,7 @@
 from flintshift.lab.history import Answered, Asked, Broke, Died, Event, Ran, Result, judge
 from flintshift.lab.peers import Names, Pool, Vault
 from flintshift.lab.ports import free_ports
+from flintshift.lab.syscall_faults import Rates, SyscallFaults
 from flintshift.settings.embedded import CLUBS, configuration
 from flintshift.usage import documents
 
@@ -98,6 +99,7 @@
     offset_ms: float = 0.0  # of its clock
     paused: bool = False
     logs: list[Path] = field(default_factory=list)
+    faults: SyscallFaults | None = None  # of its present process
 
     @property
     def up(self) -> bool:
@@ -122,7 +124,10 @@
         direct: bool = False,
         control: bool = False,
         disks_fail: bool = False,
+        disks_refuse: bool = False,
     ) -> None:
+        self.disks_refuse = disks_refuse  # by `refuse_writes`
+        self.refused_writes = 0  # of 1,000 writes and syncs of regular files
         self.disks_fail = disks_fail  # by `fail_disk`
         self.control = control  # members have a control door, and can be upgraded
         self.direct = direct  # members are linked without proxies between, for measurements
@@ -250,12 +255,18 @@
         self.names.listed.pop(name, None)
         log = self.folder / "logs" / f"{name}.{member.lives}.log"
         member.logs.append(log)
+        environment: dict[str, str] = {}
+        if self.disks_refuse:
+            rates = Rates(disk=self.refused_writes)
+            member.faults = SyscallFaults(log.with_suffix(".faults"), rates, self.draw.getrandbits(32))
+            environment = member.faults.environment
         with log.open("wb") as stderr:
             member.process = await asyncio.create_subprocess_exec(
                 *command,
                 cwd=self.root or Path.cwd(),
                 stderr=stderr,
-                env={**os.environ, "LB_CONFIG": str(member.home / "config.json"), "TMPDIR": str(member.home)},
+                env={**os.environ, "LB_CONFIG": str(member.home / "config.json"), "TMPDIR": str(member.home)}
+                | environment,
             )
 
     async def upgrade(self, name: str, until_done: Awaitable[None] | None = None) -> int:
@@ -415,6 +426,17 @@
         resource.prlimit(member.process.pid, resource.RLIMIT_FSIZE, (1 if refuse else hard, hard))
         self.told(f"the disk of {name} {'is full' if refuse else 'takes again'}")
 
+    def refuse_writes(self, rate: int, names: Iterable[str] | None = None) -> None:
+        """Of 1,000 writes and syncs of files so many fail, each process drawing for itself; of the whole fleet, then of
+        processes that start later too, or of these members."""
+        if names is None:
+            self.refused_writes = rate
+        for name in self.members if names is None else names:
+            faults = self.members[name].faults
+            if faults is not None:
+                faults.set(Rates(disk=rate))
+        self.told(f"disks of {'all' if names is None else ','.join(names)} refuse {rate} of 1,000 writes")
+
     def fail_disk(self, name: str, fail: bool = True) -> None:
         """Each write of its process fails with an input/output error; or they are taken again."""
         failing = self.members[name].home / "failing"
--- a/flintshift/lab/syscall_faults.c
+++ b/flintshift/lab/syscall_faults.c
@@ -38,6 +38,8 @@
     uint32_t reads_after_end;       /* reads of bytes from a connection after its end was sent */
     uint32_t requests_after_end;    /* of these, that began with a request line */
     struct call_fault { uint32_t rate; int32_t error; } calls[CALLS]; /* by `enum call`; error 0: drawn from its list */
+    uint32_t disk_calls;            /* writes and syncs of regular files so far */
+    uint32_t disk_first, disk_count; /* of these, so many from that one on fail, whatever the rate */
 };
 
 static struct control *control;
@@ -260,13 +262,19 @@
 }
 
 static int disk_refuses(int descriptor) {
-    return control && control->disk_fails && descriptor > 2 && is_kind(descriptor, S_IFREG) &&
-           fails(control->disk_fails, DISK_ERRORS, COUNT(DISK_ERRORS));
+    if (!control || descriptor <= 2 || !is_kind(descriptor, S_IFREG)) return 0;
+    uint32_t call = __atomic_fetch_add(&control->disk_calls, 1, __ATOMIC_RELAXED); /* syncs are made by threads */
+    if (call - control->disk_first < control->disk_count) {
+        errno = DISK_ERRORS[call % COUNT(DISK_ERRORS)];
+        return 1;
+    }
+    return fails(control->disk_fails, DISK_ERRORS, COUNT(DISK_ERRORS));
 }
 
 ssize_t write(int descriptor, const void *data, size_t size) {
     REAL(write);
-    if (disk_refuses(descriptor) || interrupted(descriptor)) return -1;
+    if (disk_refuses(descriptor)) return size > 1 && drawn() % 3 == 0 ? real(descriptor, data, size / 2) : -1;
+    if (interrupted(descriptor)) return -1;
     if (control && control->calls[SEND].rate && is_kind(descriptor, S_IFSOCK) && FAILS(SEND, BROKEN_ERRORS)) return -1;
     return real(descriptor, data, shortened(descriptor, size));
 }
--- a/flintshift/lab/syscall_faults.py
+++ b/flintshift/lab/syscall_faults.py
@@ -17,10 +17,14 @@
 from pathlib import Path
 
 SOURCE = Path(__file__).with_name("syscall_faults.c")
-LAYOUT = struct.Struct("=qQ6I2I192x")
+LAYOUT = struct.Struct("=qQ6I2I192x3I4x")
 CLOCK = struct.Struct("=q")
 CALL_FAULT = struct.Struct("=Ii")
 CALL_FAULTS_AT = 48
+DISK_CALLS = struct.Struct("=I")
+DISK_CALLS_AT = 240
+DISK_SPAN = struct.Struct("=II")
+DISK_SPAN_AT = 244
 VARIABLE = "FLINTSHIFT_SYSCALL_FAULTS"
 
 
@@ -57,7 +61,7 @@
     connect: int = 0
     short_io: int = 0  # reads and writes on sockets that take a part alone
     interrupted: int = 0  # EINTR from waits, reads and writes
-    disk: int = 0  # writes and syncs of regular files: ENOSPC, EIO
+    disk: int = 0  # writes and syncs of regular files: ENOSPC, EIO, or a write that takes half
 
 
 NO_FAULTS = Rates()
@@ -94,7 +98,7 @@
 
     def __init__(self, path: Path, rates: Rates = NO_FAULTS, seed: int = 1) -> None:
         self.path, self.seed = path, seed
-        path.write_bytes(LAYOUT.pack(0, seed, *asdict(rates).values(), 0, 0))
+        path.write_bytes(LAYOUT.pack(0, seed, *asdict(rates).values(), 0, 0, 0, 0, 0))
         with path.open("r+b") as file:
             self.shared = mmap.mmap(file.fileno(), LAYOUT.size)
 
@@ -111,6 +115,15 @@
         """Have so many of 1,000 of these calls fail from now on; ``error`` 0: each with one that the C source lists."""
         CALL_FAULT.pack_into(self.shared, CALL_FAULTS_AT + call * CALL_FAULT.size, rate, error)
 
+    def fail_disk_calls(self, first: int, count: int = 1) -> None:
+        """Have these writes and syncs of regular files fail, counted from 0 now."""
+        DISK_SPAN.pack_into(self.shared, DISK_SPAN_AT, self.disk_calls + first, count)
+
+    @property
+    def disk_calls(self) -> int:
+        """Writes and syncs of regular files so far."""
+        return int(DISK_CALLS.unpack_from(self.shared, DISK_CALLS_AT)[0])
+
     def step_clock(self, seconds: float) -> None:
         """Set the process's wall clock forward, or back, by so much from where it is now."""
         (step_ns,) = CLOCK.unpack_from(self.shared)
--- a/tests/lifecycle/test_starts_under_faults.py
+++ b/tests/lifecycle/test_starts_under_faults.py
@@ -145,6 +145,19 @@
     assert start.served, told(start)
 
 
+DISK_CALLS_OF_A_START = 8  # writes and syncs of a second life, to its exit
+
+
+@pytest.mark.parametrize("call", range(DISK_CALLS_OF_A_START))
+async def test_a_start_outlasts_each_single_write_and_sync_of_the_ledger_and_its_copies(call, tmp_path):
+    folder = tmp_path / "copies"
+    found = [sys.executable, "-m", "flintshift.cli", "copies", "found", str(folder)]
+    await asyncio.to_thread(subprocess.run, found, cwd=ROOT, check=True, capture_output=True)
+    settings = COPIES.format(ports=free_ports(3), folder=folder) + USAGE.format(folder=tmp_path / "ledger")
+    start = await play([], tmp_path / "node", settings=settings, disk_span=(call, 1))
+    assert start.served, told(start)
+
+
 async def test_members_are_listened_for_though_the_address_cannot_be_had_for_seconds(tmp_path):
     folder = tmp_path / "copies"
     found = [sys.executable, "-m", "flintshift.cli", "copies", "found", str(folder)]
