--- a/tests/storage/test_log.py
+++ b/tests/storage/test_log.py
@@ -161,6 +161,39 @@
         log.sync()
 
 
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO])
+def test_a_refused_append_is_made_again_behind_what_stood_before_it(error):
+    files, log = filled()
+    files.refuse = {files.count + 1: error}  # half of it stands there
+    log.append_with_retry([(7, b"refused once")])
+    log.append([(7, b"later")])
+    log.sync()
+    found, reach = recovered(files)
+    assert [record.payload for record in found] == [*PAYLOADS, b"refused once", b"later"]
+    assert reach.torn == 0 and reach.following == log.following
+
+
+@pytest.mark.parametrize("refused", [(1, 2), (1, 3)], ids=["its repair too", "its second try too"])
+def test_an_append_that_is_refused_again_leaves_nothing_that_counts(refused):
+    files, log = filled()
+    files.refuse = {files.count + place: errno.EIO for place in refused}
+    with pytest.raises(OSError, match="refused here"):
+        log.append_with_retry([(7, b"never")])
+    log.append_with_retry([(7, b"later")])  # what is left is cut off first
+    found, _ = recovered(files)
+    assert [record.payload for record in found] == [*PAYLOADS, b"later"]
+
+
+def test_a_log_whose_sync_failed_is_not_repaired():
+    files, log = filled()
+    log.append([(7, b"unknown")])
+    files.refuse = {files.count + 1: errno.EIO}
+    with pytest.raises(OSError, match="refused here"):
+        log.sync()
+    with pytest.raises(BrokenError):
+        log.append_with_retry([(7, b"later")])
+
+
 def test_a_failed_sync_breaks_the_log():
     files, log = filled()
     log.append([(7, b"unknown")])
