Put a copied ledger's state back to what its disk holds where that refuses

Cause: lifecycle/use_copies.py _hold let HeldLogs go on where the disk had refused: a copy without a folder (KeyError in _held), a promise granted at the next question though the disk never took it, a copy taken for lost (HeldLogs.lost) though all that it had acknowledged stood there. Replica.keep changed its state before the disk did; a record that says that documents stand was written before them; a start that was refused half way held the locks of its first try, so that its second was 'another process works in this folder'. Change: the disk owns the truth. A refused action puts the state machine back to it (HeldLogs.put_back, dropped), reading the folder again where it is not known (Replica.recover); a copy counts once its first promise stands; an append is made once more; restore lets go of what it opened; a copy that can't be closed is told and does not end the exit. Forget carries its epoch. The tests' disk lists folders too, as the real one does.

--- a/flintshift/copies/logs.py
+++ b/flintshift/copies/logs.py
@@ -415,9 +415,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Forget:
-    """Keep of it only that it is over."""
+    """Keep of it only that it is over, under this epoch."""
 
     log: LogId
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -501,10 +502,16 @@
     def restored(self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool) -> None:
         self.table[log] = HeldLog(promised, by, by, last, sure, over=over)
 
-    def lost(self, log: LogId) -> None:
-        """The disk refused: what stands there is unknown until the log is filled anew."""
-        if log in self.table:
-            self.table[log].last, self.table[log].sure = NOWHERE, False
+    def put_back(self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool) -> None:
+        """The disk refused an action: this is what stands there, and all that counts. Whoever wrote the log last is
+        known as before. ``sure`` False: what stands there is unknown until the log is filled anew."""
+        held = self.table.get(log)
+        writer, dead_ms = (held.writer, held.dead_ms) if held is not None else (by, None)
+        self.table[log] = HeldLog(promised, by, writer, last if sure else NOWHERE, sure, dead_ms, over=over)
+
+    def dropped(self, log: LogId) -> None:
+        """Nothing of it could be kept: it is as if nobody had asked."""
+        self.table.pop(log, None)
 
     def asked(self, by: str, word: LogWord) -> list[HolderAction]:
         """By a process that writes a log, or wants to."""
@@ -543,7 +550,7 @@
     def over(self, log: LogId, epoch: int) -> list[HolderAction]:
         held = self.table[log]
         self.table[log] = HeldLog(epoch, held.by, held.writer, held.last, False, over=True)
-        return [Forget(log)]
+        return [Forget(log, epoch)]
 
     def _refused(self, by: str, log: LogId, held: HeldLog | None) -> list[HolderAction]:
         if held is None:
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -99,8 +99,18 @@
         """Hold what stands on the disk.
 
         Raises:
-            OSError, LockedError: the folder can't be used.
+            OSError, LockedError: the folder can't be used; nothing of it is held, so that it can be tried again.
         """
+        try:
+            self._restore()
+        except BaseException:
+            for replica in self.replicas.values():
+                replica.ledger.close()
+            self.replicas.clear()
+            self.heart.table.clear()
+            raise
+
+    def _restore(self) -> None:
         for folder, state in on_disk.stands(self.files, self.folder):
             log = state.member, state.life
             sure = state.sure and (self.options.durability == "power-cut" or state.boot in ("", self.boot))
@@ -337,27 +347,42 @@
                 self._refused(log, error)
                 return  # what was to be answered stands on no disk
 
-    def _refused(self, log: LogId, error: Exception) -> None:
+    def _refused(self, log: LogId, error: Exception, unsynced: bool = False) -> None:
+        """The disk refused what the state machine had decided. The disk has the truth: the state machine is put back
+        to what stands there. ``unsynced``: what was written last may be gone, whatever can be read of it now."""
         self.counters.add("usage.copy_refused")
+        replica = self.replicas.get(log)
+        if replica is None:
+            self.heart.dropped(log)
+        elif log not in self.taken:
+            sure = not unsynced and self._recovered(log, replica)
+            state = replica.state
+            self.heart.put_back(log, state.promised, state.by, replica.last, sure, state.over)
         self.log(
             "error",
             "usage.copy_refused",
             ledger=log[0],
             cause=str(error),
-            then="it is filled anew by whoever writes that ledger",
+            then="tried again"
+            if log in self.taken
+            else "it goes on from what it holds"
+            if replica is not None and self.heart.table[log].sure
+            else "it is filled anew by whoever writes that ledger",
         )
-        self.heart.lost(log)
+
+    def _recovered(self, log: LogId, replica: Replica) -> bool:
+        """All that this copy acknowledged stands on the disk, and it can go on from there."""
+        try:
+            replica.recover()
+        except REFUSED as error:
+            self.log("warning", "usage.copy_unreadable", ledger=log[0], cause=str(error))
+            return False
+        return replica.whole
 
     def _held(self, log: LogId, action: logs.HolderAction) -> None:
         match action:
             case logs.Promise(_, epoch, by):
-                replica = self.replicas.get(log)
-                if replica is None:
-                    state = CopyState(*log, epoch, by, False, self.boot)
-                    replica = self.replicas[log] = Replica(
-                        self.files, self.folder / on_disk.folder_name(*log), state, self.options.segment_bytes
-                    )
-                replica.keep(promised=epoch, by=by)
+                self._promise(log, epoch, by)
             case logs.Write(_, epoch, first, records):
                 self.replicas[log].append(epoch, first, records)
             case logs.Replace(_, (epoch, sequence), data):
@@ -375,12 +400,28 @@
                 self.send(member, word)
             case logs.Taken():
                 self._take(action)
-            case logs.Forget():
+            case logs.Forget(_, epoch):
                 self._leave(log)
-                self.replicas[log].forget()
+                self.replicas[log].forget(epoch)
             case logs.Drop():
                 self.replicas.pop(log).drop()
 
+    def _promise(self, log: LogId, epoch: int, by: str) -> None:
+        """Keep a promise; a copy counts once its first one stands on the disk."""
+        replica = self.replicas.get(log)
+        if replica is not None:
+            replica.keep(promised=epoch, by=by)
+            return
+        state = CopyState(*log, epoch, by, False, self.boot)
+        folder = self.folder / on_disk.folder_name(*log)
+        replica = Replica(self.files, folder, state, self.options.segment_bytes)
+        try:
+            replica.keep()
+        except BaseException:
+            replica.ledger.close()
+            raise
+        self.replicas[log] = replica
+
     # Ledgers of dead members.
 
     def _take(self, told: logs.Taken) -> None:
@@ -502,14 +543,17 @@
                 if replica is not None and not replica.state.over:
                     await anyio.to_thread.run_sync(replica.ledger.log.sync)
             except REFUSED as error:
-                self._refused(log, error)
+                self._refused(log, error, unsynced=True)
                 told = [one for one in told if one[0] != log]
         for _, to, word in told:
             self.answer(to, word)
 
     def close(self) -> None:
-        for replica in self.replicas.values():
-            replica.close()
+        for log, replica in self.replicas.items():
+            try:
+                replica.close()
+            except REFUSED as error:  # after a start of the machine it is filled anew
+                self.log("warning", "usage.copy_not_closed", ledger=log[0], cause=str(error))
 
     def shown(self) -> list[dict[str, Any]]:
         """For operators: each ledger that is written or copied here."""
--- a/flintshift/usage/folder.py
+++ b/flintshift/usage/folder.py
@@ -127,6 +127,18 @@
             self.lock.close()
             raise
 
+    def reload(self) -> None:
+        """Read again what stands on the disk, and go on at its end; for an owner that does not know what a refused
+        operation left.
+
+        Raises:
+            OSError, DamagedError: it can't be read or written on.
+        """
+        self.log.close()
+        self.book, self.reach, self.found = load(self.files, self.folder, self.book.bounds)
+        self.log = Log(self.files, self.folder / "log", max(self.log.epoch, self.reach.epoch), self.reach.following)
+        self.log.resume(self.reach)
+
     def open(self, node: str, drawn: bytes, period_ms: int, clubs: list[str], classes: list[str], now_ms: int) -> None:
         """Begin a life: what was on its way in the one before is in doubt from here on."""
         life = self.book.state.life or drawn
--- a/flintshift/usage/replica.py
+++ b/flintshift/usage/replica.py
@@ -23,7 +23,7 @@
 from flintshift.usage import documents
 from flintshift.usage.book import Book
 from flintshift.usage.folder import LedgerFolder, retire, snapshot_name, snapshots, unacknowledged
-from flintshift.usage.records import Published, pack, unpack
+from flintshift.usage.records import Entry, Published, pack, unpack
 
 COPY, COPY_KIND = "COPY", 34
 STANDING, STANDING_KIND = "COPIED", 35
@@ -134,11 +134,29 @@
         return self.ledger.reach.epoch, self.ledger.log.following - 1
 
     def keep(self, **changes: object) -> None:
-        """Change what stands of the copy, durably."""
-        self.state = msgspec.structs.replace(self.state, **changes)
+        """Change what stands of the copy, durably. ``state`` is what the disk has taken: where it refuses, nothing has
+        changed."""
+        state = msgspec.structs.replace(self.state, **changes)
         snapshot.publish(
-            self.files, self.folder / COPY, snapshot.sealed(COPY_KIND, 1, 1, msgspec.msgpack.encode(self.state))
+            self.files, self.folder / COPY, snapshot.sealed(COPY_KIND, 1, 1, msgspec.msgpack.encode(state))
         )
+        self.state = state
+
+    @property
+    def whole(self) -> bool:
+        """All that was acknowledged stands here, and can be written on."""
+        log = self.ledger.log
+        return self.state.sure and log.file is not None and (not log.broken or log.torn)
+
+    def recover(self) -> None:
+        """After a refusal: read again what stands on the disk, where that is not known.
+
+        Raises:
+            OSError, DamagedError: it can't be read or written on; it is to be filled anew.
+        """
+        log = self.ledger.log
+        if self.state.sure and (log.file is None or (log.broken and not log.torn)):
+            self.ledger.reload()
 
     def append(self, epoch: int, first: int, records: Iterable[tuple[int, bytes]]) -> None:
         """
@@ -154,17 +172,31 @@
         except ValueError as error:
             raise DamagedError(f"{self.folder}: record {first} and on: {error}") from error
         log.epoch = epoch
-        log.append(items)
+        begin = 0
         for place, entry in enumerate(entries):
             if isinstance(entry, Published):
-                made = [one for one in self.ledger.book.state.documents if one.number <= entry.number]
-                if made:
-                    self.ledger.write_documents(made)
-            self.ledger.book.apply(first + place, epoch, entry)
-        self.ledger.reach.epoch = epoch
+                self._apply(items[begin:place], entries[begin:place])
+                begin = place
+                self._publish(entry)  # before the record that says that they stand
+        self._apply(items[begin:], entries[begin:])
         if log.size >= self.segment_bytes:
             self.turn()
 
+    def _apply(self, items: list[tuple[int, bytes]], entries: list[Entry]) -> None:
+        """Write records, then apply them."""
+        if not items:
+            return
+        log = self.ledger.log
+        first = log.append_with_retry(items)
+        for place, entry in enumerate(entries):
+            self.ledger.book.apply(first + place, log.epoch, entry)
+        self.ledger.reach.epoch = log.epoch
+
+    def _publish(self, told: Published) -> None:
+        made = [one for one in self.ledger.book.state.documents if one.number <= told.number]
+        if made:
+            self.ledger.write_documents(made)
+
     def write(self, *entries: object) -> tuple[int, list[tuple[int, bytes]]]:
         """Records of whoever took the ledger over; returns the first one's sequence, and them for the other copies."""
         items = [pack(entry) for entry in entries]  # type: ignore[arg-type]
@@ -224,9 +256,9 @@
     def retire(self, sinks: list[str], retention_ms: float, now_ms: float) -> None:
         retire(self.files, self.folder, sinks, retention_ms, now_ms, self.ledger.book.state.closed_to)
 
-    def forget(self) -> None:
+    def forget(self, epoch: int) -> None:
         """Nothing of it is needed any more, but that this is so."""
-        self.keep(over=True, sure=False)
+        self.keep(promised=epoch, over=True, sure=False)
         self.ledger.log.close()
         emptied(self.files, self.folder)
 
--- a/tests/copies/test_log_copies.py
+++ b/tests/copies/test_log_copies.py
@@ -147,7 +147,7 @@
     taker.over(log, 7)  # while no link stands between them
     told = taker.reach("n5")
     assert told == [logs.Ask("n5", logs.Over(log, 7))] and taker.reach("n3") == []
-    assert back.asked("n2#1", told[0].word) == [logs.Forget(log)] and back.table[log].over
+    assert back.asked("n2#1", told[0].word) == [logs.Forget(log, told[0].word.epoch)] and back.table[log].over
 
 
 def test_a_play_is_the_same_each_time():
--- a/tests/storage/sim_files.py
+++ b/tests/storage/sim_files.py
@@ -80,7 +80,8 @@
     def names(self, folder):
         if self.stopped:
             raise StoppedError
-        return sorted(path.name for path in self.names_now if path.parent == folder)
+        depth = len(folder.parts)
+        return sorted({path.parts[depth] for path in self.names_now if folder in path.parents})
 
     def read(self, path):
         if self.stopped:
