Failing tests: a refused write of a store's state ends links, and leaves a member without a vote

Cause: lifecycle/replica_store.py fill, _filled and _outlived write the store's state without a guard.

--- a/tests/copies/test_store_refusals.py
+++ b/tests/copies/test_store_refusals.py
@@ -24,6 +24,8 @@
 
 from flintshift.copies.messages import NO_BALLOT, Ask, Reach, Step, Value, Verdict
 from flintshift.copies.placement import Placement
+from flintshift.copies.refill import Page
+from flintshift.copies.registers import Entry
 from flintshift.copies.store import boot_id, found_store
 from flintshift.core.counters import Counters
 from flintshift.core.keys import Stage
@@ -140,3 +142,71 @@
     assert await member.vote("k2") is Verdict.OK
     assert "copies.disk_takes_again" in member.logged
     assert "k2" in member.keys_after_restart()
+
+
+class EmptyMember(Member):
+    """One that lost its disk; two others tell it what they hold."""
+
+    def __init__(self):
+        self.files, self.host, self.logged, self.numbers = SimFiles(), Host(), [], 0
+        self.store = self.opened()
+
+    def tick(self):
+        self.host.now += 50.0
+        if self.store.usable(self.host.now):
+            for name, asked in self.store.asks(self.host.now, {"n2", "n3"}):
+                entry = Entry(("submit-time", f"from {name}"), NO_BALLOT, NO_BALLOT, VALUE, WINDOW_MS)
+                self.store.fill(name, Page((entry,), entry.key, True, True, asked.store))
+
+    @property
+    def state(self):
+        return self.store.folder.state
+
+
+VALUE = Value(Stage.CLAIMED, "r1", "n2#1", b"p" * 16, WINDOW_MS)
+
+
+def operations_of_a_refill():
+    member = EmptyMember()
+    begun = member.files.count
+    member.tick()
+    assert member.state.votes
+    return member.files.count - begun
+
+
+@pytest.mark.parametrize("place", range(1, operations_of_a_refill() + 1))
+async def test_a_member_that_is_filled_votes_within_500_ms_of_each_single_refusal(place):
+    """A refused write of the last page, or of the state that it votes, ended the link that brought the page, and the
+    member had no vote until its whole window had passed."""
+    member = EmptyMember()
+    member.refuse(place)
+    for _ in range(10):
+        member.tick()
+    assert member.store.registers.full_vote and member.state.votes
+    assert {"from n2", "from n3"} <= member.keys_after_restart()
+
+
+async def test_a_member_that_is_filled_while_its_disk_refuses_votes_once_it_takes_again():
+    member = EmptyMember()
+    member.refuse_all()
+    for _ in range(60):
+        member.tick()
+    assert not member.state.votes
+    member.files.refuse = {}
+    for _ in range(40):  # 2 s: the longest wait between two tries is one
+        member.tick()
+    assert member.store.registers.full_vote and member.state.votes
+    assert {"from n2", "from n3"} <= member.keys_after_restart()
+
+
+@pytest.mark.parametrize("place", range(1, 8))
+async def test_a_store_that_others_know_by_a_newer_one_outlasts_each_single_refusal(place):
+    member = Member()
+    member.refuse(place)
+    newer = member.store.registers.store + 5
+    member.store.met("n2", 1, newer)
+    for _ in range(10):
+        member.host.now += 50.0
+        member.store.usable(member.host.now)
+    assert member.store.registers.store == member.store.folder.state.incarnation == newer + 1
+    assert not member.store.folder.state.votes
