Keep a store's state at each look until its disk takes it, and end no link or node for it

What callers saw: keys refused, as a member that had lost its disk got no vote within 30 s of its start while disks refused. Cause: lifecycle/replica_store.py fill, _filled and _outlived wrote the store's state unguarded: an OSError ended the link that brought the last page, or the node's own tick, and a refused page returned before the vote was taken up; nothing tried again but the window's end. Change: the registers own the truth; _keep_state has the disk follow at each look, the log synced before votes are claimed; CopiesFolder.write_state changes its state once the disk has. Why it holds: a death before the state stands leaves a store that is filled anew, as before; each single operation of a refill fails in turn.

--- a/flintshift/copies/store.py
+++ b/flintshift/copies/store.py
@@ -144,9 +144,10 @@
         self.lasting = {1: 0.0}
 
     def write_state(self, state: StoreState) -> None:
-        self.state = state
+        """``state`` of the folder is what the disk has taken: where it refuses, nothing has changed."""
         data = msgspec.msgpack.encode(state)
         snapshot.publish(self.files, self.folder / STORE, snapshot.sealed(STORE_KIND, 1, 1, data))
+        self.state = state
 
     def write(self, entries: Iterable[Entry], now_ms: float) -> None:
         """Changes of registers; they survive the death of the process from then on, and that of the system after
--- a/flintshift/lifecycle/replica_store.py
+++ b/flintshift/lifecycle/replica_store.py
@@ -167,8 +167,7 @@
             self.name, known + 1, self.placement, self.registers.bounds, False, self.now_ms() + self.host.keep_for_ms()
         )
         self.refill = self._new_refill()
-        assert self.folder is not None
-        self.folder.write_state(structs.replace(self.folder.state, incarnation=known + 1, votes=False))
+        self._keep_state()
         self.host.tell(Reach(self.name, True, known + 1))
 
     # Votes.
@@ -266,10 +265,27 @@
     def usable(self, now: float) -> bool:
         """The disk takes what is promised, as far as is known; one that refused is tried again from time to time."""
         if self.refusing_ms is None:
-            return True
-        if now >= self.reopen_ms:
+            self._keep_state()
+        elif now >= self.reopen_ms:
             self._reopen(now)
-        return False
+            return False  # the others hear of it first
+        return self.refusing_ms is None
+
+    def _keep_state(self) -> None:
+        """Have the disk hold what the registers stand for: which store this is, and whether it knows all that it ever
+        promised. Tried again with each look; a death before that leaves a store that is filled anew."""
+        assert self.folder is not None
+        state = structs.replace(self.folder.state, incarnation=self.registers.store, votes=self.registers.full_vote)
+        if state == self.folder.state or self.refusing_ms is not None:
+            return
+        try:
+            if state.votes:  # it must not be believed without what it was filled with
+                self.folder.log.sync()
+            self.folder.write_state(state)
+        except (OSError, BrokenError) as error:
+            self.counters.add("copies.state_refused")
+            if self.folder.log.broken:
+                self._outlasted(error)
 
     def _reopen(self, now: float) -> None:
         assert self.folder is not None and self.refusing_ms is not None
@@ -326,20 +342,18 @@
         before = self.registers.store
         changed = self.refill.told(self.now_ms(), self.registers, member, told)
         self.counters.add("copies.filled_keys", len(changed))
-        if changed and not self._written(changed):
-            return
+        if changed:
+            self._written(changed)  # where the disk refuses, they are written with all else once it takes again
         if self.registers.store != before:
-            self.folder.write_state(structs.replace(self.folder.state, incarnation=self.registers.store))
             self.host.tell(Reach(self.name, True, self.registers.store))
         if told.done and told.counts:
             self.log("info", "copies.filled_by", name=member, keys=len(self.registers.table))
         if self.registers.full_vote:
             self._filled("a majority of the holders of each of its keys has told what it knows")
+        self._keep_state()
 
     def _filled(self, cause: str) -> None:
-        assert self.folder is not None
         self.refill = None
         self.registers.full_vote = True
-        self.folder.log.sync()
-        self.folder.write_state(structs.replace(self.folder.state, votes=True))
+        self._keep_state()
         self.log("info", "copies.votes", keys=len(self.registers.table), cause=cause)
