Let go of copies that were never filled once their writer is dead, and go on with unsure ones

What operators saw: ledgers that are never whole again after disks had refused for some seconds; their use is neither billed nor told as lost. Cause: copies/logs.py HeldLogs.tick began a takeover for sure copies alone, so two copies that were never filled stood for ever; and two that may lack their end (a start of both machines) too, though the page of the design says that the ledger goes on with what there is. Change: a copy without a record, which has promised nothing to another, is let go after take-over-use (usage.copy_let_go); an unsure one with records asks once patience is over, steps back where another is sure or holds more, and goes on with all others without a word, which is told as before.

--- a/flintshift/copies/logs.py
+++ b/flintshift/copies/logs.py
@@ -11,7 +11,8 @@
   before that under an epoch of its own is no sign that it lacks nothing: it shows how far it had come ``before``.
 - What a writer found is counted as held only together with a first record of its own epoch.
 - A copy that was never filled, or may have lost its end, has no word on who takes over; but where the writer stays dead
-  for long, and no more can be had, the ledger goes on with what there is, and that is told.
+  for long, and no more can be had, the ledger goes on with what there is, and that is told. One that was never filled,
+  and has promised nothing to another, is let go as soon as its writer is dead.
 """
 
 from __future__ import annotations
@@ -426,6 +427,14 @@
     log: LogId
 
 
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Nothing of it is held here, and its writer stays dead: drop it, and tell."""
+
+    log: LogId
+    of: str  # the process that wrote it
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     to: str  # a process
@@ -451,7 +460,7 @@
     without: tuple[str, ...]  # holders that had no word: what they and the dead writer alone held is missing
 
 
-HolderAction = Promise | Write | Replace | Note | Forget | Drop | Answer | Ask | Taken
+HolderAction = Promise | Write | Replace | Note | Forget | Drop | Lost | Answer | Ask | Taken
 
 
 @dataclass(frozen=True, slots=True)
@@ -504,10 +513,10 @@
 
     def put_back(self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool) -> None:
         """The disk refused an action: this is what stands there, and all that counts. Whoever wrote the log last is
-        known as before. ``sure`` False: what stands there is unknown until the log is filled anew."""
+        known as before. ``sure`` False: it may lack what it acknowledged, until it is filled anew."""
         held = self.table.get(log)
         writer, dead_ms = (held.writer, held.dead_ms) if held is not None else (by, None)
-        self.table[log] = HeldLog(promised, by, writer, last if sure else NOWHERE, sure, dead_ms, over=over)
+        self.table[log] = HeldLog(promised, by, writer, last, sure, dead_ms, over=over)
 
     def dropped(self, log: LogId) -> None:
         """Nothing of it could be kept: it is as if nobody had asked."""
@@ -567,7 +576,7 @@
                 return [Answer(by, At(log, Word.FULL, 0, NOWHERE))]
             self.table[log] = HeldLog(epoch, by, by, NOWHERE, False)
             self._left(by, log)
-            return [*actions, Promise(log, epoch, by), Answer(by, self._no_vote(word, epoch))]
+            return [*actions, Promise(log, epoch, by), Answer(by, self._no_vote(word, epoch, NOWHERE))]
         if epoch < held.promised or (epoch == held.promised and by != held.by):
             return self._refused(by, log, held)
         own = (word.epoch, by) == (held.promised, held.by) and held.last[0] == word.epoch  # and the question is late
@@ -582,7 +591,7 @@
             self._left(by, log)
         held.parts, held.parts_bytes = [], 0
         if not held.sure:
-            return [*actions, Answer(by, self._no_vote(word, epoch))]
+            return [*actions, Answer(by, self._no_vote(word, epoch, held.last))]
         return [*actions, Answer(by, At(log, Word.GRANTED, epoch, held.last))]
 
     def _left(self, by: str, log: LogId) -> None:
@@ -601,9 +610,10 @@
         return log
 
     @staticmethod
-    def _no_vote(word: Join, epoch: int) -> At:
-        """It can be filled by whoever writes the log, and has no word on who takes it over."""
-        return At(word.log, Word.NO_VOTE if word.takes else Word.GRANTED, epoch, NOWHERE)
+    def _no_vote(word: Join, epoch: int, last: Place) -> At:
+        """It can be filled by whoever writes the log, and has no word on who takes it over; ``last``: what it may hold,
+        for another that is unsure too."""
+        return At(word.log, Word.NO_VOTE, epoch, last) if word.takes else At(word.log, Word.GRANTED, epoch, NOWHERE)
 
     def _part(self, by: str, word: Part, held: HeldLog | None) -> list[HolderAction]:
         log = word.log
@@ -632,8 +642,9 @@
             return []
         if at.word is Word.OVER:
             return self.over(at.log, max(at.epoch, held.promised))
-        held.seen, held.behind = max(held.seen, at.epoch), held.behind or at.word is Word.AHEAD
-        if at.word is Word.NO_VOTE:
+        more = at.word is Word.AHEAD or (not held.sure and at.word is Word.NO_VOTE and at.last > held.last)
+        held.seen, held.behind = max(held.seen, at.epoch), held.behind or more
+        if at.word is Word.NO_VOTE and not more:
             held.wordless.add(member)
         elif at.epoch == held.taking and at.word is Word.GRANTED:
             held.votes.add(member)
@@ -641,14 +652,24 @@
 
     def _majority(self, log: LogId, held: HeldLog) -> list[HolderAction]:
         holders, wordless = self.holders(log[0]), held.wordless - held.votes
-        if len(held.votes) + 1 >= len(holders) // 2 + 1:
+        if held.sure and len(held.votes) + 1 >= len(holders) // 2 + 1:
             wordless = set()
         elif held.patient or not held.votes | wordless >= {name for name in holders if name not in (self.me, log[0])}:
             return []  # one that does not answer may hold more
         epoch, held.taking = held.taking, 0
+        if held.last == NOWHERE:
+            return self._lost(log, held)
         of, held.writer = held.writer, self.identity
         return [Taken(log, epoch, held.last, of, tuple(sorted(wordless)))]
 
+    def _lost(self, log: LogId, held: HeldLog) -> list[HolderAction]:
+        del self.table[log]
+        return [Lost(log, held.writer)]
+
+    def _never_filled(self, held: HeldLog) -> bool:
+        """Nothing is lost with this copy, and no promise that it gave to another than its writer is forgotten."""
+        return not held.sure and held.last == NOWHERE and held.by == held.writer
+
     def tick(self, now_ms: float) -> list[HolderAction]:
         actions: list[HolderAction] = []
         for log, held in list(self.table.items()):
@@ -663,11 +684,16 @@
             rank = holders.index(self.me) if self.me in holders else len(holders)
             due_ms = held.dead_ms + self.pace.take_over_ms + rank * self.pace.stagger_ms
             again_ms = (self.pace.again_ms + rank * self.pace.stagger_ms) * (4 if held.behind else 1)
-            if not held.sure or now_ms < max(due_ms, held.asked_ms + again_ms):
+            if now_ms < max(due_ms, held.asked_ms + again_ms):
+                continue
+            if self._never_filled(held):
+                actions += self._lost(log, held)
+                continue
+            held.patient = now_ms < held.dead_ms + self.pace.patience * self.pace.take_over_ms
+            if held.patient and not held.sure:  # a sure one may be there yet
                 continue
             held.asked_ms, held.behind = now_ms, False
             held.votes, held.wordless = set(), set()
-            held.patient = now_ms < held.dead_ms + self.pace.patience * self.pace.take_over_ms
             held.promised = held.taking = max(held.promised, held.seen) + 1
             held.by = self.identity
             actions.append(Promise(log, held.promised, held.by))
--- a/flintshift/lab/logs_model.py
+++ b/flintshift/lab/logs_model.py
@@ -246,6 +246,8 @@
                             self._write(machine, writer, writer.reach(other.name, True))
                 case logs.Forget(log):
                     machine.disk[log].over = True
+                case logs.Lost(log) | logs.Drop(log):
+                    del machine.disk[log]
 
 
 def place(records: Records) -> logs.Place:
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -355,9 +355,10 @@
         if replica is None:
             self.heart.dropped(log)
         elif log not in self.taken:
-            sure = not unsynced and self._recovered(log, replica)
-            state = replica.state
-            self.heart.put_back(log, state.promised, state.by, replica.last, sure, state.over)
+            known = self._recovered(log, replica)
+            state, last = replica.state, replica.last if known else logs.NOWHERE
+            sure = known and replica.whole and not unsynced
+            self.heart.put_back(log, state.promised, state.by, last, sure, state.over)
         self.log(
             "error",
             "usage.copy_refused",
@@ -371,13 +372,12 @@
         )
 
     def _recovered(self, log: LogId, replica: Replica) -> bool:
-        """All that this copy acknowledged stands on the disk, and it can go on from there."""
+        """What stands on the disk of this copy is known, and it can go on from there."""
         try:
             replica.recover()
         except REFUSED as error:
             self.log("warning", "usage.copy_unreadable", ledger=log[0], cause=str(error))
-            return False
-        return replica.whole
+        return replica.writable
 
     def _held(self, log: LogId, action: logs.HolderAction) -> None:
         match action:
@@ -405,6 +405,23 @@
                 self.replicas[log].forget(epoch)
             case logs.Drop():
                 self.replicas.pop(log).drop()
+            case logs.Lost(_, of):
+                self._lost(log, of)
+
+    def _lost(self, log: LogId, of: str) -> None:
+        """A ledger of a dead writer of which nothing came here. What it booked while no copy answered was told as
+        ``usage.copies_lack`` by its writer."""
+        self.counters.add("usage.copy_let_go")
+        self.log(
+            "warning",
+            "usage.copy_let_go",
+            ledger=log[0],
+            life=log[1].hex(),
+            of=of,
+            cause="its writer is dead, and this copy was never filled",
+            then="where the writer comes back with its disk, it is copied again",
+        )
+        self.replicas.pop(log).drop()
 
     def _promise(self, log: LogId, epoch: int, by: str) -> None:
         """Keep a promise; a copy counts once its first one stands on the disk."""
--- a/flintshift/usage/replica.py
+++ b/flintshift/usage/replica.py
@@ -142,11 +142,16 @@
         )
         self.state = state
 
+    @property
+    def writable(self) -> bool:
+        """It is known what stands in its log, and more can be written there."""
+        log = self.ledger.log
+        return log.file is not None and (not log.broken or log.torn)
+
     @property
     def whole(self) -> bool:
         """All that was acknowledged stands here, and can be written on."""
-        log = self.ledger.log
-        return self.state.sure and log.file is not None and (not log.broken or log.torn)
+        return self.state.sure and self.writable
 
     def recover(self) -> None:
         """After a refusal: read again what stands on the disk, where that is not known.
@@ -154,8 +159,7 @@
         Raises:
             OSError, DamagedError: it can't be read or written on; it is to be filled anew.
         """
-        log = self.ledger.log
-        if self.state.sure and (log.file is None or (log.broken and not log.torn)):
+        if self.state.sure and not self.writable:
             self.ledger.reload()
 
     def append(self, epoch: int, first: int, records: Iterable[tuple[int, bytes]]) -> None:
