Have a closing ledger do again what the exit cancelled, in place of waiting for it

What callers saw: nothing; billing lost what was booked in memory while a disk refused, where the node left as the disk took it again, and the exit took 2 to 6 s more, past the kill. Cause: usage/ledger.py work took the operation as its own, and a cancellation threw it away, while Commit took it for under way. Change: a cancelled operation stands as the next one, and close does it.

--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -364,6 +364,10 @@
                     await self._reopen()
         except (OSError, BrokenError) as error:
             event = Refused(str(error))
+        except BaseException:  # cancelled by the exit: what it was to do is still owed, and done again by `close`
+            if commit is self.commit:
+                self.operation = operation
+            raise
         if commit is not self.commit:
             return  # of a ledger that another member has
         self.backlog = None
