--- a/benchmarks/chaos_copies.py
+++ b/benchmarks/chaos_copies.py
@@ -11,6 +11,7 @@
 import argparse
 import asyncio
 import json
+import math
 import shutil
 import sys
 import tempfile
@@ -22,18 +23,25 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from flintshift.lab.chaos_copies import rounds  # noqa: E402
+from flintshift.lab.chaos_copies import DiskRefusal, rounds  # noqa: E402
 from flintshift.lab.ports import PART  # noqa: E402
 
 
-def play(part: int, parts: int, count: int, seed: int, copies: bool) -> dict[str, Any]:
+def play(
+    part: int, parts: int, count: int, seed: int, copies: bool, disks: DiskRefusal | None = None
+) -> dict[str, Any]:
     import os
 
     os.environ[PART] = f"{part}/{parts}"
     folder = Path(tempfile.mkdtemp(prefix="flintshift-chaos-"))
     tally = asyncio.run(
         rounds(
-            folder, count, seed, copies, said=lambda text: print(f"fleet {part}: {text}", file=sys.stderr, flush=True)
+            folder,
+            count,
+            seed,
+            copies,
+            said=lambda text: print(f"fleet {part}: {text}", file=sys.stderr, flush=True),
+            disks=disks,
         )
     )
     if tally.texts and copies:
@@ -43,7 +51,7 @@
     return tally.told()
 
 
-def many(count: int, parallel: int, seed: int, copies: bool) -> dict[str, Any]:
+def many(count: int, parallel: int, seed: int, copies: bool, disks: DiskRefusal | None = None) -> dict[str, Any]:
     shares = [count // parallel + (part < count % parallel) for part in range(parallel)]
     with ProcessPoolExecutor(parallel) as fleets:
         told = list(
@@ -54,6 +62,7 @@
                 shares,
                 [seed + part for part in range(parallel)],
                 [copies] * parallel,
+                [disks] * parallel,
             )
         )
     summed: dict[str, Any] = {"seeds": [seed + part for part in range(parallel)]}
@@ -61,6 +70,9 @@
         summed[name] = sum(one[name] for one in told)
     for name in ("broken", "answers", "faults"):
         summed[name] = dict(sum((Counter(one[name]) for one in told), Counter()))
+    answers = summed["answers"]
+    summed["not_served"] = round(1.0 - answers.get("served", 0) / max(1, sum(answers.values())), 4)
+    summed["whole_after_s"] = max(one["whole_after_s"] for one in told)
     return {**summed, "first": [text for one in told for text in one["first"]][:20]}
 
 
@@ -70,9 +82,15 @@
     parser.add_argument("--parallel", type=int, default=4, help="fleets beside each other")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--off", type=int, default=4, metavar="ROUNDS", help="rounds with copies off")
+    parser.add_argument("--disks", type=int, default=0, metavar="RATE", help="of 1,000 writes and syncs that fail")
+    parser.add_argument("--disks-from", type=float, default=0.0, metavar="S", help="after the fleet is linked")
+    parser.add_argument("--disks-for", type=float, default=math.inf, metavar="S", help="then they are taken again")
     parser.add_argument("--out", type=Path, help="write the result here too")
     given = parser.parse_args()
-    told = {"copies": many(given.rounds, min(given.parallel, given.rounds), given.seed, True)}
+    disks = DiskRefusal(given.disks, given.disks_from, given.disks_for) if given.disks else None
+    told = {"copies": many(given.rounds, min(given.parallel, given.rounds), given.seed, True, disks)}
+    if disks is not None:
+        told["disks"] = {"rate": disks.rate, "from_s": disks.from_s, "lasts_s": str(disks.lasts_s)}
     if given.off:
         told["off"] = many(given.off, min(given.parallel, given.off), given.seed, False)
     text = json.dumps(told, indent=1)
--- a/flintshift/lab/chaos_copies.py
+++ b/flintshift/lab/chaos_copies.py
@@ -120,8 +120,14 @@
     use: dict[str, Use] = field(default_factory=lambda: defaultdict(Use))  # by member
     billed: int = 0
     in_doubt: int = 0
+    whole_after_s: list[float] = field(default_factory=list)  # by round: from its end, or the disks' recovery after it
     lost_in_gaps: int = 0  # booked while no copy answered, as was told, by a machine that was lost then
 
+    @property
+    def not_served(self) -> float:
+        """The share of answers that were refused or failed, or that never came."""
+        return 1.0 - self.answers["served"] / max(1, sum(self.answers.values()))
+
     def told(self) -> dict[str, Any]:
         return {
             "rounds": self.rounds,
@@ -131,6 +137,8 @@
             "billed": self.billed,
             "in_doubt": self.in_doubt,
             "lost_in_gaps": self.lost_in_gaps,
+            "not_served": round(self.not_served, 4),
+            "whole_after_s": round(max(self.whole_after_s, default=0.0), 1),
             "answers": dict(self.answers),
             "faults": dict(self.faults),
             "took_s": round(self.took_s, 1),
@@ -187,8 +195,10 @@
     load.over.set()
     await loading
     tally.keys += len(load.keys)
+    loaded_s = time.monotonic()
     await fleet.until_filled(lost)
     await fleet.until_whole()  # the next machine is lost once what this one held stands at others again
+    tally.whole_after_s.append(time.monotonic() - max(loaded_s, fleet.disks_recovered_s))
     ran = {event.rid for event in fleet.events if isinstance(event, Ran)}
     # Every key that may have run, once more, wherever.
     room = asyncio.Semaphore(16)
@@ -221,6 +231,7 @@
     if disks.lasts_s != math.inf:
         await asyncio.sleep(disks.lasts_s)
         fleet.refuse_writes(0)
+        fleet.disks_recovered_s = time.monotonic()
 
 
 async def all_billed(fleet: Fleet, tally: Tally) -> None:
@@ -280,6 +291,8 @@
                     )
                 )
             await all_billed(fleet, tally)
+            tally.broken["traceback"] += len(fleet.tracebacks())
+            tally.texts += [f"traceback: {one}" for one in fleet.tracebacks()]
         finally:
             tally.took_s = time.monotonic() - began
             if refusing is not None:
--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -127,6 +127,7 @@
         disks_refuse: bool = False,
     ) -> None:
         self.disks_refuse = disks_refuse  # by `refuse_writes`
+        self.disks_recovered_s = 0.0  # monotonic; 0: they have not refused
         self.refused_writes = 0  # of 1,000 writes and syncs of regular files
         self.disks_fail = disks_fail  # by `fail_disk`
         self.control = control  # members have a control door, and can be upgraded
@@ -508,6 +509,15 @@
     def judged(self) -> Result:
         return judge(self.events, WINDOW_MS, DUE_MS)
 
+    def tracebacks(self) -> list[str]:
+        """The last lines of exceptions that members' processes told of."""
+        found = []
+        for member in self.members.values():
+            for log in member.logs:
+                _, *told = log.read_text(errors="replace").split("Traceback (most recent call last)")
+                found += [next((line for line in one.splitlines() if "Error" in line), one[:200]) for one in told]
+        return found
+
     # The story.
 
     def story(self) -> list[dict[str, Any]]:
