--- a/tests/fleet/test_refusing_disks.py
+++ b/tests/fleet/test_refusing_disks.py
@@ -3,11 +3,18 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import math
+import random
+import time
 
 import pytest
 
-from flintshift.lab.chaos_copies import DiskRefusal, rounds
+from flintshift.cli.asking import ask
+from flintshift.copies.store import SOCKET
+from flintshift.lab.chaos_copies import COPIES, HALLS, DiskRefusal, rounds
+from flintshift.lab.fleet import Fleet, booking
 
 pytestmark = pytest.mark.anyio
 
@@ -29,3 +36,37 @@
     assert tally.not_served <= most_not_served, tally.told()
     if disks.lasts_s != math.inf:
         assert max(tally.whole_after_s) <= WHOLE_S, tally.told()
+
+
+FULL_S = 5.0  # 60 s by hand, by the variable of that name in this module
+FULL = 1000  # of 1,000 writes are refused
+
+
+async def status(fleet, name):
+    return json.loads(await asyncio.to_thread(ask, fleet.members[name].home / "copies" / SOCKET))
+
+
+async def test_while_one_members_disk_is_full_the_others_serve_and_it_comes_back_by_itself(tmp_path):
+    draw = random.Random(5)
+    more = booking(tmp_path, "2s")
+    async with Fleet(tmp_path, HALLS, COPIES, more=more, disks_refuse=True) as fleet:
+        await fleet.until_linked()
+        fleet.refuse_writes(FULL, ["n1"])
+        until, statuses, number = time.monotonic() + FULL_S, [], 0
+        while time.monotonic() < until:
+            number += 1
+            answer = await fleet.ask(draw.choice(["n2", "n3", "n4", "n5"]), f"k{number}")
+            statuses.append(answer.status if answer is not None else None)
+        told = await status(fleet, "n1")
+        assert told["disk"] == "refuses" and told["disk_cause"]
+        assert told["disk_refuses_for_ms"] > FULL_S * 500
+        fleet.refuse_writes(0, ["n1"])
+        async with asyncio.timeout(WHOLE_S):
+            await fleet.until_whole(WHOLE_S)
+            while (await status(fleet, "n1"))["disk"] != "takes":
+                await asyncio.sleep(0.05)
+        assert (await status(fleet, "n1"))["votes"]
+        assert fleet.judged().broken == []
+        assert fleet.tracebacks() == []
+    not_served = 1 - statuses.count(200) / len(statuses)
+    assert not_served <= 0.02, f"{not_served:.3f} of {len(statuses)}"  # as with no fault
