Failing test: a writer that writes no more takes a copy that refused its last record for one that follows

Cause: lifecycle/use_copies.py _hold says nothing where the disk refused, and LogWriter looks for followers by its next record alone.

--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -184,3 +184,26 @@
         again.in_step()
         assert again.copies.heart.table[LOG].last == (EPOCH, 2)
         again.copies.close()
+
+
+@pytest.mark.parametrize("refused", [1, 1000], ids=["a record", "a record and what repairs it"])
+def test_a_writer_hears_that_records_were_refused_though_it_writes_no_more(refused):
+    """A ledger was not whole 30 s after its last record: its copy had refused that, said nothing, and its writer took
+    it for one that follows."""
+    holder = Holder()
+    for word in list(holder.life())[:2]:
+        holder.asked(word)
+    holder.files.refuse = {holder.files.count + place: errno.EIO for place in range(1, 1000)}
+    assert holder.asked(logs.Append(LOG, EPOCH, 2, (TURNED,))) is None
+    if refused == 1:
+        holder.files.refuse = {}
+    told = []
+    for _ in range(40):  # 2 s
+        holder.now += 50.0
+        holder.answers.clear()
+        holder.copies.tick()
+        told += [one for one in holder.answers if isinstance(one, logs.At)]
+    assert [(one.word, one.epoch) for one in told] == [(logs.Word.GAP, EPOCH)]
+    writer = logs.LogWriter(LOG, EPOCH, (EPOCH, 2), ("n2", "n3"), 1, 250.0, None)
+    writer.copies["n2"].up, writer.copies["n2"].state = True, logs.State.FOLLOWING
+    assert writer.told(holder.now, "n2", told[0]) == [logs.WholeWanted("n2")]
