Have a writer hear that its copy refused records, though it writes no more

What operators saw: a ledger that was not whole 30 s after the last request, while single writes were refused. Cause: lifecycle/use_copies.py _hold gives no answer where the disk refused; a writer that follows its copies by their answers to its records learns of it with the next record, and there was none. Change: half a second after a refusal the writer hears that records are missing, and fills the copy; not at once, as it answers with all it has. Why it holds: a writer that fills or joins asks again by itself every 2 to 4 s; one that follows is the only one that waited for nothing.

--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -34,6 +34,7 @@
 from flintshift.usage.replica import CopyState, Replica
 
 AGAIN_MS = 2000.0  # between two looks for members that are in reach and do not follow
+TELL_REFUSED_MS = 500.0  # from a refusal until a writer hears of it: not at once, as it answers with all that it has
 SPARE_MS = 100.0  # before its due time, an answer waits for copies no longer: a tick may be late
 REFUSED = (OSError, BrokenError, DamagedError)
 FOLDER = "use"  # below the copies' folder
@@ -84,6 +85,7 @@
         self.writer: LogWriter | None = None  # of this member's own ledger
         self.up: set[str] = set()
         self.tasks: TaskGroup | None = None
+        self.refused: dict[LogId, float] = {}  # copies whose writer is to hear that their disk refused, and when
         self.unsynced: list[tuple[LogId, str, logs.LogWord]] = []
         self.sync_wanted = anyio.Event()
         self.again_ms = self.retired_ms = now_ms()
@@ -210,6 +212,7 @@
     def tick(self) -> None:
         now = self.now_ms()
         self._hold(self.heart.tick(now))
+        self._tell_refused(now)
         again = now >= self.again_ms + AGAIN_MS
         for writer in self._writers():
             self._write(writer, writer.tick(now, self._due_ms() if writer is self.writer else math.inf))
@@ -359,6 +362,7 @@
             state, last = replica.state, replica.last if known else logs.NOWHERE
             sure = known and replica.whole and not unsynced
             self.heart.put_back(log, state.promised, state.by, last, sure, state.over)
+            self.refused.setdefault(log, self.now_ms() + TELL_REFUSED_MS)
         self.log(
             "error",
             "usage.copy_refused",
@@ -371,6 +375,14 @@
             else "it is filled anew by whoever writes that ledger",
         )
 
+    def _tell_refused(self, now: float) -> None:
+        """A word that was refused had no answer, and a writer that writes no more would take its copy for whole."""
+        for log in [log for log, due_ms in self.refused.items() if now >= due_ms]:
+            del self.refused[log]
+            held = self.heart.table.get(log)
+            if held is not None and not held.over and log not in self.taken:
+                self.answer(held.by, logs.At(log, logs.Word.GAP, held.promised, held.last))
+
     def _recovered(self, log: LogId, replica: Replica) -> bool:
         """What stands on the disk of this copy is known, and it can go on from there."""
         try:
