--- /dev/null
+++ b/flintshift/copies/log_holders.py
@@ -0,0 +1,272 @@
+"""Copies of logs that other members write: what a copy promises and takes, and who goes on with a log once its writer
+is dead. Without I/O; the rules stand in `logs.py`."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from flintshift.copies.logs import (
+    NOWHERE,
+    Answer,
+    Append,
+    Ask,
+    At,
+    Drop,
+    Exported,
+    Forget,
+    HolderAction,
+    Join,
+    LogId,
+    LogWord,
+    Lost,
+    Note,
+    Over,
+    Part,
+    Place,
+    Promise,
+    Replace,
+    Taken,
+    Word,
+    Write,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HolderPace:
+    take_over_ms: float = 60_000.0  # its writer is dead for so long
+    patience: float = 10.0  # so many times that, and a holder without a word is counted: more can't be had any more
+    stagger_ms: float = 1000.0  # between the first holder's try and the next one's
+    again_ms: float = 5000.0  # between two tries
+    logs: int = 256  # held at once
+    part_bytes: int = 64 << 20  # of one that is filled
+
+
+@dataclass(slots=True)
+class HeldLog:
+    promised: int
+    by: str  # the process that it was promised to
+    writer: str  # the process whose records stand here
+    last: Place
+    sure: bool  # all that it ever acknowledged stands here
+    dead_ms: float | None = None  # since when its writer is
+    asked_ms: float = -math.inf
+    votes: set[str] = field(default_factory=set)  # for a takeover by this member
+    wordless: set[str] = field(default_factory=set)  # of the holders asked
+    patient: bool = True  # those do not count
+    taking: int = 0  # the epoch of that; 0: none is under way
+    seen: int = 0  # the highest epoch that another holder has promised
+    behind: bool = False  # another holds more, and is the one to take it over
+    parts: list[bytes] = field(default_factory=list)
+    parts_bytes: int = 0
+    over: bool = False  # nothing of it is left but that
+
+
+class HeldLogs:
+    """``holders`` are those of a member's logs, that member first. ``lives`` tells whether a process does."""
+
+    def __init__(
+        self,
+        me: str,
+        identity: str,
+        holders: Callable[[str], tuple[str, ...]],
+        lives: Callable[[str], bool],
+        pace: HolderPace | None = None,
+    ) -> None:
+        self.me, self.identity, self.holders, self.lives, self.pace = me, identity, holders, lives, pace or HolderPace()
+        self.table: dict[LogId, HeldLog] = {}
+        self.own: LogId | None = None  # that this process writes for its member: of that it is no second holder
+
+    def restored(self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool) -> None:
+        self.table[log] = HeldLog(promised, by, by, last, sure, over=over)
+
+    def put_back(self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool) -> None:
+        """The disk refused an action: this is what stands there, and all that counts. Whoever wrote the log last is
+        known as before. ``sure`` False: it may lack what it acknowledged, until it is filled anew."""
+        held = self.table.get(log)
+        writer, dead_ms = (held.writer, held.dead_ms) if held is not None else (by, None)
+        self.table[log] = HeldLog(promised, by, writer, last, sure, dead_ms, over=over)
+
+    def dropped(self, log: LogId) -> None:
+        """Nothing of it could be kept: it is as if nobody had asked."""
+        self.table.pop(log, None)
+
+    def asked(self, by: str, word: LogWord) -> list[HolderAction]:
+        """By a process that writes a log, or wants to."""
+        held = self.table.get(word.log)
+        if word.log == self.own:
+            return []  # it is still to hear that another has it
+        if held is not None and held.over:
+            asks = isinstance(word, Join | Append | Part)
+            return [Answer(by, At(word.log, Word.OVER, held.promised, held.last))] if asks else []
+        match word:
+            case Join():
+                return self._join(by, word, held)
+            case Append(log, epoch, first, records):
+                if held is None or held.promised != epoch or held.by != by:
+                    return self._refused(by, log, held)
+                if first != held.last[1] + 1 or not held.sure:
+                    return [Answer(by, At(log, Word.GAP, epoch, held.last))]
+                held.last = epoch, first + len(records) - 1
+                return [Write(log, epoch, first, records), Answer(by, At(log, Word.GRANTED, epoch, held.last))]
+            case Part():
+                return self._part(by, word, held)
+            case Exported(log):
+                return [Note(word)] if held is not None else []
+            case Over(log, epoch):
+                return self.over(log, epoch) if held is not None and epoch >= held.promised else []
+        return []
+
+    def reach(self, member: str) -> list[HolderAction]:
+        """That member is in reach again: it may not have heard of what ended meanwhile, and holds it for ever."""
+        return [
+            Ask(member, Over(log, held.promised))
+            for log, held in self.table.items()
+            if held.over and member in self.holders(log[0])
+        ]
+
+    def over(self, log: LogId, epoch: int) -> list[HolderAction]:
+        held = self.table[log]
+        self.table[log] = HeldLog(epoch, held.by, held.writer, held.last, False, over=True)
+        return [Forget(log, epoch)]
+
+    def _refused(self, by: str, log: LogId, held: HeldLog | None) -> list[HolderAction]:
+        if held is None:
+            return [Answer(by, At(log, Word.NO_VOTE, 0, NOWHERE))]
+        return [Answer(by, At(log, Word.OLD, held.promised, held.last))]
+
+    def _join(self, by: str, word: Join, held: HeldLog | None) -> list[HolderAction]:
+        log, epoch = word.log, word.epoch
+        if held is None:
+            if word.takes:
+                return self._refused(by, log, None)
+            actions: list[HolderAction] = self._make_room()
+            if len(self.table) >= self.pace.logs or self.me not in self.holders(log[0]):
+                return [Answer(by, At(log, Word.FULL, 0, NOWHERE))]
+            self.table[log] = HeldLog(epoch, by, by, NOWHERE, False)
+            self._left(by, log)
+            return [*actions, Promise(log, epoch, by), Answer(by, self._no_vote(word, epoch, NOWHERE))]
+        if epoch < held.promised or (epoch == held.promised and by != held.by):
+            return self._refused(by, log, held)
+        own = (word.epoch, by) == (held.promised, held.by) and held.last[0] == word.epoch  # and the question is late
+        if held.sure and held.last > word.last and not own:
+            return [Answer(by, At(log, Word.AHEAD, held.promised, held.last))]
+        actions = []
+        if (epoch, by) != (held.promised, held.by):
+            held.promised, held.by, held.taking = epoch, by, 0
+            actions.append(Promise(log, epoch, by))
+        if not word.takes:
+            held.writer, held.dead_ms = by, None
+            self._left(by, log)
+        held.parts, held.parts_bytes = [], 0
+        if not held.sure:
+            return [*actions, Answer(by, self._no_vote(word, epoch, held.last))]
+        return [*actions, Answer(by, At(log, Word.GRANTED, epoch, held.last))]
+
+    def _left(self, by: str, log: LogId) -> None:
+        """A process writes one log of its own member: an earlier one was another's before it knew."""
+        for (member, life), held in self.table.items():
+            if (member, held.writer) == (log[0], by) and life != log[1] and by.rpartition("#")[0] == member:
+                held.writer = ""
+
+    def _make_room(self) -> list[HolderAction]:
+        """What is over is remembered while there is room: a holder that was away then hears of it."""
+        past = [log for log, held in self.table.items() if held.over]
+        return [Drop(self._dropped(log)) for log in past[: max(0, len(self.table) + 1 - self.pace.logs)]]
+
+    def _dropped(self, log: LogId) -> LogId:
+        del self.table[log]
+        return log
+
+    @staticmethod
+    def _no_vote(word: Join, epoch: int, last: Place) -> At:
+        """It can be filled by whoever writes the log, and has no word on who takes it over; ``last``: what it may hold,
+        for another that is unsure too."""
+        return At(word.log, Word.NO_VOTE, epoch, last) if word.takes else At(word.log, Word.GRANTED, epoch, NOWHERE)
+
+    def _part(self, by: str, word: Part, held: HeldLog | None) -> list[HolderAction]:
+        log = word.log
+        if held is None or held.promised != word.epoch or held.by != by:
+            return self._refused(by, log, held)
+        if held.sure and held.last[0] == word.epoch and held.last >= word.last:  # it comes late: nothing goes back
+            return [Answer(by, At(log, Word.GRANTED, word.epoch, held.last))]
+        if word.number == 0:
+            held.parts, held.parts_bytes = [], 0
+        if word.number != len(held.parts) or held.parts_bytes + len(word.data) > self.pace.part_bytes:
+            return []
+        held.parts.append(word.data)
+        held.parts_bytes += len(word.data)
+        if word.more:
+            return [Answer(by, At(log, Word.GRANTED, word.epoch, NOWHERE, len(held.parts)))]
+        data, held.parts, held.parts_bytes = b"".join(held.parts), [], 0
+        held.last, held.sure = word.last, True
+        return [Replace(log, word.last, data), Answer(by, At(log, Word.GRANTED, word.epoch, word.last))]
+
+    # Takeover.
+
+    def told(self, member: str, at: At) -> list[HolderAction]:
+        """By another holder, of a takeover that this member began."""
+        held = self.table.get(at.log)
+        if held is None or not held.taking:
+            return []
+        if at.word is Word.OVER:
+            return self.over(at.log, max(at.epoch, held.promised))
+        more = at.word is Word.AHEAD or (not held.sure and at.word is Word.NO_VOTE and at.last > held.last)
+        held.seen, held.behind = max(held.seen, at.epoch), held.behind or more
+        if at.word is Word.NO_VOTE and not more:
+            held.wordless.add(member)
+        elif at.epoch == held.taking and at.word is Word.GRANTED:
+            held.votes.add(member)
+        return self._majority(at.log, held)
+
+    def _majority(self, log: LogId, held: HeldLog) -> list[HolderAction]:
+        holders, wordless = self.holders(log[0]), held.wordless - held.votes
+        if held.sure and len(held.votes) + 1 >= len(holders) // 2 + 1:
+            wordless = set()
+        elif held.patient or not held.votes | wordless >= {name for name in holders if name not in (self.me, log[0])}:
+            return []  # one that does not answer may hold more
+        epoch, held.taking = held.taking, 0
+        if held.last == NOWHERE:
+            return self._lost(log, held)
+        of, held.writer = held.writer, self.identity
+        return [Taken(log, epoch, held.last, of, tuple(sorted(wordless)))]
+
+    def _lost(self, log: LogId, held: HeldLog) -> list[HolderAction]:
+        del self.table[log]
+        return [Lost(log, held.writer)]
+
+    def _never_filled(self, held: HeldLog) -> bool:
+        """Nothing is lost with this copy, and no promise that it gave to another than its writer is forgotten."""
+        return not held.sure and held.last == NOWHERE and held.by == held.writer
+
+    def tick(self, now_ms: float) -> list[HolderAction]:
+        actions: list[HolderAction] = []
+        for log, held in list(self.table.items()):
+            if held.over:
+                continue
+            if held.writer == self.identity or self.lives(held.writer):
+                held.dead_ms, held.taking = None, 0
+                continue
+            if held.dead_ms is None:
+                held.dead_ms = now_ms
+            holders = self.holders(log[0])
+            rank = holders.index(self.me) if self.me in holders else len(holders)
+            due_ms = held.dead_ms + self.pace.take_over_ms + rank * self.pace.stagger_ms
+            again_ms = (self.pace.again_ms + rank * self.pace.stagger_ms) * (4 if held.behind else 1)
+            if now_ms < max(due_ms, held.asked_ms + again_ms):
+                continue
+            if self._never_filled(held):
+                actions += self._lost(log, held)
+                continue
+            held.patient = now_ms < held.dead_ms + self.pace.patience * self.pace.take_over_ms
+            if held.patient and not held.sure:  # a sure one may be there yet
+                continue
+            held.asked_ms, held.behind = now_ms, False
+            held.votes, held.wordless = set(), set()
+            held.promised = held.taking = max(held.promised, held.seen) + 1
+            held.by = self.identity
+            actions.append(Promise(log, held.promised, held.by))
+            actions += [Ask(name, Join(log, held.promised, held.last, True)) for name in holders if name != self.me]
+            actions += self._majority(log, held)
+        return actions
--- a/flintshift/lab/logs_model.py
+++ b/flintshift/lab/logs_model.py
@@ -15,7 +15,9 @@
 import msgspec
 
 from flintshift.copies import logs
-from flintshift.copies.logs import HeldLogs, HolderPace, LogId, LogWriter, Record
+from flintshift.copies.log_holders import HeldLogs, HolderPace
+from flintshift.copies.log_writer import LogWriter
+from flintshift.copies.logs import LogId, Record
 from flintshift.copies.placement import Placement
 
 PACE = HolderPace(take_over_ms=1000.0, stagger_ms=200.0, again_ms=500.0)
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -15,7 +15,9 @@
 from anyio.abc import TaskGroup
 
 from flintshift.copies import logs
-from flintshift.copies.logs import HeldLogs, HolderPace, LogId, LogWriter
+from flintshift.copies.log_holders import HeldLogs, HolderPace
+from flintshift.copies.log_writer import LogWriter
+from flintshift.copies.logs import LogId
 from flintshift.copies.placement import Placement
 from flintshift.core.counters import Counters
 from flintshift.core.ports import Log
--- a/tests/copies/test_log_copies.py
+++ b/tests/copies/test_log_copies.py
@@ -8,7 +8,8 @@
 from msgspec import structs
 
 from flintshift.copies import logs
-from flintshift.copies.logs import HeldLogs, LogWriter
+from flintshift.copies.log_holders import HeldLogs
+from flintshift.copies.log_writer import LogWriter
 from flintshift.lab.logs_model import LogWorld
 
 HALLS = {"n1": "a", "n2": "a", "n3": "b", "n4": "b", "n5": "c"}
--- a/tests/copies/test_unsure_copies.py
+++ b/tests/copies/test_unsure_copies.py
@@ -18,7 +18,7 @@
 import pytest
 
 from flintshift.copies import logs
-from flintshift.copies.logs import HeldLogs, HolderPace
+from flintshift.copies.log_holders import HeldLogs, HolderPace
 
 LOG = "n1", b"life"
 PACE = HolderPace(take_over_ms=1000.0)
--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -23,6 +23,7 @@
 from storage.sim_files import SimFiles
 
 from flintshift.copies import logs
+from flintshift.copies.log_writer import LogWriter, State
 from flintshift.copies.placement import Placement
 from flintshift.core.counters import Counters
 from flintshift.lifecycle.use_copies import UseCopies
@@ -204,6 +205,6 @@
         holder.copies.tick()
         told += [one for one in holder.answers if isinstance(one, logs.At)]
     assert [(one.word, one.epoch) for one in told] == [(logs.Word.GAP, EPOCH)]
-    writer = logs.LogWriter(LOG, EPOCH, (EPOCH, 2), ("n2", "n3"), 1, 250.0, None)
-    writer.copies["n2"].up, writer.copies["n2"].state = True, logs.State.FOLLOWING
+    writer = LogWriter(LOG, EPOCH, (EPOCH, 2), ("n2", "n3"), 1, 250.0, None)
+    writer.copies["n2"].up, writer.copies["n2"].state = True, State.FOLLOWING
     assert writer.told(holder.now, "n2", told[0]) == [logs.WholeWanted("n2")]
