Failing test: a ledger that is taken over while the disk refuses is copied by nobody

Seen: found by reading the takeover beside the mended refusals; the test shows that no holder is asked to follow. Cause: lifecycle/use_copies.py _take writes the first record before it asks the others, and a refusal ends it there for good.

--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -208,3 +208,35 @@
     writer = LogWriter(LOG, EPOCH, (EPOCH, 2), ("n2", "n3"), 1, 250.0, None)
     writer.copies["n2"].up, writer.copies["n2"].state = True, State.FOLLOWING
     assert writer.told(holder.now, "n2", told[0]) == [logs.WholeWanted("n2")]
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 5, 1000])
+def test_a_takeover_whose_first_record_was_refused_goes_on_once_the_disk_takes_it(count):
+    """A ledger that was taken over while the disk refused had no copies for ever: nobody was asked to follow."""
+    holder = Holder()
+    for word in list(holder.life())[:3]:
+        holder.asked(word)
+    holder.copies.reach("n3", True)
+    holder.lives = False
+    asked = []
+    while not asked:
+        holder.now += 50.0
+        holder.answers.clear()
+        holder.copies.tick()
+        asked = [one for one in holder.answers if isinstance(one, logs.Join) and one.takes]
+    holder.answers.clear()
+    holder.files.refuse = {holder.files.count + place: errno.ENOSPC for place in range(1, count + 1)}
+    holder.copies.answered("n3", logs.At(LOG, logs.Word.GRANTED, asked[0].epoch, (EPOCH, 2)))
+    holder.now += 50.0
+    holder.copies.tick()
+    holder.files.refuse = {}
+    for _ in range(10):
+        holder.now += 50.0
+        holder.copies.tick()
+    joins = [one for one in holder.answers if isinstance(one, logs.Join) and not one.takes]
+    assert {one.epoch for one in joins} == {asked[0].epoch}
+    taken = holder.copies.taken[LOG]
+    assert taken.writer.last == taken.replica.last
+    assert taken.writer.last[0] == asked[0].epoch
+    assert not taken.replica.ledger.book.state.periods  # what was open is closed
+    assert taken.replica.ledger.book.state.epoch == asked[0].epoch
