Open a ledger that is taken over again while the disk refuses, then ask its holders to follow

What operators saw: a ledger "took over" for ever, with copies away, after disks had refused for some seconds. Cause: lifecycle/use_copies.py _take wrote the first record before the other holders were asked, and a refusal ended it; Replica.recover read again what stands for sure copies alone, so a log whose new segment was refused stayed closed. Change: _open does both, and _go_on calls it at each look until it went well; a log that can't be written on is read again whatever it is sure of. Why it holds: nothing of a takeover counts before its first record stands, and the look comes every 50 ms.

--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -47,6 +47,7 @@
 
     def __init__(self, replica: Replica, writer: LogWriter) -> None:
         self.replica, self.writer = replica, writer
+        self.opened = False  # its first record under the new epoch stands
         self.exporting: anyio.CancelScope | None = None
         self.look: Callable[[], object] = lambda: None
 
@@ -357,10 +358,10 @@
         to what stands there. ``unsynced``: what was written last may be gone, whatever can be read of it now."""
         self.counters.add("usage.copy_refused")
         replica = self.replicas.get(log)
+        known = replica is not None and self._recovered(log, replica)
         if replica is None:
             self.heart.dropped(log)
         elif log not in self.taken:
-            known = self._recovered(log, replica)
             state, last = replica.state, replica.last if known else logs.NOWHERE
             sure = known and replica.whole and not unsynced
             self.heart.put_back(log, state.promised, state.by, last, sure, state.over)
@@ -458,8 +459,6 @@
     def _take(self, told: logs.Taken) -> None:
         log, epoch, last = told.log, told.epoch, told.last
         replica = self.replicas[log]
-        state = replica.ledger.book.state
-        replica.ledger.log.epoch = epoch
         writer = LogWriter(log, epoch, last, self._others(log[0]), self._needed(log[0]), HELD_MS, None)
         self.taken[log] = TakenLedger(replica, writer)
         self.counters.add("usage.took_over")
@@ -476,8 +475,15 @@
             if told.without
             else "its writer is dead, and a majority of its holders has promised the epoch",
         )
+        self._open(self.taken[log])
+
+    def _open(self, taken: TakenLedger) -> None:
+        """Write the first record under the new epoch, and ask the others to follow. Tried again while the disk
+        refuses."""
+        state, writer = taken.replica.ledger.book.state, taken.writer
+        taken.replica.ledger.log.epoch = writer.epoch
         self._append(
-            self.taken[log],
+            taken,
             Opened(
                 state.node,
                 state.life,
@@ -487,6 +493,7 @@
                 int(max(time.time() * 1000, state.last_ms)),
             ),
         )
+        taken.opened = True
         for member in self.up:
             self._write(writer, writer.reach(member, True))
 
@@ -501,6 +508,8 @@
         ledger, writer = taken.replica.ledger, taken.writer
         if writer.fenced:
             return
+        if not taken.opened:
+            self._open(taken)
         for action in Keeper(ledger.book, 0).handle(time.time() * 1000, WriterGone()):
             if isinstance(action, Append):
                 self._append(taken, action.entry)
--- a/flintshift/usage/replica.py
+++ b/flintshift/usage/replica.py
@@ -159,7 +159,7 @@
         Raises:
             OSError, DamagedError: it can't be read or written on; it is to be filled anew.
         """
-        if self.state.sure and not self.writable:
+        if not self.state.over and not self.writable:
             self.ledger.reload()
 
     def append(self, epoch: int, first: int, records: Iterable[tuple[int, bytes]]) -> None:
