Failing test: a copy whose ledger's end the disk refused stands on

Seen: found by reading the mended refusals; the test shows it. Cause: the end is told once, and nothing asks for it again while the process that took the ledger over lives.

--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -240,3 +240,22 @@
     assert taken.writer.last[0] == asked[0].epoch
     assert not taken.replica.ledger.book.state.periods  # what was open is closed
     assert taken.replica.ledger.book.state.epoch == asked[0].epoch
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 1000])
+def test_the_end_of_a_ledger_that_the_disk_refused_is_kept_once_it_takes_it(count):
+    """Whoever took the ledger over tells its end once; the copy stood on, as its writer lives."""
+    holder = Holder()
+    *words, over = list(holder.life())
+    for word in words:
+        holder.asked(word)
+    holder.files.refuse = {holder.files.count + place: errno.ENOSPC for place in range(1, count + 1)}
+    holder.asked(over)
+    holder.in_step()
+    holder.files.refuse = {}
+    for _ in range(20):  # 1 s
+        holder.now += 50.0
+        holder.copies.tick()
+    holder.in_step()
+    assert holder.copies.heart.table[LOG].over
+    assert Holder(holder.files.survived("kept")).copies.heart.table[LOG].over
