Keep the end of a copied ledger once the disk takes it

What operators saw: copies of ledgers that were over stood on, and held their places, after their disk had refused once. Cause: lifecycle/use_copies.py: an end is told once; a refused one was put back and never tried again. Change: a refused end is tried again at each look; a takeover is left once its end is kept, not before.

--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -89,6 +89,7 @@
         self.up: set[str] = set()
         self.tasks: TaskGroup | None = None
         self.refused: dict[LogId, float] = {}  # copies whose writer is to hear that their disk refused, and when
+        self.ends: dict[LogId, int] = {}  # by log, the epoch of an end that the disk refused
         self.unsynced: list[tuple[LogId, str, logs.LogWord]] = []
         self.sync_wanted = anyio.Event()
         self.again_ms = self.retired_ms = now_ms()
@@ -216,6 +217,7 @@
         now = self.now_ms()
         self._hold(self.heart.tick(now))
         self._tell_refused(now)
+        self._keep_ends()
         again = now >= self.again_ms + AGAIN_MS
         for writer in self._writers():
             self._write(writer, writer.tick(now, self._due_ms() if writer is self.writer else math.inf))
@@ -351,6 +353,8 @@
                 self._held(log, action)
             except REFUSED as error:
                 self._refused(log, error)
+                if isinstance(action, logs.Forget):  # it was told once, and is not asked for again
+                    self.ends[log] = action.epoch
                 return  # what was to be answered stands on no disk
 
     def _refused(self, log: LogId, error: Exception, unsynced: bool = False) -> None:
@@ -386,6 +390,13 @@
             if held is not None and not held.over and log not in self.taken:
                 self.answer(held.by, logs.At(log, logs.Word.GAP, held.promised, held.last))
 
+    def _keep_ends(self) -> None:
+        """Try again to keep that a ledger is over."""
+        ends, self.ends = self.ends, {}
+        for log, epoch in ends.items():
+            if log in self.replicas and not self.replicas[log].state.over:
+                self._hold(self.heart.over(log, epoch))
+
     def _recovered(self, log: LogId, replica: Replica) -> bool:
         """What stands on the disk of this copy is known, and it can go on from there."""
         try:
@@ -416,8 +427,8 @@
             case logs.Taken():
                 self._take(action)
             case logs.Forget(_, epoch):
-                self._leave(log)
                 self.replicas[log].forget(epoch)
+                self._leave(log)
             case logs.Drop():
                 self.replicas.pop(log).drop()
             case logs.Lost(_, of):
