Write a refused record of the ledger once more before it is a gap

What callers saw: where on-disk-failure says refuse, new work turned away for a second at each refused write. Cause: usage/ledger.py _write took one refusal for a disk that refuses. Change: append_with_retry, as for the votes and the copies. Why it holds: what is refused twice is a gap as before; a refused write is cut off before anything follows it.

--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -269,7 +269,7 @@
         actions: list[CommitAction] = []
         if self.commit.gap is None:
             try:
-                log.append(items)
+                log.append_with_retry(items)
             except (OSError, BrokenError) as error:
                 actions = self.commit.handle(self.steady_ms(), Refused(str(error), write=True))
         if self.commit.gap is not None:
