--- a/tests/usage/test_ledger_refusals.py
+++ b/tests/usage/test_ledger_refusals.py
@@ -1,7 +1,8 @@
 """A ledger goes on while its disk refuses single writes.
 
-What happened: with 5 of 1,000 writes refused, `usage.disk_refused` came 16 times in three rounds of a fleet of five. Each
-begins a gap of a second, in which use stands in memory alone, and new work is refused where `on-disk-failure` says so.
+What happened: with 5 of 1,000 writes refused, `usage.disk_refused` came 16 times in three rounds of a fleet of five.
+Each begins a gap of a second, in which use stands in memory alone, and new work is refused where `on-disk-failure`
+says so.
 
 Cause: one refused write was taken for a disk that refuses, as by the copies' store; the next write would go well.
 """
