--- a/flintshift/lab/drain_history.py
+++ b/flintshift/lab/drain_history.py
@@ -83,7 +83,11 @@
     if strangers:
         verdict.add("strangers", f"{strangers} runs of what nobody had sent")
     if process.left_ms is None:
-        verdict.add("killed", "the node had not left when the kill came")
+        verdict.add(
+            "killed",
+            f"the node had not left when the kill came: exit code {process.exit_code} (-9: the kill's), the callers' "
+            f"loop late by {lag_ms:.0f} ms at the most",
+        )
     elif process.exit_code:
         verdict.add("crashed", f"exit code {process.exit_code}")
     if process.requests_after_end:
