Name the state machine of held logs by what it is

Need: "heart" is a word of the earlier house style. Change: UseCopies.held_logs; two comments. Nothing else.

--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -1,5 +1,5 @@
-"""The copies at the node's side: the hearts of `copies/` and `peers/`, their disk, their links, their clock, and the
-decision planner's port. Imported only where copies are on.
+"""The copies at the node's side: the state machines of `copies/` and `peers/`, their disk, their links, their clock,
+and the decision planner's port. Imported only where copies are on.
 
 Everything happens in turns of one event loop; what the planner is to hear goes through its mailbox. This member's own
 store is held by `lifecycle/replica_store.py`.
@@ -391,7 +391,7 @@
         finally:
             self.in_turn = False
 
-    # The hearts.
+    # The state machines.
 
     def _event(self, event: Event) -> None:
         for action in self.proposals.handle(self._now(), event):
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -81,7 +81,7 @@
         self.files, self.boot, self.now_ms, self.send, self.answer = files, boot, now_ms, send, answer
         self.counters, self.log = counters, log
         self.folder = options.folder / FOLDER
-        self.heart = HeldLogs(name, identity, placement.of_log, lives, HolderPace(options.take_over_ms))
+        self.held_logs = HeldLogs(name, identity, placement.of_log, lives, HolderPace(options.take_over_ms))
         self.replicas: dict[LogId, Replica] = {}
         self.taken: dict[LogId, TakenLedger] = {}
         self.ledger: Ledger | None = None
@@ -113,7 +113,7 @@
             for replica in self.replicas.values():
                 replica.ledger.close()
             self.replicas.clear()
-            self.heart.table.clear()
+            self.held_logs.table.clear()
             raise
 
     def _restore(self) -> None:
@@ -133,7 +133,7 @@
                 on_disk.emptied(self.files, folder)
                 replica, sure = Replica(self.files, folder, state, self.options.segment_bytes), False
             self.replicas[log] = replica
-            self.heart.restored(log, state.promised, state.by, replica.last, sure, state.over)
+            self.held_logs.restored(log, state.promised, state.by, replica.last, sure, state.over)
             if not state.over:
                 replica.keep(sure=sure, boot=self.boot)
 
@@ -145,9 +145,9 @@
     def _begin(self, epoch: int) -> None:
         assert self.ledger is not None
         folder = self.ledger.folder
-        self.heart.own = self.name, folder.book.state.life
+        self.held_logs.own = self.name, folder.book.state.life
         self.writer = LogWriter(
-            self.heart.own,
+            self.held_logs.own,
             epoch,
             (epoch, folder.log.following - 1),
             self._others(self.name),
@@ -197,7 +197,7 @@
         for writer in self._writers():
             self._write(writer, writer.reach(member, up))
         if up:
-            self._hold(self.heart.reach(member))
+            self._hold(self.held_logs.reach(member))
 
     def _writers(self) -> list[LogWriter]:
         own = [self.writer] if self.writer is not None else []
@@ -208,14 +208,14 @@
             if writer.log == at.log:
                 self._write(writer, writer.told(self.now_ms(), member, at))
                 return
-        self._hold(self.heart.told(member, at))
+        self._hold(self.held_logs.told(member, at))
 
     def asked(self, identity: str, word: logs.LogWord) -> None:
-        self._hold(self.heart.asked(identity, word))
+        self._hold(self.held_logs.asked(identity, word))
 
     def tick(self) -> None:
         now = self.now_ms()
-        self._hold(self.heart.tick(now))
+        self._hold(self.held_logs.tick(now))
         self._tell_refused(now)
         self._keep_ends()
         again = now >= self.again_ms + AGAIN_MS
@@ -297,7 +297,7 @@
                 case logs.Fenced(cause):
                     self.log("warning", "usage.takeover_lost", ledger=writer.log[0], cause=cause)
                     self._leave(writer.log)
-                    self.heart.table[writer.log].writer = ""  # whoever has it is not known here yet
+                    self.held_logs.table[writer.log].writer = ""  # whoever has it is not known here yet
 
     def _stand(self, writer: LogWriter, elected: bool) -> None:
         """Keep whether the ledger's epoch is granted. Where the disk refuses, the ledger seems to lack something at its
@@ -364,11 +364,11 @@
         replica = self.replicas.get(log)
         known = replica is not None and self._recovered(log, replica)
         if replica is None:
-            self.heart.dropped(log)
+            self.held_logs.dropped(log)
         elif log not in self.taken:
             state, last = replica.state, replica.last if known else logs.NOWHERE
             sure = known and replica.whole and not unsynced
-            self.heart.put_back(log, state.promised, state.by, last, sure, state.over)
+            self.held_logs.put_back(log, state.promised, state.by, last, sure, state.over)
             self.refused.setdefault(log, self.now_ms() + TELL_REFUSED_MS)
         self.log(
             "error",
@@ -378,7 +378,7 @@
             then="tried again"
             if log in self.taken
             else "it goes on from what it holds"
-            if replica is not None and self.heart.table[log].sure
+            if replica is not None and self.held_logs.table[log].sure
             else "it is filled anew by whoever writes that ledger",
         )
 
@@ -386,7 +386,7 @@
         """A word that was refused had no answer, and a writer that writes no more would take its copy for whole."""
         for log in [log for log, due_ms in self.refused.items() if now >= due_ms]:
             del self.refused[log]
-            held = self.heart.table.get(log)
+            held = self.held_logs.table.get(log)
             if held is not None and not held.over and log not in self.taken:
                 self.answer(held.by, logs.At(log, logs.Word.GAP, held.promised, held.last))
 
@@ -395,7 +395,7 @@
         ends, self.ends = self.ends, {}
         for log, epoch in ends.items():
             if log in self.replicas and not self.replicas[log].state.over:
-                self._hold(self.heart.over(log, epoch))
+                self._hold(self.held_logs.over(log, epoch))
 
     def _recovered(self, log: LogId, replica: Replica) -> bool:
         """What stands on the disk of this copy is known, and it can go on from there."""
@@ -510,7 +510,7 @@
 
     def _append(self, taken: TakenLedger, *entries: Entry) -> None:
         first, items = taken.replica.write(*entries)
-        self.heart.table[taken.writer.log].last = taken.replica.last
+        self.held_logs.table[taken.writer.log].last = taken.replica.last
         self._write(taken.writer, taken.writer.wrote(self.now_ms(), first, tuple(items), False))
 
     def _go_on(self, log: LogId) -> None:
@@ -540,7 +540,7 @@
             self.log("info", "usage.takeover_done", ledger=log[0], life=log[1].hex(), epoch=writer.epoch)
             for member in writer.copies:
                 self.send(member, logs.Over(log, writer.epoch))
-            self._hold(self.heart.over(log, writer.epoch))
+            self._hold(self.held_logs.over(log, writer.epoch))
 
     async def _export(self, taken: TakenLedger) -> None:
         assert self.usage.export is not None and taken.exporting is not None
@@ -622,7 +622,7 @@
                     "copies": {name: copy.state.name.lower() for name, copy in writer.copies.items()},
                 }
             )
-        for log, held in self.heart.table.items():
+        for log, held in self.held_logs.table.items():
             if log not in self.taken and not held.over:
                 found.append(
                     {
--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -79,7 +79,7 @@
 
     def in_step(self):
         """The state machine and the table name the same copies, and agree on what they promised and hold."""
-        table = self.copies.heart.table
+        table = self.copies.held_logs.table
         assert set(table) == set(self.copies.replicas)
         for log, held in table.items():
             replica = self.copies.replicas[log]
@@ -138,7 +138,7 @@
         holder.asked(logs.Part(LOG, EPOCH, (EPOCH, 1), 0, False, whole()))
         holder.asked(logs.Append(LOG, EPOCH, 2, (TURNED,)))
     holder.in_step()
-    held = holder.copies.heart.table[LOG]
+    held = holder.copies.held_logs.table[LOG]
     assert held.sure and held.last == (EPOCH, 2)
 
 
@@ -160,7 +160,7 @@
     holder = Holder()
     holder.files.refuse = {holder.files.count + place: errno.ENOSPC for place in range(1, 1000)}
     assert holder.asked(logs.Join(LOG, EPOCH, (EPOCH, 1))) is None
-    assert holder.copies.heart.table == {} and holder.copies.replicas == {}
+    assert holder.copies.held_logs.table == {} and holder.copies.replicas == {}
     assert holder.asked(logs.Append(LOG, EPOCH, 2, (TURNED,))).word is logs.Word.NO_VOTE
     holder.files.refuse = {}
     assert holder.asked(logs.Join(LOG, EPOCH, (EPOCH, 1))).word is logs.Word.GRANTED
@@ -183,7 +183,7 @@
             again = Holder(files)  # as a start does: the first try must hold nothing
         files.refuse = {}
         again.in_step()
-        assert again.copies.heart.table[LOG].last == (EPOCH, 2)
+        assert again.copies.held_logs.table[LOG].last == (EPOCH, 2)
         again.copies.close()
 
 
@@ -257,5 +257,5 @@
         holder.now += 50.0
         holder.copies.tick()
     holder.in_step()
-    assert holder.copies.heart.table[LOG].over
-    assert Holder(holder.files.survived("kept")).copies.heart.table[LOG].over
+    assert holder.copies.held_logs.table[LOG].over
+    assert Holder(holder.files.survived("kept")).copies.held_logs.table[LOG].over
