Failing tests: a refused drop leaves another ledger half made; beginning anew on a refusing disk ends a link

Seen: found by reading the whole change for what else raises to a link. Cause: lifecycle/use_copies.py _hold leaves out all actions behind a refused one, those on other ledgers too; _begin_anew is not guarded.

--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -21,8 +21,10 @@
 import msgspec
 import pytest
 from storage.sim_files import SimFiles
+from usage.test_ledger_stops import BEGIN, FOLDER, Life
 
 from flintshift.copies import logs
+from flintshift.copies.log_holders import HolderPace
 from flintshift.copies.log_writer import LogWriter, State
 from flintshift.copies.placement import Placement
 from flintshift.core.counters import Counters
@@ -30,6 +32,7 @@
 from flintshift.settings.options import CopiesOptions, UsageOptions
 from flintshift.usage import replica as on_disk
 from flintshift.usage.book import Book
+from flintshift.usage.folder import load
 from flintshift.usage.records import Opened, Turned, pack
 
 LOG = "n1", b"l" * 16
@@ -50,15 +53,15 @@
 class Holder:
     """A member that copies the ledger of n1, on a disk that can be made to refuse."""
 
-    def __init__(self, files=None, restore=True):
+    def __init__(self, files=None, restore=True, name="n2", folder=Path("/srv/usage")):
         self.files, self.answers, self.logged, self.now = files or SimFiles(), [], [], 0.0
         self.lives = True
         self.copies = UseCopies(
-            "n2",
-            "n2#1",
+            name,
+            f"{name}#1",
             Placement({"n1": "a", "n2": "b", "n3": "c"}, 3),
             CopiesOptions(Path("/srv/copies"), 3, "process-death", 1000, 1 << 20, 1 << 20, 1000.0),
-            UsageOptions(Path("/srv/usage"), 1000, 0, "process-death", 50.0, "serve", 1 << 20, 10**9, None),
+            UsageOptions(folder, 1000, 0, "process-death", 50.0, "serve", 1 << 20, 10**9, None),
             self.files,
             "boot",
             lambda runner: self.lives,
@@ -259,3 +262,38 @@
     holder.in_step()
     assert holder.copies.held_logs.table[LOG].over
     assert Holder(holder.files.survived("kept")).copies.held_logs.table[LOG].over
+
+
+def test_a_refused_word_on_one_ledger_does_not_stop_those_on_another():
+    """With no room for a further ledger, one that is over is dropped first: its refusal left the new one half made."""
+    holder = Holder()
+    for word in holder.life():
+        holder.asked(word)
+    holder.copies.held_logs.pace = HolderPace(logs=1)
+    holder.files.refuse = {holder.files.count + 1: errno.EIO}
+    other = "n1", b"m" * 16
+    joined = holder.asked(logs.Join(other, EPOCH, (EPOCH, 1)))
+    holder.in_step()
+    assert joined.word is logs.Word.GRANTED
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("count", [1, 3, 6, 1000])
+async def test_a_ledger_that_another_has_begins_anew_once_the_disk_takes_it(count):
+    """The refusal was raised to the link that had brought the word, and the ledger was written no more."""
+    life = Life(SimFiles(), BEGIN)
+    ledger = life.ledger
+    holder = Holder(life.files, name="n1", folder=FOLDER)
+    holder.copies.write(ledger)
+    before = ledger.book.state.life
+    life.files.refuse = {life.files.count + place: errno.ENOSPC for place in range(1, count + 1)}
+    writer = holder.copies.writer
+    holder.copies.reach("n2", True)
+    holder.copies.answered("n2", logs.At(writer.log, logs.Word.AHEAD, writer.epoch, (writer.epoch + 1, 9)))
+    life.files.refuse = {}
+    for _ in range(3):
+        holder.now += 50.0
+        holder.copies.tick()
+    assert ledger.book.state.life not in (b"", before)
+    assert holder.copies.writer.log == ("n1", ledger.book.state.life)
+    assert load(life.files, FOLDER)[0].state.life == ledger.book.state.life
