Go on with other ledgers where the disk refuses a word on one

What operators saw: nothing yet; with all places for ledgers taken, one that the disk refused to drop would have left a new copy without a folder. Cause: lifecycle/use_copies.py _hold left out all actions behind a refused one. Change: those on that ledger alone. Measured: the row fails before, passes after.

--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -343,19 +343,24 @@
     # What the holder answers.
 
     def _hold(self, actions: list[logs.HolderAction]) -> None:
+        """Do what the state machine says. Where the disk refuses, nothing more is done on that ledger: what was to be
+        answered stands on no disk."""
+        refused: set[LogId] = set()
         for action in actions:
             log = (
                 action.word.log
                 if isinstance(action, logs.Answer | logs.Ask)
                 else (action.told.log if isinstance(action, logs.Note) else action.log)
             )
+            if log in refused:
+                continue
             try:
                 self._held(log, action)
             except REFUSED as error:
+                refused.add(log)
                 self._refused(log, error)
                 if isinstance(action, logs.Forget):  # it was told once, and is not asked for again
                     self.ends[log] = action.epoch
-                return  # what was to be answered stands on no disk
 
     def _refused(self, log: LogId, error: Exception, unsynced: bool = False) -> None:
         """The disk refused what the state machine had decided. The disk has the truth: the state machine is put back
