Begin a ledger anew once the disk takes it, and end no link for it

What operators saw: peers.link_down by an OSError, and a ledger that was written no more until a restart, where another member had taken it over while the disk refused. Cause: lifecycle/use_copies.py _begin_anew was not guarded, and came once. Change: it is tried again at each look, the folder that was put aside is remembered, each cause is told once. The tests' disk renames folders too. Why it holds: what stands aside is moved once; opening is what a start does, and can be done again.

--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -9,6 +9,7 @@
 import math
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import anyio
@@ -89,6 +90,9 @@
         self.up: set[str] = set()
         self.tasks: TaskGroup | None = None
         self.refused: dict[LogId, float] = {}  # copies whose writer is to hear that their disk refused, and when
+        self.fence: str | None = None  # why another ledger is to begin, until it has
+        self.aside: Path | None = None  # where the one before was put for that
+        self.not_begun = ""  # why it has not, as it was told last
         self.ends: dict[LogId, int] = {}  # by log, the epoch of an end that the disk refused
         self.unsynced: list[tuple[LogId, str, logs.LogWord]] = []
         self.sync_wanted = anyio.Event()
@@ -218,6 +222,8 @@
         self._hold(self.held_logs.tick(now))
         self._tell_refused(now)
         self._keep_ends()
+        if self.fence is not None:
+            self._begin_anew(self.fence)
         again = now >= self.again_ms + AGAIN_MS
         for writer in self._writers():
             self._write(writer, writer.tick(now, self._due_ms() if writer is self.writer else math.inf))
@@ -293,7 +299,7 @@
                     if self.ledger is not None:
                         self.ledger.folder.log.epoch = epoch
                 case logs.Fenced(cause) if own:
-                    self._begin_anew(writer, cause)
+                    self._begin_anew(cause)
                 case logs.Fenced(cause):
                     self.log("warning", "usage.takeover_lost", ledger=writer.log[0], cause=cause)
                     self._leave(writer.log)
@@ -315,24 +321,31 @@
         replica = self.replicas[writer.log]
         return on_disk.whole_of(self.files, replica.folder, replica.ledger.book, self.sinks)
 
-    def _begin_anew(self, writer: LogWriter, cause: str) -> None:
-        """Another member goes on with this member's ledger."""
-        ledger = self.ledger
-        assert ledger is not None
+    def _begin_anew(self, cause: str) -> None:
+        """Another member goes on with this member's ledger: one of its own begins. Tried again at each look while the
+        disk refuses; what is booked meanwhile stands in memory, and is told as not held."""
+        ledger, writer, self.fence = self.ledger, self.writer, cause
+        assert ledger is not None and writer is not None
         before = ledger.folder
-        aside, lists = before.set_aside(), ledger.lists
-        folder, ledger.clock = open_folder(
-            self.name, lists, self.usage, self.log, self.files, True, max(before.log.epoch, writer.epoch)
-        )
+        try:
+            if self.aside is None:
+                self.aside = before.set_aside()
+            folder, ledger.clock = open_folder(
+                self.name, ledger.lists, self.usage, self.log, self.files, True, max(before.log.epoch, writer.epoch)
+            )
+        except REFUSED as error:
+            self._not_begun(str(error))
+            return
         self.counters.add("usage.fenced")
         self.log(
             "error",
             "usage.fenced",
             cause=cause,
-            folder=str(aside),
+            folder=str(self.aside),
             records_not_held=max(0, before.book.state.sequence - writer.held),
             then="a ledger of its own begins; what stands in that folder is for people to look at",
         )
+        self.fence, self.aside, self.not_begun = None, None, ""
         ledger.folder = folder
         self._begin(folder.log.epoch)
         ledger.begin_anew(folder)
@@ -340,6 +353,12 @@
             assert self.writer is not None
             self._write(self.writer, self.writer.reach(member, True))
 
+    def _not_begun(self, cause: str) -> None:
+        """Tell each cause once, not with each try."""
+        if cause != self.not_begun:
+            self.not_begun = cause
+            self.log("error", "usage.not_begun_anew", cause=cause, then="it is tried again; use is booked in memory")
+
     # What the holder answers.
 
     def _hold(self, actions: list[logs.HolderAction]) -> None:
--- a/tests/storage/sim_files.py
+++ b/tests/storage/sim_files.py
@@ -118,8 +118,12 @@
 
     def rename(self, path, to):
         def do():
-            self.names_now[to] = self.names_now.pop(path)
-            self.times[to] = self.now_ms
+            if path in self.names_now:
+                self.names_now[to] = self.names_now.pop(path)
+                self.times[to] = self.now_ms
+                return
+            for one in [one for one in self.names_now if path in one.parents]:  # a folder
+                self.names_now[to / one.relative_to(path)] = self.names_now.pop(one)
 
         self.step("rename", to, do)
 
