Failing test: a node whose loop is held over its notice is killed before it left

The test holds the loop by a configuration that is read from a pipe; the node is killed here, 1 of 1.

--- a/tests/lifecycle/test_drains.py
+++ b/tests/lifecycle/test_drains.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -14,7 +15,8 @@
 from test_signals import site, started  # noqa: F401
 
 from flintshift import interface as api
-from flintshift.lifecycle.drain import kill_after_ms
+from flintshift.lab.termination import Termination
+from flintshift.lifecycle.drain import AFTER_DEADLINE_MS, kill_after_ms
 
 pytestmark = pytest.mark.anyio
 READY_S = 10.0  # for a process that starts again
@@ -181,6 +183,7 @@
 
 
 GRACE_S, HEARD_LATE_S = 2.0, 0.5  # the settings' grace, and how much shorter the decisions are told that it is
+HELD_S = 0.4  # by which the event loop is late for the notice
 
 
 @pytest.mark.parametrize(
@@ -227,6 +230,34 @@
     assert kill_after_ms(stop_ms, classes) == kill_ms
 
 
+async def test_a_node_whose_loop_was_held_over_the_notice_has_left_before_the_kill(site, served):  # noqa: F811
+    """Crowds in a soak held the event loop for 100 ms and more a turn, and the drain began three turns after its
+    notice: it ended connections 1950 ms after that, left 90 to 200 ms later than it meant to, and was killed at 2200.
+    """
+    config, text, _ = site
+    resting = await served.connect()
+    resting.send(BYTES["http"]("", b"", {}, method="GET", path="/ping"))
+    assert (await resting.reply()).status == 200
+    longest_ms = max(kind["deadlineMs"] for kind in json.loads(text)["settings"]["classes"])
+    termination = Termination(served.process, longest_ms + AFTER_DEADLINE_MS)
+    await termination.prepare()
+    config.unlink()
+    os.mkfifo(config)
+    served.process.send_signal(signal.SIGHUP)
+    writer = None
+    while writer is None:  # until the node reads its configuration, which holds its event loop
+        with contextlib.suppress(OSError):
+            writer = os.open(config, os.O_WRONLY | os.O_NONBLOCK)
+        await asyncio.sleep(0.001)
+    termination.notice()
+    await asyncio.sleep(HELD_S)
+    os.write(writer, text.encode())
+    os.close(writer)
+    departure = await termination.departure()
+    assert departure.left_ms is not None, departure
+    assert balanced(await served.ended())
+
+
 async def test_callers_that_ask_again_and_again_do_not_keep_a_node_from_leaving(served):
     """Each answer after the notice is the last on its connection, so the node is soon left alone."""
     last = []
