Count a drain from the arrival of its notice, not from the turn that takes it

What callers saw: on a busy machine a node was killed before it had left: whatever was open then was cut. Cause: Drain.run took its own first moment for the notice's. The event loop hands a signal over in its next turn and tasks pass it on in two more; with 300 connections in use a turn takes 40 to 150 ms, on a third of a core three times that. The log showed it: drain.ended after 1,975 ms, the platform's clock 2,070 and more. Ruled out: the interpreter's exit (33 ms), reloads (under 1 ms each), closing connections (21 ms).

--- a/flintshift/lifecycle/drain.py
+++ b/flintshift/lifecycle/drain.py
@@ -63,15 +63,16 @@
         """No connection is taken any more, and all that were are closed."""
         return all(front.done for front in self.fronts)
 
-    async def run(self, grace_ms: float, kill_ms: float, succeeded: bool) -> None:
+    async def run(self, grace_ms: float, kill_ms: float, succeeded: bool, notice_age_ms: float = 0.0) -> None:
         """Until all that was read is answered and all connections are closed, ``kill_ms`` after the notice at the
         latest. ``grace_ms``: how long after the notice new work may still be run, as the settings tell. ``succeeded``:
-        another process of this node takes the clients already."""
-        notice_ms = self.now_ms()
+        another process of this node takes the clients already. ``notice_age_ms``: how long ago the notice arrived,
+        which a busy event loop hears of late; all times count from the arrival, as the kill's does."""
+        notice_ms = self.now_ms() - notice_age_ms
         last_ms = notice_ms + kill_ms - self.limits.stop_margin_ms
         for front in self.fronts:
             front.drain()
-        await self.decisions.report(Notice(last_ms - notice_ms))
+        await self.decisions.report(Notice(max(0.0, last_ms - self.now_ms())))
         self._tell("drain.began", notice_ms, kill_ms=kill_ms)
         if not succeeded:
             await self._until(lambda: False, min(notice_ms + grace_ms, last_ms - self.limits.unlisten_ms))
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -314,12 +314,14 @@
             self.log("info", "node.listening", listen=[f"{host}:{port}" for _, (host, port) in self.fronts])
             tasks.start_soon(self._heed, received, self.leave)
             await self.leave.wait()
-            self.log("info", "node.leaving", stop_ms=self.limits.stop_ms)
+            notice_age_ms = received.notice_age_ms()
+            self.log("info", "node.leaving", stop_ms=self.limits.stop_ms, heard_after_ms=round(notice_age_ms))
             if self.failed is None:
                 await self.drain.run(
                     self.config.settings.drain_grace_ms,
                     kill_after_ms(self.limits.stop_ms, self.decisions.catalogue.decided.classes),
                     self.upgrade is not None and self.upgrade.shedding,
+                    notice_age_ms,
                 )
             if self.upgrade is not None:
                 await self.upgrade.close()
--- a/tests/wire/test_closing.py
+++ b/tests/wire/test_closing.py
@@ -125,6 +125,17 @@
         assert now_ms() - began < 690
 
 
+async def test_a_drain_that_heard_of_its_notice_late_ends_so_much_sooner():
+    async with Fronted(stop_margin_ms=100.0, unlisten_ms=100.0, crossing_ms=20.0) as fronted:
+        resting = await calling(await fronted.rested())
+        drain = Drain([fronted.front], fronted.decided, fronted.limits, now_ms)
+        began = now_ms()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(drain.run, 50.0, 700.0, False, 400.0)
+            assert await resting.reader.read() == b"" and 150 < now_ms() - began < 290
+            resting.writer.close()
+
+
 async def test_what_is_queued_at_the_listeners_end_is_accepted_though_the_system_refuses_for_a_moment(monkeypatch):
     class Refusing(socket.socket):
         refusals = 0
