Failing test: a stopped stand-in leaves its connections' tasks to the end of the loop

Cause, shown by this test: Peer.stop cuts connections and returns; their tasks end a turn of the loop later. Where the loop ends first, it cancels them, and asyncio of Python 3.11 asks a cancelled task for its exception in its own callback.

--- a/tests/lab/test_stand_ins.py
+++ b/tests/lab/test_stand_ins.py
@@ -134,3 +134,24 @@
     for peer in peers:
         with pytest.raises(ConnectionRefusedError):
             await asyncio.open_connection("127.0.0.1", peer.port)
+
+
+@pytest.mark.parametrize("settled", [False, True], ids=["connections still opening", "connections open"])
+@pytest.mark.parametrize("kind", [Pool, Vault, Names, Apps])
+def test_a_stand_in_that_was_stopped_leaves_nothing_for_the_end_of_its_loop(kind, settled, caplog):
+    """A whole run beside load met "Exception in callback ... Task cancelled" at the end of a test, seven times: the
+    tasks of connections that `stop` had cut, and did not wait for, were cancelled with the loop."""
+
+    async def main() -> None:
+        peer = kind()
+        await peer.start()
+        links = [await asyncio.open_connection("127.0.0.1", peer.port) for _ in range(7)]
+        if settled:
+            await asyncio.sleep(0.05)
+        await peer.stop()
+        assert asyncio.all_tasks() == {asyncio.current_task()}
+        for _, writer in links:
+            writer.close()
+
+    asyncio.run(main())
+    assert not [record.getMessage() for record in caplog.records if record.name == "asyncio"]
