Have a stand-in that stops wait for its connections

Cause: asyncio.start_server keeps its tasks to itself; Peer.stop cut connections and returned, and their tasks ended in a later turn of the loop, or were cancelled with it. Python 3.11 then asks the cancelled task for its exception in a callback. Change: lab/connection_tasks.py holds the tasks; stop waits for what is still being handed over, cuts, and waits until all are over. Why it holds: after stop the loop has no task but the caller's own.

--- a/flintshift/lab/billing.py
+++ b/flintshift/lab/billing.py
@@ -16,6 +16,7 @@
 
 import h11
 
+from flintshift.lab.connection_tasks import ConnectionTasks
 from flintshift.lab.ports import free_ports
 
 FAULTS = (
@@ -53,7 +54,7 @@
 
     async def start(self, port: int = 0) -> int:
         self.port = port or free_ports(1)[0]
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(ConnectionTasks(self._serve), "127.0.0.1", self.port)
         return self.port
 
     def stop(self) -> None:
--- a/flintshift/lab/faults.py
+++ b/flintshift/lab/faults.py
@@ -12,6 +12,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from flintshift.lab.connection_tasks import ConnectionTasks
+
 READ = 65_536
 HELD_MOST = 4 << 20  # bytes that wait out a delay, of one direction of one connection
 
@@ -39,13 +41,16 @@
         self.refusing = False  # new connections are reset
         self.writers: set[asyncio.StreamWriter] = set()
         self.passed = 0  # bytes, both ways
+        self.connections = ConnectionTasks(self._serve)
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.connections, "127.0.0.1", self.port)
 
     async def stop(self) -> None:
         self.server.close()
+        await self.connections.opened()
         self.reset()
+        await self.connections.ended()
 
     def reset(self) -> None:
         """Break all connections, as a switch that loses power does."""
--- a/flintshift/lab/peers.py
+++ b/flintshift/lab/peers.py
@@ -20,6 +20,7 @@
 import dns.rdatatype
 import dns.rrset
 
+from flintshift.lab.connection_tasks import ConnectionTasks
 from flintshift.lab.ports import free_ports
 from flintshift.lab.senders import sender
 from flintshift.wire import uwsgi
@@ -86,12 +87,13 @@
         self.port, self.tells, self.links = port, tells, set[asyncio.StreamWriter]()
         self.log, self.ended = Journal(), Journal()
         self.server: asyncio.Server | None = None  # until it is started
+        self.connections = ConnectionTasks(self._serve)
 
     async def start(self) -> None:
         # A port of the system's choice is given to another process once this one has left it, and the node goes on
         # linking to it there.
         self.port = self.port or free_ports(1)[0]
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.connections, "127.0.0.1", self.port)
 
     def leave_port(self) -> None:
         """Take nothing new; what is open stays open."""
@@ -99,8 +101,11 @@
             self.server.close()
 
     async def stop(self) -> None:
+        """End all connections, and return once nothing of them is left for the end of the event loop."""
         self.leave_port()
+        await self.connections.opened()
         self.cut()
+        await self.connections.ended()
 
     async def move(self) -> None:
         """Take what is new at another address alone; what is open stays open."""
--- a/tests/lab/test_stand_ins.py
+++ b/tests/lab/test_stand_ins.py
@@ -25,9 +25,10 @@
 import standins
 
 from flintshift.lab.billing import Billing
+from flintshift.lab.faults import FaultProxy
 from flintshift.lab.fleet import Fleet
 from flintshift.lab.peers import Apps, Dns, Names, Pool, Vault
-from flintshift.lab.ports import port_range
+from flintshift.lab.ports import free_ports, port_range
 from flintshift.lab.rig import Rig
 
 pytestmark = pytest.mark.anyio
@@ -155,3 +156,32 @@
 
     asyncio.run(main())
     assert not [record.getMessage() for record in caplog.records if record.name == "asyncio"]
+
+
+def test_a_fault_proxy_that_was_stopped_leaves_nothing_for_the_end_of_its_loop(caplog):
+    async def main() -> None:
+        peer = Vault()
+        await peer.start()
+        proxy = FaultProxy(free_ports(1)[0], peer.port, seed=1)
+        await proxy.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", proxy.port)
+        await asyncio.sleep(0.05)
+        await proxy.stop()
+        await peer.stop()
+        assert asyncio.all_tasks() == {asyncio.current_task()}
+        writer.close()
+
+    asyncio.run(main())
+    assert not [record.getMessage() for record in caplog.records if record.name == "asyncio"]
+
+
+def test_a_billing_systems_open_connections_are_ended_in_silence_with_its_loop(tmp_path, caplog):
+    async def main() -> None:
+        billing = Billing(tmp_path)
+        _, writer = await asyncio.open_connection("127.0.0.1", await billing.start())
+        await asyncio.sleep(0.05)
+        billing.stop()
+        writer.transport.abort()
+
+    asyncio.run(main())
+    assert not [record.getMessage() for record in caplog.records if record.name == "asyncio"]
