Failing tests: a takeover waits for holders that have answered; an unreadable copy is dropped

Symptom: drains and restarts on refusing disks, eight fleets at a time beside five more: 3 of 8 whole 17 to 22 s after the recovery, where 10 s are allowed. Cause, from the story of one: a slow restart lost its ledger to a takeover, whose second vote then went to the restarted process; the one sure copy had to wait for ten times the time to a takeover, though each other holder had said that it holds no more (usage.took_over with without). Found by reading that rule: a copy whose disk can't be read says that it holds nothing, and is dropped once its writer is dead. Measured: three tests fail.

--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -285,6 +285,8 @@
         until = time.monotonic() + START_S
         while not await self._ready(member):
             if not member.up or time.monotonic() > until:
+                older.kill()  # the fleet ends the newest process of each member alone
+                await older.wait()
                 raise RuntimeError(f"{name}: the new process was not ready: {member.logs[-1].read_text()[-2000:]}")
             await asyncio.sleep(0.02)
         if until_done is not None:
--- a/tests/copies/test_unsure_copies.py
+++ b/tests/copies/test_unsure_copies.py
@@ -123,3 +123,52 @@
     holders.hold("n2", logs.NOWHERE, False)
     holders.until(LATE_MS)
     assert LOG in holders.members["n2"].table and holders.done == []
+
+
+@pytest.fixture
+def beside_a_new_life():
+    """n2 is sure of the ledger of n1's last life, and n4 holds less of it and isn't; n1 is back with a new one.
+
+    A play of refusing disks ended so: n1's restart lost its old ledger to a takeover, that takeover lost its second
+    vote to n1, and the fleet was whole only after ten times the time to a takeover (22 s where 10 s are allowed), with
+    "without: [n4], these hold no copy" though all holders had answered at once.
+    """
+    holders = Holders()
+    holders.hold("n2", (5, 40), True)
+    holders.hold("n4", (5, 30), False)
+    holders.members["n1"] = HeldLogs("n1", "n1#2", lambda member: (member, "n2", "n4"), holders.alive.__contains__)
+    holders.members["n1"].own = "n1", b"new"
+    return holders
+
+
+SOON_MS = PACE.take_over_ms + 5 * PACE.stagger_ms
+
+
+def test_a_ledger_is_taken_over_soon_where_each_holder_has_said_that_it_holds_no_more(beside_a_new_life):
+    beside_a_new_life.until(SOON_MS)
+    ((name, taken),) = beside_a_new_life.done
+    assert name == "n2" and taken.last == (5, 40)
+
+
+def test_a_copy_whose_disk_cant_be_read_says_nothing_and_is_waited_for(beside_a_new_life):
+    beside_a_new_life.members["n4"].put_back(LOG, 5, "n1#1", logs.NOWHERE, False, False, known=False)
+    beside_a_new_life.until(SOON_MS)
+    assert beside_a_new_life.done == []
+    beside_a_new_life.members["n4"].put_back(LOG, 5, "n1#1", (5, 41), True, False)  # it can be read again
+    beside_a_new_life.until(SOON_MS + 6 * PACE.again_ms)
+    assert [(name, taken.last) for name, taken in beside_a_new_life.done][:1] == [("n4", (5, 41))]
+
+
+def test_a_copy_whose_disk_cant_be_read_is_not_let_go_as_if_it_held_nothing():
+    holders = Holders()
+    holders.hold("n2", logs.NOWHERE, False)
+    holders.members["n2"].put_back(LOG, 5, "n1#1", logs.NOWHERE, False, False, known=False)
+    del holders.members["n4"]
+    holders.until(LATE_MS, reached=False)
+    assert holders.done == [] and LOG in holders.members["n2"].table
+
+
+def test_a_member_that_has_not_opened_its_ledger_yet_is_waited_for(beside_a_new_life):
+    beside_a_new_life.members["n1"].own = None
+    beside_a_new_life.until(SOON_MS)
+    assert beside_a_new_life.done == []
--- a/tests/fleet/test_refusing_disks.py
+++ b/tests/fleet/test_refusing_disks.py
@@ -4,16 +4,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import math
 import random
+import signal
 import time
 
 import pytest
 
 from flintshift.cli.asking import ask
 from flintshift.copies.store import SOCKET
-from flintshift.lab.chaos_copies import COPIES, HALLS, DiskRefusal, rounds
+from flintshift.lab.chaos_copies import COPIES, HALLS, DiskRefusal, Load, rounds
 from flintshift.lab.fleet import Fleet, booking
 
 pytestmark = pytest.mark.anyio
@@ -70,3 +72,60 @@
         assert fleet.tracebacks() == []
     not_served = 1 - statuses.count(200) / len(statuses)
     assert not_served <= 0.02, f"{not_served:.3f} of {len(statuses)}"  # as with no fault
+
+
+REFUSED, REFUSED_S = 300, 5.0  # of 1,000 writes and syncs, for so long
+LEAVES_S = 2.3  # the longest deadline and 0.7 s, and a little for the look
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_a_drain_and_a_start_go_on_while_all_disks_refuse(seed, tmp_path):
+    """Exports run all the while, each second."""
+    more = booking(tmp_path, "1s")
+    fleet = Fleet(tmp_path, HALLS, COPIES, seed=seed, more=more, disks_refuse=True)
+    async with fleet, refusing(fleet, seed):
+        leaving = fleet.members["n2"].process
+        leaving.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(leaving.wait(), LEAVES_S) == 0
+        await fleet.start("n2")
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_an_upgrade_goes_on_while_all_disks_refuse(seed, tmp_path):
+    """Without ledgers: the one of a process that serves is locked, and its upgrade is refused on any disk."""
+    fleet = Fleet(tmp_path, HALLS, COPIES, seed=seed, control=True, disks_refuse=True)
+    async with fleet, refusing(fleet, seed):
+        assert await fleet.upgrade("n4", asyncio.sleep(0.3)) == 0
+
+
+async def votes(fleet, name):
+    """A new process gets the socket of its status up to a second after the older one's end."""
+    try:
+        return (await status(fleet, name))["votes"]
+    except (FileNotFoundError, ConnectionRefusedError):
+        return False
+
+
+@contextlib.asynccontextmanager
+async def refusing(fleet, seed):
+    """Disks refuse under load, and the fleet is whole soon after; nothing was broken."""
+    await fleet.until_linked()
+    load = Load(fleet, random.Random(seed), 6, "d")
+    asking = asyncio.ensure_future(load.run())
+    await asyncio.sleep(0.5)
+    fleet.refuse_writes(REFUSED)
+    until = time.monotonic() + REFUSED_S
+    yield
+    await asyncio.sleep(until - time.monotonic())
+    fleet.refuse_writes(0)
+    recovered = time.monotonic()
+    load.over.set()
+    await asking
+    if fleet.more:
+        await fleet.until_whole(30.0)
+    whole_s = time.monotonic() - recovered
+    while not all([await votes(fleet, name) for name in fleet.members]):
+        await asyncio.sleep(0.05)
+    assert time.monotonic() - recovered <= WHOLE_S, f"whole after {whole_s:.1f} s"
+    assert fleet.judged().broken == []
+    assert fleet.tracebacks() == []
