Take a ledger over once every other holder has said what it holds; keep unreadable copies

What operators saw: a fleet whole 12 to 22 s after its disks had recovered (3 of 8 drains beside other fleets), where 10 s are allowed. Cause: HeldLogs._majority waited for ten times the time to a takeover wherever one holder had no vote to give, though each other holder, the ledger's own member too, had said that it holds no more. Change: only a holder that says nothing is waited for; a try that was outbid is made again after a second a rank. So that no word counts which tells nothing, a member says none while its own ledger is not open, and a copy that can't be read says none while its writer may come back; it is read again each 2 s, and no longer dropped as empty once its writer is dead. A copy whose sync failed stays unsure until it is filled (it counted as sure after a later refusal). Why it holds: a takeover needs a majority, or the word of all: what none of them holds, no wait brings back. Rejected: a shorter patience, which would also cut off holders that are away.

--- a/flintshift/copies/log_holders.py
+++ b/flintshift/copies/log_holders.py
@@ -50,13 +50,15 @@
     writer: str  # the process whose records stand here
     last: Place
     sure: bool  # all that it ever acknowledged stands here
+    known: bool = True  # what stands here can be read
     dead_ms: float | None = None  # since when its writer is
     asked_ms: float = -math.inf
     votes: set[str] = field(default_factory=set)  # for a takeover by this member
-    wordless: set[str] = field(default_factory=set)  # of the holders asked
-    patient: bool = True  # those do not count
+    wordless: set[str] = field(default_factory=set)  # of the holders asked: these hold no more
+    patient: bool = True  # a holder that says nothing may hold more, and is waited for
     taking: int = 0  # the epoch of that; 0: none is under way
     seen: int = 0  # the highest epoch that another holder has promised
+    outbid: bool = False  # that is above the one asked for: the next try needs a higher one, and no wait
     behind: bool = False  # another holds more, and is the one to take it over
     parts: list[bytes] = field(default_factory=list)
     parts_bytes: int = 0
@@ -81,12 +83,15 @@
     def restored(self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool) -> None:
         self.table[log] = HeldLog(promised, by, by, last, sure, over=over)
 
-    def put_back(self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool) -> None:
+    def put_back(
+        self, log: LogId, promised: int, by: str, last: Place, sure: bool, over: bool, known: bool = True
+    ) -> None:
         """The disk refused an action: this is what stands there, and all that counts. Whoever wrote the log last is
-        known as before. ``sure`` False: it may lack what it acknowledged, until it is filled anew."""
+        known as before. ``sure`` False: it may lack what it acknowledged, until it is filled anew; ``known`` False:
+        what stands there can't be read now."""
         held = self.table.get(log)
         writer, dead_ms = (held.writer, held.dead_ms) if held is not None else (by, None)
-        self.table[log] = HeldLog(promised, by, writer, last, sure, dead_ms, over=over)
+        self.table[log] = HeldLog(promised, by, writer, last, sure, known, dead_ms, over=over)
 
     def dropped(self, log: LogId) -> None:
         """Nothing of it could be kept: it is as if nobody had asked."""
@@ -138,6 +143,8 @@
 
     def _join(self, by: str, word: Join, held: HeldLog | None) -> list[HolderAction]:
         log, epoch = word.log, word.epoch
+        if word.takes and not self._can_tell(log, held):
+            return []
         if held is None:
             if word.takes:
                 return self._refused(by, log, None)
@@ -164,6 +171,13 @@
             return [*actions, Answer(by, self._no_vote(word, epoch, held.last))]
         return [*actions, Answer(by, At(log, Word.GRANTED, epoch, held.last))]
 
+    def _can_tell(self, log: LogId, held: HeldLog | None) -> bool:
+        """What stands here of a log is known. A word that nothing does would count in a takeover, so none is said
+        while the log may be this member's own, which is not opened yet, or while its copy can't be read."""
+        if held is None:
+            return log[0] != self.me or self.own is not None
+        return held.known or not held.patient
+
     def _left(self, by: str, log: LogId) -> None:
         """A process writes one log of its own member: an earlier one was another's before it knew."""
         for (member, life), held in self.table.items():
@@ -200,7 +214,7 @@
         if word.more:
             return [Answer(by, At(log, Word.GRANTED, word.epoch, NOWHERE, len(held.parts)))]
         data, held.parts, held.parts_bytes = b"".join(held.parts), [], 0
-        held.last, held.sure = word.last, True
+        held.last, held.sure, held.known = word.last, True, True
         return [Replace(log, word.last, data), Answer(by, At(log, Word.GRANTED, word.epoch, word.last))]
 
     # Takeover.
@@ -214,6 +228,7 @@
             return self.over(at.log, max(at.epoch, held.promised))
         more = at.word is Word.AHEAD or (not held.sure and at.word is Word.NO_VOTE and at.last > held.last)
         held.seen, held.behind = max(held.seen, at.epoch), held.behind or more
+        held.outbid = held.outbid or (at.word is Word.OLD and at.epoch >= held.taking)
         if at.word is Word.NO_VOTE and not more:
             held.wordless.add(member)
         elif at.epoch == held.taking and at.word is Word.GRANTED:
@@ -222,9 +237,10 @@
 
     def _majority(self, log: LogId, held: HeldLog) -> list[HolderAction]:
         holders, wordless = self.holders(log[0]), held.wordless - held.votes
+        silent = set(holders) - {self.me} - held.votes - wordless
         if held.sure and len(held.votes) + 1 >= len(holders) // 2 + 1:
             wordless = set()
-        elif held.patient or not held.votes | wordless >= {name for name in holders if name not in (self.me, log[0])}:
+        elif silent and (held.patient or not silent <= {log[0]}):
             return []  # one that does not answer may hold more
         epoch, held.taking = held.taking, 0
         if held.last == NOWHERE:
@@ -238,7 +254,7 @@
 
     def _never_filled(self, held: HeldLog) -> bool:
         """Nothing is lost with this copy, and no promise that it gave to another than its writer is forgotten."""
-        return not held.sure and held.last == NOWHERE and held.by == held.writer
+        return held.known and not held.sure and held.last == NOWHERE and held.by == held.writer
 
     def tick(self, now_ms: float) -> list[HolderAction]:
         actions: list[HolderAction] = []
@@ -254,15 +270,17 @@
             rank = holders.index(self.me) if self.me in holders else len(holders)
             due_ms = held.dead_ms + self.pace.take_over_ms + rank * self.pace.stagger_ms
             again_ms = (self.pace.again_ms + rank * self.pace.stagger_ms) * (4 if held.behind else 1)
+            if held.outbid and not held.behind:
+                again_ms = (1 + rank) * self.pace.stagger_ms
             if now_ms < max(due_ms, held.asked_ms + again_ms):
                 continue
             if self._never_filled(held):
                 actions += self._lost(log, held)
                 continue
             held.patient = now_ms < held.dead_ms + self.pace.patience * self.pace.take_over_ms
-            if held.patient and not held.sure:  # a sure one may be there yet
+            if not held.known or (held.patient and not held.sure):  # a sure one may be there yet
                 continue
-            held.asked_ms, held.behind = now_ms, False
+            held.asked_ms, held.behind, held.outbid = now_ms, False, False
             held.votes, held.wordless = set(), set()
             held.promised = held.taking = max(held.promised, held.seen) + 1
             held.by = self.identity
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -89,6 +89,7 @@
         self.writer: LogWriter | None = None  # of this member's own ledger
         self.up: set[str] = set()
         self.tasks: TaskGroup | None = None
+        self.unsynced_refused: set[LogId] = set()  # copies of which a sync failed: what can be read may be gone later
         self.refused: dict[LogId, float] = {}  # copies whose writer is to hear that their disk refused, and when
         self.fence: str | None = None  # why another ledger is to begin, until it has
         self.aside: Path | None = None  # where the one before was put for that
@@ -231,6 +232,7 @@
                 self._write(writer, writer.again())
         if again:
             self.again_ms = now
+            self._read_again()
         own, ledger = self.writer, self.ledger
         if own is not None and ledger is not None and own.last[0] != own.epoch and not ledger.commit.stalls:
             ledger.write_nothing()
@@ -387,12 +389,14 @@
         self.counters.add("usage.copy_refused")
         replica = self.replicas.get(log)
         known = replica is not None and self._recovered(log, replica)
+        if unsynced:
+            self.unsynced_refused.add(log)
         if replica is None:
             self.held_logs.dropped(log)
         elif log not in self.taken:
             state, last = replica.state, replica.last if known else logs.NOWHERE
-            sure = known and replica.whole and not unsynced
-            self.held_logs.put_back(log, state.promised, state.by, last, sure, state.over)
+            sure = known and self._stands(log, replica)
+            self.held_logs.put_back(log, state.promised, state.by, last, sure, state.over, known)
             self.refused.setdefault(log, self.now_ms() + TELL_REFUSED_MS)
         self.log(
             "error",
@@ -414,6 +418,17 @@
             if held is not None and not held.over and log not in self.taken:
                 self.answer(held.by, logs.At(log, logs.Word.GAP, held.promised, held.last))
 
+    def _read_again(self) -> None:
+        """Look again at copies that could not be read."""
+        for log, held in list(self.held_logs.table.items()):
+            replica = self.replicas.get(log)
+            if held.known or replica is None or log in self.taken or not self._recovered(log, replica):
+                continue
+            state = replica.state
+            sure = self._stands(log, replica)
+            self.held_logs.put_back(log, state.promised, state.by, replica.last, sure, state.over)
+            self.log("info", "usage.copy_readable", ledger=log[0], records=replica.last[1], sure=sure)
+
     def _keep_ends(self) -> None:
         """Try again to keep that a ledger is over."""
         ends, self.ends = self.ends, {}
@@ -429,6 +444,10 @@
             self.log("warning", "usage.copy_unreadable", ledger=log[0], cause=str(error))
         return replica.writable
 
+    def _stands(self, log: LogId, replica: Replica) -> bool:
+        """All that this copy acknowledged stands on its disk."""
+        return replica.whole and log not in self.unsynced_refused
+
     def _held(self, log: LogId, action: logs.HolderAction) -> None:
         match action:
             case logs.Promise(_, epoch, by):
@@ -438,6 +457,7 @@
             case logs.Replace(_, (epoch, sequence), data):
                 self.replicas[log].replace(epoch, sequence, data)
                 self.replicas[log].keep(sure=True)
+                self.unsynced_refused.discard(log)
             case logs.Note(told):
                 self.replicas[log].note(told.sink, told.name, told.digest)
             case logs.Answer(to, word):
--- a/tests/copies/test_unsure_copies.py
+++ b/tests/copies/test_unsure_copies.py
@@ -150,6 +150,14 @@
     assert name == "n2" and taken.last == (5, 40)
 
 
+def test_a_takeover_under_an_epoch_that_is_too_low_is_tried_again_soon_with_a_higher_one(beside_a_new_life):
+    """From outside: a lost takeover was tried again after 8 s, as the first try only learned of the epoch in use."""
+    beside_a_new_life.members["n4"].restored(LOG, 8, "n1#2", (5, 30), False, False)
+    beside_a_new_life.until(SOON_MS)
+    ((name, taken),) = beside_a_new_life.done
+    assert name == "n2" and taken.epoch == 9
+
+
 def test_a_copy_whose_disk_cant_be_read_says_nothing_and_is_waited_for(beside_a_new_life):
     beside_a_new_life.members["n4"].put_back(LOG, 5, "n1#1", logs.NOWHERE, False, False, known=False)
     beside_a_new_life.until(SOON_MS)
--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import errno
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
@@ -28,7 +29,7 @@
 from flintshift.copies.log_writer import LogWriter, State
 from flintshift.copies.placement import Placement
 from flintshift.core.counters import Counters
-from flintshift.lifecycle.use_copies import UseCopies
+from flintshift.lifecycle.use_copies import AGAIN_MS, UseCopies
 from flintshift.settings.options import CopiesOptions, UsageOptions
 from flintshift.usage import replica as on_disk
 from flintshift.usage.book import Book
@@ -297,3 +298,40 @@
     assert ledger.book.state.life not in (b"", before)
     assert holder.copies.writer.log == ("n1", ledger.book.state.life)
     assert load(life.files, FOLDER)[0].state.life == ledger.book.state.life
+
+
+@pytest.mark.anyio
+async def test_a_copy_whose_sync_failed_stays_unsure_through_a_later_refusal():
+    """What was written before a failed sync may be gone after a power cut, however well it can be read until then."""
+    holder = Holder()
+    holder.copies.options = replace(holder.copies.options, durability="power-cut")
+    joined, filled, written, _, promised, _ = holder.life()
+    for word in (joined, filled, written):
+        holder.asked(word)
+    held = holder.copies.held_logs
+    assert held.table[LOG].sure
+    holder.files.refuse[holder.files.count + 1] = errno.EIO
+    await holder.copies._sync()
+    assert not held.table[LOG].sure
+    holder.files.refuse[holder.files.count + 1] = errno.EIO
+    holder.asked(promised)
+    assert not held.table[LOG].sure
+    holder.copies.asked(WRITER, logs.Join(LOG, EPOCH + 1, (EPOCH, 2)))
+    holder.copies.asked(WRITER, logs.Part(LOG, EPOCH + 1, (EPOCH + 1, 1), 0, False, whole()))
+    assert held.table[LOG].sure  # filled anew
+
+
+def test_a_copy_that_could_not_be_read_is_looked_at_again_and_counts_as_before():
+    holder = Holder()
+    joined, filled, written, _, _, _ = holder.life()
+    for word in (joined, filled):
+        holder.asked(word)
+    table, recovered = holder.copies.held_logs.table, holder.copies._recovered
+    holder.copies._recovered = lambda log, replica: False
+    holder.files.refuse |= {holder.files.count + step: errno.EIO for step in range(1, 9)}  # the write and its retries
+    holder.asked(written)
+    assert not table[LOG].known and not table[LOG].sure
+    holder.copies._recovered = recovered
+    holder.now += AGAIN_MS
+    holder.copies.tick()
+    assert table[LOG].known and table[LOG].sure and table[LOG].last == (EPOCH, 1)
