Let a never-filled copy go as soon where its writer writes another ledger now

What operators saw: after refusing disks a copy with no record stood for ten times take-over-use, where its member had begun another ledger. Cause: HeldLogs._never_filled asked whether the promise was its writer's, and a writer that has moved on is forgotten (writer ""). Change: the copy is let go where its last promise is to a process of the log's own member, which takes nothing over. Why it holds: only a promise to who takes a ledger over may not be forgotten; a copy that can't be read stays.

--- a/flintshift/copies/log_holders.py
+++ b/flintshift/copies/log_holders.py
@@ -252,9 +252,11 @@
         del self.table[log]
         return [Lost(log, held.writer)]
 
-    def _never_filled(self, held: HeldLog) -> bool:
-        """Nothing is lost with this copy, and no promise that it gave to another than its writer is forgotten."""
-        return held.known and not held.sure and held.last == NOWHERE and held.by == held.writer
+    def _never_filled(self, log: LogId, held: HeldLog) -> bool:
+        """Nothing is lost with this copy, and no promise is forgotten that it gave to who takes the log over: it gave
+        one to processes of the log's own member alone."""
+        own = held.by.rpartition("#")[0] == log[0]
+        return held.known and not held.sure and held.last == NOWHERE and own
 
     def tick(self, now_ms: float) -> list[HolderAction]:
         actions: list[HolderAction] = []
@@ -274,7 +276,7 @@
                 again_ms = (1 + rank) * self.pace.stagger_ms
             if now_ms < max(due_ms, held.asked_ms + again_ms):
                 continue
-            if self._never_filled(held):
+            if self._never_filled(log, held):
                 actions += self._lost(log, held)
                 continue
             held.patient = now_ms < held.dead_ms + self.pace.patience * self.pace.take_over_ms
--- a/tests/copies/test_unsure_copies.py
+++ b/tests/copies/test_unsure_copies.py
@@ -80,6 +80,16 @@
     assert joined[-1].word.word is logs.Word.GRANTED
 
 
+def test_an_empty_copy_whose_writer_writes_another_ledger_now_is_let_go_as_soon():
+    holders = Holders()
+    holders.alive.add("n1#2")
+    holders.members["n2"].asked("n1#2", logs.Join(LOG, 6, (5, 40)))  # its disk refused to be filled
+    holders.members["n2"].asked("n1#2", logs.Join(("n1", b"new"), 7, logs.NOWHERE))
+    holders.until(PACE.take_over_ms + 5 * PACE.stagger_ms)
+    ((name, lost),) = holders.done
+    assert name == "n2" and isinstance(lost, logs.Lost) and lost.log == LOG
+
+
 def test_an_empty_copy_that_has_promised_the_ledger_to_another_stays_while_that_may_count():
     holders = Holders()
     holders.hold("n2", logs.NOWHERE, False, by="n4#1")
