Split the wiring of copied ledgers and of copied claims by concern

Change: held_copies.py (copies on this disk), taken_ledgers.py (ledgers of dead members), copied_claims.py (the planner's port) and copies_status.py (what operators are told); use_copies.py keeps the member's own writer, copying.py links and state machines. The sum of what a claim is kept for stood twice. Tests name the new places; nothing of them is eased.

--- a/flintshift/lifecycle/agreeing.py
+++ b/flintshift/lifecycle/agreeing.py
@@ -8,7 +8,7 @@
 
 from flintshift.core.attempts import Attempt
 from flintshift.interface import Outcome
-from flintshift.lifecycle.copying import Copying
+from flintshift.lifecycle.copied_claims import CopiedClaims
 from flintshift.lifecycle.upgrade import Upgrade
 
 
@@ -17,36 +17,36 @@
 
     needed = True
 
-    def __init__(self, upgrade: Upgrade, copying: Copying) -> None:
-        self.upgrade, self.copying = upgrade, copying
+    def __init__(self, upgrade: Upgrade, claims: CopiedClaims) -> None:
+        self.upgrade, self.claims = upgrade, claims
         upgrade.keys_elsewhere = True
 
     def unsure(self, attempt: Attempt) -> bool:
-        return self.copying.unsure(attempt)
+        return self.claims.unsure(attempt)
 
     def ask(self, attempt: Attempt) -> None:
-        self.copying.ask(attempt)
+        self.claims.ask(attempt)
 
     def departed(self, request: str) -> None:
-        self.copying.departed(request)
+        self.claims.departed(request)
 
     def kept(self, attempt: Attempt) -> None:
-        self.copying.kept(attempt)
+        self.claims.kept(attempt)
 
     def keeps(self, attempt: Attempt, outcome: Outcome, result: bytes) -> bool:
-        return self.copying.keeps(attempt, outcome, result)
+        return self.claims.keeps(attempt, outcome, result)
 
     def over(self, attempt: Attempt) -> None:
-        self.copying.over(attempt)
+        self.claims.over(attempt)
 
     def freed(self, attempt: Attempt) -> None:
-        self.copying.freed(attempt)
+        self.claims.freed(attempt)
 
     def heard(self, word: Any) -> None:
         if isinstance(word, tuple):  # of the other process, with the link it came by
             self.upgrade.heard(word)
         else:
-            self.copying.heard(word)
+            self.claims.heard(word)
 
     def tick(self) -> None:
         self.upgrade.tick()
--- /dev/null
+++ b/flintshift/lifecycle/copied_claims.py
@@ -0,0 +1,169 @@
+"""The decision planner's port where keys are agreed with further members: a try of a keyed request becomes a claim, and
+what the holders say becomes the planner's next events. Imported only where copies are on.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+from flintshift.copies.messages import (
+    Action,
+    Claim,
+    Event,
+    Finish,
+    Free,
+    Gone,
+    Granted,
+    Key,
+    Known,
+    NoWord,
+    Overdue,
+    Settled,
+    Told,
+)
+from flintshift.core import attempts as at
+from flintshift.core.attempts import Attempt
+from flintshift.core.counters import Counters
+from flintshift.core.decisions import Decisions
+from flintshift.core.keys import Entry as Held
+from flintshift.core.keys import Stage, fingerprint
+from flintshift.core.limits import Limits
+from flintshift.core.ports import Log
+from flintshift.interface import Outcome, RequestClass
+
+
+class CopiedClaims:
+    """``core.ports.Claims``. ``wall_ms`` is the node's clock, ``now_ms`` the one of the proposals, ``tell`` hands an
+    event to them in a turn of the planner."""
+
+    needed = True
+
+    def __init__(
+        self,
+        decisions: Decisions,
+        limits: Limits,
+        wall_ms: Callable[[], float],
+        now_ms: Callable[[], float],
+        tell: Callable[[Event], None],
+        counters: Counters,
+        log: Log,
+    ) -> None:
+        self.decisions, self.limits, self.wall_ms, self.now_ms = decisions, limits, wall_ms, now_ms
+        self.tell, self.counters, self.log = tell, counters, log
+        self.keys: dict[str, Key] = {}  # of tries that wait for the holders' word
+
+    def unsure(self, attempt: Attempt) -> bool:
+        return False
+
+    def ask(self, attempt: Attempt) -> None:
+        spare = attempt.due_ms - self.limits.claim_spare_ms - self.wall_ms()
+        key = key_of(attempt)
+        self.keys[attempt.id] = key
+        self.tell(
+            Claim(
+                key,
+                attempt.id,
+                fingerprint(attempt),
+                self._keep_ms(attempt),
+                self.now_ms() + min(self.limits.claim_ms, max(spare, 0.0)),
+                attempt.again or not self.decisions.catalogue.decided.marks_repeats,
+            )
+        )
+
+    def _keep_ms(self, attempt: Attempt) -> float:
+        assert attempt.kind is not None
+        return self._promised_ms(attempt.kind)
+
+    def _promised_ms(self, kind: RequestClass) -> float:
+        """From a try's arrival until nothing is promised of it any more."""
+        return kind.repeat_window_ms + kind.deadline_ms + self.limits.key_margin_ms + self.limits.key_late_ms
+
+    def longest_keep_ms(self) -> float:
+        """The same for the class that is kept longest, as clocks of members may differ."""
+        promised = (self._promised_ms(kind) for kind in self.decisions.catalogue.decided.classes)
+        least = self.limits.key_margin_ms + self.limits.key_late_ms
+        return max(promised, default=least) + self.limits.clock_skew_ms
+
+    def departed(self, request: str) -> None:
+        key = self.keys.pop(request, None)
+        if key is not None:
+            self.tell(Gone(key, request))
+
+    def kept(self, attempt: Attempt) -> None:
+        """The table holds its entry; the holders have its claim."""
+
+    def keeps(self, attempt: Attempt, outcome: Outcome, result: bytes) -> bool:
+        due = attempt.due_ms - self.limits.claim_spare_ms - self.wall_ms()
+        self.tell(
+            Finish(
+                key_of(attempt),
+                attempt.id,
+                fingerprint(attempt),
+                self._keep_ms(attempt),
+                self.now_ms() + max(due, 0.0),
+                outcome,
+                result,
+            )
+        )
+        return True
+
+    def over(self, attempt: Attempt) -> None:
+        """Its end is kept by the holders already."""
+
+    def freed(self, attempt: Attempt) -> None:
+        self.tell(Free(key_of(attempt), attempt.id))
+
+    def tick(self) -> None:
+        """The proposals have a clock of their own."""
+
+    def heard(self, word: Action) -> None:
+        """In a turn of the planner."""
+        pending, keys = self.decisions.pending, self.decisions.keys
+        match word:
+            case Granted(owner):
+                self.keys.pop(owner, None)
+                pending.append(at.Agreed(owner, True))
+            case Known(waiting, key, value):
+                until = self.wall_ms() + self.limits.clock_skew_ms + self.limits.claim_ms
+                held = Held(value.owner, until, value.print, value.outcome, value.result, other=True)
+                pending.extend(at.RunOver(follower, Outcome.ERROR) for follower in keys.adopt(key, held, -math.inf))
+                for owner in waiting:
+                    self.keys.pop(owner, None)
+                    pending.append(at.Agreed(owner, False))
+            case NoWord(owner, may_have_run, cause):
+                self.keys.pop(owner, None)
+                self.counters.add("copies.no_word")
+                # Without the request's id, so that a flood of them is told as one with its count.
+                self.log("warning", "copies.no_word", name=cause, may_have_run=may_have_run)
+                self.log("debug", "copies.no_word_for", request=owner, may_have_run=may_have_run, cause=cause)
+                pending.append(at.Agreed(owner, None, not may_have_run))
+            case Settled(key, owner, outcome, result, ours):
+                if not ours:
+                    self.counters.add("copies.fenced")
+                    self.log(
+                        "warning",
+                        "copies.fenced",
+                        request=owner,
+                        key=key[1],
+                        outcome=outcome.value,
+                        cause="another member settled this run while this one was out of reach",
+                    )
+                pending.append(at.Kept(owner, outcome, result))
+            case Overdue(owner):
+                pending.append(at.Kept(owner, None))
+            case Told(key, value):
+                other = keys.others(key, value.owner)
+                if other is None:
+                    return
+                if value.stage is Stage.FREE:
+                    pending.extend(at.RunOver(one, Outcome.REJECTED) for one in keys.free(key, value.owner))
+                else:
+                    outcome = value.outcome or Outcome.ERROR
+                    pending.extend(
+                        at.RunOver(one, outcome, 0.0, value.result) for one in keys.end(other, outcome, value.result)
+                    )
+
+
+def key_of(attempt: Attempt) -> Key:
+    return attempt.class_name, attempt.unique or ""
--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -1,5 +1,5 @@
 """The copies at the node's side: the state machines of `copies/` and `peers/`, their disk, their links, their clock,
-and the decision planner's port. Imported only where copies are on.
+and what the planner is to hear of them. Imported only where copies are on.
 
 Everything happens in turns of one event loop; what the planner is to hear goes through its mailbox. This member's own
 store is held by `lifecycle/replica_store.py`.
@@ -23,23 +23,13 @@
 from flintshift.copies.messages import (
     Action,
     Ask,
-    Claim,
     Ended,
     Event,
-    Finish,
-    Free,
-    Gone,
-    Granted,
     Key,
-    Known,
-    NoWord,
-    Overdue,
     Reach,
     Send,
-    Settled,
     TakeOver,
     Tick,
-    Told,
     TookOver,
     Vote,
     Voted,
@@ -49,14 +39,13 @@
 from flintshift.copies.refill import FillAsk, Page
 from flintshift.copies.store import boot_id
 from flintshift.core import attempts as at
-from flintshift.core.attempts import Attempt
 from flintshift.core.counters import Counters
 from flintshift.core.decisions import Decisions
-from flintshift.core.keys import Entry as Held
-from flintshift.core.keys import Stage, fingerprint
 from flintshift.core.limits import Limits
 from flintshift.core.ports import Log
 from flintshift.interface import Outcome
+from flintshift.lifecycle.copied_claims import CopiedClaims
+from flintshift.lifecycle.copies_status import copies_status
 from flintshift.lifecycle.replica_store import ReplicaStore
 from flintshift.peers import members as who
 from flintshift.proto import peers_pb2 as pb
@@ -84,9 +73,7 @@
 
 
 class Copying:
-    """The decision planner's port (``core.ports.Claims``), and an actor of the node."""
-
-    needed = True
+    """An actor of the node; ``claims`` is the decision planner's port."""
 
     def __init__(
         self,
@@ -107,14 +94,15 @@
         ended."""
         self.name, self.options, self.decisions, self.limits = name, options, decisions, limits
         self.again, self.guest = again, guest
-        self.counters, self.wall_ms, self.log = counters, now_ms, log
+        self.counters, self.log = counters, log
         self.identity = f"{name}#{int(time.time() * 1000):x}{os.urandom(2).hex()}"
         self.draw = random.Random()
         halls = {member: hall for member, (hall, _) in peers.members.items()}
         self.placement = Placement(halls, options.copies)
         self.files = files or DiskFiles()
-        self.store = ReplicaStore(self, name, self.placement, options, self.files, self._now, counters, log)
-        self.members = who.Members(self.identity, halls, who.Pace(peers.beat_ms, peers.lease_ms), self._now())
+        self.claims = CopiedClaims(decisions, limits, now_ms, self.now_ms, self._from_planner, counters, log)
+        self.store = ReplicaStore(self, name, self.placement, options, self.files, self.now_ms, counters, log)
+        self.members = who.Members(self.identity, halls, who.Pace(peers.beat_ms, peers.lease_ms), self.now_ms())
         self.proposals = Proposals(self.identity, self.placement, self._lives, self.draw)
         greeting = self.greeting = Greeting(name, self.identity, peers.epoch, members_digest(peers))
         self.links = {
@@ -140,7 +128,6 @@
         self.timer_ms = math.inf
         self.words: deque[Action] = deque()  # for the planner
         self.worded = anyio.Event()
-        self.keys: dict[str, Key] = {}  # of tries that wait for the holders' word
         self.in_turn = False  # of the planner
         self.reached: set[str] = set()
         self.not_linked: dict[str, str] = {}  # why, last
@@ -177,8 +164,8 @@
             self.files,
             boot_id(),
             self._lives,
-            self._now,
-            lambda member, word: self.links[member].send(word, self._now(), False),
+            self.now_ms,
+            lambda member, word: self.links[member].send(word, self.now_ms(), False),
             self.front.send,
             self.counters,
             self.log,
@@ -198,7 +185,7 @@
             uniform,
             self._lives,
             self.reached,
-            lambda member, word: self.links[member].send(word, self._now(), False),
+            lambda member, word: self.links[member].send(word, self.now_ms(), False),
             self.front.send,
             go,
             self.counters,
@@ -207,11 +194,11 @@
         return permits
 
     @staticmethod
-    def _now() -> float:
+    def now_ms() -> float:
         return time.monotonic() * 1000
 
     def _lives(self, runner: str) -> bool:
-        return self.members.lives(runner, self._now())
+        return self.members.lives(runner, self.now_ms())
 
     # What the store needs of its host.
 
@@ -225,164 +212,11 @@
 
     def keep_for_ms(self) -> float:
         """From a try's arrival until nothing is promised of it any more, for the longest class."""
-        settings = self.decisions.catalogue.decided
-        longest = max((kind.repeat_window_ms + kind.deadline_ms for kind in settings.classes), default=0.0)
-        return longest + self.limits.key_margin_ms + self.limits.key_late_ms + self.limits.clock_skew_ms
-
-    # The planner's port.
-
-    def unsure(self, attempt: Attempt) -> bool:
-        return False
-
-    def ask(self, attempt: Attempt) -> None:
-        kind = attempt.kind
-        assert kind is not None
-        spare = attempt.due_ms - self.limits.claim_spare_ms - self.wall_ms()
-        key = key_of(attempt)
-        self.keys[attempt.id] = key
-        self._from_planner(
-            Claim(
-                key,
-                attempt.id,
-                fingerprint(attempt),
-                self._keep_ms(attempt),
-                self._now() + min(self.limits.claim_ms, max(spare, 0.0)),
-                attempt.again or not self.decisions.catalogue.decided.marks_repeats,
-            )
-        )
-
-    def _keep_ms(self, attempt: Attempt) -> float:
-        kind = attempt.kind
-        assert kind is not None
-        return kind.repeat_window_ms + kind.deadline_ms + self.limits.key_margin_ms + self.limits.key_late_ms
-
-    def departed(self, request: str) -> None:
-        key = self.keys.pop(request, None)
-        if key is not None:
-            self._from_planner(Gone(key, request))
-
-    def kept(self, attempt: Attempt) -> None:
-        """The table holds its entry; the holders have its claim."""
-
-    def keeps(self, attempt: Attempt, outcome: Outcome, result: bytes) -> bool:
-        kind = attempt.kind
-        assert kind is not None
-        due = attempt.due_ms - self.limits.claim_spare_ms - self.wall_ms()
-        self._from_planner(
-            Finish(
-                key_of(attempt),
-                attempt.id,
-                fingerprint(attempt),
-                self._keep_ms(attempt),
-                self._now() + max(due, 0.0),
-                outcome,
-                result,
-            )
-        )
-        return True
-
-    def over(self, attempt: Attempt) -> None:
-        """Its end is kept by the holders already."""
-
-    def freed(self, attempt: Attempt) -> None:
-        self._from_planner(Free(key_of(attempt), attempt.id))
-
-    def tick(self) -> None:
-        """This actor has a clock of its own."""
-
-    def heard(self, word: Action) -> None:
-        """In a turn of the planner."""
-        pending, keys = self.decisions.pending, self.decisions.keys
-        match word:
-            case Granted(owner):
-                self.keys.pop(owner, None)
-                pending.append(at.Agreed(owner, True))
-            case Known(waiting, key, value):
-                until = self.wall_ms() + self.limits.clock_skew_ms + self.limits.claim_ms
-                held = Held(value.owner, until, value.print, value.outcome, value.result, other=True)
-                pending.extend(at.RunOver(follower, Outcome.ERROR) for follower in keys.adopt(key, held, -math.inf))
-                for owner in waiting:
-                    self.keys.pop(owner, None)
-                    pending.append(at.Agreed(owner, False))
-            case NoWord(owner, may_have_run, cause):
-                self.keys.pop(owner, None)
-                self.counters.add("copies.no_word")
-                # Without the request's id, so that a flood of them is told as one with its count.
-                self.log("warning", "copies.no_word", name=cause, may_have_run=may_have_run)
-                self.log("debug", "copies.no_word_for", request=owner, may_have_run=may_have_run, cause=cause)
-                pending.append(at.Agreed(owner, None, not may_have_run))
-            case Settled(key, owner, outcome, result, ours):
-                if not ours:
-                    self.counters.add("copies.fenced")
-                    self.log(
-                        "warning",
-                        "copies.fenced",
-                        request=owner,
-                        key=key[1],
-                        outcome=outcome.value,
-                        cause="another member settled this run while this one was out of reach",
-                    )
-                pending.append(at.Kept(owner, outcome, result))
-            case Overdue(owner):
-                pending.append(at.Kept(owner, None))
-            case Told(key, value):
-                other = keys.others(key, value.owner)
-                if other is None:
-                    return
-                if value.stage is Stage.FREE:
-                    pending.extend(at.RunOver(one, Outcome.REJECTED) for one in keys.free(key, value.owner))
-                else:
-                    outcome = value.outcome or Outcome.ERROR
-                    pending.extend(
-                        at.RunOver(one, outcome, 0.0, value.result) for one in keys.end(other, outcome, value.result)
-                    )
+        return self.claims.longest_keep_ms()
 
     def shown(self) -> dict[str, Any]:
         """How the copies and the other members stand, for operators."""
-        now, registers = self._now(), self.store.registers
-        processes: dict[str, list[dict[str, Any]]] = {}
-        for identity, one in self.members.processes.items():
-            processes.setdefault(who.member_of(identity), []).append(
-                {
-                    "identity": identity,
-                    "silent_ms": round(now - one.heard_ms),
-                    "state": "dead" if one.dead else "suspected" if one.accused else "alive",
-                }
-            )
-        return {
-            "member": self.name,
-            "identity": self.identity,
-            "epoch": self.greeting.epoch,
-            "holds": self.store.folder is not None,
-            "store": registers.store,
-            "votes": registers.full_vote,
-            "disk": "takes" if self.store.refusing_ms is None else "refuses",
-            "disk_cause": self.store.refusal,
-            "disk_refuses_for_ms": 0 if self.store.refusing_ms is None else round(now - self.store.refusing_ms),
-            "votes_in_ms": 0 if registers.full_vote else max(0, round(registers.voting_from_ms - now)),
-            "filled_by": sorted(registers.filled_by),
-            "keys": len(registers.table),
-            "bytes": registers.bytes,
-            "stages": registers.stages(),
-            "under_copied": registers.under_copied(self.reached | {self.name}),
-            "use": self.use.shown() if self.use is not None else [],
-            "proposals": len(self.proposals.under_way),
-            "followed": len(self.proposals.followed),
-            "may_have_run": [
-                {"class": key[0], "key": key[1], "request": owner} for key, owner in self.taken_over.items()
-            ],
-            "members": [
-                {
-                    "member": member,
-                    "hall": self.placement.halls[member],
-                    "linked": member in self.reached,
-                    "cause": self.not_linked.get(member, ""),
-                    "processes": processes.get(member, []),
-                }
-                for member in self.placement.halls
-                if member != self.name
-            ],
-        }
+        return copies_status(self)
 
     def _from_planner(self, event: Event) -> None:
         self.in_turn = True
@@ -394,12 +228,12 @@
     # The state machines.
 
     def _event(self, event: Event) -> None:
-        for action in self.proposals.handle(self._now(), event):
+        for action in self.proposals.handle(self.now_ms(), event):
             match action:
                 case Send(to, ask) if to == self.name and self.store.folder is not None:
                     self.store.vote(self.identity, ask)
                 case Send(to, ask):
-                    self.links[to].send(ask, self._now(), True)
+                    self.links[to].send(ask, self.now_ms(), True)
                 case TookOver(key, value):
                     self.counters.add("copies.took_over")
                     self.log(
@@ -424,27 +258,27 @@
 
     def _wake(self) -> None:
         """Have the proposals ticked when they next need it."""
-        if self.timer_ms < self._now() + SOON_MS:
+        if self.timer_ms < self.now_ms() + SOON_MS:
             return  # it is looked at soon enough
         due = self.proposals.due_ms()
         if due < self.timer_ms:
             if self.timer is not None:
                 self.timer.cancel()
             self.timer_ms = due
-            self.timer = asyncio.get_running_loop().call_later(max(due - self._now(), 1.0) / 1000, self._ticked)
+            self.timer = asyncio.get_running_loop().call_later(max(due - self.now_ms(), 1.0) / 1000, self._ticked)
 
     def _ticked(self) -> None:
         self.timer, self.timer_ms = None, math.inf
         self._event(Tick())
 
     def _members(self, event: who.Event) -> None:
-        for action in self.members.handle(self._now(), event):
+        for action in self.members.handle(self.now_ms(), event):
             match action:
                 case who.Beat(to):
                     self.links[to].beat()
                 case who.Accuse():
                     for link in self.links.values():
-                        link.send(action, self._now(), False)
+                        link.send(action, self.now_ms(), False)
                 case who.Appeared(identity):
                     self.log("info", "peers.appeared", identity=identity)
                 case who.Suspected(identity, silent_ms):
@@ -592,7 +426,7 @@
             await self.decisions.report(at.Told(self.words.popleft()))
 
     def _tick(self) -> None:
-        now = self._now()
+        now = self.now_ms()
         for link in self.links.values():
             link.watch(now)
         self._members(who.Tick())
@@ -608,7 +442,3 @@
             if key not in self.proposals.under_way:
                 self._event(TakeOver(key, owner))
         self.store.purge(now)
-
-
-def key_of(attempt: Attempt) -> Key:
-    return attempt.class_name, attempt.unique or ""
--- /dev/null
+++ b/flintshift/lifecycle/held_copies.py
@@ -0,0 +1,283 @@
+"""Copies of other members' ledgers on this member's disk, in step with the rules of `copies.log_holders`.
+
+The disk owns the truth: where it refuses what the state machine decided, the state machine is put back to what stands
+there (docs/design/copies.md). Imported only where copies and the ledger of use are both on.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import anyio
+
+from flintshift.copies import logs
+from flintshift.copies.log_holders import HeldLogs, HolderPace
+from flintshift.copies.logs import LogId
+from flintshift.copies.placement import Placement
+from flintshift.core.counters import Counters
+from flintshift.core.ports import Log
+from flintshift.lifecycle.taken_ledgers import TakenLedgers
+from flintshift.settings.options import CopiesOptions
+from flintshift.storage.files import Files
+from flintshift.storage.log import BrokenError
+from flintshift.storage.snapshot import DamagedError
+from flintshift.usage import replica as on_disk
+from flintshift.usage.replica import CopyState, Replica
+
+TELL_REFUSED_MS = 500.0  # from a refusal until a writer hears of it: not at once, as it answers with all that it has
+REFUSED = (OSError, BrokenError, DamagedError)
+FOLDER = "use"  # below the copies' folder
+
+
+class HeldCopies:
+    """``send`` speaks to a member, ``answer`` to one that asked. ``taken`` is what becomes of those whose writer is
+    dead; it is set before anything is held."""
+
+    taken: TakenLedgers
+
+    def __init__(
+        self,
+        name: str,
+        identity: str,
+        placement: Placement,
+        options: CopiesOptions,
+        files: Files,
+        boot: str,
+        lives: Callable[[str], bool],
+        now_ms: Callable[[], float],
+        send: Callable[[str, logs.LogWord], None],
+        answer: Callable[[str, logs.LogWord], None],
+        counters: Counters,
+        log: Log,
+    ) -> None:
+        self.options, self.files, self.boot, self.now_ms = options, files, boot, now_ms
+        self.send, self.answer, self.counters, self.log = send, answer, counters, log
+        self.folder = options.folder / FOLDER
+        self.held_logs = HeldLogs(name, identity, placement.of_log, lives, HolderPace(options.take_over_ms))
+        self.replicas: dict[LogId, Replica] = {}
+        self.unsynced_refused: set[LogId] = set()  # copies of which a sync failed: what can be read may be gone later
+        self.refused: dict[LogId, float] = {}  # copies whose writer is to hear that their disk refused, and when
+        self.ends: dict[LogId, int] = {}  # by log, the epoch of an end that the disk refused
+        self.unsynced: list[tuple[LogId, str, logs.LogWord]] = []
+        self.sync_wanted = anyio.Event()
+
+    def restore(self) -> None:
+        """Hold what stands on the disk.
+
+        Raises:
+            OSError, LockedError: the folder can't be used; nothing of it is held, so that it can be tried again.
+        """
+        try:
+            self._restore()
+        except BaseException:
+            for replica in self.replicas.values():
+                replica.ledger.close()
+            self.replicas.clear()
+            self.held_logs.table.clear()
+            raise
+
+    def _restore(self) -> None:
+        for folder, state in on_disk.stands(self.files, self.folder):
+            log = state.member, state.life
+            sure = state.sure and (self.options.durability == "power-cut" or state.boot in ("", self.boot))
+            try:
+                replica = Replica(self.files, folder, state, self.options.segment_bytes)
+            except DamagedError as error:
+                self.log(
+                    "error",
+                    "usage.copy_damaged",
+                    ledger=state.member,
+                    cause=str(error),
+                    then="it is filled anew by whoever writes that ledger",
+                )
+                on_disk.emptied(self.files, folder)
+                replica, sure = Replica(self.files, folder, state, self.options.segment_bytes), False
+            self.replicas[log] = replica
+            self.held_logs.restored(log, state.promised, state.by, replica.last, sure, state.over)
+            if not state.over:
+                replica.keep(sure=sure, boot=self.boot)
+
+    def hold(self, actions: list[logs.HolderAction]) -> None:
+        """Do what the state machine says. Where the disk refuses, nothing more is done on that ledger: what was to be
+        answered stands on no disk."""
+        refused: set[LogId] = set()
+        for action in actions:
+            log = (
+                action.word.log
+                if isinstance(action, logs.Answer | logs.Ask)
+                else (action.told.log if isinstance(action, logs.Note) else action.log)
+            )
+            if log in refused:
+                continue
+            try:
+                self._held(log, action)
+            except REFUSED as error:
+                refused.add(log)
+                self.refuse(log, error)
+                if isinstance(action, logs.Forget):  # it was told once, and is not asked for again
+                    self.ends[log] = action.epoch
+
+    def refuse(self, log: LogId, error: Exception, unsynced: bool = False) -> None:
+        """The disk refused what the state machine had decided. The disk has the truth: the state machine is put back
+        to what stands there. ``unsynced``: what was written last may be gone, whatever can be read of it now."""
+        self.counters.add("usage.copy_refused")
+        replica = self.replicas.get(log)
+        known = replica is not None and self._recovered(log, replica)
+        if unsynced:
+            self.unsynced_refused.add(log)
+        if replica is None:
+            self.held_logs.dropped(log)
+        elif log not in self.taken.table:
+            state, last = replica.state, replica.last if known else logs.NOWHERE
+            sure = known and self._stands(log, replica)
+            self.held_logs.put_back(log, state.promised, state.by, last, sure, state.over, known)
+            self.refused.setdefault(log, self.now_ms() + TELL_REFUSED_MS)
+        self.log(
+            "error",
+            "usage.copy_refused",
+            ledger=log[0],
+            cause=str(error),
+            then="tried again"
+            if log in self.taken.table
+            else "it goes on from what it holds"
+            if replica is not None and self.held_logs.table[log].sure
+            else "it is filled anew by whoever writes that ledger",
+        )
+
+    def tell_refused(self, now: float) -> None:
+        """A word that was refused had no answer, and a writer that writes no more would take its copy for whole."""
+        for log in [log for log, due_ms in self.refused.items() if now >= due_ms]:
+            del self.refused[log]
+            held = self.held_logs.table.get(log)
+            if held is not None and not held.over and log not in self.taken.table:
+                self.answer(held.by, logs.At(log, logs.Word.GAP, held.promised, held.last))
+
+    def read_again(self) -> None:
+        """Look again at copies that could not be read."""
+        for log, held in list(self.held_logs.table.items()):
+            replica = self.replicas.get(log)
+            if held.known or replica is None or log in self.taken.table or not self._recovered(log, replica):
+                continue
+            state = replica.state
+            sure = self._stands(log, replica)
+            self.held_logs.put_back(log, state.promised, state.by, replica.last, sure, state.over)
+            self.log("info", "usage.copy_readable", ledger=log[0], records=replica.last[1], sure=sure)
+
+    def keep_ends(self) -> None:
+        """Try again to keep that a ledger is over."""
+        ends, self.ends = self.ends, {}
+        for log, epoch in ends.items():
+            if log in self.replicas and not self.replicas[log].state.over:
+                self.hold(self.held_logs.over(log, epoch))
+
+    def _recovered(self, log: LogId, replica: Replica) -> bool:
+        """What stands on the disk of this copy is known, and it can go on from there."""
+        try:
+            replica.recover()
+        except REFUSED as error:
+            self.log("warning", "usage.copy_unreadable", ledger=log[0], cause=str(error))
+        return replica.writable
+
+    def _stands(self, log: LogId, replica: Replica) -> bool:
+        """All that this copy acknowledged stands on its disk."""
+        return replica.whole and log not in self.unsynced_refused
+
+    def _held(self, log: LogId, action: logs.HolderAction) -> None:
+        match action:
+            case logs.Promise(_, epoch, by):
+                self._promise(log, epoch, by)
+            case logs.Write(_, epoch, first, records):
+                self.replicas[log].append(epoch, first, records)
+            case logs.Replace(_, (epoch, sequence), data):
+                self.replicas[log].replace(epoch, sequence, data)
+                self.replicas[log].keep(sure=True)
+                self.unsynced_refused.discard(log)
+            case logs.Note(told):
+                self.replicas[log].note(told.sink, told.name, told.digest)
+            case logs.Answer(to, word):
+                if self.options.durability == "power-cut":
+                    self.unsynced.append((log, to, word))
+                    self.sync_wanted.set()
+                else:
+                    self.answer(to, word)
+            case logs.Ask(member, word):
+                self.send(member, word)
+            case logs.Taken():
+                self.taken.take(action)
+            case logs.Forget(_, epoch):
+                self.replicas[log].forget(epoch)
+                self.taken.leave(log)
+            case logs.Drop():
+                self.replicas.pop(log).drop()
+            case logs.Lost(_, of):
+                self._lost(log, of)
+
+    def _lost(self, log: LogId, of: str) -> None:
+        """A ledger of a dead writer of which nothing came here. What it booked while no copy answered was told as
+        ``usage.copies_lack`` by its writer."""
+        self.counters.add("usage.copy_let_go")
+        self.log(
+            "warning",
+            "usage.copy_let_go",
+            ledger=log[0],
+            life=log[1].hex(),
+            of=of,
+            cause="its writer is dead, and this copy was never filled",
+            then="where the writer comes back with its disk, it is copied again",
+        )
+        self.replicas.pop(log).drop()
+
+    def _promise(self, log: LogId, epoch: int, by: str) -> None:
+        """Keep a promise; a copy counts once its first one stands on the disk."""
+        replica = self.replicas.get(log)
+        if replica is not None:
+            replica.keep(promised=epoch, by=by)
+            return
+        state = CopyState(*log, epoch, by, False, self.boot)
+        folder = self.folder / on_disk.folder_name(*log)
+        replica = Replica(self.files, folder, state, self.options.segment_bytes)
+        try:
+            replica.keep()
+        except BaseException:
+            replica.ledger.close()
+            raise
+        self.replicas[log] = replica
+
+    def retire(self, sinks: list[str], retention_ms: float) -> None:
+        """Let go of what every sink has, and of what is too old."""
+        for log, replica in self.replicas.items():
+            try:
+                if not replica.state.over:
+                    replica.retire(sinks, retention_ms, time.time() * 1000)
+            except REFUSED as error:
+                self.log("warning", "usage.retire_failed", ledger=log[0], cause=str(error))
+
+    async def run(self) -> None:
+        """Acknowledge copies as their syncs end, where a power cut must not lose them."""
+        while True:
+            while not self.unsynced:
+                self.sync_wanted = anyio.Event()
+                await self.sync_wanted.wait()
+            await self.sync()
+
+    async def sync(self) -> None:
+        """Acknowledge what stands on the disk, whatever becomes of the machine."""
+        told, self.unsynced = self.unsynced, []
+        for log in {log for log, _, _ in told}:
+            try:
+                replica = self.replicas.get(log)
+                if replica is not None and not replica.state.over:
+                    await anyio.to_thread.run_sync(replica.ledger.log.sync)
+            except REFUSED as error:
+                self.refuse(log, error, unsynced=True)
+                told = [one for one in told if one[0] != log]
+        for _, to, word in told:
+            self.answer(to, word)
+
+    def close(self) -> None:
+        for log, replica in self.replicas.items():
+            try:
+                replica.close()
+            except REFUSED as error:  # after a start of the machine it is filled anew
+                self.log("warning", "usage.copy_not_closed", ledger=log[0], cause=str(error))
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -194,7 +194,7 @@
         if self.copying is not None:
             from flintshift.lifecycle.agreeing import Agreeing
 
-            self.decisions.waiting.claims = Agreeing(self.upgrade, self.copying)
+            self.decisions.waiting.claims = Agreeing(self.upgrade, self.copying.claims)
         for front, _ in self.fronts:
             front.leave()  # until it is known that this process takes the clients
 
@@ -223,7 +223,7 @@
         if self.ledger is not None and self.config.operators.usage is not None and options.copies > 1:
             copy_ledger(copying, self.ledger, self.config.operators.usage, self.retry)
         self.copying = copying
-        self.decisions.waiting.claims, self.decisions.waiting.elsewhere = copying, True
+        self.decisions.waiting.claims, self.decisions.waiting.elsewhere = copying.claims, True
         self.actors.append(copying.run)
         self._show(options.folder / SOCKET, "copies", copying.shown, "how the copies stand")
 
--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -83,10 +83,10 @@
 
     def in_step(self):
         """The state machine and the table name the same copies, and agree on what they promised and hold."""
-        table = self.copies.held_logs.table
-        assert set(table) == set(self.copies.replicas)
+        table = self.copies.holder.held_logs.table
+        assert set(table) == set(self.copies.holder.replicas)
         for log, held in table.items():
-            replica = self.copies.replicas[log]
+            replica = self.copies.holder.replicas[log]
             assert (held.promised, held.by, held.over) == (
                 replica.state.promised,
                 replica.state.by,
@@ -142,7 +142,7 @@
         holder.asked(logs.Part(LOG, EPOCH, (EPOCH, 1), 0, False, whole()))
         holder.asked(logs.Append(LOG, EPOCH, 2, (TURNED,)))
     holder.in_step()
-    held = holder.copies.held_logs.table[LOG]
+    held = holder.copies.holder.held_logs.table[LOG]
     assert held.sure and held.last == (EPOCH, 2)
 
 
@@ -156,7 +156,7 @@
     assert holder.asked(raised) is None  # nothing was kept of it
     holder.files.refuse = {}
     assert holder.asked(raised).word is logs.Word.GRANTED
-    state = dict(on_disk.stands(holder.files, holder.copies.folder)).popitem()[1]
+    state = dict(on_disk.stands(holder.files, holder.copies.holder.folder)).popitem()[1]
     assert (state.promised, state.by) == (EPOCH + 1, WRITER)
 
 
@@ -164,7 +164,7 @@
     holder = Holder()
     holder.files.refuse = {holder.files.count + place: errno.ENOSPC for place in range(1, 1000)}
     assert holder.asked(logs.Join(LOG, EPOCH, (EPOCH, 1))) is None
-    assert holder.copies.held_logs.table == {} and holder.copies.replicas == {}
+    assert holder.copies.holder.held_logs.table == {} and holder.copies.holder.replicas == {}
     assert holder.asked(logs.Append(LOG, EPOCH, 2, (TURNED,))).word is logs.Word.NO_VOTE
     holder.files.refuse = {}
     assert holder.asked(logs.Join(LOG, EPOCH, (EPOCH, 1))).word is logs.Word.GRANTED
@@ -187,7 +187,7 @@
             again = Holder(files)  # as a start does: the first try must hold nothing
         files.refuse = {}
         again.in_step()
-        assert again.copies.held_logs.table[LOG].last == (EPOCH, 2)
+        assert again.copies.holder.held_logs.table[LOG].last == (EPOCH, 2)
         again.copies.close()
 
 
@@ -239,7 +239,7 @@
         holder.copies.tick()
     joins = [one for one in holder.answers if isinstance(one, logs.Join) and not one.takes]
     assert {one.epoch for one in joins} == {asked[0].epoch}
-    taken = holder.copies.taken[LOG]
+    taken = holder.copies.taken.table[LOG]
     assert taken.writer.last == taken.replica.last
     assert taken.writer.last[0] == asked[0].epoch
     assert not taken.replica.ledger.book.state.periods  # what was open is closed
@@ -261,8 +261,8 @@
         holder.now += 50.0
         holder.copies.tick()
     holder.in_step()
-    assert holder.copies.held_logs.table[LOG].over
-    assert Holder(holder.files.survived("kept")).copies.held_logs.table[LOG].over
+    assert holder.copies.holder.held_logs.table[LOG].over
+    assert Holder(holder.files.survived("kept")).copies.holder.held_logs.table[LOG].over
 
 
 def test_a_refused_word_on_one_ledger_does_not_stop_those_on_another():
@@ -270,7 +270,7 @@
     holder = Holder()
     for word in holder.life():
         holder.asked(word)
-    holder.copies.held_logs.pace = HolderPace(logs=1)
+    holder.copies.holder.held_logs.pace = HolderPace(logs=1)
     holder.files.refuse = {holder.files.count + 1: errno.EIO}
     other = "n1", b"m" * 16
     joined = holder.asked(logs.Join(other, EPOCH, (EPOCH, 1)))
@@ -304,14 +304,14 @@
 async def test_a_copy_whose_sync_failed_stays_unsure_through_a_later_refusal():
     """What was written before a failed sync may be gone after a power cut, however well it can be read until then."""
     holder = Holder()
-    holder.copies.options = replace(holder.copies.options, durability="power-cut")
+    holder.copies.holder.options = replace(holder.copies.holder.options, durability="power-cut")
     joined, filled, written, _, promised, _ = holder.life()
     for word in (joined, filled, written):
         holder.asked(word)
-    held = holder.copies.held_logs
+    held = holder.copies.holder.held_logs
     assert held.table[LOG].sure
     holder.files.refuse[holder.files.count + 1] = errno.EIO
-    await holder.copies._sync()
+    await holder.copies.holder.sync()
     assert not held.table[LOG].sure
     holder.files.refuse[holder.files.count + 1] = errno.EIO
     holder.asked(promised)
@@ -326,12 +326,12 @@
     joined, filled, written, _, _, _ = holder.life()
     for word in (joined, filled):
         holder.asked(word)
-    table, recovered = holder.copies.held_logs.table, holder.copies._recovered
-    holder.copies._recovered = lambda log, replica: False
+    table, recovered = holder.copies.holder.held_logs.table, holder.copies.holder._recovered
+    holder.copies.holder._recovered = lambda log, replica: False
     holder.files.refuse |= {holder.files.count + step: errno.EIO for step in range(1, 9)}  # the write and its retries
     holder.asked(written)
     assert not table[LOG].known and not table[LOG].sure
-    holder.copies._recovered = recovered
+    holder.copies.holder._recovered = recovered
     holder.now += AGAIN_MS
     holder.copies.tick()
     assert table[LOG].known and table[LOG].sure and table[LOG].last == (EPOCH, 1)
