Wait for an unsure copy that holds more before a ledger is taken over

Cause: since the takeover waits only for holders that say nothing, HeldLogs.told took an unsure copy that holds more than the sure one for one that holds no more, so its records would be left out of the bill at once, without the time in which people can bring them back. Why it holds: what was kept waiting is what may hold more; all that hold no more still end the wait. Rejected: the unsure one takes over itself at once, as it may lack its own last records and another holder may have them.

--- a/flintshift/copies/log_holders.py
+++ b/flintshift/copies/log_holders.py
@@ -229,7 +229,9 @@
         more = at.word is Word.AHEAD or (not held.sure and at.word is Word.NO_VOTE and at.last > held.last)
         held.seen, held.behind = max(held.seen, at.epoch), held.behind or more
         held.outbid = held.outbid or (at.word is Word.OLD and at.epoch >= held.taking)
-        if at.word is Word.NO_VOTE and not more:
+        # An unsure copy has lost the end of its log, if anything: what it holds beyond this one may be all there is.
+        waited_for = held.patient and at.last > held.last
+        if at.word is Word.NO_VOTE and not more and not waited_for:
             held.wordless.add(member)
         elif at.epoch == held.taking and at.word is Word.GRANTED:
             held.votes.add(member)
