--- a/flintshift/lifecycle/drain.py
+++ b/flintshift/lifecycle/drain.py
@@ -83,8 +83,8 @@
         self._tell("drain.closes", notice_ms)
         for front in self.fronts:
             front.finish()
-        # The last answers are to be taken, and what crosses them read to its end, for as long as the kill is away. Where
-        # the notice was heard after the kill was due, what was read is answered all the same.
+        # The last answers are to be taken, and what crosses them read to its end, for as long as the kill is away; and
+        # where the notice was heard after the kill was due, what was read is answered all the same.
         await self._until(
             self.done, max(last_ms + self.limits.stop_margin_ms / 2, self.now_ms() + self.limits.crossing_ms)
         )
