Keep with a copy, and on its disk, that a sync of it failed

Cause: that a copy's sync had failed stood in a set beside the copies, which never let go of ledgers that were over, and in no place that a restart reads: the next process took the copy for sure, and what was acknowledged could be gone after a power cut. Change: Replica.doubt holds it where Replica.whole decides, and keeps sure=False on the disk; a refill ends it. The set and the driver's own rule are gone. Why it holds: the flag lives and goes with the copy, and a clean end does not call such a copy whole. A disk that refuses the word too leaves it to this process alone, as before.

--- a/flintshift/lifecycle/held_copies.py
+++ b/flintshift/lifecycle/held_copies.py
@@ -56,7 +56,6 @@
         self.folder = options.folder / FOLDER
         self.held_logs = HeldLogs(name, identity, placement.of_log, lives, HolderPace(options.take_over_ms))
         self.replicas: dict[LogId, Replica] = {}
-        self.unsynced_refused: set[LogId] = set()  # copies of which a sync failed: what can be read may be gone later
         self.refused: dict[LogId, float] = {}  # copies whose writer is to hear that their disk refused, and when
         self.ends: dict[LogId, int] = {}  # by log, the epoch of an end that the disk refused
         self.unsynced: list[tuple[LogId, str, logs.LogWord]] = []
@@ -124,13 +123,13 @@
         self.counters.add("usage.copy_refused")
         replica = self.replicas.get(log)
         known = replica is not None and self._recovered(log, replica)
-        if unsynced:
-            self.unsynced_refused.add(log)
+        if unsynced and replica is not None:
+            replica.doubt()
         if replica is None:
             self.held_logs.dropped(log)
         elif log not in self.taken.table:
             state, last = replica.state, replica.last if known else logs.NOWHERE
-            sure = known and self._stands(log, replica)
+            sure = known and replica.whole
             self.held_logs.put_back(log, state.promised, state.by, last, sure, state.over, known)
             self.refused.setdefault(log, self.now_ms() + TELL_REFUSED_MS)
         self.log(
@@ -160,7 +159,7 @@
             if held.known or replica is None or log in self.taken.table or not self._recovered(log, replica):
                 continue
             state = replica.state
-            sure = self._stands(log, replica)
+            sure = replica.whole
             self.held_logs.put_back(log, state.promised, state.by, replica.last, sure, state.over)
             self.log("info", "usage.copy_readable", ledger=log[0], records=replica.last[1], sure=sure)
 
@@ -179,10 +178,6 @@
             self.log("warning", "usage.copy_unreadable", ledger=log[0], cause=str(error))
         return replica.writable
 
-    def _stands(self, log: LogId, replica: Replica) -> bool:
-        """All that this copy acknowledged stands on its disk."""
-        return replica.whole and log not in self.unsynced_refused
-
     def _held(self, log: LogId, action: logs.HolderAction) -> None:
         match action:
             case logs.Promise(_, epoch, by):
@@ -192,7 +187,6 @@
             case logs.Replace(_, (epoch, sequence), data):
                 self.replicas[log].replace(epoch, sequence, data)
                 self.replicas[log].keep(sure=True)
-                self.unsynced_refused.discard(log)
             case logs.Note(told):
                 self.replicas[log].note(told.sink, told.name, told.digest)
             case logs.Answer(to, word):
--- a/flintshift/usage/replica.py
+++ b/flintshift/usage/replica.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -126,6 +127,7 @@
 
     def __init__(self, files: Files, folder: Path, state: CopyState, segment_bytes: int) -> None:
         self.files, self.folder, self.state, self.segment_bytes = files, folder, state, segment_bytes
+        self.sync_failed = False  # what was written last can be read, and may be gone after a power cut
         files.make_folder(folder)
         self.ledger = LedgerFolder(files, folder)
 
@@ -151,7 +153,14 @@
     @property
     def whole(self) -> bool:
         """All that was acknowledged stands here, and can be written on."""
-        return self.state.sure and self.writable
+        return self.state.sure and self.writable and not self.sync_failed
+
+    def doubt(self) -> None:
+        """A sync failed: the system takes those pages for written. Kept for the next process too, if the disk takes it;
+        only a refill makes the copy sure again."""
+        self.sync_failed = True
+        with contextlib.suppress(OSError):
+            self.keep(sure=False)
 
     def recover(self) -> None:
         """After a refusal: read again what stands on the disk, where that is not known.
@@ -250,6 +259,7 @@
         ledger.write_snapshot(sequence, ledger.snapshot_now())
         ledger.log.begin()
         self._only(sequence)
+        self.sync_failed = False
 
     def note(self, sink: str, name: str, digest: bytes) -> None:
         """A sink has this document."""
@@ -275,5 +285,5 @@
     def close(self, clean: bool = True) -> None:
         """``clean``: it stands on the disk whole, whatever becomes of the machine."""
         self.ledger.close()
-        if clean and not self.ledger.log.broken and not self.state.over:
+        if clean and not self.ledger.log.broken and not self.sync_failed and not self.state.over:
             self.keep(boot="")
