Tell once of a copy that can't be read, with what to do, and show it

Cause: usage.copy_unreadable was logged with each look, every 2 s, named no folder and said nothing of what follows; copies status did not show it. Why it holds: whether it was told is what the state machine knows of the copy (known), which changes with each refusal and reading.

--- a/flintshift/lifecycle/held_copies.py
+++ b/flintshift/lifecycle/held_copies.py
@@ -171,11 +171,20 @@
                 self.hold(self.held_logs.over(log, epoch))
 
     def _recovered(self, log: LogId, replica: Replica) -> bool:
-        """What stands on the disk of this copy is known, and it can go on from there."""
+        """What stands on the disk of this copy is known, and it can go on from there. Told once, not with each look."""
+        held = self.held_logs.table.get(log)
         try:
             replica.recover()
         except REFUSED as error:
-            self.log("warning", "usage.copy_unreadable", ledger=log[0], cause=str(error))
+            if held is None or held.known:
+                self.log(
+                    "warning",
+                    "usage.copy_unreadable",
+                    ledger=log[0],
+                    folder=str(replica.folder),
+                    cause=str(error),
+                    then="it is read again each 2 s; until it can be, nobody hears what it holds",
+                )
         return replica.writable
 
     def _held(self, log: LogId, action: logs.HolderAction) -> None:
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -320,6 +320,7 @@
                         "records": held.last[1],
                         "role": "copies",
                         "sure": held.sure,
+                        "readable": held.known,
                         "writer": held.writer,
                         "writer_dead": held.dead_ms is not None,
                     }
