Hand the copies held here to the writer's wiring, in place of their twelve parts

Cause: UseCopies took what HeldCopies takes, parameter by parameter, and passed it on: the same list stood twice. Change: Copying.copy_use makes the holder and hands it over; restore is the holder's alone. Tests build the two in the same way; no assertion changes.

--- a/flintshift/lifecycle/copying.py
+++ b/flintshift/lifecycle/copying.py
@@ -153,14 +153,14 @@
         Raises:
             OSError, LockedError: the folder can't be used.
         """
+        from flintshift.lifecycle.held_copies import HeldCopies
         from flintshift.lifecycle.use_copies import UseCopies
 
-        self.use = UseCopies(
+        holder = HeldCopies(
             self.name,
             self.identity,
             self.placement,
             self.options,
-            options,
             self.files,
             boot_id(),
             self._lives,
@@ -170,7 +170,8 @@
             self.counters,
             self.log,
         )
-        self.use.restore()
+        self.use = UseCopies(self.name, self.placement, options, holder)
+        holder.restore()
         self.use.write(ledger)
 
     def start_permits(self, at_once: int, uniform: Uniform, go: Callable[[], None]) -> StartPermits:
--- a/flintshift/lifecycle/use_copies.py
+++ b/flintshift/lifecycle/use_copies.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -17,13 +16,10 @@
 from flintshift.copies.log_writer import LogWriter
 from flintshift.copies.logs import LogId
 from flintshift.copies.placement import Placement
-from flintshift.core.counters import Counters
-from flintshift.core.ports import Log
 from flintshift.lifecycle.books import open_folder
 from flintshift.lifecycle.held_copies import REFUSED, HeldCopies
 from flintshift.lifecycle.taken_ledgers import TakenLedgers
-from flintshift.settings.options import CopiesOptions, UsageOptions
-from flintshift.storage.files import Files
+from flintshift.settings.options import UsageOptions
 from flintshift.usage import replica as on_disk
 from flintshift.usage.ledger import HELD_MS, RETIRE_MS, Ledger
 
@@ -32,53 +28,28 @@
 
 
 class UseCopies:
-    """``usage.ledger.Copies`` of this member's ledger. ``send`` speaks to a member, ``answer`` to one that asked."""
-
-    def __init__(
-        self,
-        name: str,
-        identity: str,
-        placement: Placement,
-        options: CopiesOptions,
-        usage: UsageOptions,
-        files: Files,
-        boot: str,
-        lives: Callable[[str], bool],
-        now_ms: Callable[[], float],
-        send: Callable[[str, logs.LogWord], None],
-        answer: Callable[[str, logs.LogWord], None],
-        counters: Counters,
-        log: Log,
-    ) -> None:
-        self.name, self.identity, self.placement, self.options, self.usage = name, identity, placement, options, usage
-        self.files, self.now_ms, self.send, self.counters, self.log = files, now_ms, send, counters, log
+    """``usage.ledger.Copies`` of this member's ledger. ``holder`` has the copies of the others' here."""
+
+    def __init__(self, name: str, placement: Placement, usage: UsageOptions, holder: HeldCopies) -> None:
+        self.name, self.placement, self.usage, self.holder = name, placement, usage, holder
+        self.files, self.now_ms, self.send = holder.files, holder.now_ms, holder.send
+        self.counters, self.log = holder.counters, holder.log
         self.ledger: Ledger | None = None
         self.writer: LogWriter | None = None  # of this member's own ledger
         self.up: set[str] = set()
         self.fence: str | None = None  # why another ledger is to begin, until it has
         self.aside: Path | None = None  # where the one before was put for that
         self.not_begun = ""  # why it has not, as it was told last
-        self.again_ms = self.retired_ms = now_ms()
+        self.again_ms = self.retired_ms = self.now_ms()
         self.sinks = (
             [name for name, sink in (("folder", usage.export.folder), ("http", usage.export.http)) if sink]
             if usage.export is not None
             else []
         )
-        self.holder = HeldCopies(
-            name, identity, placement, options, files, boot, lives, now_ms, send, answer, counters, log
-        )
-        self.taken = self.holder.taken = TakenLedgers(
-            self.holder, usage, self.sinks, self.up, now_ms, self._writer_of, self._write, self._tell_exported
+        self.taken = holder.taken = TakenLedgers(
+            holder, usage, self.sinks, self.up, self.now_ms, self._writer_of, self._write, self._tell_exported
         )
 
-    def restore(self) -> None:
-        """Hold what stands on the disk.
-
-        Raises:
-            OSError, LockedError: the folder can't be used; nothing of it is held, so that it can be tried again.
-        """
-        self.holder.restore()
-
     def write(self, ledger: Ledger) -> None:
         """Copy this ledger from now on."""
         self.ledger, ledger.copies = ledger, self
--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -29,6 +29,7 @@
 from flintshift.copies.log_writer import LogWriter, State
 from flintshift.copies.placement import Placement
 from flintshift.core.counters import Counters
+from flintshift.lifecycle.held_copies import HeldCopies
 from flintshift.lifecycle.use_copies import AGAIN_MS, UseCopies
 from flintshift.settings.options import CopiesOptions, UsageOptions
 from flintshift.usage import replica as on_disk
@@ -57,12 +58,12 @@
     def __init__(self, files=None, restore=True, name="n2", folder=Path("/srv/usage")):
         self.files, self.answers, self.logged, self.now = files or SimFiles(), [], [], 0.0
         self.lives = True
-        self.copies = UseCopies(
+        placement = Placement({"n1": "a", "n2": "b", "n3": "c"}, 3)
+        held = HeldCopies(
             name,
             f"{name}#1",
-            Placement({"n1": "a", "n2": "b", "n3": "c"}, 3),
+            placement,
             CopiesOptions(Path("/srv/copies"), 3, "process-death", 1000, 1 << 20, 1 << 20, 1000.0),
-            UsageOptions(folder, 1000, 0, "process-death", 50.0, "serve", 1 << 20, 10**9, None),
             self.files,
             "boot",
             lambda runner: self.lives,
@@ -72,8 +73,10 @@
             Counters(),
             lambda level, event, **more: self.logged.append(event),
         )
+        usage = UsageOptions(folder, 1000, 0, "process-death", 50.0, "serve", 1 << 20, 10**9, None)
+        self.copies = UseCopies(name, placement, usage, held)
         if restore:
-            self.copies.restore()
+            held.restore()
 
     def asked(self, word):
         """The last answer to it; None: there was none."""
