--- a/tests/copies/test_unsure_copies.py
+++ b/tests/copies/test_unsure_copies.py
@@ -195,6 +195,36 @@
     assert holders.done == [] and LOG in holders.members["n2"].table
 
 
+def test_a_copy_that_can_never_be_read_takes_nothing_over_and_drops_nothing(beside_a_new_life):
+    beside_a_new_life.hold("n4", logs.NOWHERE, False, by="n2#0")
+    beside_a_new_life.members["n2"].put_back(LOG, 5, "n1#1", logs.NOWHERE, False, False, known=False)
+    beside_a_new_life.until(LATE_MS * 3)
+    assert "n2" not in {name for name, _ in beside_a_new_life.done}
+    assert LOG in beside_a_new_life.members["n2"].table
+
+
+def test_a_copy_that_can_never_be_read_is_not_waited_for_for_ever(beside_a_new_life):
+    beside_a_new_life.members["n4"].put_back(LOG, 5, "n1#1", logs.NOWHERE, False, False, known=False)
+    beside_a_new_life.until(PATIENCE_MS)
+    assert beside_a_new_life.done == []
+    beside_a_new_life.until(LATE_MS * 3)
+    ((name, taken),) = beside_a_new_life.done
+    assert name == "n2" and taken.without == ("n1", "n4")
+
+
+def test_a_copy_that_could_not_be_read_can_be_once_its_writer_has_filled_it():
+    holders = Holders()
+    holders.alive.add("n1#1")
+    member = holders.members["n2"]
+    holders.hold("n2", (5, 40), True)
+    member.put_back(LOG, 5, "n1#1", logs.NOWHERE, False, False, known=False)
+    joined = member.asked("n1#1", logs.Join(LOG, 5, (5, 44)))
+    assert joined[-1].word.word is logs.Word.GRANTED and joined[-1].word.last == logs.NOWHERE
+    member.asked("n1#1", logs.Part(LOG, 5, (5, 44), 0, False, b"whole"))
+    held = member.table[LOG]
+    assert (held.known, held.sure, held.last) == (True, True, (5, 44))
+
+
 def test_a_member_that_has_not_opened_its_ledger_yet_is_waited_for(beside_a_new_life):
     beside_a_new_life.members["n1"].own = None
     beside_a_new_life.until(SOON_MS)
--- a/tests/copies/test_use_copies_refusals.py
+++ b/tests/copies/test_use_copies_refusals.py
@@ -322,6 +322,9 @@
     holder.copies.asked(WRITER, logs.Join(LOG, EPOCH + 1, (EPOCH, 2)))
     holder.copies.asked(WRITER, logs.Part(LOG, EPOCH + 1, (EPOCH + 1, 1), 0, False, whole()))
     assert held.table[LOG].sure  # filled anew
+    holder.files.refuse[holder.files.count + 1] = errno.EIO
+    holder.asked(logs.Join(LOG, EPOCH + 2, (EPOCH + 1, 1)))
+    assert held.table[LOG].sure  # and stays so
 
 
 def test_a_copy_that_could_not_be_read_is_looked_at_again_and_counts_as_before():
@@ -340,15 +343,16 @@
     assert table[LOG].known and table[LOG].sure and table[LOG].last == (EPOCH, 1)
 
 
+@pytest.mark.parametrize("refused", [1, 4], ids=["the sync", "and the word of it"])
 @pytest.mark.anyio
-async def test_a_copy_whose_sync_failed_is_unsure_in_the_next_process_too():
+async def test_a_copy_whose_sync_failed_is_unsure_in_the_next_process_too(refused):
     """The pages of a failed sync are taken for written: they can be read until a power cut, and are gone after it."""
     holder = Holder()
     holder.copies.holder.options = replace(holder.copies.holder.options, durability="power-cut")
     joined, filled, written, *_ = holder.life()
     for word in (joined, filled, written):
         holder.asked(word)
-    holder.files.refuse[holder.files.count + 1] = errno.EIO
+    holder.files.refuse |= {holder.files.count + step: errno.EIO for step in range(1, refused + 1)}
     await holder.copies.holder.sync()
     holder.copies.close()
     again = Holder(holder.files.survived("kept"))
--- a/tests/lab/test_stand_ins.py
+++ b/tests/lab/test_stand_ins.py
@@ -18,6 +18,7 @@
 
 import asyncio
 import os
+import socket
 import subprocess
 import sys
 
@@ -158,6 +159,23 @@
     assert not [record.getMessage() for record in caplog.records if record.name == "asyncio"]
 
 
+@pytest.mark.parametrize("turns", range(6))
+def test_a_stand_in_that_was_stopped_in_any_turn_of_an_accept_leaves_nothing(turns, caplog):
+    async def main() -> None:
+        peer = Vault()
+        await peer.start()
+        raws = [socket.create_connection(("127.0.0.1", peer.port)) for _ in range(7)]
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        await peer.stop()
+        assert asyncio.all_tasks() == {asyncio.current_task()}
+        for raw in raws:
+            raw.close()
+
+    asyncio.run(main())
+    assert not [record.getMessage() for record in caplog.records if record.name == "asyncio"]
+
+
 def test_a_fault_proxy_that_was_stopped_leaves_nothing_for_the_end_of_its_loop(caplog):
     async def main() -> None:
         peer = Vault()
