Keep at a clean end that a sync of a copy had failed

Cause: where the disk refused to keep that a sync had failed, the copy's clean end left it as sure, and the next process took it so. Change: Replica.close keeps sure=False for such a copy, in place of calling it whole. Why it holds: the end is the last moment at which the disk may take the word; a kill before it, on a disk that refuses until then, leaves the copy sure, as there is no place to keep it.

--- a/flintshift/usage/replica.py
+++ b/flintshift/usage/replica.py
@@ -285,5 +285,9 @@
     def close(self, clean: bool = True) -> None:
         """``clean``: it stands on the disk whole, whatever becomes of the machine."""
         self.ledger.close()
-        if clean and not self.ledger.log.broken and not self.sync_failed and not self.state.over:
+        if not clean or self.state.over:
+            return
+        if self.sync_failed:
+            self.keep(sure=False)
+        elif not self.ledger.log.broken:
             self.keep(boot="")
