Review, case 2: bad clients that send on behind a held request fill the memory

While a request waits for its answer, what its connection goes on sending is read into a queue without a bound.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,10 +1,12 @@
-"""One of four members is retired as the operators' page says, on a fleet that records its use."""
+"""Bad clients send a request and go on sending without end, while usual callers keep the node busy."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import signal
+import socket
 import sys
 import time
 from pathlib import Path
@@ -12,103 +14,163 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import common
 
-HALLS = {"n1": "ruwi-hall", "n2": "seeb-hall", "n3": "ruwi-hall", "n4": "seeb-hall"}
-RETIRED = "n4"
-READ = {"name": "standings", "onTimeMs": 2300.0, "deadlineMs": 5800.0, "worth": 1.0, "effect": "safe"}
-WATCHED_S = 20.0  # how long the fleet is watched after the change
-MAX_CRASHES = 2  # a node that crashed as often is not started again
+READ = {"name": "race-results", "onTimeMs": 2800.0, "deadlineMs": 9200.0, "worth": 1.0, "effect": "safe"}
+MEMORY_MB = 192
+CORES, RUN_MS, CALLERS = 2, 200.0, 24
+BAD_CLIENTS = 8
+QUIET_S, TROUBLE_S = 5.0, 10.0
+CHUNK = b"x" * 65_536
 
 
-def operators_file(node: common.Node, members: dict[str, common.Node], epoch: int, home: Path) -> str:
-    lines = "".join(
-        f"    {name}: {{hall: {HALLS[name]}, address: 127.0.0.1:{member.addresses['peer']}}}\n"
-        for name, member in members.items()
-    )
-    return (
-        "log: {enabled: true}\n"
-        f"peers:\n  enabled: true\n  listen: 127.0.0.1:{node.addresses['peer']}\n  epoch: {epoch}\n  members:\n{lines}"
-        "copies:\n  enabled: true\n  folder: copies\n"
-        f"usage:\n  enabled: true\n  folder: usage\n  period: 1h\n  export: {{folder: {home / 'billed'}}}\n"
-    )
+class KnowingPool(common.RecordedPool):
+    """A pool that knows the ids of the usual callers' requests, and tells `unknown` of all others."""
+
+    known: set[str]
+
+    def _spawn(self, rid: str, route: str) -> None:
+        if rid in self.known:
+            super()._spawn(rid, route)
+            return
+        self.record(f"run    {self.node} does not know {rid}")
+        for writer in self.links:
+            self.send(writer, {"t": "unknown", "status": "spawn", "rid": rid})
+
+
+def memory_mb(node: common.Node) -> float:
+    """What the node uses: its processes' memory, and the files in its TMPDIR, which count as memory."""
+    assert node.process is not None
+    try:
+        status = Path(f"/proc/{node.process.pid}/status").read_text()
+    except OSError:
+        return 0.0
+    resident_kb = next((int(line.split()[1]) for line in status.splitlines() if line.startswith("VmRSS:")), 0)
+    return resident_kb / 1024
 
 
 async def case(trouble: bool, home: Path, record: common.Record, nodes: list[common.Node]) -> list[str]:
-    ports = iter(common.free_ports(3 * len(HALLS) + 2))
+    ports = iter(common.free_ports(4))
     names, vault = common.new_names(next(ports)), common.new_vault(next(ports))
-    await common.start_stand_ins(names, vault)
-    members: dict[str, common.Node] = {}
-    pools: dict[str, common.RecordedPool] = {}
-
-    async def start(node: common.Node, epoch: int, listed: dict[str, common.Node]) -> None:
-        if node.name in pools:  # a worker pool lives as long as its node: it numbers its notices anew with each start
-            await pools[node.name].stop()
-        pools[node.name] = common.RecordedPool(node.name, node.addresses["pool"], record, {"standings": 20.0})
-        await pools[node.name].start()
-        await node.start(operators_file(node, listed, epoch, home))
-
-    for name in HALLS:
-        node = members[name] = common.Node(
-            name,
-            home,
-            record,
-            listen=next(ports),
-            pool=next(ports),
-            peer=next(ports),
-            naming=names.port,
-            vault=vault.port,
-        )
-        nodes.append(node)
-        node.write_config(common.settings([READ], 2000.0), 3700.0)
-    await asyncio.gather(
-        *(common.command_line("copies", "found", str(node.folder / "copies")) for node in members.values())
-    )
-    for node in members.values():
-        await start(node, 1, members)
-    await asyncio.gather(*(node.wait_ready() for node in members.values()))
-    await asyncio.sleep(3.0)  # the links are up, and each ledger has its replicas
+    pool = KnowingPool("n1", next(ports), record, {"race-results": RUN_MS}, CORES)
+    pool.known = set()
+    await common.start_stand_ins(names, vault, pool)
+    node = common.Node("n1", home, record, listen=next(ports), pool=pool.port, naming=names.port, vault=vault.port)
+    nodes.append(node)
+    node.write_config(common.settings([READ], 2000.0, cores=CORES), 3700.0, MEMORY_MB)
+    await node.start()
+    await node.wait_ready()
     ids = (f"{number:016x}" for number in itertools.count(1))
+    end_s = time.monotonic() + QUIET_S + TROUBLE_S
+    killed: list[str] = []
+    lost = 0
+    highest_mb = 0.0
+
+    async def platform() -> None:
+        """Kill the node above its memory limit, as the deployment page says."""
+        nonlocal highest_mb
+        next_line_s = 0.0
+        while time.monotonic() < end_s and node.alive:
+            used_mb = memory_mb(node)
+            highest_mb = max(highest_mb, used_mb)
+            if time.monotonic() >= next_line_s:
+                record(f"memory n1 {used_mb:.0f} MB")
+                next_line_s = time.monotonic() + 0.5
+            if used_mb > MEMORY_MB:
+                record(f"memory n1 {used_mb:.0f} MB, over its limit of {MEMORY_MB} MB")
+                killed.append(f"n1 was killed at {used_mb:.0f} MB, over its limit of {MEMORY_MB} MB")
+                node.signal(signal.SIGKILL)
+                return
+            await asyncio.sleep(0.02)
+        if not node.alive:
+            killed.append("n1 crashed")
+
+    async def caller() -> None:
+        """A usual caller: one request after the other on one connection."""
+        nonlocal lost
+        reader, writer = None, None
+        while time.monotonic() < end_s:
+            if writer is None:
+                try:
+                    reader, writer = await asyncio.open_connection("127.0.0.1", node.addresses["listen"])
+                except OSError:
+                    return
+            assert reader is not None
+            rid = next(ids)
+            pool.known.add(rid)
+            writer.write(common.request_bytes("race-results", rid, b"one, please"))
+            record(f"sent   n1 {rid}")
+            try:
+                status, head, _ = await common.read_answer(reader)
+            except (OSError, asyncio.IncompleteReadError):
+                record(f"no answer to {rid}")
+                lost += 1
+                writer.close()
+                return
+            record(f"answer n1 {rid} {status}")
+            if b"connection: close" in head.lower():
+                writer.close()
+                writer = None
+            if status != 200:
+                await asyncio.sleep(0.3)
+        if writer is not None:
+            writer.close()
+
+    async def bad_client(number: int) -> None:
+        """Send a request with an id that the pool does not know, then a message without end; read what is sent."""
+        loop, sent_bytes = asyncio.get_running_loop(), 0
+        rid = f"bad{number:05d}{next(ids)[-8:]}"
+        raw = socket.socket()
+        raw.connect(("127.0.0.1", node.addresses["listen"]))
+        raw.setblocking(False)
+        record(f"bad    client {number} sends {rid}, and goes on")
+
+        async def read() -> None:
+            with contextlib.suppress(OSError):
+                while data := await loop.sock_recv(raw, 65_536):
+                    record(f"bad    client {number} receives {data[:40]!r}")
+            ended.set()
+
+        ended, reading = asyncio.Event(), None
+        try:
+            with contextlib.suppress(OSError):
+                await loop.sock_sendall(raw, common.request_bytes("race-results", rid, b"one, please") + CHUNK)
+                reading = asyncio.create_task(read())
+                while time.monotonic() < end_s and not ended.is_set():
+                    async with asyncio.timeout(max(0.01, end_s - time.monotonic())):
+                        await loop.sock_sendall(raw, CHUNK)
+                    sent_bytes += len(CHUNK)
+        except TimeoutError:
+            pass
+        finally:
+            if reading is not None:
+                reading.cancel()
+            raw.close()
+        record(f"bad    client {number} ends, {sent_bytes / 1e6:.0f} MB sent")
+
+    async def bad_clients() -> None:
+        """From a while on, so many bad clients at a time."""
+        await asyncio.sleep(QUIET_S)
+        numbers = itertools.count(1)
+
+        async def one_after_the_other() -> None:
+            while time.monotonic() < end_s - 1 and node.alive:
+                with contextlib.suppress(OSError):
+                    await bad_client(next(numbers))
+                await asyncio.sleep(0.1)
+
+        async with asyncio.TaskGroup() as clients:
+            for _ in range(BAD_CLIENTS):
+                clients.create_task(one_after_the_other())
 
-    async def send(name: str) -> int | None:
-        rid = next(ids)
-        data = common.request_bytes("standings", rid, b"standings, please")
-        status, _ = await common.call(members[name], data, rid, record, 7.0)
-        return status
-
-    for _ in range(5):
-        for name in members:
-            if await send(name) != 200:
-                raise common.CouldNotRunError(f"{name} served nothing before the change")
-    await asyncio.sleep(0.5)
-
-    # Stop all, change the list and the epoch on all, start all.
-    for node in members.values():
-        node.signal(signal.SIGTERM)
-    for node in members.values():
-        if await node.wait(10) != 0:
-            raise common.CouldNotRunError(f"{node.name} did not stop in good order")
-    listed = {name: node for name, node in members.items() if not trouble or name != RETIRED}
-    record(f"the list now has {', '.join(listed)}")
-    for node in listed.values():
-        await start(node, 2 if trouble else 1, listed)
-    started_s = dict.fromkeys(listed, time.monotonic())
-    crashes: dict[str, list[str]] = {}
-    give_up_s = time.monotonic() + WATCHED_S
-    while time.monotonic() < give_up_s:
-        await asyncio.sleep(0.1)
-        for name, node in listed.items():
-            if node.alive or len(crashes.get(name, ())) == MAX_CRASHES:
-                continue
-            after_s, code = time.monotonic() - started_s[name], await node.wait(1)
-            errors = [line for line in node.log.read_text(errors="replace").splitlines() if "Error" in line]
-            record(f"log    {name}: {errors[-1] if errors else 'no error'}")
-            crashes.setdefault(name, []).append(f"with exit code {code} {after_s:.1f} s after its start")
-            if len(crashes[name]) < MAX_CRASHES:  # the platform starts it again
-                started_s[name] = time.monotonic()
-                await start(node, 2 if trouble else 1, listed)
-    for name, node in listed.items():
-        if node.alive:
-            await send(name)  # for the record
-    return [f"{name} crashed {', and again '.join(texts)}" for name, texts in crashes.items()]
+    async with asyncio.TaskGroup() as tasks:
+        tasks.create_task(platform())
+        for _ in range(CALLERS):
+            tasks.create_task(caller())
+        if trouble:
+            tasks.create_task(bad_clients())
+    record(f"the highest use of memory was {highest_mb:.0f} MB")
+    if killed:
+        killed[0] += f"; {lost} requests of usual callers were lost with it"
+    return killed
 
 
 sys.exit(common.play(Path(__file__).resolve().parent, case))
--- a/review/common.py
+++ b/review/common.py
@@ -62,8 +62,8 @@
 class RecordedPool(Pool):
     """A worker pool that records the begin and the end of each run."""
 
-    def __init__(self, node: str, port: int, record: Record, took_ms: dict[str, float]) -> None:
-        super().__init__(port, cores=8, took_ms=took_ms)
+    def __init__(self, node: str, port: int, record: Record, took_ms: dict[str, float], cores: int = 8) -> None:
+        super().__init__(port, cores=cores, took_ms=took_ms)
         self.node, self.record = node, record
         self.begun: list[tuple[float, str]] = []  # monotonic time, id
 
@@ -86,12 +86,12 @@
         self.starts = 0
         self.log = self.folder / "stderr.log"
 
-    def write_config(self, settings: dict[str, Any], stop_ms: float) -> None:
+    def write_config(self, settings: dict[str, Any], stop_ms: float, memory_mb: int = 192) -> None:
         config = {
             "name": self.name,
             "seed": "8c1f30d27a5be964",
             "stop_ms": stop_ms,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 512},
             "settings": settings,
             **{key: f"127.0.0.1:{port}" for key, port in self.addresses.items() if key != "peer"},
         }
@@ -284,15 +284,15 @@
     return Vault(port)
 
 
-def settings(classes: list[dict[str, Any]], drain_grace_ms: float, calls: list[bool] | None = None) -> dict[str, Any]:
+def settings(classes: list[dict[str, Any]], drain_grace_ms: float, cores: int = 6) -> dict[str, Any]:
     """The platform's settings of a small deployment."""
     return {
         "classes": classes,
         "familyInfo": {
-            "nCores": 6,
+            "nCores": cores,
             "ramKb": 400_000.0,
             "runFactor": 8.0,
-            "callsByClass": calls or [False] * len(classes),
+            "callsByClass": [False] * len(classes),
             "classSkipWorth": [0.0] * len(classes),
             "callShare": 50.0,
             "callsOverMs": 5000.0,
