--- a/review/2/case.py
+++ b/review/2/case.py
@@ -37,7 +37,7 @@
 
 
 def memory_mb(node: common.Node) -> float:
-    """What the node uses: its processes' memory, and the files in its TMPDIR, which count as memory."""
+    """The resident memory of the node's process. (Files in its TMPDIR would count too; it writes none here.)"""
     assert node.process is not None
     try:
         status = Path(f"/proc/{node.process.pid}/status").read_text()
