--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 
 READ = {"name": "race-results", "onTimeMs": 2800.0, "deadlineMs": 9200.0, "worth": 1.0, "effect": "safe"}
 MEMORY_MB = 192
-CORES, RUN_MS, CALLERS = 2, 200.0, 24
+CORES, RUN_MS, CALLERS = 2, 200.0, 12
 BAD_CLIENTS = 8
 QUIET_S, TROUBLE_S = 5.0, 10.0
 CHUNK = b"x" * 65_536
--- a/review/common.py
+++ b/review/common.py
@@ -249,7 +249,7 @@
         try:
             async with asyncio.timeout(110):
                 broken = await case(trouble, home, record, nodes)
-        except (CouldNotRunError, TimeoutError, OSError) as error:
+        except Exception as error:  # a fault of the case itself must not look like a broken rule
             record(f"could not run: {type(error).__name__} {error}")
             return NOT_RUN
         finally:
