Bound the bytes that a connection of a caller or operator reads ahead

Cause: the transport of an accepted socket read whatever came into a queue without a bound. Only a receive that had to wait paused it, so it ran on before the first one, while bytes were there already, while an answer was awaited or written, and while the connection was closed.

Change: bounded_stream.py reads into the room that a connection has left, only while something waits for bytes, and pauses itself. Bytes behind a request stay in the stream until its answer is written, and are the next request; none is dropped. The bound is a sixteenth of memory_mb over all descriptors, 16 KB at the most. The control port lingers before it closes, since it now leaves bytes unread, and lingering is bounded in bytes (1 MB as before), as reads are shorter.

Tests changed: test_closing looks at the same bytes under their new name, and the fake stream of test_connections has the attribute that a close asks for.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -22,6 +22,8 @@
     max_vault_line_bytes: int = 256  # the first line of a reply from the vault
     max_control_head_bytes: int = 4096  # an operator's control request
     read_chunk_bytes: int = 65_536  # one read from a socket
+    min_received_bytes: int = 4096  # that a connection may hold unprocessed, however little memory there is
+    max_linger_bytes: int = 1 << 20  # of what still arrives after the last answer: then the connection is reset
 
     # Counts.
     mailbox_size: int = 2048  # events that wait for a planner
@@ -29,7 +31,6 @@
     batch_size: int = 32  # reports that a planner handles before it yields to other tasks
     outbox_size: int = 2048  # commands that wait for a peer
     max_unconfirmed_commands: int = 4096  # commands of each kind that the worker pool has not acknowledged
-    max_linger_reads: int = 16  # reads of what still arrives after the last answer
     list_mailbox_size: int = 4  # messages that wait for a name service or DNS list
     listen_backlog: int = 1024
     max_backlog_accepts: int = 4096  # accepts from a closing listener's queue, with those that fail
@@ -110,6 +111,13 @@
     record_ttl_s: int = 20
     app_run_timeout_ms: float = 30_000.0  # a run on an app server
 
+    @property
+    def max_received_bytes(self) -> int:
+        """Received bytes that one connection holds unprocessed. On all descriptors together they take a sixteenth of
+        the memory at most: callers may open as many connections, and send without end on each."""
+        fair_share = self.memory_mb * (1 << 20) // 16 // self.sockets
+        return max(self.min_received_bytes, min(self.max_head_bytes, fair_share))
+
     # File descriptors by use. Their sum, with an eighth more of each front's, leaves a sixteenth for the rest: links to
     # the worker pool and the lists, listeners, files that are read.
 
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -469,11 +469,14 @@
     async def _open_listeners(self) -> list[Acceptor]:
         if self.upgrade is None:
             return [
-                Acceptor(await open_listener_with_retries(address, self.limits, self.retry.should_retry))
+                Acceptor(
+                    await open_listener_with_retries(address, self.limits, self.retry.should_retry),
+                    self.limits.max_received_bytes,
+                )
                 for _, address in self.fronts
             ]
         await self.upgrade.begin()
-        return [Acceptor(raw) for raw in self.upgrade.sockets]
+        return [Acceptor(raw, self.limits.max_received_bytes) for raw in self.upgrade.sockets]
 
     def print_counters(self) -> None:
         """Write all counters to standard error as one line of JSON."""
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -74,8 +74,9 @@
 class Acceptor:
     """Accepts connections from one listening socket, and counts those that are open."""
 
-    def __init__(self, raw: socket.socket) -> None:
-        self.raw = raw
+    def __init__(self, raw: socket.socket, max_received_bytes: int = Limits().max_received_bytes) -> None:
+        """``max_received_bytes``: of each connection, that it holds unprocessed."""
+        self.raw, self.max_received_bytes = raw, max_received_bytes
         self.open_count = 0  # connections that were accepted and are not closed
         self.closed = False
 
@@ -139,7 +140,7 @@
     async def _handle(self, handler: Handler, accepted: socket.socket) -> None:
         try:
             try:
-                stream = await open_caller_stream(accepted)
+                stream = await open_caller_stream(accepted, self.max_received_bytes)
             except (OSError, ValueError, RuntimeError):  # the caller disconnected meanwhile
                 accepted.close()
                 return
--- a/flintshift/wire/caller_stream.py
+++ b/flintshift/wire/caller_stream.py
@@ -8,37 +8,38 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
 
-from anyio._backends._asyncio import SocketStream as AsyncioSocketStream
-from anyio._backends._asyncio import StreamProtocol
+import anyio
 
 from flintshift.core.limits import Limits
+from flintshift.wire.bounded_stream import BoundedStream, ReceiveBuffer
+from flintshift.wire.link import CONNECTION_ERRORS
 
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+UNSENT_CHECK_INTERVAL_S = 0.01  # between two checks whether the system has accepted what was written
 SETUP_RETRY_DELAY_S = 0.005  # between two tries to set up the stream of an accepted connection
 SETUP_TIMEOUT_S = Limits().request_read_timeout_ms / 1000  # as long as the first request may take to arrive
 
 
-class CallerStream(AsyncioSocketStream):
-    """anyio's stream on an accepted socket. ``raw`` is that socket; the transport owns it."""
+class CallerStream(BoundedStream):
+    """A bounded stream on an accepted socket. ``raw`` is that socket; the transport owns it."""
 
-    def __init__(self, transport: asyncio.Transport, protocol: StreamProtocol, raw: socket.socket) -> None:
-        super().__init__(transport, protocol)
+    def __init__(self, transport: asyncio.Transport, buffer: ReceiveBuffer, raw: socket.socket) -> None:
+        super().__init__(transport, buffer)
         self.raw = raw
+        self.discarded_bytes = 0  # bytes that were read while it was shut down
 
     def read_available(self, max_bytes: int) -> bytes:
-        """Return bytes that have arrived and were not received yet, at most ``max_bytes`` of them from the socket;
-        b"" if there are none. Call it only while no `receive` is pending, since the transport does not read then."""
-        queue = self._protocol.read_queue
-        if queue:
-            data = b"".join(queue)
-            queue.clear()
-            self._protocol.read_event.clear()
+        """Return at most ``max_bytes`` that have arrived and were not received yet; b"" if there are none. Call it only
+        while no `receive` is pending, since the transport does not read then."""
+        data = self.buffer.take(max_bytes)
+        if data:
             return data
         try:
-            return self.raw.recv(max_bytes)
+            return self.raw.recv(min(max_bytes, self.buffer.max_bytes))
         except OSError:  # no bytes have arrived, or the connection is broken
             return b""
 
@@ -49,6 +50,20 @@
         except OSError:  # the connection is broken or already closed
             self._transport.abort()
 
+    async def shut_down(self, limits: Limits, linger_ms: float) -> None:
+        """Send nothing more, and discard what still arrives: closing over unread bytes resets the connection, and a
+        reset can destroy the last answer on its way. Ends once the peer closes too, ``linger_ms`` after the system
+        accepted all that was written, or after ``limits.max_linger_bytes``."""
+        # uvloop raises a RuntimeError if the connection is already closed.
+        with contextlib.suppress(*CONNECTION_ERRORS, RuntimeError):
+            await self.send_eof()
+            with anyio.move_on_after(limits.write_timeout_ms / 1000):
+                while self.unsent_bytes:
+                    await anyio.sleep(UNSENT_CHECK_INTERVAL_S)
+            with anyio.move_on_after(linger_ms / 1000):
+                while self.discarded_bytes < limits.max_linger_bytes:
+                    self.discarded_bytes += len(await self.receive(limits.read_chunk_bytes))
+
     @property
     def unsent_bytes(self) -> int:
         """The number of written bytes that the system has not accepted yet."""
@@ -60,8 +75,8 @@
         return peer_closed(self.raw)
 
 
-async def open_caller_stream(accepted: socket.socket) -> CallerStream:
-    """Create a stream on an accepted socket, in the same way as anyio's listener.
+async def open_caller_stream(accepted: socket.socket, max_received_bytes: int) -> CallerStream:
+    """Create a stream on an accepted socket, which holds at most ``max_received_bytes`` that were not processed yet.
 
     `SocketStream.from_socket` inspects the socket and connects it again. That takes some 0.1 ms more for each
     connection, which is a third of the cost of each in an overload of short connections.
@@ -74,8 +89,9 @@
     while True:
         # The loop sets socket options, which may fail transiently although the connection already carries a request.
         try:
-            transport, protocol = await loop.connect_accepted_socket(StreamProtocol, accepted)
-            return CallerStream(transport, protocol, accepted)
+            buffer = ReceiveBuffer(max_received_bytes)
+            transport, _ = await loop.connect_accepted_socket(lambda buffer=buffer: buffer, accepted)  # type: ignore[misc]
+            return CallerStream(transport, buffer, accepted)
         except (OSError, ValueError, RuntimeError):
             if peer_closed(accepted) or loop.time() >= deadline_s:
                 raise
--- a/flintshift/wire/connection.py
+++ b/flintshift/wire/connection.py
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import math
 from enum import Enum
 
@@ -20,9 +19,8 @@
 
 from flintshift.core.limits import Limits
 from flintshift.wire.caller_stream import CallerStream
-from flintshift.wire.link import CONNECTION_ERRORS
 
-PEER_CHECK_INTERVAL_S = 0.01  # between two checks whether a peer has closed too, or the system sent what was written
+PEER_CHECK_INTERVAL_S = 0.01  # between two checks whether a peer has closed too
 
 
 class ConnectionState(Enum):
@@ -81,7 +79,11 @@
         self.read_scope: anyio.CancelScope | None = None  # set while it waits for bytes
         self.close_reason: CloseReason | None = None  # None until the close is decided
         self.last_request_id = ""  # of the last request that was submitted
-        self.discarded_bytes = 0  # bytes that arrived after the close was decided
+
+    @property
+    def discarded_bytes(self) -> int:
+        """The number of bytes that arrived after the close was decided."""
+        return self.stream.discarded_bytes
 
     @property
     def busy(self) -> bool:
@@ -122,15 +124,6 @@
                 await anyio.sleep(PEER_CHECK_INTERVAL_S)
 
     async def shut_down(self, limits: Limits, linger_ms: float) -> None:
-        """Send nothing more, and discard what still arrives, until the peer closes too or ``linger_ms`` have passed.
-        That time starts once the system has accepted all that was written."""
+        """Send nothing more, and discard what still arrives (`CallerStream.shut_down`)."""
         self.enter(ConnectionState.HALF_CLOSED)
-        # uvloop raises a RuntimeError if the connection is already closed.
-        with contextlib.suppress(*CONNECTION_ERRORS, RuntimeError):
-            await self.stream.send_eof()
-            with anyio.move_on_after(limits.write_timeout_ms / 1000):
-                while self.stream.unsent_bytes:
-                    await anyio.sleep(PEER_CHECK_INTERVAL_S)
-            with anyio.move_on_after(linger_ms / 1000):
-                for _ in range(limits.max_linger_reads):
-                    self.discarded_bytes += len(await self.stream.receive(limits.read_chunk_bytes))
+        await self.stream.shut_down(limits, linger_ms)
--- a/flintshift/wire/control_front.py
+++ b/flintshift/wire/control_front.py
@@ -108,25 +108,14 @@
         stream = None
         try:
             with connection.scope:
-                stream = await open_caller_stream(connection.raw)
+                stream = await open_caller_stream(connection.raw, self.limits.max_control_head_bytes)
                 async with stream:
-                    with anyio.move_on_after(self.limits.control_call_timeout_ms / 1000):
-                        status, reason = await self._handle_call(stream)
-                        body = f"{reason}\n".encode()
-                        self.counters.add(f"control.status_{status}")
-                        await stream.send(
-                            encode_response(
-                                status,
-                                [
-                                    ("Content-Type", "text/plain; charset=utf-8"),
-                                    ("Content-Length", str(len(body))),
-                                    ("Connection", "close"),
-                                ],
-                                body,
-                            )
-                        )
-                        return
-                    self.counters.add("control.cut")  # no call or only a part of one arrived in time
+                    with anyio.move_on_after(self.limits.control_call_timeout_ms / 1000) as call_scope:
+                        await self._answer_call(stream)
+                    if call_scope.cancelled_caught:
+                        self.counters.add("control.cut")  # no call or only a part of one arrived in time
+                    else:
+                        await stream.shut_down(self.limits, self.limits.linger_ms)
         # ValueError, RuntimeError: the connection was closed before its stream was created.
         except (*CONNECTION_ERRORS, ValueError, RuntimeError):
             self.counters.add("control.broken")
@@ -135,6 +124,17 @@
             if stream is None:
                 connection.raw.close()
 
+    async def _answer_call(self, stream: SocketStream) -> None:
+        status, reason = await self._handle_call(stream)
+        body = f"{reason}\n".encode()
+        self.counters.add(f"control.status_{status}")
+        headers = [
+            ("Content-Type", "text/plain; charset=utf-8"),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
+        await stream.send(encode_response(status, headers, body))
+
     async def _handle_call(self, stream: SocketStream) -> tuple[int, str]:
         """Read and carry out a call; the status and text of its response."""
         conn = h11.Connection(h11.SERVER, self.limits.max_control_head_bytes)
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -303,11 +303,9 @@
         await connection.stream.send(data)
         connection.write_started_ms = math.inf
 
-    async def submit_and_wait(
-        self, connection: Connection, attempt: Attempt, pending: PendingAnswer, on_early_data: Callable[[bytes], None]
-    ) -> Answer | None:
-        """Submit a request and wait for its answer; None if the caller disconnects before it.
-        ``on_early_data`` is given the bytes that arrive meanwhile."""
+    async def submit_and_wait(self, connection: Connection, attempt: Attempt, pending: PendingAnswer) -> Answer | None:
+        """Submit a request and wait for its answer; None if the caller disconnects before it. Bytes that arrive
+        meanwhile stay in the stream."""
         self.counters.add(f"{self.name}.requests")
         connection.enter(ConnectionState.ANSWERING)
         connection.last_request_id = attempt.id
@@ -317,20 +315,13 @@
             self.decisions.reject(attempt)
         else:
             self.decisions.submit(attempt)
-        early_bytes = 0
-        while pending.answer is None:
+        if pending.answer is None:
             with anyio.CancelScope() as pending.wait_scope:
-                if early_bytes > self.limits.max_head_bytes:  # bytes before the answer are kept only up to a bound
-                    await anyio.sleep_forever()
-                try:
-                    data = await connection.stream.receive(self.limits.read_chunk_bytes)
-                except CONNECTION_ERRORS:
-                    if self.usage_recorder is not None:
-                        self.usage_recorder.record_disconnect(attempt, self.name)
-                    await self.decisions.report(CallerDisconnected(attempt))
-                    return None
-                early_bytes += len(data)
-                on_early_data(data)
+                await connection.stream.wait_until_ended()
+                if self.usage_recorder is not None:
+                    self.usage_recorder.record_disconnect(attempt, self.name)
+                await self.decisions.report(CallerDisconnected(attempt))
+                return None
         return pending.answer
 
     async def write_answer(self, connection: Connection, attempt: Attempt, answer: Answer, data: bytes) -> None:
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
 
 import h11
 
@@ -31,18 +30,19 @@
     name = "http"
 
     async def serve_connection(self, connection: Connection) -> None:
-        early = b""  # bytes of the next request that arrived before the answer to the present one
+        early = b""  # bytes of the next request that came with the present one
         while True:
-            conn, early_parts, keep_alive = h11.Connection(h11.SERVER, self.limits.max_head_bytes), list[bytes](), False
+            conn, keep_alive = h11.Connection(h11.SERVER, self.limits.max_head_bytes), False
             if early:
                 self.on_request_bytes(connection)
                 conn.receive_data(early)
+                early = b""
             try:
                 request = await self._read_request(connection, conn)
                 if request is None:
                     return
                 keep_alive = conn.their_state is h11.DONE
-                if not await self._answer(connection, keep_alive, *request, early_parts.append):
+                if not await self._answer(connection, keep_alive, *request):
                     return
             except RequestError as error:
                 self.counters.add(f"http.status_{error.status}")
@@ -54,7 +54,7 @@
                 await self._respond(connection, False, 413 if error.error_status_hint == 413 else 400, text)
             if connection.closes_after_answer:
                 return
-            early = b"".join((conn.trailing_data[0], *early_parts))
+            early = conn.trailing_data[0]
             self.on_answered(connection)
 
     async def _read_request(self, connection: Connection, conn: h11.Connection) -> tuple[h11.Request, bytes] | None:
@@ -90,14 +90,7 @@
             else:
                 return None
 
-    async def _answer(
-        self,
-        connection: Connection,
-        keep_alive: bool,
-        request: h11.Request,
-        body: bytes,
-        on_early_data: Callable[[bytes], None],
-    ) -> bool:
+    async def _answer(self, connection: Connection, keep_alive: bool, request: h11.Request, body: bytes) -> bool:
         """Answer a complete request; False if its caller disconnected before the answer."""
         method, target = request.method.decode(), origin_form(request.target.decode())
         path, _, query = target.partition("?")
@@ -118,7 +111,7 @@
 
         pending = PendingAnswer()
         attempt = self.attempt_builder.build(class_name, body, get, pending.resolve)
-        answer = await self.submit_and_wait(connection, attempt, pending, on_early_data)
+        answer = await self.submit_and_wait(connection, attempt, pending)
         if answer is not None:
             answer_headers = response_headers(
                 answer, answer.body, self.serving_status, self._closes_after_answer(connection, keep_alive)
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -58,7 +58,7 @@
             class_name, body, lambda name: variables.get("HTTP_" + name.upper().replace("-", "_")), pending.resolve
         )
         attempt.workers, attempt.head = "apps", head + block
-        answer = await self.submit_and_wait(connection, attempt, pending, lambda data: None)
+        answer = await self.submit_and_wait(connection, attempt, pending)
         if answer is not None:
             headers = response_headers(answer, answer.body, self.serving_status, close=True)
             await self.write_answer(
--- a/tests/wire/test_closing.py
+++ b/tests/wire/test_closing.py
@@ -91,7 +91,7 @@
             caller = await open_caller(raw)
             assert await caller.reader.read() == b""
             await asyncio.sleep(0.002)
-            assert all(not connection.stream._protocol.read_queue for connection in harness.front.connections)
+            assert all(not connection.stream.buffer.unprocessed for connection in harness.front.connections)
             caller.writer.close()
             await harness.wait_until(lambda harness=harness: not harness.front.connections)
             assert not harness.counters["http.bytes_discarded"] and harness.counters["http.checks"] == 1
--- a/tests/wire/test_connections.py
+++ b/tests/wire/test_connections.py
@@ -155,6 +155,8 @@
     async with StandaloneFront(front, write_timeout_ms=50.0, sweep_interval_ms=20.0, linger_ms=1.0) as standalone:
 
         class UnreadStream:  # a stream whose peer reads nothing
+            discarded_bytes = 0
+
             async def receive(self, max_bytes):
                 return standalone.ping
 
