Keep of a parsed head only the fields that are used while a request waits

Callers would have seen: a node of 192 MB killed for memory, and their requests lost. 400 connections whose heads of 16 KB held some 2,200 short fields took it to 195 MB while they waited for their answers, to 177 MB where the last byte of the body was missing.

The bound on a head counts its bytes.

Change: RequestHead of the HTTP front and the variables of the uwsgi front hold fields.FIELD_NAMES and what the fronts use themselves. What is answered to a repeated field is as before.

--- a/flintshift/wire/fields.py
+++ b/flintshift/wire/fields.py
@@ -14,6 +14,22 @@
 from flintshift.core.ports import ServingStatus
 from flintshift.interface import Effect
 
+# The fields that an attempt is built from.
+FIELD_NAMES = frozenset(
+    {
+        "X-Again",
+        "X-Allow-Ms",
+        "X-Door-Time",
+        "X-Item",
+        "X-Job-Id",
+        "X-Precedence",
+        "X-Ram-Kb",
+        "X-Sender",
+        "X-Size-Ms",
+        "X-Team",
+        "X-Unique",
+    }
+)
 HEX16 = re.compile(r"[0-9a-fA-F]{16}")
 TOKEN = re.compile(r"[!-~]{1,64}")
 MAX_UNIX_MS = 2.0**53
@@ -61,7 +77,8 @@
     def build(
         self, class_name: str, body: bytes, get: Callable[[str], str | None], on_answer: Callable[[Answer], None]
     ) -> Attempt:
-        """Build the attempt of a complete request. ``get`` returns the value of a field, or None if it is missing.
+        """Build the attempt of a complete request. ``get`` returns the value of one of `FIELD_NAMES`, or None if it is
+        missing.
 
         Raises:
             RequestError: a field is missing or invalid, or the body is too large.
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterable
+from dataclasses import dataclass
 
 import h11
 
 from flintshift.core.attempts import Answer
 from flintshift.wire.connection import CloseReason, Connection
-from flintshift.wire.fields import RequestError, encode_response, response_headers, response_status
+from flintshift.wire.fields import FIELD_NAMES, RequestError, encode_response, response_headers, response_status
 from flintshift.wire.front import UNFINISHED_ANSWER, Front, PendingAnswer
 
 
@@ -24,6 +26,39 @@
     return "/" + rest.partition("/")[2]
 
 
+FIELD_NAME_BY_HEADER = {name.lower().encode(): name for name in FIELD_NAMES}
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """What is kept of a request's head. A head parsed in full takes up to 40 times its bytes, too much to keep on every
+    connection while a request is read or waits for its answer."""
+
+    method: str
+    target: str
+    fields: dict[str, str]  # those of `FIELD_NAMES`, by name
+    repeated_field: str | None  # a field beginning with X- that occurs more than once
+
+    @classmethod
+    def from_event(cls, request: h11.Request) -> RequestHead:
+        """Select it from the complete head."""
+        fields: dict[str, str] = {}
+        for name, value in request.headers:
+            if name in FIELD_NAME_BY_HEADER:
+                fields[FIELD_NAME_BY_HEADER[name]] = value.decode("latin-1")
+        repeated_field = _find_repeated(name for name, _ in request.headers if name.startswith(b"x-"))
+        return cls(request.method.decode(), request.target.decode(), fields, repeated_field)
+
+
+def _find_repeated(names: Iterable[bytes]) -> str | None:
+    seen = set[bytes]()
+    for name in names:
+        if name in seen:
+            return name.decode().title()
+        seen.add(name)
+    return None
+
+
 class HttpFront(Front):
     """Serves callers over HTTP/1.1."""
 
@@ -57,9 +92,10 @@
             early = conn.trailing_data[0]
             self.on_answered(connection)
 
-    async def _read_request(self, connection: Connection, conn: h11.Connection) -> tuple[h11.Request, bytes] | None:
+    async def _read_request(self, connection: Connection, conn: h11.Connection) -> tuple[RequestHead, bytes] | None:
         """Read the next complete request; None if the connection is to be closed."""
-        request, body = None, b""
+        head: RequestHead | None = None
+        body = b""
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
@@ -75,42 +111,37 @@
                     return None
                 conn.receive_data(data)
             elif isinstance(event, h11.Request):
-                request, headers = event, dict(event.headers)
-                # Guards against request smuggling: with both headers, peers differ on where the body ends.
-                if b"content-length" in headers and b"transfer-encoding" in headers:
-                    raise RequestError(400, "Content-Length and Transfer-Encoding exclude each other")
-                if int(headers.get(b"content-length", b"0")) > self.limits.max_body_bytes:
-                    raise RequestError(413, "the body is too large")
+                self._check_body_length(dict(event.headers))
+                head = RequestHead.from_event(event)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self.limits.max_body_bytes:
                     raise RequestError(413, "the body is too large")
-            elif isinstance(event, h11.EndOfMessage) and request is not None:
-                return request, body
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return head, body
             else:
                 return None
 
-    async def _answer(self, connection: Connection, keep_alive: bool, request: h11.Request, body: bytes) -> bool:
+    def _check_body_length(self, headers: dict[bytes, bytes]) -> None:
+        # Guards against request smuggling: with both headers, peers differ on where the body ends.
+        if b"content-length" in headers and b"transfer-encoding" in headers:
+            raise RequestError(400, "Content-Length and Transfer-Encoding exclude each other")
+        if int(headers.get(b"content-length", b"0")) > self.limits.max_body_bytes:
+            raise RequestError(413, "the body is too large")
+
+    async def _answer(self, connection: Connection, keep_alive: bool, head: RequestHead, body: bytes) -> bool:
         """Answer a complete request; False if its caller disconnected before the answer."""
-        method, target = request.method.decode(), origin_form(request.target.decode())
+        target = origin_form(head.target)
         path, _, query = target.partition("?")
         if path == "/ping":
-            healthy = await self.check_health(method, query)
+            healthy = await self.check_health(head.method, query)
             await self._respond(connection, keep_alive, 200 if healthy else 503, b"")
             return True
-        class_name = self.attempt_builder.class_name_of(method, target)
-        headers: dict[bytes, bytes] = {}
-        for name, value in request.headers:
-            if name in headers and name.startswith(b"x-"):
-                raise RequestError(400, f"{name.decode().title()} is impossible")  # ambiguous: it occurs more than once
-            headers[name] = value
-
-        def get(name: str) -> str | None:
-            value = headers.get(name.lower().encode())
-            return value.decode("latin-1") if value is not None else None
-
+        class_name = self.attempt_builder.class_name_of(head.method, target)
+        if head.repeated_field is not None:  # it is ambiguous
+            raise RequestError(400, f"{head.repeated_field} is impossible")
         pending = PendingAnswer()
-        attempt = self.attempt_builder.build(class_name, body, get, pending.resolve)
+        attempt = self.attempt_builder.build(class_name, body, head.fields.get, pending.resolve)
         answer = await self.submit_and_wait(connection, attempt, pending)
         if answer is not None:
             answer_headers = response_headers(
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -7,9 +7,14 @@
 from flintshift.core.attempts import Answer
 from flintshift.wire import uwsgi
 from flintshift.wire.connection import CloseReason, Connection
-from flintshift.wire.fields import RequestError, encode_response, response_headers, response_status
+from flintshift.wire.fields import FIELD_NAMES, RequestError, encode_response, response_headers, response_status
 from flintshift.wire.front import UNFINISHED_ANSWER, Front, PendingAnswer
 
+VARIABLE_BY_FIELD = {name: "HTTP_" + name.upper().replace("-", "_") for name in FIELD_NAMES}
+USED_VARIABLES = frozenset(
+    {"REQUEST_METHOD", "PATH_INFO", "QUERY_STRING", "CONTENT_LENGTH", *VARIABLE_BY_FIELD.values()}
+)
+
 
 class UwsgiFront(Front):
     """Serves callers over uwsgi."""
@@ -41,7 +46,8 @@
         try:
             head = await read_exactly(uwsgi.HEAD.size)
             block = await read_exactly(uwsgi.block_size(head, self.limits.max_uwsgi_vars_bytes))
-            variables = uwsgi.unpack(block)
+            # All of a block's variables take many times its bytes, too much to keep on every connection.
+            variables = {name: value for name, value in uwsgi.unpack(block).items() if name in USED_VARIABLES}
             body = await read_exactly(uwsgi.body_size(variables, self.limits.max_body_bytes))
         except ReadStoppedError:
             if connection.busy:  # the request arrived only in part, and nothing of it was run
@@ -55,7 +61,7 @@
             return
         class_name, pending = self.attempt_builder.class_name_of(method, path), PendingAnswer()
         attempt = self.attempt_builder.build(
-            class_name, body, lambda name: variables.get("HTTP_" + name.upper().replace("-", "_")), pending.resolve
+            class_name, body, lambda name: variables.get(VARIABLE_BY_FIELD[name]), pending.resolve
         )
         attempt.workers, attempt.head = "apps", head + block
         answer = await self.submit_and_wait(connection, attempt, pending)
--- a/tests/wire/front_harness.py
+++ b/tests/wire/front_harness.py
@@ -1,4 +1,4 @@
-"""A test harness: an HTTP front that listens in the test's own event loop, with decisions made by the test."""
+"""A test harness: a front that listens in the test's own event loop, with decisions made by the test."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
 from flintshift.wire.acceptor import Acceptor, open_listener
 from flintshift.wire.fields import AttemptBuilder
 from flintshift.wire.http_front import HttpFront
+from flintshift.wire.uwsgi_front import UwsgiFront
 
 PING = REQUEST_BYTES["http"]("", b"", {}, method="GET", path="/ping")
 
@@ -53,12 +54,14 @@
 
 
 class FrontHarness:
-    """Runs an HTTP front on a free port; an asynchronous context manager."""
+    """Runs a front on a free port; an asynchronous context manager."""
 
-    def __init__(self, **limits: float) -> None:
+    def __init__(self, name: str = "http", **limits: float) -> None:
         self.limits, self.counters, self.decisions = Limits(**limits), Counters(), ScriptedDecisions()
         attempt_builder = AttemptBuilder(Catalogue(parse_settings(flatten(SETTINGS)), self.limits), self.limits, now_ms)
-        self.front = HttpFront(attempt_builder, self.decisions, self.limits, self.counters, now_ms, 100, None)
+        self.front = {"http": HttpFront, "uwsgi": UwsgiFront}[name](
+            attempt_builder, self.decisions, self.limits, self.counters, now_ms, 100, None
+        )
 
     async def __aenter__(self):
         listener = Acceptor(open_listener(("127.0.0.1", 0), 64))
