--- a/flintshift/wire/peer_codec.py
+++ b/flintshift/wire/peer_codec.py
@@ -30,6 +30,7 @@
 )  # numbered from 1; the order must never change
 OUTCOME_NUMBERS = {outcome: number for number, outcome in enumerate(OUTCOMES, 1)}
 MAX_PEER_FRAME_BYTES = 4 << 20  # a longer frame is malformed
+MAX_HELLO_FRAME_BYTES = 16_384  # so is a longer one from a process whose hello was not accepted
 
 OutgoingMessage = Ask | Vote | Ended | FillAsk | Page | Accuse | logs.LogMessage | PermitRequest | Permit
 IncomingMessage = Ask | Vote | Ended | FillAsk | Page | Accused | logs.LogMessage | PermitRequest | Permit
--- a/flintshift/wire/peer_link.py
+++ b/flintshift/wire/peer_link.py
@@ -25,6 +25,7 @@
 from flintshift.startup.backoff import Backoff
 from flintshift.wire.link import CONNECTION_ERRORS, MalformedMessageError
 from flintshift.wire.peer_codec import (
+    MAX_HELLO_FRAME_BYTES,
     MAX_PEER_FRAME_BYTES,
     OutgoingMessage,
     PeerMessageError,
@@ -93,6 +94,11 @@
         self.hello_received = anyio.Event()  # set once the hello of the peer is received, or the connection has ended
         self.frames_sent = self.messages_sent = 0
 
+    @property
+    def max_frame_bytes(self) -> int:
+        """The longest frame that is accepted now: strangers may open many connections."""
+        return MAX_HELLO_FRAME_BYTES if self.peer_hello is None else MAX_PEER_FRAME_BYTES
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -103,7 +109,7 @@
         try:
             while len(self.received) >= LENGTH_PREFIX_BYTES:
                 size = int.from_bytes(self.received[:LENGTH_PREFIX_BYTES], "little")
-                if size > MAX_PEER_FRAME_BYTES:
+                if size > self.max_frame_bytes:
                     raise PeerMessageError(f"a frame of {size} bytes")
                 if len(self.received) < LENGTH_PREFIX_BYTES + size:
                     return
