Let a configuration of 0 descriptors fail as before, not by a division

Cause: the bound on received bytes divides by the descriptors of the configuration, which no check keeps above 0. Change: it divides by 1 at the least; a docstring tells the measured ratio of a parsed head to its bytes (25).

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -115,7 +115,7 @@
     def max_received_bytes(self) -> int:
         """Received bytes that one connection holds unprocessed. On all descriptors together they take a sixteenth of
         the memory at most: callers may open as many connections, and send without end on each."""
-        fair_share = self.memory_mb * (1 << 20) // 16 // self.sockets
+        fair_share = self.memory_mb * (1 << 20) // 16 // max(1, self.sockets)
         return max(self.min_received_bytes, min(self.max_head_bytes, fair_share))
 
     # File descriptors by use. Their sum, with an eighth more of each front's, leaves a sixteenth for the rest: links to
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """What is kept of a request's head. A head parsed in full takes up to 40 times its bytes, too much to keep on every
+    """What is kept of a request's head. A head parsed in full can take 25 times its bytes, too much to keep on every
     connection while a request is read or waits for its answer."""
 
     method: str
