Connect to an address without looking it up

Callers saw nothing. Cause: since links have a bounded stream, connect looked up every host, and on an event loop other than uvloop an address too waits for a thread.

Change: an address is connected to directly, as before that change; names are looked up.

--- a/flintshift/wire/link.py
+++ b/flintshift/wire/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
 import socket
 
 import anyio
@@ -35,6 +36,8 @@
     host, port = address
     try:
         with anyio.fail_after(limits.connect_timeout_ms / 1000):
+            if _is_ip_address(host):  # its look-up would take a thread on some event loops
+                return await _connect_to(host, port, socket.AF_UNSPEC, limits)
             return await _connect_to_any_address(host, port, limits)
     except UnicodeError as error:
         raise OSError(f"{host} is not a valid host name") from error
@@ -42,6 +45,14 @@
         raise ConnectionError(f"{host}:{port}: {error}") from error
 
 
+def _is_ip_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 async def _connect_to_any_address(host: str, port: int, limits: Limits) -> BoundedStream:
     """Try the addresses of a host in turn. None of them may use up the time of those after it."""
     loop = asyncio.get_running_loop()
--- a/tests/wire/test_link.py
+++ b/tests/wire/test_link.py
@@ -48,6 +48,22 @@
         assert time.monotonic() - start < 0.35
 
 
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"])
+async def test_an_address_is_not_looked_up(monkeypatch, host):
+    """Guards against links that are slow on a busy machine: each of them waited for a thread to look up its address."""
+
+    async def getaddrinfo(*_, **__):
+        raise AssertionError("looked up")
+
+    monkeypatch.setattr(asyncio.get_running_loop(), "getaddrinfo", getaddrinfo)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family) as listener:
+        listener.bind((host, 0))
+        listener.listen()
+        async with await connect((host, listener.getsockname()[1]), Limits()) as stream:
+            assert stream.extra(SocketAttribute.remote_address)[0] == host
+
+
 def test_a_link_holds_a_bounded_number_of_bytes_of_a_peer_that_sends_without_end():
     """Guards against a node that is killed for memory. A single `receive` read up to 8 MB ahead, since the transport of
     the event loop goes on until it is paused."""
