Test that requests behind a waiting one are all answered, beyond what is held

Cause: nothing showed that what a connection does not read ahead is read and answered later, when it is more than the bound. Change: a test of 400 requests in one piece, over three times the bound; the uwsgi request with a large body in the memory test is packed, not patched.

--- a/tests/wire/test_closing.py
+++ b/tests/wire/test_closing.py
@@ -308,6 +308,23 @@
             caller.writer.close()
 
 
+async def test_requests_behind_one_that_waits_are_all_answered_though_they_exceed_what_a_connection_holds():
+    async with FrontHarness() as harness:
+        caller = await open_caller(harness.connect())
+        requests = [http_request() for _ in range(400)]
+        assert sum(map(len, requests)) > 3 * harness.limits.max_received_bytes
+        caller.send(b"".join(requests))
+        await harness.wait_until(lambda: harness.decisions.submitted)
+        (stream,) = (connection.stream for connection in harness.front.connections)
+        await harness.wait_until(lambda: stream.buffer.full)  # no more is read before the answer
+        harness.decisions.immediate_answer = Answer(Verdict.SERVED, b"later")
+        harness.decisions.submitted[0].settle(Answer(Verdict.SERVED, b"first"), now_ms())
+        bodies = [(await caller.reply()).body for _ in requests]
+        assert bodies == [b"first"] + [b"later"] * (len(requests) - 1)
+        assert len({attempt.id for attempt in harness.decisions.submitted}) == len(requests)
+        caller.writer.close()
+
+
 async def test_an_answer_of_4_kib_that_the_caller_reads_late_arrives_whole_though_it_sent_more_meanwhile():
     body = bytes(range(256)) * 16
     for _ in range(REPEATS):
--- a/tests/wire/test_memory_under_bad_clients.py
+++ b/tests/wire/test_memory_under_bad_clients.py
@@ -17,6 +17,8 @@
 from bad_clients import ID_PLACE, Message, run_bad_clients
 from standins import REQUEST_BYTES, NodeHarness, request_fields
 
+from flintshift.wire import uwsgi
+
 pytestmark = pytest.mark.anyio
 
 MAX_MEMORY_MB = 192 / 2
@@ -81,13 +83,9 @@
     """The head of a request whose body has that size."""
     if front == "http":
         return request(front, b"").replace(b"Content-Length: 0", b"Content-Length: %d" % size)
-    fields = {"Content-Length": None, **request_fields("race-results")}
-    data = REQUEST_BYTES["uwsgi"]("race-results", b"", {name: v for name, v in fields.items() if v is not None})
-    length = str(size).encode()
-    whole = data[4:].replace(
-        b"\x0e\x00CONTENT_LENGTH\x01\x000", b"\x0e\x00CONTENT_LENGTH" + len(length).to_bytes(2, "little") + length
-    )
-    return b"\0" + len(whole).to_bytes(2, "little") + b"\0" + whole
+    fields = {f"HTTP_{name.upper().replace('-', '_')}": value for name, value in request_fields("race-results").items()}
+    variables = {"REQUEST_METHOD": "POST", "PATH_INFO": "/call/race-results", "CONTENT_LENGTH": str(size), **fields}
+    return uwsgi.pack(variables.items())
 
 
 @pytest.mark.parametrize("clients", [8, 100])
