Review case 10: the process that serves ends by itself in a second upgrade in a row

Cause: lifecycle/replication_status.py rounds a time that is infinite in a process that does not own the store yet; another process of the node asks for it when it looks whether the status socket is in use, and the error ends the node.

Change: a script with upgrades of one of three members, each begun as the one before has ended. The program is as it was.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Case 10: a fleet with replicas is stopped, one member is added to the list, and all are started: the old ones end."""
+"""Case 10: a second upgrade begins as the first has ended: the process that took the callers over ends by itself."""
 
 from __future__ import annotations
 
@@ -16,127 +16,134 @@
     HELD,
     ROOT,
     Node,
-    NotRunError,
     Record,
     Rig,
+    UsualCaller,
+    control,
     free_ports,
     healthy,
-    http_request,
     main,
     platform_config,
-    read_reply,
-    request_fields,
     trouble,
     until,
 )
 
 from flintshift.lab.standins import Names, Pool, Vault
 
-HALLS = {"n1": "ruwi-hall", "n2": "ruwi-hall", "n3": "seeb-hall", "n4": "seeb-hall"}
-OLD = ("n1", "n2", "n3")
-KEYED, DEADLINE_MS = "submit-time", 1500.0
-RUN_MS, SLOWER = 900.0, 3.0  # all nodes are 1.8 to 3 times slower for a while
-WRITES, WATCH_S = 40, 12.0
+HALLS = {"n1": "ruwi-hall", "n2": "ruwi-hall", "n3": "seeb-hall"}
+DEADLINE_MS, STOP_S = 1500.0, 1.5 + 0.7  # SIGKILL follows SIGTERM so long after
+PAUSES_S = (0.0, 0.2, 0.4, 0.1, 0.3, 0.0, 0.2, 0.4)  # from the end of an upgrade to the begin of the next one
+CALLERS, QUIET_S = 3, 12.0
 
 
 class Fleet:
-    """The members by name, with their pools."""
+    """Three members; n1 is upgraded."""
 
     def __init__(self, rig: Rig, record: Record) -> None:
         self.rig, self.record = rig, record
         self.listen = dict(zip(HALLS, free_ports(len(HALLS)), strict=True))
         self.peer = dict(zip(HALLS, free_ports(len(HALLS)), strict=True))
-        self.nodes: dict[str, Node] = {}
         self.vault, self.names = Vault(), Names()
 
-    async def start(self, names: tuple[str, ...], epoch: int, founding: bool) -> None:
-        """Start these members with a list of themselves; each start has a worker pool of its own."""
+    async def start(self, name: str, number: int) -> tuple[Node, int]:
+        """Start a process of a member, with a worker pool and a control address of its own."""
+        pool = await self.rig.stand_in(Pool(cores=4, took_ms={"standings": 5.0}))
+        (control_port,) = free_ports(1)
         members = "".join(
-            f"    {name}: {{hall: {HALLS[name]}, address: 127.0.0.1:{self.peer[name]}}}\n" for name in names
+            f"    {member}: {{hall: {hall}, address: 127.0.0.1:{self.peer[member]}}}\n"
+            for member, hall in HALLS.items()
         )
-        for name in names:
-            pool = await self.rig.stand_in(Pool(cores=64, took_ms={KEYED: RUN_MS * SLOWER}))
-            config = platform_config(
-                name, self.listen[name], pool.port, self.names.port, self.vault.port, deadline_ms=DEADLINE_MS
-            )
-            config["settings"]["familyInfo"]["nCores"] = 64
-            settings = (
-                "log: {enabled: true, repeats: 0ms}\n"
-                f"peers:\n  enabled: true\n  listen: 127.0.0.1:{self.peer[name]}\n  epoch: {epoch}\n"
-                f"  members:\n{members}copies:\n  enabled: true\n  copies: 3\n"
+        settings = (
+            "log: {enabled: true, repeats: 0ms}\n"
+            f"peers:\n  enabled: true\n  listen: 127.0.0.1:{self.peer[name]}\n  members:\n{members}"
+            "copies:\n  enabled: true\n  copies: 3\n"
+        )
+        config = platform_config(
+            name, self.listen[name], pool.port, self.names.port, self.vault.port, deadline_ms=DEADLINE_MS
+        ) | {"control": f"127.0.0.1:{control_port}"}
+        node = Node(config, self.rig.folder / name, settings, f".{number}")
+        if not number:
+            node.folder.mkdir(parents=True)
+            subprocess.run(
+                [
+                    str(ROOT / ".venv/bin/python"),
+                    "-m",
+                    "flintshift.cli",
+                    "copies",
+                    "found",
+                    str(node.folder / "copies"),
+                ],
+                cwd=ROOT,
+                check=True,
+                stdout=subprocess.DEVNULL,
+                timeout=30,
             )
-            folder = self.rig.folder / name
-            self.nodes[name] = Node(config, folder, settings, f".{epoch}")
-            if founding:
-                folder.mkdir(parents=True, exist_ok=True)
-                subprocess.run(
-                    [str(ROOT / ".venv/bin/python"), "-m", "flintshift.cli", "copies", "found", str(folder / "copies")],
-                    cwd=ROOT,
-                    check=True,
-                    stdout=subprocess.DEVNULL,
-                    timeout=30,
-                )
-            self.rig.add(self.nodes[name])
-
-    async def write(self, name: str, number: int) -> str:
-        """Send one write to a member; returns the end of it."""
-        rid = f"{number:016x}"
-        fields = request_fields(rid, "sur-pacers", KEYED, 1) | {"X-Unique": f"key-{number}"}
-        try:
-            async with asyncio.timeout(8.0):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.listen[name])
-                writer.write(http_request(KEYED, b"12:01.5", fields))
-                status, _, _ = await read_reply(reader)
-                writer.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            return f"{rid} at {name}: {error!r}"
-        return f"{rid} at {name}: {status}"
+        return self.rig.add(node), control_port
+
+    async def all_healthy(self) -> bool:
+        return all([await healthy(port) for port in self.listen.values()])
 
 
 async def case(rig: Rig, record: Record) -> int:
     fleet = Fleet(rig, record)
     await rig.stand_in(fleet.vault)
     await rig.stand_in(fleet.names)
-    await fleet.start(OLD, 1, founding=True)
-
-    async def all_healthy(names: tuple[str, ...]) -> bool:
-        return all([await healthy(fleet.listen[name]) for name in names])
-
-    await until(lambda: all_healthy(OLD), "the members are healthy", 30.0)
+    started = {name: (await fleet.start(name, 0))[0] for name in HALLS}
+    serving = started["n1"]
+    await until(fleet.all_healthy, "the members are healthy", 30.0)
     await until(
-        lambda: all('"reached": 2' in fleet.nodes[name].log_text() for name in OLD), "all members are linked", 30.0
+        lambda: all('"reached": 2' in node.log_text() for node in started.values()), "all members are linked", 30.0
     )
-    record.add(f"{WRITES} writes are sent; runs take {RUN_MS * SLOWER:.0f} ms, {SLOWER:g} times their usual work")
-    writes = [asyncio.create_task(fleet.write(OLD[number % 3], number)) for number in range(1, WRITES + 1)]
-    await asyncio.sleep(0.7)
-    for name in OLD:
-        fleet.nodes[name].send(signal.SIGTERM)
-    record.add("SIGTERM to all members")
-    await until(lambda: not any(fleet.nodes[name].up for name in OLD), "all members have ended", 15.0)
-    for write in writes:
-        record.add(await write)
-    for name in OLD:
-        process = fleet.nodes[name].process
-        assert process is not None
-        record.add(f"{name} has ended with {process.returncode}")
-        if process.returncode:
-            raise NotRunError(f"{name} did not end in good order")
-    names = tuple(HALLS) if trouble() else OLD
-    await fleet.start(names, 2, founding=False)
-    record.add(f"started with the list of epoch 2: {', '.join(names)}; the old ones on their folders")
-    began_s, ended = time.monotonic(), dict[str, float]()
-    while time.monotonic() < began_s + WATCH_S:
-        for name in names:
-            if not fleet.nodes[name].up and name not in ended:
-                ended[name] = time.monotonic() - began_s
-        await asyncio.sleep(0.05)
-    for name, after_s in ended.items():
-        process = fleet.nodes[name].process
+    callers = [UsualCaller(fleet.listen["n1"], number, DEADLINE_MS) for number in range(1, CALLERS + 1)]
+    rounds = 0
+
+    async def ask_all() -> None:
+        """Each caller sends a request now and then, and keeps its connection."""
+        nonlocal rounds
+        rounds += 1
+        for caller in callers:
+            record.add(str(await caller.ask(f"{caller.number:08x}{rounds:08x}")))
+
+    def crashed(node: Node, what: str) -> bool:
+        if node.up:
+            return False
+        process = node.process
         assert process is not None
-        errors = [line for line in fleet.nodes[name].log_text().splitlines() if "Error: " in line]
-        record.add(f"{name} ended by itself {after_s:.1f} s after its start, with {process.returncode}: {errors[-1:]}")
-    record.add(f"members that nobody stopped and that ended within {WATCH_S:g} s: {len(ended)} of {len(names)}")
-    return BROKEN if ended else HELD
+        errors = [line.strip(" |") for line in node.log_text().splitlines() if "Error: " in line]
+        record.add(f"{what} has ended by itself, with {process.returncode}: {errors[-1:]}")
+        return True
+
+    if not trouble():
+        end_s = time.monotonic() + QUIET_S
+        while time.monotonic() < end_s:
+            await ask_all()
+            await asyncio.sleep(1.0)
+        return BROKEN if any(crashed(node, name) for name, node in started.items()) else HELD
+    for number, pause_s in enumerate(PAUSES_S, 1):
+        await ask_all()
+        new, control_port = await fleet.start("n1", number)
+
+        async def ready(new: Node = new, control_port: int = control_port) -> bool:
+            return not new.up or await control(control_port, "GET", "/control/ready")
+
+        await until(ready, "the new process says yes", 6.0)
+        if crashed(new, f"the new process of upgrade {number}"):
+            return BROKEN
+        serving.send(signal.SIGTERM)
+        term_s = time.monotonic()
+        record.add(f"upgrade {number}: the new process says yes; SIGTERM to the older one")
+        while serving.up and time.monotonic() < term_s + STOP_S:
+            await asyncio.sleep(0.01)
+        how = "is killed" if serving.up else "has ended"
+        record.add(f"the older process {how} {time.monotonic() - term_s:.2f} s later")
+        serving.kill()
+        serving = new
+        await asyncio.sleep(pause_s)
+        if crashed(new, f"the process that serves since upgrade {number}"):
+            await ask_all()
+            return BROKEN
+    await asyncio.sleep(2.0)
+    return BROKEN if crashed(serving, "the process that serves") else HELD
 
 
 if __name__ == "__main__":
