A process that does not own the store yet shows its status without ending

Callers saw: with copies on, a second upgrade that began as the first had ended left nobody listening at their address: the new process, which had just taken them over, ended by itself with OverflowError.

Cause: replication_status rounded the time from which the member votes, which is infinite while another process of the member owns the store. The status socket goes to whoever finds its path free; in a second upgrade that may be the newest process, and the one in the middle looks at the path by a connection, which is answered with a status. The traceback of the case and of the new test names that line.

Change: Registers.votes_in_ms tells "no time is known" by None; `copies status` says who owns the store. All other uses of an infinite time were read: they compare and never convert it.

--- a/flintshift/cli/copies.py
+++ b/flintshift/cli/copies.py
@@ -35,6 +35,16 @@
     )
 
 
+def describe_votes(report: dict[str, Any]) -> str:
+    """Describe whether the member votes on every key; if not, until when."""
+    if report["votes"]:
+        return "yes"
+    if report["votes_in_ms"] is None:
+        return "no: another process of this member owns the store until it ends"
+    filled_by = ", ".join(report["filled_by"]) or "nobody yet"
+    return f"no, at the latest in {report['votes_in_ms'] / 1000:.0f} s; filled by {filled_by}"
+
+
 @click.group()
 def copies() -> None:
     """The replica store of a member of a fleet.
@@ -76,7 +86,8 @@
 
     \b
     votes         whether the member votes on every key; if not, how long until it does by
-                  itself, and which members have filled it
+                  itself, and which members have filled it; in an upgrade, the process that
+                  answers may not own the store yet
     under-copied  keys of which another replica holder is unreachable now
     may have run  writes whose runner died without an outcome: they fail, and never run again
                   in their window. Look them up in the results ledger
@@ -87,18 +98,10 @@
     if as_json:
         click.echo(json.dumps(report))
     else:
-        votes = (
-            "yes"
-            if report["votes"]
-            else (
-                f"no, at the latest in {report['votes_in_ms'] / 1000:.0f} s; filled by "
-                f"{', '.join(report['filled_by']) or 'nobody yet'}"
-            )
-        )
         stages = ", ".join(f"{count:,} {stage}" for stage, count in report["stages"].items())
         for label, text in (
             ("member", f"{report['member']} ({report['identity']}), store {report['store']}"),
-            ("votes", votes),
+            ("votes", describe_votes(report)),
             ("disk", describe_disk(report)),
             ("keys", f"{report['keys']:,}: {stages}; {report['bytes'] / 1024:,.0f} KiB"),
             ("under-copied", f"{report['under_copied']:,}"),
--- a/flintshift/lifecycle/replication_status.py
+++ b/flintshift/lifecycle/replication_status.py
@@ -13,6 +13,7 @@
 def replication_status(replication: ReplicationService) -> dict[str, Any]:
     """The status document that `flintshift copies status` shows."""
     now, registers = replication.now_ms(), replication.store.registers
+    votes_in_ms = registers.votes_in_ms(now)
     processes: dict[str, list[dict[str, Any]]] = {}
     for identity, process in replication.members.processes.items():
         processes.setdefault(membership.member_of(identity), []).append(
@@ -34,7 +35,7 @@
         "disk_refuses_for_ms": 0
         if replication.store.disk_failed_since_ms is None
         else round(now - replication.store.disk_failed_since_ms),
-        "votes_in_ms": 0 if registers.votes_on_all_keys else max(0, round(registers.voting_from_ms - now)),
+        "votes_in_ms": None if votes_in_ms is None else round(votes_in_ms),
         "filled_by": sorted(registers.filled_by),
         "keys": len(registers.table),
         "bytes": registers.stored_bytes,
--- a/flintshift/replication/registers.py
+++ b/flintshift/replication/registers.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator, Set
 from dataclasses import dataclass, field
 
@@ -68,7 +69,7 @@
         self.stored_bytes = 0
         self.stores: dict[str, int] = {member: store}  # the newest known incarnation of each member's store
         self.votes_on_all_keys = votes
-        self.voting_from_ms = voting_from_ms  # all that this store once promised has expired by then
+        self.voting_from_ms = voting_from_ms  # all that this store once promised has expired by then; may be infinite
         self.filled_by: set[str] = set()
         self.claims_by_runner: dict[str, set[Key]] = {}  # claims whose run has not ended
         self.purge_count = 0
@@ -80,6 +81,15 @@
 
     # Votes.
 
+    def votes_in_ms(self, now_ms: float) -> float | None:
+        """When this store votes on all keys at the latest, from now; None: no time is known.
+
+        No time is known while another process of this member owns the store.
+        """
+        if self.votes_on_all_keys:
+            return 0.0
+        return max(0.0, self.voting_from_ms - now_ms) if math.isfinite(self.voting_from_ms) else None
+
     def can_vote_on(self, now_ms: float, holders: tuple[str, ...]) -> bool:
         """Whether this store may vote on keys with these holders: its promises are complete, refilled or expired."""
         if self.votes_on_all_keys or now_ms >= self.voting_from_ms:
