A status that can't be built is recorded as a fault and does not end the node

Cause: StatusSocket built the status within its actor, and caught the errors of the connection alone.

Change: an exception while the status is built, or a number that is no JSON, is counted as `<part>.status.faults`, written with its traceback, and the reader gets nothing.

--- a/flintshift/lifecycle/status_socket.py
+++ b/flintshift/lifecycle/status_socket.py
@@ -15,6 +15,7 @@
 
 from flintshift.core.counters import Counters
 from flintshift.core.limits import Limits
+from flintshift.wire import faults
 from flintshift.wire.link import CONNECTION_ERRORS
 from flintshift.wire.unix import is_listening, open_unix_listener
 
@@ -23,7 +24,8 @@
     """An actor of the node that serves one status socket.
 
     If it can't listen at its path, it reports that once and tries again, and the node serves without it. The successor
-    in an upgrade gets the path when its predecessor ends.
+    in an upgrade gets the path when its predecessor ends. A status that can't be built is recorded as a fault, and its
+    reader gets nothing.
     """
 
     def __init__(
@@ -78,7 +80,16 @@
         assert isinstance(stream, SocketStream)
         try:
             async with stream:
+                encoded_status = self._encode_status()
                 with anyio.move_on_after(self.limits.status_write_timeout_ms / 1000):
-                    await stream.send(json.dumps(self.status()).encode() + b"\n")
+                    await stream.send(encoded_status)
         except CONNECTION_ERRORS:
             self.counters.add(f"{self.part}.show_broken")
+
+    def _encode_status(self) -> bytes:
+        """The status as a line of JSON; empty if it can't be told, which must not end the node."""
+        try:
+            return json.dumps(self.status(), allow_nan=False).encode() + b"\n"
+        except Exception as error:
+            faults.record(self.counters, f"{self.part}.status", error)
+            return b""
