Records under an epoch that no majority granted don't count as a ledger's position

Cause: a returning node reported the last record in its log as the position at which it was elected last, whoever had written it. Two corrections by the command line raised it by two epochs, above the member that had taken over, so the holders found the returning node ahead and promised it the ledger. A raised epoch whose grant file the disk refused had the same effect (by reading).

A grant of an earlier version counts all records once, as before.

--- a/flintshift/lifecycle/ledger_replication.py
+++ b/flintshift/lifecycle/ledger_replication.py
@@ -88,6 +88,10 @@
     def in_gap(self) -> bool:
         return self.writer is not None and self.writer.in_gap
 
+    @property
+    def elected(self) -> bool:
+        return self.writer is not None and self.writer.elected and not self.writer.fenced
+
     def is_replicated(self, sequence: int) -> bool:
         assert self.writer is not None
         return not self.writer.fenced and (self.writer.replicated_sequence >= sequence or not self.writer.needed_acks)
@@ -229,7 +233,9 @@
         If the disk rejects it, the ledger seems incomplete at the next start and is taken over, which does no harm."""
         try:
             on_disk.write_epoch_grant(
-                self.files, self.usage.folder, on_disk.EpochGrant(writer.log[1], *writer.elected_position, elected)
+                self.files,
+                self.usage.folder,
+                on_disk.EpochGrant(writer.log[1], *writer.elected_position, elected, writer.epoch if elected else 0),
             )
         except OSError as error:
             self.log("error", "usage.copy_refused", ledger=self.name, cause=str(error))
--- a/flintshift/lifecycle/usage_recording.py
+++ b/flintshift/lifecycle/usage_recording.py
@@ -184,11 +184,8 @@
         if replicated:
             from flintshift.usage.replica import position_before_grant
 
-            position = folder.reach
-            folder.granted_position = position_before_grant(
-                files, options.folder, ledger_id, (position.epoch, position.next_sequence - 1)
-            )
-            if not position.epoch:
+            folder.granted_position = position_before_grant(files, options.folder, ledger_id, recovery.last_sequences)
+            if not folder.reach.epoch:
                 folder.log.epoch = max(int(now / 1000), previous_epoch + 1)
         folder.open(name, ledger_id, options.period_ms, *lists, int(max(now, last_ms)))
     except BaseException:
--- a/flintshift/usage/folder.py
+++ b/flintshift/usage/folder.py
@@ -6,7 +6,8 @@
 ``snapshots/``      the accounts when a segment began, named by the last sequence in them
 ``documents/``      closed periods and revisions, each written once
 ``acks/SINK/``      a file for each document that the sink has acknowledged, with its digest
-``inbox/``          corrections submitted while a node runs; ``replies/`` their results
+``inbox/``          corrections that were submitted to the node; ``replies/`` their results
+``taken-over/``     earlier ledgers of this member, which other members took over
 ==================  =============================================================================
 
 This module decides nothing: ``policy.py`` decides what is written, and ``accounts.py`` adds it up.
@@ -29,6 +30,7 @@
 from flintshift.usage.retention import Removal, StoredDocument, StoredSegment, plan_removal
 
 SNAPSHOT_SUFFIX = ".snapshot"
+TAKEN_OVER_FOLDER = "taken-over"
 REPLY_RETENTION_MS = 86_400_000.0  # how long a correction's result is kept for its author to read
 
 
@@ -41,6 +43,7 @@
     truncated_bytes: int = 0  # cut from the end of the log
     in_doubt: int = 0
     warnings: list[str] = field(default_factory=list)
+    last_sequences: dict[int, int] = field(default_factory=dict)  # last record that was read of each epoch, ascending
 
 
 def snapshot_name(sequence: int) -> str:
@@ -86,6 +89,7 @@
             recovery.warnings.append(f"{error}; an older one is used")
             continue
         recovery.from_snapshot = sequence
+        recovery.last_sequences[epoch] = sequence
         break
     else:
         if recovery.warnings:
@@ -103,6 +107,9 @@
             raise DamagedError(f"{folder}: record {sequence} can't be used: {error}") from error
         accounts.state.sequence = sequence
         recovery.records += len(batch)
+        if batch[0][1] != epoch:  # records of several epochs
+            recovery.last_sequences |= {record_epoch: last_sequence for last_sequence, record_epoch, _, _ in batch}
+        recovery.last_sequences[epoch] = sequence
     if reach.next_sequence == 1 and any(name.endswith(documents.SUFFIX) for name in files.names(folder / "documents")):
         raise DamagedError(f"{folder}: documents are present, but the log and the snapshots are missing")
     recovery.truncated_bytes = reach.truncated_bytes
@@ -160,7 +167,7 @@
         """
         self.log.close()
         state = self.accounts.state
-        archive = self.folder / "taken-over" / f"{state.life.hex()}.e{state.epoch}"
+        archive = self.folder / TAKEN_OVER_FOLDER / f"{state.life.hex()}.e{state.epoch}"
         self.files.make_folder(archive)
         for name in ("log", "snapshots", "documents", "acks"):
             if name in self.files.names(self.folder):
@@ -210,6 +217,11 @@
             self.lock.close()
 
 
+def earlier_ledgers(files: Files, folder: Path) -> list[Path]:
+    """Return the folders of the earlier ledgers, which other members took over."""
+    return [folder / TAKEN_OVER_FOLDER / name for name in files.names(folder / TAKEN_OVER_FOLDER)]
+
+
 def read_documents(files: Files, folder: Path, name_part: str = "") -> dict[str, pb.UsageDocument]:
     """Read the published documents whose names contain ``name_part``; return them by name, ordered by their numbers.
 
--- a/flintshift/usage/replica.py
+++ b/flintshift/usage/replica.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 import msgspec
@@ -52,6 +52,7 @@
     epoch: int
     sequence: int
     elected: bool
+    granted_epoch: int = 0  # the epoch that was granted, if elected; 0: stored by a version that did not store it
 
 
 def write_epoch_grant(files: Files, folder: Path, grant: EpochGrant) -> None:
@@ -59,22 +60,47 @@
     snapshot.publish(files, folder / GRANT_FILE, snapshot.seal(GRANT_KIND, 1, 1, msgspec.msgpack.encode(grant)))
 
 
-def position_before_grant(files: Files, folder: Path, ledger_id: bytes, last: tuple[int, int]) -> tuple[int, int]:
-    """Return the position of the ledger when its epoch was granted last; ``last`` is that of its last record.
+def is_replicated(files: Files, folder: Path) -> bool:
+    """Whether other members hold replicas of the ledger in this folder, so that its epochs are granted by them."""
+    return GRANT_FILE in files.names(folder)
 
-    It is stored before a new incarnation writes.
+
+def is_replica(files: Files, folder: Path) -> bool:
+    """Whether this folder is a replica of another member's ledger."""
+    return STATE_FILE in files.names(folder)
+
+
+def position_before_grant(
+    files: Files, folder: Path, ledger_id: bytes, last_sequences: Mapping[int, int]
+) -> tuple[int, int]:
+    """Return the position of the ledger when its epoch was granted last, and store it before a new incarnation writes.
+
+    ``last_sequences`` gives the last record of each epoch in the log, in ascending order. Records of an epoch that no
+    majority granted don't count, whoever wrote them: another member may have taken the ledger over meanwhile.
     """
-    position = last
-    if GRANT_FILE in files.names(folder):
+    position = max(last_sequences.items(), default=(0, 0))
+    if is_replicated(files, folder):
         grant = msgspec.msgpack.decode(
             snapshot.unseal(folder / GRANT_FILE, files.read(folder / GRANT_FILE), GRANT_KIND).payload, type=EpochGrant
         )
-        if grant.life == ledger_id and not grant.elected:
-            position = grant.epoch, grant.sequence
+        if grant.life == ledger_id:
+            position = _last_granted_position(grant, last_sequences, position)
     write_epoch_grant(files, folder, EpochGrant(ledger_id, *position, False))
     return position
 
 
+def _last_granted_position(
+    grant: EpochGrant, last_sequences: Mapping[int, int], last: tuple[int, int]
+) -> tuple[int, int]:
+    """Return the position of the last record that was written under a granted epoch; ``last``: of the last record."""
+    if not grant.elected:
+        return grant.epoch, grant.sequence
+    if not grant.granted_epoch:
+        return last
+    granted = [position for position in last_sequences.items() if position[0] <= grant.granted_epoch]
+    return max(granted, default=(grant.epoch, grant.sequence))
+
+
 class LedgerSnapshot(msgspec.Struct, array_like=True):
     """All that a replica needs to continue from a position."""
 
