Corrections of a replicated ledger are left to the member that may write it

Cause: `usage correct` appended to the folder of a stopped node under an epoch that nobody had granted. A node that came back processed its inbox before it was elected, and replied before a majority had the correction. On the folder of a replica the command did the same to another member's ledger.

Change: the command writes to no ledger with replicas: it checks the correction, leaves it in the inbox and says so; a replica's folder is rejected. The inbox (usage/inbox.py, out of usage/ledger.py) is processed while the ledger is elected, and replied to once a majority has the record. A ledger begun anew accepts corrections of periods of the earlier ones in taken-over/. The command's part is cli/corrections.py.

--- a/flintshift/cli/usage.py
+++ b/flintshift/cli/usage.py
@@ -5,7 +5,6 @@
 import json
 import re
 import sys
-import time
 from collections.abc import Callable
 from datetime import UTC, datetime
 from functools import wraps
@@ -15,11 +14,11 @@
 import click
 
 from flintshift.storage.files import DiskFiles, LockedError
-from flintshift.storage.snapshot import DamagedError, publish
+from flintshift.storage.snapshot import DamagedError
 from flintshift.usage import documents
 from flintshift.usage.accounts import split_row_key
 from flintshift.usage.documents import utc
-from flintshift.usage.folder import LedgerFolder, load, read_documents, unacknowledged
+from flintshift.usage.folder import load, read_documents, unacknowledged
 from flintshift.usage.records import AMOUNTS, FRONTS, OUTCOMES
 
 FILES = DiskFiles()
@@ -269,10 +268,10 @@
     """Correct a row of a period.
 
     A row of an open period is changed. A closed period gets a numbered revision with the difference; its documents
-    stay as they are. If a node runs on the folder, it is sent the correction; otherwise it is recorded here.
+    stay as they are. If a node runs on the folder, it is sent the correction; otherwise it is recorded here, or, where
+    other members hold replicas of the ledger, left for the node, which processes it once it has the ledger again.
     """
-    import anyio
-
+    from flintshift.cli.corrections import NoReplyError, ReplicaFolderError, submit_correction
     from flintshift.usage.corrections import to_json
     from flintshift.usage.messages import CorrectionRequested
 
@@ -288,58 +287,11 @@
     if not re.fullmatch(r"[A-Za-z0-9._-]{1,64}", id_):
         raise click.UsageError("--id is 1 to 64 of A-Z a-z 0-9 . _ -")
     try:
-        accepted, text = anyio.run(_correct_offline, folder, correction)
-    except LockedError:
-        accepted, text = _submit_to_node(folder, id_, correction, wait)
-    click.echo(text, err=not accepted)
-    sys.exit(0 if accepted else 3)
-
-
-async def _correct_offline(folder: Path, correction: bytes) -> tuple[bool, str]:
-    """Record the correction in a folder on which no node runs; return whether it was accepted, and the reply."""
-    from flintshift.storage.commit import CommitLimits
-    from flintshift.usage.ledger import Ledger
-    from flintshift.usage.periods import LedgerClock
-
-    ledger_folder = LedgerFolder(FILES, folder)
-    try:
-        wall_ms = time.time() * 1000
-        ledger = Ledger(
-            ledger_folder,
-            0,
-            CommitLimits(sync_enabled=False),
-            False,
-            0.0,
-            [],
-            LedgerClock(wall_ms, 0.0, ledger_folder.accounts.state.last_ms),
-            lambda: wall_ms,
-            lambda: 0.0,
-            lambda *_, **__: None,
-        )
-        reply = ledger.correct(correction)
-        if ledger.commit.gap is not None:
-            return False, f"could not be written: {ledger.commit.gap.cause}"
-        ledger_folder.log.sync()
-        if ledger_folder.accounts.state.documents:
-            ledger_folder.write_documents(ledger_folder.accounts.state.documents)
-        return reply.taken, reply.text
-    finally:
-        ledger_folder.close()
-
-
-def _submit_to_node(folder: Path, id_: str, correction: bytes, wait: float) -> tuple[bool, str]:
-    """Put the correction into the inbox of the running node; return whether it was accepted, and the reply."""
-    reply_path = folder / "replies" / f"{id_}.json"
-    reply_path.unlink(missing_ok=True)
-    publish(FILES, folder / "inbox" / reply_path.name, correction)
-    deadline_s = time.monotonic() + wait
-    while not reply_path.exists():
-        if time.monotonic() >= deadline_s:
-            fail(f"submitted; the node has not answered within {wait:g} s: its answer will be in {reply_path}", 1)
-        time.sleep(0.05)
-    reply = json.loads(reply_path.read_bytes())
-    reply_path.unlink(missing_ok=True)
-    return bool(reply["taken"]), str(reply["text"])
+        reply = submit_correction(FILES, folder, id_, correction, wait)
+    except (ReplicaFolderError, NoReplyError) as error:
+        fail(str(error), 1)
+    click.echo(reply.text, err=not reply.taken)
+    sys.exit(0 if reply.taken else 3)
 
 
 @usage.command()
--- a/flintshift/usage/corrections.py
+++ b/flintshift/usage/corrections.py
@@ -9,7 +9,7 @@
 from flintshift.storage.files import Files
 from flintshift.usage import documents
 from flintshift.usage.accounts import UsageAccounts
-from flintshift.usage.folder import read_documents
+from flintshift.usage.folder import earlier_ledgers, load, read_documents
 from flintshift.usage.messages import CorrectionRequested
 from flintshift.usage.records import AMOUNTS
 
@@ -52,13 +52,38 @@
 def with_closed_totals(
     files: Files, folder: Path, accounts: UsageAccounts, request: CorrectionRequested
 ) -> CorrectionRequested:
-    """Return the correction with the row's total and the period's length, where the period has closed.
+    """Return the correction with the row's total and the period's length, where the period is not open here.
+
+    The period may have closed, or may be one of an earlier ledger of this member, which another member took over.
 
     Raises:
-        DamagedError: a document of the period can't be read.
+        OSError, DamagedError: a document of the period, or an earlier ledger, can't be read.
     """
     if request.period in accounts.state.periods or not 0 <= request.period < 2**45:
         return request
+    completed = _with_document_totals(files, folder, accounts, request)
+    if completed.length is None:
+        for earlier in earlier_ledgers(files, folder):
+            completed = _with_earlier_totals(files, earlier, request)
+            if completed.length is not None:
+                break
+    return completed
+
+
+def _with_earlier_totals(files: Files, earlier: Path, request: CorrectionRequested) -> CorrectionRequested:
+    """Return the correction with the totals that an earlier ledger has of the row."""
+    accounts, _, _ = load(files, earlier)
+    period = accounts.state.periods.get(request.period)
+    if period is None:
+        return _with_document_totals(files, earlier, accounts, request)
+    key = request.club, request.class_name, request.front, request.outcome
+    return replace(request, closed=tuple(accounts.settled_amounts(request.period, key)), length=period.length)
+
+
+def _with_document_totals(
+    files: Files, folder: Path, accounts: UsageAccounts, request: CorrectionRequested
+) -> CorrectionRequested:
+    """Return the correction with the totals of the row in the documents of its period, if there are any."""
     by_revision = {
         document.revision: document
         for document in read_documents(files, folder, f".{documents.utc(request.period)}.r").values()
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -12,11 +12,9 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 from collections import deque
 from collections.abc import Callable
-from functools import partial
 from typing import Any, Protocol
 
 import anyio
@@ -48,6 +46,7 @@
 from flintshift.usage.accounts import UsageAccounts
 from flintshift.usage.corrections import from_json, with_closed_totals
 from flintshift.usage.folder import LedgerFolder, retire
+from flintshift.usage.inbox import CorrectionInbox
 from flintshift.usage.messages import (
     Append,
     ClockAdjusted,
@@ -82,7 +81,6 @@
 CLOSE_RETRY_S = 0.005  # between two attempts to end a gap while the node stops
 CLOSE_TIMEOUT_S = 2.0  # for the disk while the node stops: what is not written then is in doubt at the next start
 RETIRE_INTERVAL_MS = 600_000.0  # between two removals of expired files
-MAX_CORRECTIONS_PER_TICK = 100
 
 
 class EventLogger(Protocol):
@@ -99,6 +97,8 @@
     def replicated_through(self) -> float: ...
     @property
     def in_gap(self) -> bool: ...  # the replicas do not respond
+    @property
+    def elected(self) -> bool: ...  # a majority has granted the epoch of the ledger, and no other member has it since
     def is_replicated(self, sequence: int) -> bool: ...  # a majority has this record, whether there is a gap or not
     # Records were written from the sequence ``first`` on; ``answers``: some answers wait for them.
     def on_written(self, first: int, items: list[tuple[int, bytes]], answers: bool) -> None: ...
@@ -168,6 +168,7 @@
         self.period_end_ms = 0  # of the current period
         self.unrecorded_steps_ms: list[int] = []  # steps of the clock that have no record yet
         self.last_retired_ms = -math.inf
+        self.inbox = CorrectionInbox(self)
         self.on_documents_published: Callable[[], object] = lambda: None
         self.on_folder_switched: Callable[[], object] = lambda: None
 
@@ -432,12 +433,12 @@
         else:
             await changed.wait()
 
-    async def _wait_until_writable(self) -> None:
+    async def wait_until_writable(self) -> None:
         """Wait while a segment is begun, during which nothing may be written."""
         while self.commit.writes_blocked:
             await self._wait_for_disk_operation()
 
-    async def _sync_all(self) -> bool:
+    async def sync_all(self) -> bool:
         """Sync all records; return False during a gap, and if another ledger has begun meanwhile."""
         last_sequence, commit = self.accounts.state.sequence, self.commit
         self._perform(commit.handle(self.steady_ms(), SyncRequested(last_sequence)))
@@ -489,12 +490,12 @@
 
     async def tick(self) -> None:
         """Rotate and close periods, publish documents, process corrections, write snapshots, remove expired files."""
-        await self._wait_until_writable()
+        await self.wait_until_writable()
         self._handle_event(Tick())
         if self.commit.gap is not None:
             self._perform(self.commit.handle(self.steady_ms(), TimerFired()))
         await self._publish_documents()
-        await self._process_inbox()
+        await self.inbox.process()
         await self._write_pending_snapshot()
         now = self._ledger_time()
         if now - self.last_retired_ms >= RETIRE_INTERVAL_MS:
@@ -517,7 +518,7 @@
             self.accounts.state.sequence,
         )
         # A published document must not outlive the record that made it.
-        if not unpublished or not await self._sync_all() or accounts is not self.accounts:
+        if not unpublished or not await self.sync_all() or accounts is not self.accounts:
             return
         if self.replication is not None and not self.replication.is_replicated(last_sequence):
             return  # not exported while another member may still close the period differently
@@ -526,7 +527,7 @@
         except OSError as error:
             self.log_event("error", "usage.document_failed", cause=str(error))
             return
-        await self._wait_until_writable()
+        await self.wait_until_writable()
         if accounts is not self.accounts:
             return
         self._handle_event(DocumentsPublished(number))
@@ -534,27 +535,6 @@
             self.log_event("info", "usage.document", name=document.name, bytes=len(document.data))
         self.on_documents_published()
 
-    async def _process_inbox(self) -> None:
-        files, folder = self.folder.files, self.folder.folder
-        try:
-            submitted = [name for name in files.names(folder / "inbox") if name.endswith(".json")]
-        except OSError as error:
-            self.log_event("error", "usage.inbox_failed", name="", cause=str(error))
-            return
-        for name in submitted[:MAX_CORRECTIONS_PER_TICK]:
-            path = folder / "inbox" / name
-            try:
-                await self._wait_until_writable()
-                reply = self.correct(files.read(path))
-                result = {"taken": reply.taken, "text": reply.text}
-                await self._sync_all()
-                await anyio.to_thread.run_sync(
-                    partial(snapshot.publish, files, folder / "replies" / name, json.dumps(result).encode())
-                )
-                files.remove(path)
-            except OSError as error:
-                self.log_event("error", "usage.inbox_failed", name=name, cause=str(error))
-
     def correct(self, data: bytes) -> Reply:
         """Process a submitted correction."""
         try:
@@ -590,6 +570,7 @@
         self.policy = LedgerPolicy(folder.accounts, self.policy.grace_ms)
         self.commit = GroupCommit(self.commit.limits, folder.log.next_sequence - 1)
         self.pending_snapshot = self.backlog = self.disk_operation = None
+        self.inbox.forget_unconfirmed()
         self.period_end_ms, self.synced_through = 0, -1.0
         self._handle_event(Tick())
         self._notify_disk_changed()
@@ -620,7 +601,7 @@
         if removal.documents or removal.segments:
             self.log_event("info", "usage.retired", documents=len(removal.documents), segments=len(removal.segments))
         if removal.retired_before_ms is not None:
-            await self._wait_until_writable()
+            await self.wait_until_writable()
             self._handle_event(DocumentsRetired(removal.retired_before_ms))
 
     async def close(self) -> None:
--- a/tests/fleet/test_use.py
+++ b/tests/fleet/test_use.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 
 import pytest
 
+from flintshift.lab.billing import Billing
 from flintshift.lab.fleet import Fleet, count_billed_requests, usage_settings
 from flintshift.replication.placement import Placement
+from flintshift.settings.embedded import CLUBS
+from flintshift.storage.files import DiskFiles
+from flintshift.usage.documents import utc
+from flintshift.usage.folder import load
 
 HALLS = {"ruwi-hall": 3, "seeb-hall": 2}
 COPIES = "  copies: 3\n  take-over-use: 1s\n"
@@ -72,6 +78,84 @@
         assert count_billed_requests(tmp_path) == {"n2": 60}
 
 
+async def correct(fleet: Fleet, name: str, id_: str, period: str) -> None:
+    """Submit a correction of one request by the command line, which accepts it."""
+    process = await asyncio.create_subprocess_exec(
+        *(
+            sys.executable,
+            "-m",
+            "flintshift.cli",
+            "usage",
+            "correct",
+            "--folder",
+            str(fleet.members[name].home / "usage"),
+        ),
+        *(
+            "--id",
+            id_,
+            "--author",
+            "jo",
+            "--reason",
+            "counted by hand",
+            "--period",
+            period,
+            "--club",
+            next(iter(CLUBS)),
+        ),
+        *("--class", "standings", "--front", "http", "--outcome", "served", "--by", "requests=1"),
+    )
+    assert await process.wait() == 0
+
+
+def last_period(fleet: Fleet, name: str) -> str:
+    """Return the start of the last open period of a member's ledger, as the command line writes it."""
+    accounts, _, _ = load(DiskFiles(), fleet.members[name].home / "usage")
+    return utc(max(accounts.state.periods))
+
+
+async def test_corrections_of_a_stopped_member_leave_its_ledger_to_the_member_that_took_it_over(tmp_path):
+    """Guards against a ledger that is billed twice: the command line wrote under epochs that nobody had granted."""
+    billing = Billing(tmp_path / "billed", late_s=1.0)
+    url = f"http://127.0.0.1:{await billing.start()}/usage"
+    billing.scripted_faults = ["late"] * 1000  # the takeover is still exporting when the member returns
+    settings = f"usage: {{enabled: true, folder: usage, period: 1s, grace: 20s, export: {{http: {{url: '{url}'}}}}}}\n"
+    async with Fleet(tmp_path, HALLS, copies=COPIES, extra_settings=settings) as fleet:
+        await fleet.wait_until_linked()
+        served = 0
+        for _ in range(4):  # in periods of their own
+            served += await send_served_requests(fleet, "n1", 10)
+            await asyncio.sleep(1.0)
+        await fleet.kill("n1")
+        async with asyncio.timeout(15.0):
+            while not [entry for entry in fleet.timeline() if entry["event"] == "usage.took_over"]:
+                await asyncio.sleep(0.05)
+        period = last_period(fleet, "n1")
+        for id_ in ("c1", "c2"):
+            await correct(fleet, "n1", id_, period)
+        await fleet.start("n1")
+        await fleet.wait_until_billed(served + 2, within_s=30.0)
+        await asyncio.sleep(5.0)
+        assert count_billed_requests(tmp_path) == {"n1": served + 2}
+    billing.stop()
+
+
+async def test_corrections_of_a_stopped_member_are_billed_once_by_itself_if_nobody_took_its_ledger_over(tmp_path):
+    late_takeover = COPIES.replace("take-over-use: 1s", "take-over-use: 30s")
+    settings = usage_settings(tmp_path, period="1s").replace("grace: 0ms", "grace: 5s")
+    async with Fleet(tmp_path, HALLS, copies=late_takeover, extra_settings=settings) as fleet:
+        await fleet.wait_until_linked()
+        served = await send_served_requests(fleet, "n1", 40)
+        await fleet.kill("n1")
+        period = last_period(fleet, "n1")
+        for id_ in ("c1", "c2"):
+            await correct(fleet, "n1", id_, period)
+        await fleet.start("n1")
+        await fleet.wait_until_billed(served + 2, within_s=20.0)
+        assert not [entry for entry in fleet.timeline() if entry["event"] in ("usage.fenced", "usage.took_over")]
+        await asyncio.sleep(1.0)
+        assert count_billed_requests(tmp_path) == {"n1": served + 2}
+
+
 async def test_a_member_dies_during_a_takeover_and_the_third_holder_completes_it_once(tmp_path):
     async with Fleet(
         tmp_path, {"a": 2, "b": 2, "c": 1}, copies=COPIES, extra_settings=usage_settings(tmp_path)
--- a/tests/usage/test_ledger_stops.py
+++ b/tests/usage/test_ledger_stops.py
@@ -89,7 +89,7 @@
             tickets[number] = self.ledger.claim(number.to_bytes(8, "big"), row, flags, 10, 1, 1 << number, 5, deliver)
         await self.flush()
         if self.ledger.commit.limits.hold_answers:
-            await self.ledger._sync_all()
+            await self.ledger.sync_all()
         for number, ticket in tickets.items():
             if not final and number in self.delivered:
                 self.ledger.mark_delivery(ticket, True)
@@ -450,13 +450,13 @@
         simulated.at_ms += 2000
         ledger._handle_event(Tick())  # the period closes, and its document waits to be written
         assert ledger.accounts.state.documents
-        await ledger._sync_all()
+        await ledger.sync_all()
         documents_written = asyncio.Event()
 
         async def report_sync():
             return documents_written.set() or True
 
-        ledger._sync_all = report_sync
+        ledger.sync_all = report_sync
         ledger.commit.limits = replace(ledger.commit.limits, segment_bytes=1)
         await simulated.ledger.run_disk_operation()
         ledger._perform(
@@ -512,7 +512,7 @@
             ledger.write_empty_record()
         original_sync = ledger.folder.log.sync
         ledger.folder.log.sync = lambda: (may_continue.wait(), original_sync())
-        sync_task = asyncio.create_task(ledger._sync_all())
+        sync_task = asyncio.create_task(ledger.sync_all())
         await asyncio.sleep(0.02)
         new_folder = LedgerFolder(SimFiles(), FOLDER)
         new_folder.open("n1", b"m" * 16, 1000, CLUBS, CLASSES, START_MS)
