Blocks of uwsgi variables are read in linear time, and have at most 256 variables

Cause: the check for variables that occur twice counted each name in the list of all names, so the time grew with the square of their number: 92 ms of the event loop for 2,000 variables.

Change: repeated names are found while the variables are read; a block of more than 256 is rejected with 431 as soon as the count is over it. The bound stands in core/limits.py.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -26,6 +26,7 @@
     max_linger_bytes: int = 1 << 20  # of what still arrives after the last answer: then the connection is reset
 
     # Counts.
+    max_uwsgi_variables: int = 256
     mailbox_size: int = 2048  # events that wait for a planner
     mailbox_reserve: int = 512  # of these, places that new requests may not take
     batch_size: int = 32  # reports that a planner handles before it yields to other tasks
--- a/flintshift/lab/standins.py
+++ b/flintshift/lab/standins.py
@@ -339,7 +339,7 @@
 
     async def serve(self, reader: RecordingReader, writer: asyncio.StreamWriter) -> None:
         size = uwsgi.block_size(await reader.readexactly(4), 65536)
-        variables = uwsgi.unpack(await reader.readexactly(size))
+        variables = uwsgi.unpack(await reader.readexactly(size), size)
         body = await reader.readexactly(int(variables["CONTENT_LENGTH"]))
         rid = variables["HTTP_X_JOB_ID"]
         self.spawned[rid] += 1
--- a/flintshift/wire/uwsgi.py
+++ b/flintshift/wire/uwsgi.py
@@ -33,14 +33,16 @@
     return int(size)
 
 
-def unpack(block: bytes) -> dict[str, str]:
-    """Decode a block of variables.
+def unpack(block: bytes, max_variables: int) -> dict[str, str]:
+    """Decode a block of at most ``max_variables`` variables.
 
     Raises:
-        RequestError: the block is malformed, or a variable that decides on the request occurs twice.
+        RequestError: the block is malformed or has more variables, or one that decides on the request occurs twice.
     """
-    texts, position = [], 0
+    texts, position = list[str](), 0
     while position < len(block):
+        if len(texts) == 2 * max_variables:
+            raise RequestError(431, "there are too many variables")
         start = position + LENGTH.size
         if start > len(block):
             raise RequestError(400, "the block of variables is cut off")
@@ -50,11 +52,12 @@
         texts.append(block[start:position].decode("latin-1"))
     if len(texts) % 2:
         raise RequestError(400, "a variable has no value")
-    names, values = texts[::2], texts[1::2]
-    for name in names:
-        if names.count(name) > 1 and name.startswith(("HTTP_X_", "CONTENT_LENGTH")):
+    variables: dict[str, str] = {}
+    for name, value in zip(texts[::2], texts[1::2], strict=True):
+        if name in variables and name.startswith(("HTTP_X_", "CONTENT_LENGTH")):
             raise RequestError(400, f"{name} is impossible")  # ambiguous: it occurs more than once
-    return dict(zip(names, values, strict=True))
+        variables[name] = value
+    return variables
 
 
 def body_size(variables: dict[str, str], max_bytes: int) -> int:
--- a/flintshift/wire/uwsgi_front.py
+++ b/flintshift/wire/uwsgi_front.py
@@ -47,7 +47,8 @@
             head = await read_exactly(uwsgi.HEAD.size)
             block = await read_exactly(uwsgi.block_size(head, self.limits.max_uwsgi_vars_bytes))
             # All of a block's variables take many times its bytes, too much to keep on every connection.
-            variables = {name: value for name, value in uwsgi.unpack(block).items() if name in USED_VARIABLES}
+            all_variables = uwsgi.unpack(block, self.limits.max_uwsgi_variables)
+            variables = {name: value for name, value in all_variables.items() if name in USED_VARIABLES}
             body = await read_exactly(uwsgi.body_size(variables, self.limits.max_body_bytes))
         except ReadStoppedError:
             if connection.busy:  # the request arrived only in part, and nothing of it was run
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -230,10 +230,10 @@
     assert uwsgi.block_size(packet[:4], 9999) == len(packet) - 4
     block = packet[4 : len(packet) - missing_bytes]
     if not missing_bytes:
-        assert uwsgi.unpack(block) == dict(pairs)
+        assert uwsgi.unpack(block, 9) == dict(pairs)
     else:
         with pytest.raises(RequestError) as caught:
-            uwsgi.unpack(block)
+            uwsgi.unpack(block, 9)
         assert caught.value.status == 400
 
 
@@ -251,7 +251,7 @@
 
 def test_a_duplicate_field_is_rejected():
     with pytest.raises(RequestError, match="HTTP_X_UNIQUE"):
-        uwsgi.unpack(uwsgi.pack([("HTTP_X_UNIQUE", "a"), ("HTTP_X_UNIQUE", "b")])[4:])
+        uwsgi.unpack(uwsgi.pack([("HTTP_X_UNIQUE", "a"), ("HTTP_X_UNIQUE", "b")])[4:], 9)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/wire/test_costly_requests.py
@@ -0,0 +1,47 @@
+"""Usual callers are answered in time while other clients send requests that are costly to read.
+
+Guards against a node that stands still while it parses: a head of 2,900 fields, a body of 2,000 chunks or a block of
+thousands of variables kept the event loop for 8 to 100 ms each.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from bad_clients import Message, run_bad_clients
+from standins import NodeHarness
+
+from flintshift.wire import uwsgi
+
+pytestmark = pytest.mark.anyio
+
+ANSWER_TIMEOUT_S = 1.5 + 0.13  # the classes' deadline, with the slack allowed on sockets
+TROUBLE_S = 3.0
+VARIABLES = [
+    ("REQUEST_METHOD", "POST"),
+    ("PATH_INFO", "/call/race-results"),
+    *((chr(ord("a") + n % 26), "") for n in range(3200)),
+]
+
+COSTLY = {  # front, what each client sends again and again, clients
+    "blocks of 3,200 variables": ("uwsgi", uwsgi.pack(VARIABLES), 60),
+}
+
+
+@pytest.mark.parametrize(("front", "data", "clients"), COSTLY.values(), ids=COSTLY.keys())
+async def test_usual_callers_are_answered_in_time_beside_costly_requests(tmp_path, front, data, clients):
+    async with NodeHarness(tmp_path) as harness:
+        harness.pool.plan = {"submit-time": 0}
+        message, delays_s = Message(harness.ports[front], data, filler_bytes=0, rests=True), []
+        async with run_bad_clients(message, clients, TROUBLE_S) as process:
+            while process.returncode is None:
+                start = time.monotonic()
+                reply = await harness.ask("http", "submit-time")
+                assert reply.status in (200, 429), reply
+                delays_s.append(time.monotonic() - start)
+                await asyncio.sleep(0.02)
+            assert await process.wait() == 0
+        assert max(delays_s) < ANSWER_TIMEOUT_S, f"{len(delays_s)} calls, the slowest took {max(delays_s):.2f} s"
+        assert len(delays_s) > 5
