Requests of callers that have left are not run, however much of theirs is unread

Cause: a request was handed on without a look whether its connection was closed; while one waited, the end was not noticed behind the 16 KB that a connection holds; and behind more than the system holds it had not arrived at all.

Change: the front asks the system before each request that it hands on, and every 50 ms while a request waits behind a full buffer. From the second time on it sends `100 Continue`, which clients skip, and which the system of a closed client answers by a reset. Callers that stay get all their answers as before.

Tests: one test of the control port let its caller be collected as garbage, and so closed; it keeps it now, as the run that it waits for would not be begun for a caller that left.

--- a/flintshift/wire/bounded_stream.py
+++ b/flintshift/wire/bounded_stream.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 
 import anyio
@@ -15,6 +16,8 @@
 from anyio._backends._asyncio import StreamProtocol
 from anyio.lowlevel import checkpoint
 
+PEER_CHECK_INTERVAL_S = 0.05  # between two checks whether the peer of a full buffer has closed
+
 
 class ReceiveBuffer(asyncio.BufferedProtocol):
     """The protocol of a `BoundedStream`: keeps at most ``max_bytes`` that were read from the socket.
@@ -32,6 +35,9 @@
         self.write_event = asyncio.Event()  # set while the transport accepts bytes to send
         self.write_event.set()
         self.exception: Exception | None = None  # why the connection broke
+        self.peer_closed: Callable[[], bool] | None = None  # asks the system, without reading; None: it can't be asked
+        self.peer_check: asyncio.TimerHandle | None = None
+        self.probe = b""  # sent to a peer that may have closed behind bytes that can't be read; empty: nothing is sent
 
     @property
     def full(self) -> bool:
@@ -45,6 +51,21 @@
             self.read_event.clear()
         return data
 
+    def check_peer_while_full(self, is_repeated: bool = False) -> None:
+        """Notice that the peer closes although no more is read: its end lies behind bytes that there is no room for.
+
+        Checks are repeated while the buffer is full and somebody waits for the end. If even the system has no room for
+        all that was sent, the end has not arrived; but the system of a closed peer answers the probe by a reset."""
+        self.peer_check = None
+        if self.peer_closed is None or not self.full or not self.reads_until_full or self.ended.is_set():
+            return
+        if self.peer_closed():
+            self._end()
+            return
+        if is_repeated and self.probe and self.transport is not None and not self.transport.get_write_buffer_size():
+            self.transport.write(self.probe)
+        self.peer_check = asyncio.get_running_loop().call_later(PEER_CHECK_INTERVAL_S, self.check_peer_while_full, True)
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -62,6 +83,8 @@
         self.read_event.set()
         if self.transport is not None and (self.full or not self.reads_until_full):
             self.transport.pause_reading()
+        if self.full and self.peer_check is None:
+            self.check_peer_while_full()
 
     def eof_received(self) -> bool:
         self._end()
@@ -110,15 +133,20 @@
                 raise anyio.BrokenResourceError from self.buffer.exception
             raise anyio.EndOfStream
 
-    async def wait_until_ended(self) -> None:
+    async def wait_until_ended(self, probe: bytes = b"") -> None:
         """Wait until the peer closes its sending side or the connection breaks. Bytes that arrive meanwhile are kept
-        for `receive`. Once they fill the bound nothing more is read, and the end is not noticed either."""
+        for `receive`. Once they fill the bound nothing more is read, the system is asked for the end, and ``probe`` is
+        sent now and then."""
         with self._receive_guard:
-            self.buffer.reads_until_full = True
+            self.buffer.reads_until_full, self.buffer.probe = True, probe
+            self.buffer.check_peer_while_full()
             try:
                 await self._wait_while_reading(self.buffer.ended)
             finally:
                 self.buffer.reads_until_full = False
+                if self.buffer.peer_check is not None:
+                    self.buffer.peer_check.cancel()
+                    self.buffer.peer_check = None
 
     async def _wait_while_reading(self, event: asyncio.Event) -> None:
         if not self.buffer.full and not self.buffer.ended.is_set():
--- a/flintshift/wire/caller_stream.py
+++ b/flintshift/wire/caller_stream.py
@@ -30,6 +30,7 @@
     def __init__(self, transport: asyncio.Transport, buffer: ReceiveBuffer, raw: socket.socket) -> None:
         super().__init__(transport, buffer)
         self.raw = raw
+        buffer.peer_closed = lambda: peer_closed(raw)
         self.discarded_bytes = 0  # bytes that were read while it was shut down
 
     def read_available(self, max_bytes: int) -> bytes:
--- a/flintshift/wire/connection.py
+++ b/flintshift/wire/connection.py
@@ -78,6 +78,7 @@
         self.write_started_ms = math.inf  # infinite while no answer is being written
         self.read_scope: anyio.CancelScope | None = None  # set while it waits for bytes
         self.close_reason: CloseReason | None = None  # None until the close is decided
+        self.interim_response = b""  # may be sent while a request waits for its answer; empty: the peer knows none
         self.last_request_id = ""  # of the last request that was submitted
 
     @property
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -310,6 +310,10 @@
     async def submit_and_wait(self, connection: Connection, attempt: Attempt, pending: PendingAnswer) -> Answer | None:
         """Submit a request and wait for its answer; None if the caller disconnects before it. Bytes that arrive
         meanwhile stay in the stream."""
+        if connection.stream.peer_closed:  # it may have closed behind many requests, of which this is one
+            connection.set_close_reason(CloseReason.CALLER_GONE)
+            self.counters.add(f"{self.name}.requests_left")
+            return None
         self.counters.add(f"{self.name}.requests")
         connection.enter(ConnectionState.ANSWERING)
         connection.last_request_id = attempt.id
@@ -321,7 +325,7 @@
             self.decisions.submit(attempt)
         if pending.answer is None:
             with anyio.CancelScope() as pending.wait_scope:
-                await connection.stream.wait_until_ended()
+                await connection.stream.wait_until_ended(connection.interim_response)
                 if self.usage_recorder is not None:
                     self.usage_recorder.record_disconnect(attempt, self.name)
                 await self.decisions.report(CallerDisconnected(attempt))
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -27,6 +27,7 @@
     return "/" + rest.partition("/")[2]
 
 
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"  # clients skip any number of these (RFC 9110, 15.2)
 FIELD_NAME_BY_HEADER = {name.lower().encode(): name for name in FIELD_NAMES}
 
 
@@ -116,6 +117,7 @@
             elif isinstance(event, h11.Request):
                 self._check_body_length(dict(event.headers))
                 head = RequestHead.from_event(event)
+                connection.interim_response = INTERIM_RESPONSE if event.http_version >= b"1.1" else b""
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > self.limits.max_body_bytes:
--- a/tests/wire/test_control_front.py
+++ b/tests/wire/test_control_front.py
@@ -84,7 +84,8 @@
 async def test_a_node_out_of_service_that_is_asked_to_stop_stops_and_is_not_put_back_in_service(harness):
     harness.pool.plan = {}
     await harness.call(*TAKE_OUT)
-    (await harness.connect("http")).send(REQUEST_BYTES["http"]("race-results", b"", request_fields("race-results")))
+    caller = await harness.connect("http")  # kept, or it would be closed as garbage, and its request not run
+    caller.send(REQUEST_BYTES["http"]("race-results", b"", request_fields("race-results")))
     await harness.pool.log.wait_for(lambda entry: entry["t"] == "spawn")
     harness.process.send_signal(signal.SIGTERM)
     while (await harness.call(*READY))[1] != "the node leaves":
