A drain is planned by the deadlines that are valid at the notice

Cause: the earliest time of the kill came from the settings that decisions are made by, which keep a dropped class for over 40 s.

Change: it comes from the settings that are valid now.

--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -336,7 +336,7 @@
             if self.start_error is None:
                 await self.drain.run(
                     self.config.settings.drain_grace_ms,
-                    kill_after_ms(self.limits.stop_ms, self.decisions.catalogue.effective_settings.classes),
+                    kill_after_ms(self.limits.stop_ms, self.decisions.catalogue.settings.classes),
                     self.upgrade is not None and self.upgrade.shedding,
                     shutdown_notice_age_ms,
                 )
