Connections give way to new ones by their progress, and a part of a request holds no place for long

Cause: only idle connections gave way. One with a part of a request held its place for 2 s, nothing was accepted meanwhile, and the resting connections of usual callers were displaced for the newcomers.

Change: wire/connection_table.py, out of wire/front.py, orders them: never a request, stalled parts, parts that are incomplete for long, idle ones last, and these not while an eighth of the table is unproven. As many give way as wait in the listener's queue, and sooner while it is long. A request that is whole stays. An interim response no longer makes a connection count as one that is being answered.

--- a/flintshift/core/limits.py
+++ b/flintshift/core/limits.py
@@ -60,6 +60,8 @@
     dropped_class_grace_ms: float = 2500.0  # a dropped class is accepted this long: callers learn of it 1.2 s late
     request_read_timeout_ms: float = 2000.0  # for a connection's first request, and for the rest of a later one
     displace_silent_after_ms: float = 250.0  # a connection without a request for so long may be closed for a new one
+    displace_stalled_after_ms: float = 250.0  # so may one with a part of a request and no byte for so long
+    displace_incomplete_after_ms: float = 1000.0  # so may one whose request has been incomplete for so long
     displace_idle_after_ms: float = 500.0  # so may one that has been idle for so long after an answer
     last_read_timeout_ms: float = 20.0  # for the rest of a request while the node stops
     linger_ms: float = 500.0  # for what still arrives after a connection's last answer
--- a/flintshift/wire/acceptor.py
+++ b/flintshift/wire/acceptor.py
@@ -36,6 +36,8 @@
     (0x06, 0, 0, 0),  # drop the segment
     (0x06, 0, 0, 0xFFFFFFFF),  # else keep all of it
 )
+# In tcp_info (linux/tcp.h): tcpi_unacked, which is the length of the queue where the socket listens.
+UNACKED, UNACKED_OFFSET = struct.Struct("I"), 24
 MAX_OPTION_TRIES = 8  # the system may transiently refuse to set a socket option
 LISTEN_ADVICE = {  # what to do, by the error of a failed listen
     errno.EADDRINUSE: "end the process that listens there, or change `listen`",
@@ -54,8 +56,8 @@
     def has_capacity(self) -> bool:
         """Whether one more connection may be accepted."""
 
-    def request_capacity(self) -> None:
-        """Called when a connection waits in the queue and may not be accepted yet."""
+    def request_capacity(self, waiting: int) -> None:
+        """Called when so many connections wait in the queue and may not be accepted yet."""
 
 
 class Unbounded:
@@ -64,7 +66,7 @@
     def has_capacity(self) -> bool:
         return True
 
-    def request_capacity(self) -> None:
+    def request_capacity(self, waiting: int) -> None:
         """Do nothing: there is always capacity."""
 
 
@@ -90,7 +92,7 @@
         while True:
             await anyio.wait_readable(self.raw)
             if not capacity.has_capacity():
-                capacity.request_capacity()
+                capacity.request_capacity(queue_length(self.raw))
                 await anyio.sleep(CAPACITY_CHECK_INTERVAL_S)
                 continue
             for _ in range(MAX_ACCEPTS_PER_TURN):
@@ -159,6 +161,15 @@
         return self.closed and not self.open_count
 
 
+def queue_length(raw: socket.socket) -> int:
+    """The number of connections that wait in a listener's queue; 1 if the system does not tell it."""
+    try:
+        info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, UNACKED.size + UNACKED_OFFSET)
+        return int(UNACKED.unpack_from(info, UNACKED_OFFSET)[0])
+    except (OSError, struct.error):
+        return 1
+
+
 def set_option(raw: socket.socket, level: int, option: int, value: int | bytes) -> bool:
     """Set an optional socket option; False if the system refuses it at each try."""
     for _ in range(MAX_OPTION_TRIES):
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -19,6 +19,7 @@
 from flintshift.wire.acceptor import Acceptor
 from flintshift.wire.caller_stream import CallerStream
 from flintshift.wire.connection import CloseReason, Connection, ConnectionState
+from flintshift.wire.connection_table import ConnectionTable
 from flintshift.wire.fields import AttemptBuilder, RequestError
 from flintshift.wire.link import CONNECTION_ERRORS
 
@@ -56,9 +57,8 @@
     ) -> None:
         self.attempt_builder, self.decisions, self.limits = attempt_builder, decisions, limits
         self.counters, self.now_ms, self.max_connections, self.verify = counters, now_ms, max_connections, verify
-        self.connections: set[Connection] = set()
-        # Idle connections without and with an earlier request; the longest idle first.
-        self.idle: tuple[dict[Connection, None], ...] = ({}, {})
+        self.table = ConnectionTable(limits, now_ms)
+        self.connections, self.idle = self.table.connections, self.table.idle
         self.usage_recorder: UsageRecorder | None = None
         self.log: Log | None = None  # of requests; None: not at this level
         self.listener: Acceptor | None = None
@@ -141,10 +141,9 @@
             1, self.max_connections // 8
         )
 
-    def request_capacity(self) -> None:
-        """Displace an idle connection for one that waits in the queue, unless one is being displaced already."""
-        if not any(connection.close_reason is CloseReason.DISPLACED for connection in self.connections):
-            self._displace()
+    def request_capacity(self, waiting: int) -> None:
+        """Displace connections for those that wait in the queue."""
+        self._count_displaced(self.table.displace_for(waiting, self.max_connections))
 
     async def _admit(self, stream: CallerStream) -> None:
         """Serve an accepted connection until it is closed. If the table is full, its request still gets an answer:
@@ -155,8 +154,7 @@
             connection.rejects_request = connection.is_last_request = True
         else:
             self.counters.add(f"{self.name}.connections")
-        self.connections.add(connection)
-        self._add_idle(connection)
+        self.table.add(connection)
         try:
             with connection.scope:
                 await self.serve_connection(connection)
@@ -171,8 +169,7 @@
                 self.log("error", "front.fault", front=self.name, fault=repr(error))
         finally:
             connection.enter(ConnectionState.CLOSED)
-            self.connections.discard(connection)
-            self._remove_idle(connection)
+            self.table.discard(connection)
             self._record_close(connection)
 
     def _record_close(self, connection: Connection) -> None:
@@ -190,30 +187,15 @@
                 last_request=connection.last_request_id,
             )
 
-    def _add_idle(self, connection: Connection) -> None:
-        self.idle[connection.had_request][connection] = None
-
-    def _remove_idle(self, connection: Connection) -> None:
-        for idle in self.idle:
-            idle.pop(connection, None)
-
     def _displace(self) -> bool:
-        """Close the longest idle connection for a new one; False if none may be closed.
-
-        This protects the file descriptors, which peers and fronts share, without locking usual callers out in favour of
-        those that stay connected and send nothing: connections without an earlier request are closed first. A
-        connection that was opened or answered just now may have a request on its way, and is kept."""
-        for idle, min_idle_ms in zip(
-            self.idle, (self.limits.displace_silent_after_ms, self.limits.displace_idle_after_ms), strict=True
-        ):
-            connection = next(iter(idle), None)
-            if connection is not None and self.now_ms() - connection.since_ms >= min_idle_ms:
-                self._remove_idle(connection)
-                connection.set_close_reason(CloseReason.DISPLACED)
-                connection.stop_reading()
-                self.counters.add(f"{self.name}.connections_displaced")
-                return True
-        return False
+        """Displace a connection for a new one; False if none may be."""
+        displaced = self.table.displace(self.max_connections)
+        self._count_displaced(displaced)
+        return displaced
+
+    def _count_displaced(self, count: int) -> None:
+        if count:
+            self.counters.add(f"{self.name}.connections_displaced", count)
 
     async def serve_connection(self, connection: Connection) -> None:
         """Answer the requests of a connection, until it is to be closed."""
@@ -229,8 +211,10 @@
             if connection.had_request or self.draining:
                 await connection.await_peer_close(self.limits.close_crossing_ms)
         else:
+            displaced = connection.close_reason is CloseReason.DISPLACED  # its place is wanted, and no answer was owed
             connection.set_close_reason(CloseReason.LAST_ANSWER)
-            await connection.shut_down(self.limits, self.limits.linger_ms)
+            linger_ms = self.limits.close_crossing_ms if displaced else self.limits.linger_ms
+            await connection.shut_down(self.limits, linger_ms)
 
     async def check_health(self, method: str, query: str) -> bool:
         """The result of a health check. A deep one asks the worker pool, unless the result is cached.
@@ -263,7 +247,21 @@
                 return await self._receive(connection)
             finally:
                 connection.read_scope = None
-        return None if connection.busy else self._half_close_or_read(connection)
+        if connection.busy:
+            return self._read_rest(connection)
+        return self._half_close_or_read(connection)
+
+    def _read_rest(self, connection: Connection) -> bytes | None:
+        """Read bytes of a partial request that have arrived in the moment in which its connection was displaced, which
+        then stays; None if there are none, or its time is over."""
+        if connection.close_reason is not CloseReason.DISPLACED or self.closing:
+            return None
+        data = connection.stream.read_available(self.limits.read_chunk_bytes)
+        if not data:
+            return None
+        connection.close_reason = None
+        self.on_request_bytes(connection)
+        return data
 
     def _half_close_or_read(self, connection: Connection) -> bytes | None:
         """Half-close an idle connection, unless bytes of a request have arrived: these are returned, and the request is
@@ -290,19 +288,24 @@
         """Note that bytes of a request have arrived."""
         if not connection.busy:
             connection.enter(ConnectionState.READING)
-            self._remove_idle(connection)
             if connection.had_request:
                 connection.since_ms = self.now_ms()
+        self.table.on_bytes(connection)
 
     def on_answered(self, connection: Connection) -> None:
         """Note that the connection is idle and may bring its next request."""
         connection.enter(ConnectionState.IDLE)
         connection.had_request, connection.since_ms = True, self.now_ms()
-        self._add_idle(connection)
+        self.table.on_idle(connection)
 
     async def write(self, connection: Connection, data: bytes) -> None:
-        """Write a response, or an interim response, to the caller."""
+        """Write a response to the caller."""
         connection.enter(ConnectionState.ANSWERING)
+        self.table.on_request_complete(connection)
+        await self.write_interim(connection, data)
+
+    async def write_interim(self, connection: Connection, data: bytes) -> None:
+        """Write an interim response to the caller, whose request is not whole yet."""
         connection.write_started_ms = self.now_ms()
         await connection.stream.send(data)
         connection.write_started_ms = math.inf
@@ -316,6 +319,7 @@
             return None
         self.counters.add(f"{self.name}.requests")
         connection.enter(ConnectionState.ANSWERING)
+        self.table.on_request_complete(connection)
         connection.last_request_id = attempt.id
         if self.usage_recorder is not None:
             self.usage_recorder.track(attempt, self.name)
--- a/flintshift/wire/http_front.py
+++ b/flintshift/wire/http_front.py
@@ -105,7 +105,7 @@
             if event is h11.NEED_DATA:
                 if parser.connection.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
-                    await self.write(connection, parser.connection.send(interim) or b"")
+                    await self.write_interim(connection, parser.connection.send(interim) or b"")
                 data = await self.read(connection)
                 if data is None:
                     if connection.busy:  # the request arrived only in part, and nothing of it was run
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -152,7 +152,7 @@
     return reply.status, reply.body.decode().strip()
 
 
-def platform_file(http, pool, vault, names, settings, control=None, stop_ms=3000.0):
+def platform_file(http, pool, vault, names, settings, control=None, stop_ms=3000.0, sockets=1024):
     """The text of the platform's configuration file, with these ports and stand-ins."""
     ports = {"listen": http, "control": control, "pool": pool.port, "vault": vault.port, "naming": names.port}
     return json.dumps(
@@ -161,7 +161,7 @@
             "name": "n3",
             "seed": "8c1f30d27a5be964",
             "stop_ms": stop_ms,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
             "settings": settings,
         }
     )
@@ -177,6 +177,7 @@
     extra_settings: str = ""  # further lines of the operators' file
     with_control: bool = False  # the node listens on a control port
     start_timeout_s: float = 10.0  # until the node serves
+    sockets: int = 1024  # descriptors of the node
 
     async def __aenter__(self):
         self.pool, self.vault, self.names = scripted_pool(), Vault(keep_journal=True), Names(keep_journal=True)
@@ -234,6 +235,7 @@
                 self.settings,
                 self.ports["control"] if self.with_control else None,
                 self.stop_ms,
+                self.sockets,
             )
         )
 
