A store votes only under the list of members that it knows its keys by

Cause: a store remembered that it votes, and not under which list. Members voted on keys that they had not held under the list before; two of them are a majority, and know nothing of the first run.

Change: the digest of the placement is stored with the vote. Under another list a store keeps its entries, gets a new incarnation and does not vote until it was refilled, or one longest window has passed.

--- a/flintshift/lab/fleet.py
+++ b/flintshift/lab/fleet.py
@@ -149,6 +149,7 @@
         self.disks_recovered_s = 0.0  # monotonic time at which the disks' failures ended; 0: they had none
         self.write_failure_rate = 0  # of 1,000 writes and syncs of regular files
         self.disk_errors_enabled = disk_errors_enabled  # `set_disk_failing` can be used
+        self.members_epoch = 1  # of the list of members
         self.control = control  # members have a control address, and can be upgraded
         self.direct = direct  # members are linked without proxies, for measurements
         self.folder, self.copies, self.root, self.extra_settings, self.platform = (
@@ -238,7 +239,8 @@
                 for to, peer in self.members.items()
             )
             text += (
-                f"peers:\n  enabled: true\n  listen: 127.0.0.1:{member.ports['peer']}\n  members:\n{addresses}"
+                f"peers:\n  enabled: true\n  epoch: {self.members_epoch}\n  listen: 127.0.0.1:{member.ports['peer']}\n"
+                f"  members:\n{addresses}"
                 f"copies:\n  enabled: true\n{self.copies}"
             )
         (member.home / "flintshift.yaml").write_text(text)
@@ -355,6 +357,20 @@
         self.add_to_timeline(f"{name} killed")
         await self._kill_process(self.members[name])
 
+    async def retire(self, *names: str) -> None:
+        """Take members off the list as the operators' page says: stop all, change the list, start all that stay."""
+        for member in self.members.values():
+            assert member.process is not None
+            member.process.send_signal(signal.SIGTERM)
+        for member in self.members.values():
+            assert member.process is not None
+            await asyncio.wait_for(member.process.wait(), START_TIMEOUT_S)
+        for name in names:
+            await self.members.pop(name).pool.stop()
+        self.members_epoch += 1
+        self.add_to_timeline(f"{', '.join(names)} taken off the list")
+        await asyncio.gather(*(self.start(name) for name in self.members))
+
     async def lose(self, name: str) -> None:
         """Lose a member's machine: its process, its pool and its disk."""
         await self.kill(name)
--- a/flintshift/lifecycle/replica_store.py
+++ b/flintshift/lifecycle/replica_store.py
@@ -106,6 +106,7 @@
             self.now_ms(),
             time.time() * 1000,
             boot_id(),
+            self.placement.digest,
             self.options.durability == "power-cut",
             encode_entry,
             decode_entry,
--- a/flintshift/replication/placement.py
+++ b/flintshift/replication/placement.py
@@ -9,6 +9,7 @@
 import hashlib
 from collections import Counter
 from collections.abc import Mapping
+from functools import cached_property
 from zlib import crc32
 
 from flintshift.replication.messages import Key
@@ -27,6 +28,12 @@
         hash_keys = {name: hashlib.blake2b(name.encode(), digest_size=16).digest() for name in self.halls}
         self._member_hashes = {name: hashlib.blake2b(digest_size=8, key=key) for name, key in hash_keys.items()}
 
+    @cached_property
+    def digest(self) -> bytes:
+        """A digest of all that the placement is computed from."""
+        members = "".join(f"{name} {hall}\n" for name, hall in self.halls.items())
+        return hashlib.blake2b(f"{self.replica_count}\n{members}".encode(), digest_size=8).digest()
+
     @property
     def majority(self) -> int:
         """The number of holders that make a majority."""
--- a/flintshift/replication/store.py
+++ b/flintshift/replication/store.py
@@ -38,6 +38,7 @@
     votes: bool  # the store knows all that it ever promised
     member: str  # the owner of the store; empty: whoever opens it first
     boot: str  # id of the machine's boot; what was not synced may be lost in another boot
+    placement: bytes = b""  # digest of the placement under which the store votes; empty: that of whoever opens it first
 
 
 def boot_id() -> str:
@@ -60,6 +61,7 @@
     """The folder of a store, opened by the one process that writes to it.
 
     Times are of the machine's monotonic clock, except ``unix_ms``, from which a new store gets its incarnation.
+    ``placement``: digest of the placement of keys under the present list of members.
     ``synced``: each change was synced to the disk before its vote was sent.
 
     Raises:
@@ -74,12 +76,13 @@
         now_ms: float,
         unix_ms: float,
         boot: str,
+        placement: bytes,
         synced: bool,
         pack: PackEntry,
         unpack: UnpackEntry,
     ) -> None:
         self.files, self.folder, self.pack, self.unpack = files, folder, pack, unpack
-        self.member, self.boot = member, boot
+        self.member, self.boot, self.placement = member, boot, placement
         files.make_folder(folder / "log")
         self.lock = files.lock(folder / "LOCK")
         self.segment_expiry_ms: dict[int, float] = {}  # by a segment's first sequence: when its last register expires
@@ -104,8 +107,11 @@
         elif state.boot != self.boot and not synced and state.votes:
             reason = "the machine was restarted, and what the store promised last may not have reached the disk"
             state = StoreState(state.incarnation + 1, False, self.member, self.boot)
+        elif state.placement not in (b"", self.placement):
+            reason = "the list of members has changed, and the store does not know what others promised for its keys"
+            state = StoreState(state.incarnation + 1, False, self.member, self.boot)
         self.state = state
-        self.write_state(msgspec.structs.replace(state, boot=self.boot, member=self.member))
+        self.write_state(msgspec.structs.replace(state, boot=self.boot, member=self.member, placement=self.placement))
         return RecoveredStore(entries, reason or ("" if state.votes else "it was not refilled when it ended"))
 
     def _read_state(self) -> tuple[StoreState, str]:
--- a/tests/replication/test_store.py
+++ b/tests/replication/test_store.py
@@ -26,9 +26,9 @@
     return Entry(("submit-time", f"k{number}"), (2, "n1#1"), (1, "n1#1"), value, remaining_ms)
 
 
-def open_folder(files, now=NOW_MS, member="n1", boot="b1", synced=False, unix_ms=None):
+def open_folder(files, now=NOW_MS, member="n1", boot="b1", synced=False, unix_ms=None, placement=b"p1"):
     unix_ms = now if unix_ms is None else unix_ms
-    return ReplicaFolder(files, FOLDER, member, now, unix_ms, boot, synced, encode_entry, decode_entry)
+    return ReplicaFolder(files, FOLDER, member, now, unix_ms, boot, placement, synced, encode_entry, decode_entry)
 
 
 def create_store(files=None):
@@ -43,6 +43,23 @@
     assert empty.recovered.no_vote_reason == "its disk is empty" and not empty.state.votes
 
 
+def test_a_store_does_not_vote_under_another_list_of_members_and_keeps_its_entries():
+    """Guards against members that vote on keys which they did not hold under the list before."""
+    files = create_store()
+    store = open_folder(files)
+    store.write([entry(1)], NOW_MS)
+    store.close()
+    same_list = open_folder(files)
+    assert same_list.state.votes and same_list.state.incarnation == store.state.incarnation
+    same_list.close()
+    changed = open_folder(files, placement=b"p2")
+    assert "the list of members has changed" in changed.recovered.no_vote_reason
+    assert not changed.state.votes and changed.state.incarnation > store.state.incarnation
+    assert [found.key[1] for found in changed.recovered.entries] == ["k1"]
+    changed.close()
+    assert not open_folder(files, placement=b"p1").state.votes  # the list before, again
+
+
 def test_a_store_is_created_once():
     files = create_store()
     with pytest.raises(FileExistsError):
