Members go on after a change of the list, and take a retired member's ledger over

Cause: the holders of a ledger were computed from the hall of its member, which is not listed any more, and a member asked for its rank among the holders of each claim on its disk, which a longer list may place elsewhere.

Change: any listed member may hold a ledger of one that is not listed: one with a replica takes it over once all others have answered, exports it and lets it go. Claims on keys that a member does not hold are left to their holders. `copies status` tells by `listed` whether a ledger's member is listed.

--- a/flintshift/lifecycle/ledger_replication.py
+++ b/flintshift/lifecycle/ledger_replication.py
@@ -312,6 +312,7 @@
                 {
                     "member": writer.log[0],
                     "life": writer.log[1].hex(),
+                    "listed": writer.log[0] in self.placement.halls,
                     "epoch": writer.epoch,
                     "records": writer.last[1],
                     "held": writer.replicated_sequence,
@@ -326,6 +327,7 @@
                     {
                         "member": log[0],
                         "life": log[1].hex(),
+                        "listed": log[0] in self.placement.halls,
                         "epoch": log_replica.promised,
                         "records": log_replica.last[1],
                         "role": "copies",
--- a/flintshift/replication/placement.py
+++ b/flintshift/replication/placement.py
@@ -63,7 +63,12 @@
         return holders
 
     def log_holders(self, member: str) -> tuple[str, ...]:
-        """The holders of this member's own logs: the member itself, then others in as many halls as possible."""
+        """The holders of this member's own logs: the member itself, then others in as many halls as possible.
+
+        A log of a member that is not listed any more may be held by any of the others, since an earlier list placed it.
+        """
+        if member not in self.halls:
+            return tuple(self.halls)
         holders = self.holders_by_writer.get(member)
         if holders is None:
             holders = self.holders_by_writer[member] = self._compute_holders(f"log of {member}".encode(), member)
--- a/flintshift/replication/registers.py
+++ b/flintshift/replication/registers.py
@@ -241,8 +241,10 @@
         claims: list[tuple[Key, str]] = []
         for runner in [runner for runner in self.claims_by_runner if not is_alive(runner)]:
             for key in self.claims_by_runner[runner]:
-                register = self.table[key]
-                rank = self.placement.holders(key).index(self.member)
+                register, holders = self.table[key], self.placement.holders(key)
+                if self.member not in holders:  # an earlier list of members had placed the key here
+                    continue
+                rank = holders.index(self.member)
                 if register.value is not None and now_ms >= register.claimed_ms + rank * stagger_ms:
                     claims.append((key, register.value.owner))
         return claims
