The older process of an upgrade accepts the clients again as soon as the new one leaves

Callers saw: in a roll back before the older process has ended, requests on new connections got 503 during the new process's grace, and nobody accepted from then until it had ended (0.75 s with a run of 1.3 s open).

Cause: the older process accepts again once the new one has ended, and that drains first.

Change: at its notice the new process asks the older one to take the clients back (TakeBack), and accepts until that has answered (Resumed). The share of the limits then falls at the new process and rises at the older one. An older process that leaves itself, or whose welcome does not tell that it knows the message, is not asked or does not answer: then it is the drain as before.

The test of real processes failed before.

--- a/flintshift/handover/messages.py
+++ b/flintshift/handover/messages.py
@@ -19,7 +19,9 @@
 
 
 class Phase(Enum):
-    """The phase of one process. A predecessor passes GIVING and SHEDDING, a successor ASKING to SERVING."""
+    """The phase of one process. A predecessor passes GIVING and SHEDDING, a successor ASKING to SERVING.
+
+    If the successor leaves first, it is RETURNING and the predecessor RESUMED."""
 
     ALONE = "alone"  # there is no other process
     GIVING = "giving"  # the successor copies the key table
@@ -29,6 +31,8 @@
     COPIED = "copied"  # all entries are received, and this process's worker pool is not up yet
     WAITING = "waiting"  # for the predecessor to stop accepting
     SERVING = "serving"  # accepts the clients while the predecessor finishes its own
+    RETURNING = "returning"  # this successor leaves, and the predecessor accepts the clients again
+    RESUMED = "resumed"  # this predecessor accepts the clients again, and the successor finishes its own
 
 
 # Messages on the link. A reader rejects everything else.
@@ -50,6 +54,7 @@
     version: int
     out_of_service: bool
     clock_ahead_ms: float | None = None  # of the node's clock over the monotonic one; None from older versions
+    takes_back: bool = False  # the predecessor knows `TakeBack`
 
 
 class Known(_Message, frozen=True):
@@ -132,6 +137,14 @@
     out_of_service: bool
 
 
+class TakeBack(_Message, frozen=True):
+    """The successor leaves, and asks the predecessor to accept the clients again."""
+
+
+class Resumed(_Message, frozen=True):
+    """The predecessor accepts the clients again: the successor need not any more."""
+
+
 class Left(_Message, frozen=True):
     """This process shuts down regularly: the ends of all its runs have been sent."""
 
@@ -150,6 +163,8 @@
     | Freed
     | Load
     | Service
+    | TakeBack
+    | Resumed
     | Left
 )
 
@@ -162,6 +177,11 @@
     """This process's worker pool is up."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveBegan:
+    """This process has received its shutdown notice."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerExited:
     """The other process has ended."""
@@ -189,7 +209,7 @@
     learned: Learned
 
 
-Event = Message | PoolUp | PeerExited | LinkEnded | OperatorCommand | UsageUpdate
+Event = Message | PoolUp | LeaveBegan | PeerExited | LinkEnded | OperatorCommand | UsageUpdate
 
 
 # Actions that the phase machine returns.
--- a/flintshift/lifecycle/node.py
+++ b/flintshift/lifecycle/node.py
@@ -333,6 +333,8 @@
             await self.shutdown_requested.wait()
             shutdown_notice_age_ms = signal_queue.shutdown_notice_age_ms()
             self.log("info", "node.leaving", stop_ms=self.limits.stop_ms, heard_after_ms=round(shutdown_notice_age_ms))
+            if self.upgrade is not None:
+                self.upgrade.on_leave()
             if self.start_error is None:
                 await self.drain.run(
                     self.config.settings.drain_grace_ms,
--- a/flintshift/lifecycle/replication_status.py
+++ b/flintshift/lifecycle/replication_status.py
@@ -2,15 +2,43 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+from flintshift.lifecycle.replica_store import ReplicaStore
 from flintshift.peers import members as membership
+from flintshift.replication.messages import Key
+from flintshift.replication.placement import Placement
+from flintshift.replication.proposals import Proposals
+from flintshift.wire.peer_link import Handshake
 
-if TYPE_CHECKING:
-    from flintshift.lifecycle.replication import ReplicationService
 
+class LedgersStatus(Protocol):
+    """The replicated ledgers, as far as their status is shown."""
 
-def replication_status(replication: ReplicationService) -> dict[str, Any]:
+    def status(self) -> list[dict[str, Any]]:
+        """The status of each ledger that is written or replicated here."""
+
+
+class ReplicationParts(Protocol):
+    """The parts of replication whose status is shown."""
+
+    name: str
+    identity: str
+    store: ReplicaStore
+    members: membership.Membership
+    handshake: Handshake
+    placement: Placement
+    proposals: Proposals
+    reached: set[str]
+    link_errors: dict[str, str]
+    taken_over_claims: dict[Key, str]
+
+    @property
+    def ledger_replication(self) -> LedgersStatus | None: ...
+    def now_ms(self) -> float: ...
+
+
+def replication_status(replication: ReplicationParts) -> dict[str, Any]:
     """The status document that `flintshift copies status` shows."""
     now, registers = replication.now_ms(), replication.store.registers
     votes_in_ms = registers.votes_in_ms(now)
--- a/flintshift/lifecycle/upgrade.py
+++ b/flintshift/lifecycle/upgrade.py
@@ -11,6 +11,7 @@
 
 import anyio
 from anyio.abc import SocketListener, TaskGroup, UNIXSocketStream
+from msgspec import structs
 
 from flintshift import interface as api
 from flintshift.core import attempts as at
@@ -32,6 +33,7 @@
     Freed,
     Known,
     Learned,
+    LeaveBegan,
     LinkEnded,
     ListenForSuccessor,
     Load,
@@ -279,6 +281,10 @@
         """Handle that the worker pool of this process is up for the first time."""
         self._handle_event(PoolUp())
 
+    def on_leave(self) -> None:
+        """Handle that this process has received its shutdown notice."""
+        self._handle_event(LeaveBegan())
+
     def on_operator_command(self, out_of_service: bool) -> None:
         """Handle that an operator took the node out of service or put it back, by a call to this process."""
         self._handle_event(OperatorCommand(out_of_service))
@@ -302,8 +308,8 @@
 
     def _perform(self, action: Action) -> None:
         match action:
-            case Send(Welcome(version, out_of_service)):
-                self._send(Welcome(version, out_of_service, -self.now_ms.steady_ms(0.0)))
+            case Send(Welcome() as welcome):
+                self._send(structs.replace(welcome, clock_ahead_ms=-self.now_ms.steady_ms(0.0)))
             case Send(message):
                 self._send(message)
             case SendEntries():
--- a/tests/handover/test_codec.py
+++ b/tests/handover/test_codec.py
@@ -167,3 +167,54 @@
         [AbandonAttempt("r2")],
     ]
     assert agreement.expire(1000.0) == [AbandonAttempt("r0"), AbandonAttempt("r1")] and len(agreement.pending) == 2
+
+
+def predecessor_that_sheds():
+    """A predecessor whose successor accepts the clients, and that keeps half of each limit."""
+    phases = PhaseMachine(False, run_lifetime_ms=900.0, call_lifetime_ms=5000.0)
+    for event in (messages.PoolUp(), messages.Hello(messages.VERSION), messages.Ready()):
+        phases.handle(0.0, event)
+    phases.handle(0.0, messages.UsageUpdate(messages.Load(0.5, 0.5, 0.5, 9), messages.Learned(2.0, {})))
+    assert phases.phase is messages.Phase.SHEDDING
+    return phases
+
+
+def test_a_predecessor_accepts_the_clients_again_and_gets_what_the_leaving_successor_does_not_keep():
+    phases = predecessor_that_sheds()
+    assert phases.handle(0.0, messages.TakeBack()) == [
+        messages.StartAccepting(),
+        messages.Send(messages.Resumed()),
+    ]
+    assert phases.accepts_clients and phases.claims_required and phases.senior
+    (share,) = phases.handle(0.0, messages.Load(0.2, 0.1, 0.3, 4))
+    assert (share.concurrency, share.memory, round(share.calls, 9), share.peer_connections) == (0.8, 0.9, 0.65, 4)
+    phases.handle(0.0, messages.Left())
+    assert messages.SetLimitShare(1.0, 1.0, 1.0) in [
+        *phases.handle(0.0, messages.PeerExited()),
+        *share_changes(phases, 5000.0),
+    ]
+    assert phases.phase is messages.Phase.ALONE
+
+
+def test_a_predecessor_that_leaves_itself_takes_no_clients_back():
+    phases = predecessor_that_sheds()
+    assert phases.handle(0.0, messages.LeaveBegan()) == []
+    assert phases.handle(0.0, messages.TakeBack()) == [] and not phases.accepts_clients
+
+
+@pytest.mark.parametrize("takes_back", [True, False])
+def test_a_successor_that_leaves_asks_only_a_predecessor_that_knows_the_message(takes_back):
+    phases = PhaseMachine(True, 0.0, 0.0)
+    for event in (
+        messages.Welcome(messages.VERSION, False, takes_back=takes_back),
+        messages.Copied(),
+        messages.PoolUp(),
+        messages.Load(0.6, 0.5, 0.4, 7),
+        messages.Yours(),
+    ):
+        phases.handle(0.0, event)
+    assert phases.handle(0.0, messages.LeaveBegan()) == ([messages.Send(messages.TakeBack())] if takes_back else [])
+    assert phases.accepts_clients  # until the predecessor does
+    if takes_back:
+        assert messages.StopAccepting() in phases.handle(0.0, messages.Resumed())
+        assert not phases.accepts_clients and phases.claims_required and not phases.senior
--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 import socket
+import time
 
 import pytest
 from handover.upgrade_harness import UpgradeHarness, ask, submit
@@ -288,3 +289,61 @@
     # The result is known after the predecessor has ended too.
     assert (await ask(await harness.connect(), "k1", **{"X-Again": "1"})).body == reply.body
     assert await successor.terminate() == 0 and harness.runs().count(rid) == 1 and len(harness.runs()) == 1
+
+
+async def accept_times_s(harness, until_s):
+    """Open a connection now and then, and return how long each took until it was answered, and the statuses."""
+    times_s, statuses = [], set()
+    while time.monotonic() < until_s:
+        began_s = time.monotonic()
+        caller = await harness.connect(send_ping=False)
+        submit(caller, None, class_name="race-results")
+        statuses.add((await caller.reply()).status)
+        times_s.append(time.monotonic() - began_s)
+        caller.writer.close()
+        await asyncio.sleep(0.02)
+    return times_s, statuses
+
+
+async def test_while_the_successor_leaves_the_predecessor_accepts_the_clients_again(harness):
+    """Guards against a roll back in which nobody accepts new connections until the new process has ended."""
+    predecessor = await harness.start()
+    held = await harness.connect()  # keeps the predecessor
+    predecessor.pool.plan["race-results"] = 0
+    successor = await harness.start()
+    successor.pool.plan = {"race-results": 0}  # a write does not end by itself
+    open_write = await harness.connect()
+    rid = submit(open_write, "k1")
+    await successor.pool.log.wait_for(lambda entry: entry.get("rid") == rid)
+    successor.process.send_signal(signal.SIGTERM)
+    times_s, statuses = await accept_times_s(harness, time.monotonic() + 1.0)
+    assert successor.process.returncode is None  # it still waits for the write
+    assert max(times_s) < 0.3 and statuses == {200}
+    successor.pool.finish(rid)
+    result = await open_write.reply()
+    assert result.status == 200 and await successor.wait_exit() == 0
+    again = await harness.ask("k1", **{"X-Again": "1"})
+    assert (again.status, again.body) == (200, result.body)
+    assert (await predecessor.call())[0] == 200
+    held.writer.close()
+    assert await predecessor.terminate() == 0 and harness.runs().count(rid) == 1
+
+
+@pytest.mark.parametrize("end", [signal.SIGTERM, signal.SIGKILL])
+async def test_both_processes_end_while_the_successor_leaves_and_an_open_write_is_answered_once(harness, end):
+    predecessor = await harness.start()
+    held = await harness.connect()
+    successor = await harness.start()
+    successor.pool.plan = {}
+    open_write = await harness.connect()
+    rid = submit(open_write, "k1")
+    await successor.pool.log.wait_for(lambda entry: entry.get("rid") == rid)
+    successor.process.send_signal(signal.SIGTERM)
+    await predecessor.until("upgrade.resumed")
+    predecessor.process.send_signal(end)
+    successor.pool.finish(rid)
+    assert (await open_write.reply()).status == 200
+    assert await successor.wait_exit() == 0
+    held.writer.close()
+    await predecessor.wait_exit()
+    assert harness.runs().count(rid) == 1
--- a/tests/wire/test_connection_table.py
+++ b/tests/wire/test_connection_table.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import socket
+
 import pytest
 
 from flintshift.core.limits import Limits
+from flintshift.wire.acceptor import open_listener, queue_length
 from flintshift.wire.connection import CloseReason, Connection, ConnectionState
 from flintshift.wire.connection_table import QUEUE_PASSES_WITHIN_MS, ConnectionTable
 
@@ -123,3 +126,13 @@
     harness.now += SILENT_MS / 4
     assert harness.table.displace_for(1, MAX_CONNECTIONS) == 0
     assert harness.table.displace_for(many_waiting, MAX_CONNECTIONS) == 4
+
+
+async def test_the_length_of_a_listeners_queue_is_told():
+    with open_listener(("127.0.0.1", 0), 16) as listener:
+        callers = []
+        for count in range(4):
+            assert queue_length(listener) == count
+            callers.append(socket.create_connection(listener.getsockname()))
+        for caller in callers:
+            caller.close()
