A connection that brings bytes as it is displaced no longer counts as displaced

Callers would have seen: at a full table, fewer and fewer others give way with time, so that new connections wait again.

Cause: a connection was chosen although it was not waiting for bytes, so that nothing ended its wait, or its bytes were read in the turn of its displacement. It was served, and kept its reason for the close, which counts as a place that is being freed, for as long as it stayed open.

Change: only connections that wait for bytes are chosen, and bytes that arrive take the reason back, in one place.

Measured: both new tests failed before, by the connection that was chosen and by the reason that stayed.

--- a/flintshift/wire/connection_table.py
+++ b/flintshift/wire/connection_table.py
@@ -28,6 +28,11 @@
 MIN_TIME_SHARE = 0.1  # of the times in which a connection may bring its request
 
 
+def waits_for_bytes(connection: Connection) -> bool:
+    """Whether the wait for bytes of this connection can be ended; another one will look for bytes soon."""
+    return connection.read_scope is not None
+
+
 class ConnectionTable:
     """The connections of one front. Times are milliseconds of the node's clock."""
 
@@ -88,23 +93,20 @@
         silent, answered = self.idle
         place_ms = QUEUE_PASSES_WITHIN_MS * max_connections / max(1, waiting)
         time_share = max(MIN_TIME_SHARE, min(1.0, place_ms / max(1.0, limits.displace_silent_after_ms)))
-        for connection in silent:
-            if now - connection.since_ms >= limits.displace_silent_after_ms * time_share:
-                return connection
-            break
-        for connection, last_byte_ms in self.partial.items():
-            if now - last_byte_ms >= limits.displace_stalled_after_ms * time_share:
-                return connection
-            break
-        oldest = min(self.partial, key=lambda connection: connection.since_ms, default=None)
+        longest_silent = next(filter(waits_for_bytes, silent), None)
+        if longest_silent is not None and now - longest_silent.since_ms >= limits.displace_silent_after_ms * time_share:
+            return longest_silent
+        partial = [connection for connection in self.partial if waits_for_bytes(connection)]
+        if partial and now - self.partial[partial[0]] >= limits.displace_stalled_after_ms * time_share:
+            return partial[0]
+        oldest = min(partial, key=lambda connection: connection.since_ms, default=None)
         if oldest is not None and now - oldest.since_ms >= limits.displace_incomplete_after_ms * time_share:
             return oldest
         if self._count_unproven() > max(1, max_connections * UNPROVEN_SHARE):
             return None
-        for connection in answered:
-            if now - connection.since_ms >= limits.displace_idle_after_ms:
-                return connection
-            break
+        longest_idle = next(filter(waits_for_bytes, answered), None)
+        if longest_idle is not None and now - longest_idle.since_ms >= limits.displace_idle_after_ms:
+            return longest_idle
         return None
 
     def _count_unproven(self) -> int:
--- a/flintshift/wire/front.py
+++ b/flintshift/wire/front.py
@@ -259,7 +259,6 @@
         data = connection.stream.read_available(self.limits.read_chunk_bytes)
         if not data:
             return None
-        connection.close_reason = None
         self.on_request_bytes(connection)
         return data
 
@@ -285,7 +284,9 @@
         return data
 
     def on_request_bytes(self, connection: Connection) -> None:
-        """Note that bytes of a request have arrived."""
+        """Note that bytes of a request have arrived. A connection that was to be displaced stays."""
+        if connection.close_reason is CloseReason.DISPLACED:
+            connection.close_reason = None
         if not connection.busy:
             connection.enter(ConnectionState.READING)
             if connection.had_request:
--- a/tests/wire/test_connection_table.py
+++ b/tests/wire/test_connection_table.py
@@ -4,6 +4,7 @@
 
 import socket
 
+import anyio
 import pytest
 
 from flintshift.core.limits import Limits
@@ -28,6 +29,7 @@
 
     def silent(self) -> Connection:
         connection = Connection(None, self.now)
+        connection.read_scope = anyio.CancelScope()  # it waits for bytes
         self.table.add(connection)
         return connection
 
@@ -136,3 +138,14 @@
             callers.append(socket.create_connection(listener.getsockname()))
         for caller in callers:
             caller.close()
+
+
+async def test_a_connection_that_is_about_to_look_for_bytes_is_kept(harness):
+    """Guards against a connection that counts as being displaced for ever, as its wait could not be ended."""
+    silent, partial, answered = harness.silent(), harness.partial(), harness.answered()
+    for connection in (silent, partial, answered):
+        connection.read_scope = None
+    harness.now += 10 * INCOMPLETE_MS
+    assert harness.displaced() is None
+    partial.read_scope = anyio.CancelScope()
+    assert harness.displaced() is partial
--- a/tests/wire/test_places_held.py
+++ b/tests/wire/test_places_held.py
@@ -81,3 +81,22 @@
         caller = await open_caller(raw)
         assert (await caller.reply()).status == 200
         caller.writer.close()
+
+
+async def test_a_connection_whose_bytes_are_read_as_it_is_displaced_counts_as_displaced_no_longer():
+    """Guards against places that count as being freed for ever: fewer and fewer others were displaced."""
+    async with FrontHarness(displace_stalled_after_ms=0.0) as harness:
+        harness.decisions.immediate_answer = Answer(Verdict.SERVED, b"1")
+        raw, request = harness.connect(), http_request()
+        raw.sendall(request[:40])
+        await harness.wait_until(lambda: harness.front.table.partial)
+        (connection,) = harness.front.connections
+        await harness.wait_until(lambda: connection.read_scope is not None)
+        raw.sendall(request[40:])
+        while not connection.stream.buffer.unprocessed:  # read by the event loop, and not by the front yet
+            await asyncio.sleep(0)
+        harness.front.table.displace(harness.front.max_connections)
+        caller = await open_caller(raw)
+        assert (await caller.reply()).status == 200
+        assert connection.close_reason is None and connection in harness.front.idle[True]
+        caller.writer.close()
