Corrections of an earlier ledger's period are checked against each other too

Operators would have seen: two corrections of one row, of a period that an earlier ledger had, were both accepted though together they took the row below zero.

Cause: the total of such a row came from the earlier ledger alone, without the corrections that the present one has made of it.

Change: both are added up.

--- a/flintshift/cli/corrections.py
+++ b/flintshift/cli/corrections.py
@@ -16,7 +16,7 @@
 from flintshift.storage.commit import CommitLimits
 from flintshift.storage.files import Files, LockedError
 from flintshift.storage.snapshot import publish
-from flintshift.usage.corrections import from_json, with_closed_totals
+from flintshift.usage.corrections import from_json, with_known_totals
 from flintshift.usage.folder import LedgerFolder, load
 from flintshift.usage.ledger import Ledger
 from flintshift.usage.messages import Reply
@@ -111,7 +111,7 @@
 def _expect_reply(files: Files, folder: Path, correction: bytes) -> Reply:
     """Return what the node would reply by what is in its folder; nothing is changed there."""
     accounts, _, _ = load(files, folder)
-    request = with_closed_totals(files, folder, accounts, from_json(correction))
+    request = with_known_totals(files, folder, accounts, from_json(correction))
     actions = LedgerPolicy(accounts, 0).handle(time.time() * 1000, request)
     return next(action for action in actions if isinstance(action, Reply))
 
--- a/flintshift/usage/corrections.py
+++ b/flintshift/usage/corrections.py
@@ -52,46 +52,74 @@
 def with_closed_totals(
     files: Files, folder: Path, accounts: UsageAccounts, request: CorrectionRequested
 ) -> CorrectionRequested:
-    """Return the correction with the row's total and the period's length, where the period is not open here.
+    """Return the correction with the row's total and the period's length, where the period has closed.
 
-    The period may have closed, or may be one of an earlier ledger of this member, which another member took over.
+    The length stays unknown where the period is not one of this ledger; the total is then that of its corrections here.
 
     Raises:
-        OSError, DamagedError: a document of the period, or an earlier ledger, can't be read.
+        DamagedError: a document of the period can't be read.
     """
     if request.period in accounts.state.periods or not 0 <= request.period < 2**45:
         return request
-    completed = _with_document_totals(files, folder, accounts, request)
-    if completed.length is None:
-        for earlier in earlier_ledgers(files, folder):
-            completed = _with_earlier_totals(files, earlier, request)
-            if completed.length is not None:
-                break
-    return completed
+    by_revision = {
+        document.revision: document
+        for document in read_documents(files, folder, f".{documents.utc(request.period)}.r").values()
+    }
+    unpublished = [documents.parse(pending.data) for pending in accounts.state.documents]
+    by_revision |= {document.revision: document for document in unpublished if document.period_ms == request.period}
+    recorded = documents.totals(by_revision.values()).get(_row_key(request), [0] * len(AMOUNTS))
+    length_ms = by_revision[0].length_ms if 0 in by_revision else None
+    return replace(request, closed=tuple(recorded), length=length_ms)
+
+
+def may_be_of_earlier_ledger(files: Files, folder: Path, accounts: UsageAccounts, request: CorrectionRequested) -> bool:
+    """Whether a correction that ``with_closed_totals`` returned may be one of a period of an earlier ledger."""
+    is_known = request.period in accounts.state.periods or request.length is not None
+    return not is_known and bool(earlier_ledgers(files, folder))
+
+
+def with_earlier_totals(files: Files, folder: Path, request: CorrectionRequested) -> CorrectionRequested:
+    """Return the correction with the total and the length that an earlier ledger of this member has of its period.
+
+    Another member took that ledger over. It is read whole, which may take seconds.
+
+    Raises:
+        OSError, DamagedError: it can't be read.
+    """
+    for earlier in earlier_ledgers(files, folder):
+        accounts, _, _ = load(files, earlier)
+        found = _find_totals(files, earlier, accounts, request)
+        if found.length is not None:
+            here = request.closed or (0,) * len(AMOUNTS)
+            total = tuple(map(sum, zip(found.closed or here, here, strict=True)))
+            return replace(found, closed=total)
+    return request
 
 
-def _with_earlier_totals(files: Files, earlier: Path, request: CorrectionRequested) -> CorrectionRequested:
-    """Return the correction with the totals that an earlier ledger has of the row."""
-    accounts, _, _ = load(files, earlier)
+def _find_totals(
+    files: Files, folder: Path, accounts: UsageAccounts, request: CorrectionRequested
+) -> CorrectionRequested:
+    """Return the correction with the totals of its period in one ledger, where that is open or closed there."""
     period = accounts.state.periods.get(request.period)
     if period is None:
-        return _with_document_totals(files, earlier, accounts, request)
-    key = request.club, request.class_name, request.front, request.outcome
-    return replace(request, closed=tuple(accounts.settled_amounts(request.period, key)), length=period.length)
+        return with_closed_totals(files, folder, accounts, request)
+    recorded = accounts.settled_amounts(request.period, _row_key(request))
+    return replace(request, closed=tuple(recorded), length=period.length)
+
+
+def _row_key(request: CorrectionRequested) -> documents.RowKey:
+    return request.club, request.class_name, request.front, request.outcome
 
 
-def _with_document_totals(
+def with_known_totals(
     files: Files, folder: Path, accounts: UsageAccounts, request: CorrectionRequested
 ) -> CorrectionRequested:
-    """Return the correction with the totals of the row in the documents of its period, if there are any."""
-    by_revision = {
-        document.revision: document
-        for document in read_documents(files, folder, f".{documents.utc(request.period)}.r").values()
-    }
-    unpublished = [documents.parse(pending.data) for pending in accounts.state.documents]
-    by_revision |= {document.revision: document for document in unpublished if document.period_ms == request.period}
-    if 0 not in by_revision:
-        return request
-    key = request.club, request.class_name, request.front, request.outcome
-    recorded = documents.totals(by_revision.values()).get(key, [0] * len(AMOUNTS))
-    return replace(request, closed=tuple(recorded), length=by_revision[0].length_ms)
+    """Return the correction with the totals of its period, in this ledger or an earlier one.
+
+    Raises:
+        OSError, DamagedError: a ledger can't be read.
+    """
+    completed = with_closed_totals(files, folder, accounts, request)
+    if may_be_of_earlier_ledger(files, folder, accounts, completed):
+        return with_earlier_totals(files, folder, completed)
+    return completed
--- a/flintshift/usage/ledger.py
+++ b/flintshift/usage/ledger.py
@@ -44,12 +44,13 @@
 )
 from flintshift.storage.log import BrokenLogError
 from flintshift.usage.accounts import UsageAccounts
-from flintshift.usage.corrections import from_json, with_closed_totals
+from flintshift.usage.corrections import from_json, with_known_totals
 from flintshift.usage.folder import LedgerFolder, retire
 from flintshift.usage.inbox import CorrectionInbox
 from flintshift.usage.messages import (
     Append,
     ClockAdjusted,
+    CorrectionRequested,
     DiskRecovered,
     DocumentsPublished,
     DocumentsRetired,
@@ -536,13 +537,16 @@
         self.on_documents_published()
 
     def correct(self, data: bytes) -> Reply:
-        """Process a submitted correction."""
+        """Process a submitted correction. An earlier ledger may be read for it, which takes long."""
         try:
-            request = from_json(data)
-            completed = with_closed_totals(self.folder.files, self.folder.folder, self.accounts, request)
+            request = with_known_totals(self.folder.files, self.folder.folder, self.accounts, from_json(data))
         except (ValueError, snapshot.DamagedError) as error:
             return Reply(False, str(error))
-        reply = self._handle_event(completed)
+        return self.apply_correction(request)
+
+    def apply_correction(self, request: CorrectionRequested) -> Reply:
+        """Process a correction that has the totals of its period."""
+        reply = self._handle_event(request)
         assert reply is not None
         self.log_event(
             "info", "usage.correction", id=request.id, taken=reply.taken, text=reply.text, author=request.author
