A running node reads an earlier ledger for a correction in a thread

Callers would have seen: a node that stands still while it reads a whole earlier ledger, which takes seconds for millions of records.

Cause: the inbox looked the period up in the event loop.

Change: the inbox reads earlier ledgers in a thread, and only for periods that the present one does not know. The command line, which serves nobody, does it as before.

--- a/flintshift/usage/inbox.py
+++ b/flintshift/usage/inbox.py
@@ -17,6 +17,12 @@
 import anyio
 
 from flintshift.storage import snapshot
+from flintshift.usage.corrections import (
+    from_json,
+    may_be_of_earlier_ledger,
+    with_closed_totals,
+    with_earlier_totals,
+)
 from flintshift.usage.messages import Reply
 
 if TYPE_CHECKING:
@@ -67,7 +73,7 @@
         ledger, files = self.ledger, self.ledger.folder.files
         await ledger.wait_until_writable()
         path, accounts = folder / "inbox" / name, ledger.accounts
-        correction = self._correct(name, files.read(path))
+        correction = await self._correct(name, files.read(path))
         await ledger.sync_all()
         if ledger.accounts is not accounts or not self._is_confirmed(correction):
             return
@@ -78,14 +84,26 @@
         files.remove(path)
         self.unconfirmed.pop(name, None)
 
-    def _correct(self, name: str, data: bytes) -> UnconfirmedCorrection:
+    async def _correct(self, name: str, data: bytes) -> UnconfirmedCorrection:
         """Process a correction, unless that was done at an earlier call."""
         known = self.unconfirmed.get(name)
         if known is None or known.data != data:
-            reply = self.ledger.correct(data)
+            reply = await self._reply_to(data)
             known = self.unconfirmed[name] = UnconfirmedCorrection(data, reply, self.ledger.accounts.state.sequence)
         return known
 
+    async def _reply_to(self, data: bytes) -> Reply:
+        """Process a correction. Earlier ledgers are read in a thread, since the node serves meanwhile."""
+        ledger, files, folder = self.ledger, self.ledger.folder.files, self.ledger.folder.folder
+        try:
+            request = with_closed_totals(files, folder, ledger.accounts, from_json(data))
+            if may_be_of_earlier_ledger(files, folder, ledger.accounts, request):
+                request = await anyio.to_thread.run_sync(with_earlier_totals, files, folder, request)
+                await ledger.wait_until_writable()
+        except (ValueError, snapshot.DamagedError) as error:
+            return Reply(False, str(error))
+        return ledger.apply_correction(request)
+
     def _is_confirmed(self, correction: UnconfirmedCorrection) -> bool:
         replication = self.ledger.replication
         return replication is None or not correction.reply.taken or replication.is_replicated(correction.sequence)
--- a/tests/usage/test_inbox.py
+++ b/tests/usage/test_inbox.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import threading
 
 import pytest
 from storage.sim_files import SimFiles
 from usage.test_ledger_stops import CLASSES, CLUBS, FOLDER, START_MS, SimulatedLedger
 
 from flintshift.storage.snapshot import publish
+from flintshift.usage import corrections
 from flintshift.usage.corrections import to_json
 from flintshift.usage.folder import LedgerFolder
 from flintshift.usage.messages import CorrectionRequested
@@ -110,3 +112,18 @@
         submit(simulated, id_, requests)
         await simulated.ledger.inbox.process()
         assert reply(simulated, id_)["taken"] is taken, id_
+
+
+async def test_an_earlier_ledger_is_read_in_a_thread(simulated, monkeypatch):
+    """Guards against a node that stands still while it reads a whole earlier ledger for a correction."""
+    threads, load = [], corrections.load
+
+    def load_and_record(*arguments):
+        threads.append(threading.get_ident())
+        return load(*arguments)
+
+    monkeypatch.setattr(corrections, "load", load_and_record)
+    begin_new_ledger(simulated)
+    submit(simulated, "c1")
+    await simulated.ledger.inbox.process()
+    assert reply(simulated, "c1")["taken"] and threads and threading.get_ident() not in threads
