Answers of the billing system are read within the bounds of the node's parser

Callers would have seen: a node that stands still for seconds, as one answer of the billing system holds a control character behind spaces.

The sink is given its transport, so that none is made without it.

--- a/flintshift/lifecycle/exports.py
+++ b/flintshift/lifecycle/exports.py
@@ -13,6 +13,7 @@
 
 import anyio
 
+from flintshift.core.limits import Limits
 from flintshift.core.ports import Log
 from flintshift.settings.options import ExportOptions, UsageOptions
 from flintshift.storage.files import DiskFiles, Files
@@ -21,7 +22,7 @@
 from flintshift.usage.export_driver import ExportDriver
 from flintshift.usage.exporter import DeliveryConfig
 from flintshift.usage.ledger import Ledger
-from flintshift.usage.sinks import FolderSink, HttpSink, Sink
+from flintshift.usage.sinks import MAX_RESPONSE_BYTES, FolderSink, HttpSink, Sink
 
 RESTART_DELAY_S = 30.0  # after an error that stopped the exporter: of the disk, or a damaged file
 
@@ -32,7 +33,10 @@
     if options.folder is not None:
         sinks["folder"] = FolderSink(files, options.folder)
     if options.http is not None:
-        sinks["http"] = HttpSink(options.http.url, options.http.timeout_ms, ledger_id)
+        from flintshift.wire.http_client import BoundedTransport
+
+        transport = BoundedTransport(Limits(), MAX_RESPONSE_BYTES)
+        sinks["http"] = HttpSink(options.http.url, options.http.timeout_ms, transport, ledger_id)
     return sinks
 
 
--- a/flintshift/usage/sinks.py
+++ b/flintshift/usage/sinks.py
@@ -15,7 +15,7 @@
 import base64
 import json
 from pathlib import Path
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
@@ -24,6 +24,9 @@
 from flintshift.usage import documents
 from flintshift.usage.messages import Delivered, NotDelivered, Rejected, Superseded
 
+if TYPE_CHECKING:
+    from httpx import AsyncBaseTransport
+
 DeliveryOutcome = Delivered | NotDelivered | Rejected | Superseded
 MAX_RESPONSE_BYTES = 65_536
 
@@ -67,15 +70,15 @@
 
 
 class HttpSink:
-    """Sends each document to a billing system."""
+    """Sends each document to a billing system. ``transport`` bounds what a response may cost to read."""
 
-    def __init__(self, url: str, timeout_ms: float, ledger: str = "") -> None:
+    def __init__(self, url: str, timeout_ms: float, transport: AsyncBaseTransport, ledger: str = "") -> None:
         import httpx  # imported here, so that a node without this sink does not load it
 
         self.httpx, self.url, self.timeout_s = httpx, url, timeout_ms / 1000
         self.ledger_headers = {"X-Export-Ledger": ledger} if ledger else {}
         self.client = httpx.AsyncClient(
-            timeout=self.timeout_s, follow_redirects=False, trust_env=False, limits=httpx.Limits(max_connections=1)
+            timeout=self.timeout_s, follow_redirects=False, trust_env=False, transport=transport
         )
 
     async def deliver(self, name: str, data: bytes, epoch: int) -> DeliveryOutcome:
--- a/tests/usage/test_export.py
+++ b/tests/usage/test_export.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import random
 import time
 from pathlib import Path
@@ -13,6 +15,7 @@
 from hypothesis import strategies as st
 from storage.sim_files import SimFiles
 
+from flintshift.core.limits import Limits
 from flintshift.lab.billing import FAULTS, Billing
 from flintshift.lifecycle import exports
 from flintshift.proto import usage_pb2 as pb
@@ -35,7 +38,8 @@
     Tick,
     WakeAt,
 )
-from flintshift.usage.sinks import FolderSink, HttpSink, interpret_response
+from flintshift.usage.sinks import MAX_RESPONSE_BYTES, FolderSink, HttpSink, interpret_response
+from flintshift.wire.http_client import BoundedTransport
 
 HOUR_MS = 3_600_000.0
 
@@ -203,6 +207,10 @@
 # The sinks.
 
 
+def http_sink(url, timeout_ms):
+    return HttpSink(url, timeout_ms, BoundedTransport(Limits(), MAX_RESPONSE_BYTES))
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("fault", FAULTS)
 async def test_after_each_fault_of_a_billing_system_it_has_each_document_once(tmp_path, fault):
@@ -210,7 +218,7 @@
     billing = Billing(tmp_path / "billing", late_s=0.05)
     billing.scripted_faults = [fault, "", fault, fault]
     url = f"http://127.0.0.1:{await billing.start()}/usage"
-    driver = make_driver(tmp_path / "u", {"http": HttpSink(url, 100.0)})
+    driver = make_driver(tmp_path / "u", {"http": http_sink(url, 100.0)})
     with anyio.fail_after(20):
         await driver.run()
     assert {path.name: path.read_bytes() for path in (tmp_path / "billing").iterdir()} == data_by_name
@@ -225,7 +233,7 @@
     billing, events = Billing(tmp_path / "billing"), []
     (tmp_path / "billing" / sorted(data_by_name)[1]).write_bytes(b"something else")
     url = f"http://127.0.0.1:{await billing.start()}/usage"
-    await make_driver(tmp_path / "u", {"http": HttpSink(url, 1000.0)}, events=events).run()
+    await make_driver(tmp_path / "u", {"http": http_sink(url, 1000.0)}, events=events).run()
     assert unacknowledged(DiskFiles(), tmp_path / "u", ["http"]) == {"http": [sorted(data_by_name)[1]]}
     assert [fields["name"] for event, fields in events if event == "export.alarm"] == [sorted(data_by_name)[1]]
     billing.stop()
@@ -237,7 +245,7 @@
     billing = Billing(tmp_path / "billing")
     billing.epochs[""] = 7
     url = f"http://127.0.0.1:{await billing.start()}/usage"
-    await make_driver(tmp_path / "u", {"http": HttpSink(url, 1000.0)}).run()
+    await make_driver(tmp_path / "u", {"http": http_sink(url, 1000.0)}).run()
     assert not list((tmp_path / "billing").iterdir())
     assert unacknowledged(DiskFiles(), tmp_path / "u", ["http"])["http"]
     billing.stop()
@@ -321,3 +329,41 @@
             tasks.cancel_scope.cancel()
     assert {path.name: path.read_bytes() for path in (tmp_path / "out").iterdir()} == data_by_name
     assert events.count("export.stopped") == 2
+
+
+COSTLY_RESPONSES = {
+    "a control character behind spaces": b"HTTP/1.1 200 OK\r\na:" + b" " * 60_000 + b"\0\r\n\r\n",
+    "fields without an end": b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 20_000,
+    "a body without an end": b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 200_000,
+}
+MAX_STALL_S = 0.3
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("response", COSTLY_RESPONSES.values(), ids=COSTLY_RESPONSES.keys())
+async def test_a_response_that_is_costly_to_read_is_no_delivery_and_does_not_stop_the_event_loop(response):
+    """Guards against a billing system whose one response keeps the whole node for seconds."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        with contextlib.suppress(OSError):
+            await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/usage"
+    sink, stalls_s = http_sink(url, 5000.0), [0.0]
+
+    async def watch_the_event_loop():
+        while True:
+            begin = time.monotonic()
+            await asyncio.sleep(0.01)
+            stalls_s.append(time.monotonic() - begin - 0.01)
+
+    watching = asyncio.ensure_future(watch_the_event_loop())
+    outcome = await sink.deliver("n1.e1.usage", b"data", 1)
+    await asyncio.sleep(0.05)
+    watching.cancel()
+    server.close()
+    assert isinstance(outcome, NotDelivered) and max(stalls_s) < MAX_STALL_S
